Lay out the workspace, the objects' types and the interfaces

One workspace of four packages with their checks, the typed objects, the messages into and out of a zone's scheduler, and the interfaces between the parts of a node, so that the parts can be built beside each other.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Two commands matter to a newcomer: `make demo` and `make test`.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(wildcard packages/*)
+ARGS ?=
+
+.PHONY: demo test measure fuzz format lint types unit clean
+
+# The stamp is rebuilt when a version or a package's metadata changes.
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt --no-build-isolation $(addprefix --editable ,$(PACKAGES))
+	touch $@
+
+demo: $(VENV)/.installed
+	bash tools/demo.sh $(if $(ARGS),$(ARGS),shrestha)
+
+test: lint types unit
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check packages conftest.py
+	$(BIN)/ruff check packages conftest.py
+	$(BIN)/lint-imports --no-cache
+
+types: $(VENV)/.installed
+	$(BIN)/mypy packages/*/src
+
+unit: $(VENV)/.installed
+	$(BIN)/python -m pytest -n 4 $(ARGS)
+
+measure: $(VENV)/.installed
+	$(BIN)/python -m pomeloarch_standins.measure $(ARGS)
+
+fuzz: $(VENV)/.installed
+	POMELOARCH_FUZZ=1 $(BIN)/python -m pytest -n 4 packages -k "machine or fuzz" $(ARGS)
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format packages conftest.py
+	$(BIN)/ruff check --fix packages conftest.py
+
+clean:
+	rm -rf $(VENV) .ruff_cache .mypy_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/__init__.py
@@ -0,0 +1,1 @@
+"""`pomelo`: what operators and callers type."""
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/__init__.py
@@ -0,0 +1,1 @@
+"""Whole gangs under guarantees: fleet, queue, placement and preemption."""
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes acting as one: liveness, role leases and epochs."""
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Requests to executors: choice, limits, fair queue, retries, refusals."""
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/__init__.py
@@ -0,0 +1,1 @@
+"""`pomelod`: the sockets, timers and tasks round the core's decisions."""
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of platform, workers and executors, and the demo driver."""
