Forward requests to executors and add stand-in executors

The request plane chooses an executor by two draws over load and latency, admits through a fair queue under a concurrency limit, and tells outcomes from what was put on the wire. Stand-in executors count runs by request id and go bad on demand. Idempotency keys are not claimed in the table yet: a keyed request is sent at most once by the node that takes it.

--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -0,0 +1,248 @@
+"""Choice of an executor: power of two choices within the cheapest zone.
+
+Two candidates are drawn and the one with the lower cost is taken, after
+"The Power of Two Choices" (Mitzenmacher, 2001), Finagle's balancers and
+Prequal (NSDI 2024). The cost is the expected time there: the latency of its
+good answers, times what it has in progress from this node, from the others
+and by its own report, times a penalty for failures. Failures answered fast
+don't lower the latency, so that they don't attract work.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Iterable, Mapping
+
+from pomeloarch_core.ids import ExecutorId, ZoneName
+from pomeloarch_core.routing.ejection import Ejector, ExecutorHealth
+from pomeloarch_core.routing.latency import DecayingMean
+from pomeloarch_core.routing.leaving import LeavingExecutors
+from pomeloarch_core.routing.messages import TryResult, Upstream
+from pomeloarch_core.routing.zones import ZoneCosts
+
+_LATENCY_HALF_LIFE_S = 2.0
+_UNMEASURED_S = 0.001
+_FAILURE_PENALTY = 20.0
+_REPORT_VALID_S = 0.5
+_REMOTE_HEADROOM = 1
+_DRAWS = 4
+
+
+class ExecutorState:
+    """What this node knows of one executor.
+
+    Attributes:
+      upstream: its entry in the platform's list.
+      in_progress: requests of this node that it works on.
+      elsewhere: requests of other nodes that it works on, as they tell.
+      health: whether it is given work.
+    """
+
+    __slots__ = (
+        "_latency",
+        "_reported",
+        "_reported_at",
+        "elsewhere",
+        "health",
+        "in_progress",
+        "upstream",
+    )
+
+    def __init__(self, upstream: Upstream, health: ExecutorHealth) -> None:
+        """Starts with nothing in progress."""
+        self.upstream = upstream
+        self.health = health
+        self.in_progress = 0
+        self.elsewhere = 0
+        self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
+        self._reported = 0
+        self._reported_at = float("-inf")
+
+    def load(self, now: float) -> int:
+        """Returns the requests that it has by the best knowledge."""
+        known = self.in_progress + self.elsewhere
+        if now - self._reported_at < _REPORT_VALID_S:
+            return max(known, self._reported)
+        return known
+
+    def free_slots(self, now: float) -> int:
+        """Returns how many more requests it can run at once."""
+        return self.upstream.slots - self.load(now)
+
+    def cost(self, now: float) -> float:
+        """Returns the expected time of one more request, in seconds."""
+        latency = max(self._latency.value, _UNMEASURED_S)
+        queue = (self.load(now) + 1) / self.upstream.slots
+        failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
+        return latency * (1.0 + queue) * failing
+
+    def record_latency(self, seconds: float, now: float) -> None:
+        """Takes the time of a good answer in, in seconds."""
+        self._latency.add(seconds, now)
+
+    def record_report(self, load: int, now: float) -> None:
+        """Takes in what the executor says of its own load.
+
+        The request that carried the report has ended, so it isn't counted.
+        """
+        self._reported = max(0, load - 1)
+        self._reported_at = now
+
+
+class ExecutorPool:
+    """The executors of one service and the choice among them.
+
+    Args:
+      zones: measured costs of the zones.
+      rng: draws the candidates.
+    """
+
+    def __init__(self, zones: ZoneCosts, rng: random.Random) -> None:
+        """Starts without executors."""
+        self.zones = zones
+        self.leaving = LeavingExecutors()
+        self.ejector = Ejector(rng)
+        self._rng = rng
+        self._states: dict[ExecutorId, ExecutorState] = {}
+        self._by_zone: dict[ZoneName, list[ExecutorState]] = {}
+
+    @property
+    def states(self) -> Mapping[ExecutorId, ExecutorState]:
+        """All executors in the list."""
+        return self._states
+
+    def replace(self, upstreams: Iterable[Upstream]) -> None:
+        """Takes a newer list; executors on both keep what is known."""
+        listed = {each.executor_id: each for each in upstreams}
+        for executor_id in self._states.keys() - listed.keys():
+            self._states.pop(executor_id)
+            self.ejector.forget(executor_id)
+        for executor_id, upstream in listed.items():
+            state = self._states.get(executor_id)
+            if state is None:
+                health = self.ejector.health(executor_id)
+                self._states[executor_id] = ExecutorState(upstream, health)
+            else:
+                state.upstream = upstream
+        self.leaving.take_list(
+            each.executor_id for each in listed.values() if each.leaving
+        )
+        self._by_zone = {}
+        for state in self._states.values():
+            zone = state.upstream.availability_zone
+            self._by_zone.setdefault(zone, []).append(state)
+
+    def take_elsewhere(self, counts: Mapping[ExecutorId, int]) -> None:
+        """Takes in what the other nodes have in progress."""
+        for executor_id, state in self._states.items():
+            state.elsewhere = counts.get(executor_id, 0)
+
+    def slots(self) -> int:
+        """Returns the slots of all executors that may be given work."""
+        return sum(
+            state.upstream.slots
+            for executor_id, state in self._states.items()
+            if state.health.usable and executor_id not in self.leaving
+        )
+
+    def choose(
+        self, now: float, exclude: Collection[ExecutorId] = ()
+    ) -> ExecutorState | None:
+        """Returns the executor for one more request, None if there is none.
+
+        Args:
+          now: the present time in seconds of the clock.
+          exclude: executors that this request has been tried at.
+        """
+        fallback: ExecutorState | None = None
+        for zone in self.zones.ordered(self._by_zone):
+            least_free = 1
+            if zone != self.zones.own:
+                least_free += _REMOTE_HEADROOM
+            found = self._draw(zone, now, exclude)
+            if found is None:
+                continue
+            if found.free_slots(now) >= least_free:
+                return found
+            if fallback is None or (
+                found.free_slots(now) > fallback.free_slots(now)
+            ):
+                fallback = found
+        return fallback
+
+    def begin(self, state: ExecutorState) -> None:
+        """Counts a request that is sent to an executor."""
+        state.in_progress += 1
+
+    def end(
+        self,
+        state: ExecutorState,
+        result: TryResult,
+        seconds: float,
+        now: float,
+    ) -> bool:
+        """Takes a try's end in; returns whether its executor was ejected.
+
+        Args:
+          state: the executor.
+          result: how the try ended.
+          seconds: how long it took, in seconds.
+          now: the present time in seconds of the clock.
+        """
+        state.in_progress -= 1
+        executor_id = state.upstream.executor_id
+        if result is TryResult.ABANDONED:
+            return False
+        if result is TryResult.ANSWERED:
+            state.record_latency(seconds, now)
+        if result is TryResult.REFUSED:
+            return False
+        return self.ejector.record(executor_id, result, now)
+
+    def _draw(
+        self, zone: ZoneName, now: float, exclude: Collection[ExecutorId]
+    ) -> ExecutorState | None:
+        states = self._by_zone[zone]
+        drawn: list[ExecutorState] = []
+        for _ in range(_DRAWS):
+            state = states[int(self._rng.random() * len(states))]
+            if state not in drawn and self._accepts(state, now, exclude):
+                drawn.append(state)
+                if len(drawn) == 2:
+                    break
+        best = min(drawn, key=lambda each: each.cost(now), default=None)
+        if best is not None and best.free_slots(now) > 0:
+            return best
+        return self._scan(states, now, exclude)
+
+    def _scan(
+        self,
+        states: list[ExecutorState],
+        now: float,
+        exclude: Collection[ExecutorId],
+    ) -> ExecutorState | None:
+        """Returns the freest executor when the drawn ones are full."""
+        usable = [
+            state
+            for state in states
+            if state.health.usable
+            and state.upstream.executor_id not in self.leaving
+            and state.upstream.executor_id not in exclude
+        ]
+        return max(
+            usable,
+            key=lambda each: (each.free_slots(now), -each.cost(now)),
+            default=None,
+        )
+
+    def _accepts(
+        self,
+        state: ExecutorState,
+        now: float,
+        exclude: Collection[ExecutorId],
+    ) -> bool:
+        executor_id = state.upstream.executor_id
+        if executor_id in exclude or executor_id in self.leaving:
+            return False
+        weight = state.health.weight(now)
+        return weight >= 1.0 or self._rng.random() < weight
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_catalogue.py
@@ -0,0 +1,94 @@
+"""What the configuration in force says of services, classes and callers."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping
+
+from pomeloarch_core.ids import (
+    ExecutorId,
+    JobClassName,
+    OrganisationName,
+    ServiceName,
+    ZoneName,
+)
+from pomeloarch_core.objects.model import JobClass, Service, Snapshot
+from pomeloarch_core.routing import (
+    ServiceRouter,
+    Upstream,
+    ZoneCosts,
+    class_weights,
+)
+from pomeloarch_node.platform import Host, HostKind, HostState
+
+_DEFAULT_SLOTS = 8
+
+
+class Catalogue:
+    """The services in force, each with its router.
+
+    Args:
+      zone: this node's availability zone.
+      rng: the source of chance for the routers.
+    """
+
+    def __init__(self, zone: ZoneName, rng: random.Random) -> None:
+        """Starts without any service."""
+        self.zones = ZoneCosts(zone)
+        self.services: dict[ServiceName, Service] = {}
+        self.routers: dict[ServiceName, ServiceRouter] = {}
+        self.classes: dict[JobClassName, JobClass] = {}
+        self.organisations: frozenset[OrganisationName] = frozenset()
+        self.known = False
+        self._rng = rng
+        self._upstreams: dict[ServiceName, list[Upstream]] = {}
+
+    def take_snapshot(self, snapshot: Snapshot) -> None:
+        """Puts a newer configuration in force; routers keep their state."""
+        objects = snapshot.objects
+        self.classes = {each.name: each for each in objects.job_class}
+        self.services = {each.name: each for each in objects.service}
+        weights = {each.name: each.weight for each in objects.organisation}
+        self.organisations = frozenset(weights)
+        for name in self.routers.keys() - self.services.keys():
+            del self.routers[name]
+        for service in objects.service:
+            self._take_service(service, weights)
+        self.known = True
+
+    def take_hosts(self, hosts: Iterable[Host]) -> None:
+        """Takes a newer list of hosts."""
+        self._upstreams = {}
+        for host in hosts:
+            if host.kind is HostKind.EXECUTOR:
+                service = ServiceName(str(host.attributes.get("service", "")))
+                self._upstreams.setdefault(service, []).append(_upstream(host))
+        for name, router in self.routers.items():
+            router.replace_upstreams(self._upstreams.get(name, ()))
+
+    def _take_service(
+        self, service: Service, organisations: Mapping[OrganisationName, float]
+    ) -> None:
+        names = {route.job_class for route in service.routes}
+        weights = class_weights(
+            self.classes[name] for name in sorted(names) if name in self.classes
+        )
+        router = self.routers.get(service.name)
+        if router is not None:
+            router.admission.set_weights(weights, organisations)
+            return
+        router = ServiceRouter(
+            service.name, weights, organisations, self.zones, self._rng
+        )
+        router.replace_upstreams(self._upstreams.get(service.name, ()))
+        self.routers[service.name] = router
+
+
+def _upstream(host: Host) -> Upstream:
+    return Upstream(
+        executor_id=ExecutorId(host.id),
+        availability_zone=ZoneName(host.availability_zone),
+        address=host.address,
+        slots=int(host.attributes.get("slots", _DEFAULT_SLOTS)),
+        leaving=host.state is HostState.LEAVING,
+    )
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
@@ -0,0 +1,298 @@
+"""A request plane with stand-in executors in one event loop, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+import time
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import uvicorn
+from result import Err, Ok, Result
+from starlette.applications import Starlette
+
+from pomeloarch_core.ids import (
+    Generation,
+    NodeId,
+    PublicationId,
+    ZoneName,
+)
+from pomeloarch_core.objects.model import (
+    AvailabilityZone,
+    JobClass,
+    ObjectSet,
+    Organisation,
+    Route,
+    Service,
+    Snapshot,
+    UpstreamGroup,
+    Urgency,
+)
+from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.peers import PeerMessage
+from pomeloarch_node.platform import (
+    Check,
+    Conflict,
+    Host,
+    HostKind,
+    PlatformError,
+    PlatformFailure,
+    Row,
+    Write,
+)
+from pomeloarch_node.requests import RequestPlane
+from pomeloarch_node.settings import Settings
+from pomeloarch_standins.executors import ExecutorFleet
+
+_ZONE = "patan"
+_SERVICE = "appraisal-desk"
+
+
+class LonelyPeers:
+    """A peer plane whose digests are set by a test."""
+
+    def __init__(self) -> None:
+        """Starts without any other node."""
+        self.told: dict[str, bytes] = {}
+        self.heard: dict[str, dict[NodeId, PeerMessage]] = {}
+
+    def set_digest(self, topic: str, payload: bytes) -> None:
+        """Keeps this node's digest."""
+        self.told[topic] = payload
+
+    def digests(self, topic: str) -> dict[NodeId, PeerMessage]:
+        """Returns what the test has set."""
+        return self.heard.get(topic, {})
+
+    def live_nodes(self) -> dict[NodeId, ZoneName]:
+        """Returns this node alone."""
+        return {NodeId("node-1"): ZoneName(_ZONE)}
+
+    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
+        """Sends nothing."""
+        return False
+
+    def subscribe(self, topic: str) -> asyncio.Queue[PeerMessage]:
+        """Returns a queue that stays empty."""
+        return asyncio.Queue()
+
+
+class MemoryTables:
+    """The platform's tables in memory, with faults of its answers.
+
+    Attributes:
+      rows: all rows by table and key.
+      down: every call fails without effect.
+      lose_answers: how many of the next writes take effect unanswered.
+    """
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self.rows: dict[tuple[str, str], Row] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.writes = 0
+
+    async def transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
+        """Writes all rows if all checks hold."""
+        if self.down:
+            return Err(PlatformError(PlatformFailure.NOT_DONE, "down"))
+        wrong = [
+            self._row(check.table, check.key)
+            for check in checks
+            if self._row(check.table, check.key).version != check.version
+        ]
+        if wrong:
+            return Err(Conflict(tuple(wrong)))
+        versions = tuple(self._write(write) for write in writes)
+        self.writes += len(writes)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "lost"))
+        return Ok(versions)
+
+    async def read(
+        self, keys: Sequence[tuple[str, str]]
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Reads rows."""
+        if self.down:
+            return Err(PlatformError(PlatformFailure.NOT_DONE, "down"))
+        return Ok(tuple(self._row(*key) for key in keys))
+
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Finds nothing."""
+        return Ok(())
+
+    async def membership(self) -> Result[tuple[Host, ...], PlatformError]:
+        """Lists nothing."""
+        return Ok(())
+
+    def _row(self, table: str, key: str) -> Row:
+        return self.rows.get((table, key), Row(table, key, 0))
+
+    def _write(self, write: Write) -> int:
+        version = self._row(write.table, write.key).version + 1
+        self.rows[write.table, write.key] = Row(
+            write.table, write.key, version, write.value
+        )
+        return version
+
+
+class ExecutorHarness:
+    """One node's request plane, its HTTP server and stand-in executors.
+
+    Args:
+      executors: how many executors there are.
+      service_s: time one request takes, in seconds.
+      slots: slots of each executor.
+      seed: seed of all chance.
+      max_body_bytes: the service's largest body.
+      max_buffered_bytes: the node's memory for bodies.
+    """
+
+    def __init__(
+        self,
+        executors: int = 3,
+        service_s: float = 0.0,
+        slots: int = 8,
+        seed: int = 1,
+        max_body_bytes: int = 1_000_000,
+        max_buffered_bytes: int = 64_000_000,
+    ) -> None:
+        """Prepares the parts without starting them."""
+        self.fleet = ExecutorFleet(
+            "127.0.0.1", 0, executors, _SERVICE, service_s, slots
+        )
+        self.peers = LonelyPeers()
+        self.tables = MemoryTables()
+        self.metrics = Metrics()
+        self.directory = HostDirectory()
+        self.holder = ConfigurationHolder()
+        self._max_body_bytes = max_body_bytes
+        self._slots = slots
+        settings = Settings(
+            node_id=NodeId("node-1"),
+            availability_zone=ZoneName(_ZONE),
+            address="127.0.0.1",
+            http_port=0,
+            peer_port=0,
+            platform_url="http://127.0.0.1:1",
+            max_buffered_bytes=max_buffered_bytes,
+        )
+        self.plane = RequestPlane(
+            settings,
+            self.holder,
+            self.directory,
+            self.peers,
+            self.tables,
+            self.metrics,
+            time.monotonic,
+            random.Random(seed),
+        )
+
+    async def __aenter__(self) -> ExecutorHarness:
+        """Starts executors, node and server."""
+        await self.fleet.start()
+        self.list_executors()
+        self.holder.offer(_snapshot(self._max_body_bytes))
+        self._plane_task = asyncio.create_task(self.plane.run())
+        sock = socket.create_server(("127.0.0.1", 0))
+        self.port = sock.getsockname()[1]
+        cfg = uvicorn.Config(
+            Starlette(routes=self.plane.routes()),
+            log_level="error",
+            lifespan="off",
+            access_log=False,
+            loop="asyncio",
+        )
+        self._server = uvicorn.Server(cfg)
+        self._server_task = asyncio.create_task(
+            self._server.serve(sockets=[sock])
+        )
+        self.session = aiohttp.ClientSession()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """Stops everything."""
+        await self.session.close()
+        self._server.should_exit = True
+        self._server.force_exit = True
+        await self._server_task
+        self._plane_task.cancel()
+        await asyncio.gather(self._plane_task, return_exceptions=True)
+        await self.fleet.stop()
+
+    def list_executors(self, state: str = "live") -> None:
+        """Puts the executors' present addresses on the node's list."""
+        self.directory.replace(
+            tuple(
+                Host(
+                    id=each.executor_id,
+                    kind=HostKind.EXECUTOR,
+                    availability_zone=_ZONE,
+                    address=each.address,
+                    attributes={"service": _SERVICE, "slots": self._slots},
+                )
+                for each in self.fleet.executors
+            )
+        )
+
+    def url(self, path: str = "/appraise", service: str = _SERVICE) -> str:
+        """Returns the URL of a path of a service."""
+        return f"http://127.0.0.1:{self.port}/v1/services/{service}{path}"
+
+    async def post(
+        self,
+        path: str = "/appraise",
+        body: bytes = b"",
+        service: str = _SERVICE,
+        **headers: str,
+    ) -> tuple[int, dict[str, str], Any]:
+        """Posts one request; returns status, headers and decoded body."""
+        sent = {"Pomelo-Organisation": "shrestha", "Pomelo-Caller": "counter"}
+        sent |= {
+            name.replace("_", "-"): value for name, value in headers.items()
+        }
+        async with self.session.post(
+            self.url(path, service), data=body, headers=sent
+        ) as resp:
+            decoded = await resp.json(content_type=None)
+            return resp.status, dict(resp.headers), decoded
+
+
+def _snapshot(max_body_bytes: int) -> Snapshot:
+    urgent = JobClass("dye-check", Urgency.URGENT, floor_share=0.4)  # type: ignore[arg-type]
+    batch = JobClass("motif-match", Urgency.BATCH, floor_share=0.1)  # type: ignore[arg-type]
+    service = Service(
+        name=_SERVICE,  # type: ignore[arg-type]
+        upstreams=(UpstreamGroup(ZoneName(_ZONE), 3),),
+        routes=(
+            Route("/", urgent.name),
+            Route("/motifs", batch.name),
+        ),
+        max_body_bytes=max_body_bytes,
+    )
+    return Snapshot(
+        Generation(1),
+        PublicationId("first"),
+        ObjectSet(
+            availability_zone=(
+                AvailabilityZone(name=ZoneName(_ZONE), region="nepal"),
+            ),
+            organisation=(
+                Organisation(name="shrestha"),  # type: ignore[arg-type]
+                Organisation(name="auction-house"),  # type: ignore[arg-type]
+            ),
+            job_class=(urgent, batch),
+            service=(service,),
+        ),
+    )
