Claim idempotency keys in the table before a request is sent

A keyed request was sent at most once by one node only. Its key is now claimed by a conditional write before any byte is sent, settled by reading back after a lost answer, and its row gets the answer or the truthful state. With the table down nothing is sent. The test of a key used for another request first failed: the stored answer of the other request was returned.

--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
@@ -14,6 +14,7 @@
 from pomeloarch_core.routing.fair_queue import FairQueue
 from pomeloarch_core.routing.limits import ConcurrencyLimit, LatencyBaseline
 from pomeloarch_core.routing.messages import (
+    Flow,
     Refusal,
     RefusalReason,
     Ticket,
@@ -97,21 +98,38 @@
         Returns:
           None, or why it is refused.
         """
-        expected = self.expected_s(ticket.flow.job_class)
-        if ticket.deadline <= now:
-            return self._refuse(ticket, RefusalReason.DEADLINE_PASSED, 0.0)
-        if not self._queue and self.in_progress < self._limit.value:
+        refusal = self.preview(ticket.flow, ticket.deadline, now)
+        if refusal is not None:
+            ticket.state = TicketState.DONE
+            return refusal
+        if self._has_room():
             self._admit(ticket, now)
             return None
-        wait = self._queue.wait_s(ticket.flow, self._limit.value)
-        if wait > LONGEST_WAIT_S:
-            return self._refuse(ticket, RefusalReason.OVERLOADED, wait)
-        if now + wait + expected > ticket.deadline:
-            return self._refuse(ticket, RefusalReason.DEADLINE, wait)
-        ticket.cost = expected
+        ticket.cost = self.expected_s(ticket.flow.job_class)
         self._queue.push(ticket)
         return None
 
+    def preview(
+        self, flow: Flow, deadline: float, now: float
+    ) -> Refusal | None:
+        """Returns why a request would be refused now, None if it wouldn't.
+
+        Args:
+          flow: whose request it is.
+          deadline: when its caller stops waiting, in seconds of the clock.
+          now: the present time in seconds of the clock.
+        """
+        if deadline <= now:
+            return refuse(RefusalReason.DEADLINE_PASSED, 0.0, self._rng)
+        if self._has_room():
+            return None
+        wait = self._queue.wait_s(flow, self._limit.value)
+        if wait > LONGEST_WAIT_S:
+            return refuse(RefusalReason.OVERLOADED, wait, self._rng)
+        if now + wait + self.expected_s(flow.job_class) > deadline:
+            return refuse(RefusalReason.DEADLINE, wait, self._rng)
+        return None
+
     def release(
         self, ticket: Ticket, now: float, *, answered: bool = True
     ) -> None:
@@ -158,18 +176,16 @@
         expected = self.expected_s(ticket.flow.job_class)
         if now + expected > ticket.deadline:
             self._queue.correct(ticket, 0.0)
+            ticket.state = TicketState.DONE
             reason = RefusalReason.DEADLINE_PASSED
-            return ticket, self._refuse(ticket, reason, 0.0)
+            return ticket, refuse(reason, 0.0, self._rng)
         self._admit(ticket, now)
         return ticket, None
 
+    def _has_room(self) -> bool:
+        return not self._queue and self.in_progress < self._limit.value
+
     def _admit(self, ticket: Ticket, now: float) -> None:
         ticket.state = TicketState.ADMITTED
         ticket.admitted_at = now
         self.in_progress += 1
-
-    def _refuse(
-        self, ticket: Ticket, reason: RefusalReason, wait_s: float
-    ) -> Refusal:
-        ticket.state = TicketState.DONE
-        return refuse(reason, wait_s, self._rng)
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/messages.py
@@ -99,6 +99,7 @@
     DEADLINE = "deadline_too_near"
     DEADLINE_PASSED = "deadline_passed"
     MEMORY = "memory"
+    CONNECTIONS = "connections"
     NO_EXECUTOR = "no_executor"
     EXECUTORS_REFUSED = "executors_refused"
     EXECUTOR_FAILED = "executor_failed"
@@ -108,6 +109,7 @@
     KEY_REUSED = "key_reused"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_UNSETTLED = "key_unsettled"
+    ANSWER_NOT_STORED = "answer_not_stored"
 
 
 class Refusal(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_problems.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_problems.py
@@ -28,6 +28,7 @@
         "The deadline passed before the work could start",
     ),
     RefusalReason.MEMORY: (503, "No memory is free for the request"),
+    RefusalReason.CONNECTIONS: (503, "Too many requests are held at once"),
     RefusalReason.NO_EXECUTOR: (503, "No executor can take the work"),
     RefusalReason.EXECUTORS_REFUSED: (503, "The executors refused the work"),
     RefusalReason.EXECUTOR_FAILED: (502, "The executor gave no whole answer"),
@@ -49,6 +50,10 @@
         409,
         "It is unknown whether the first request with this key ran",
     ),
+    RefusalReason.ANSWER_NOT_STORED: (
+        409,
+        "The first request with this key ran; its answer was too large to keep",
+    ),
 }
 
 
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_reply.py
@@ -0,0 +1,93 @@
+"""Sends answers and problem documents to callers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping, MutableMapping
+from typing import Any
+
+import msgspec
+
+from pomeloarch_core.ids import RequestId
+from pomeloarch_node.request_problems import Failure
+from pomeloarch_node.upstream_client import UpstreamAnswer
+
+Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
+Headers = list[tuple[bytes, bytes]]
+
+_LONGEST_SEND_S = 30.0
+
+# Headers of an answer that hold for one connection alone or that the
+# server of this node sets itself.
+_NOT_RETURNED = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "pomelo-draining",
+        "pomelo-load",
+        "proxy-authenticate",
+        "server",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+def returned_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Returns the headers of an executor's answer that callers get."""
+    return [
+        (lowered, value)
+        for name, value in headers.items()
+        if (lowered := name.lower()) not in _NOT_RETURNED
+    ]
+
+
+async def send_answer(
+    send: Send, answer: UpstreamAnswer, request_id: RequestId, *, closing: bool
+) -> None:
+    """Passes an executor's whole answer on.
+
+    Args:
+      send: the ASGI send function of the request.
+      answer: the answer.
+      request_id: the request's id, told to the caller.
+      closing: whether the caller's connection is closed after it.
+    """
+    headers: Headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in returned_headers(answer.headers or {})
+    ]
+    headers.append((b"pomelo-request-id", request_id.encode()))
+    await _send(send, answer.status, headers, answer.body, closing=closing)
+
+
+async def send_failure(send: Send, failed: Failure, *, closing: bool) -> None:
+    """Tells a caller of a failure.
+
+    Args:
+      send: the ASGI send function of the request.
+      failed: the problem, and when to come again.
+      closing: whether the caller's connection is closed after it.
+    """
+    headers: Headers = [(b"content-type", b"application/problem+json")]
+    if failed.retry_after_s is not None:
+        seconds = max(1, round(failed.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+    body = msgspec.json.encode(failed.problem)
+    await _send(send, failed.problem.status, headers, body, closing=closing)
+
+
+async def _send(
+    send: Send, status: int, headers: Headers, body: bytes, *, closing: bool
+) -> None:
+    headers.append((b"content-length", str(len(body)).encode()))
+    if closing:
+        headers.append((b"connection", b"close"))
+    await send(
+        {"type": "http.response.start", "status": status, "headers": headers}
+    )
+    async with asyncio.timeout(_LONGEST_SEND_S):
+        await send({"type": "http.response.body", "body": body})
--- a/packages/pomeloarch-node/src/pomeloarch_node/requests.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/requests.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -28,6 +29,8 @@
 from pomeloarch_node.peers import PeerPlane
 from pomeloarch_node.platform import PlatformClient
 from pomeloarch_node.request_catalogue import Catalogue
+from pomeloarch_node.request_claims import ClaimKeeper
+from pomeloarch_node.request_dispatch import Dispatcher
 from pomeloarch_node.request_handler import RequestHandler
 from pomeloarch_node.settings import Settings
 from pomeloarch_node.upstream_client import UpstreamClient
@@ -48,6 +51,8 @@
       metrics: where requests are counted.
       clock: returns the present time in seconds, monotonic.
       rng: the source of chance.
+      wall_clock: returns the present time in seconds of the wall clock, to
+        judge other nodes' claims.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         metrics: Metrics,
         clock: Callable[[], float],
         rng: random.Random,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         """Keeps what it works with; `run` does the work."""
         self._holder = holder
@@ -72,15 +78,24 @@
         self._places = SharedBudget(settings.max_connections)
         self._catalogue = Catalogue(settings.availability_zone, rng)
         self._probes: dict[ExecutorId, asyncio.Task[None]] = {}
+        self._claims = ClaimKeeper(
+            platform, settings.node_id, clock, wall_clock, rng
+        )
+        self._dispatcher = Dispatcher(
+            client=self._open_client,
+            claims=self._claims,
+            clock=clock,
+            rng=rng,
+            suspect=self._suspect,
+        )
         self._handler = RequestHandler(
             catalogue=self._catalogue,
-            client=self._open_client,
+            dispatcher=self._dispatcher,
             memory=self._memory,
             places=self._places,
             metrics=metrics,
             clock=clock,
             rng=rng,
-            suspect=self._suspect,
         )
 
     def routes(self) -> list[BaseRoute]:
@@ -104,6 +119,7 @@
         """Waits until every request in progress has its answer."""
         self._handler.draining = True
         await self._handler.idle.wait()
+        await self._claims.drain()
 
     def status(self) -> dict[str, Any]:
         """Returns the part's share of `GET /v1/status`."""
@@ -143,7 +159,7 @@
             self._tell_peers()
             self._start_probes()
             for router in self._catalogue.routers.values():
-                self._handler.pump(router)
+                self._dispatcher.pump(router)
             self._set_gauges()
             await asyncio.sleep(_TICK_S)
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
@@ -157,6 +157,7 @@
       seed: seed of all chance.
       max_body_bytes: the service's largest body.
       max_buffered_bytes: the node's memory for bodies.
+      tables: the platform's tables, to share them among nodes.
     """
 
     def __init__(
@@ -167,13 +168,14 @@
         seed: int = 1,
         max_body_bytes: int = 1_000_000,
         max_buffered_bytes: int = 64_000_000,
+        tables: MemoryTables | None = None,
     ) -> None:
         """Prepares the parts without starting them."""
         self.fleet = ExecutorFleet(
             "127.0.0.1", 0, executors, _SERVICE, service_s, slots
         )
         self.peers = LonelyPeers()
-        self.tables = MemoryTables()
+        self.tables = tables or MemoryTables()
         self.metrics = Metrics()
         self.directory = HostDirectory()
         self.holder = ConfigurationHolder()
