Balance by own requests and smoothed reports; drive routing in virtual time

Cause: in virtual time at 90% of capacity the choice crowded executors: it followed the others' figures of an instant, which are old when they arrive, and picked the freest executor, as all nodes did at once. The wait estimate also took a bound that only holds without new arrivals.

Change: the others' part is a mean over half a second; nodes take idle slots in parts; full candidates rank last; the wait of a flow follows from its share alone.

--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
@@ -123,10 +123,11 @@
             return refuse(RefusalReason.DEADLINE_PASSED, 0.0, self._rng)
         if self._has_room():
             return None
-        wait = self._queue.wait_s(flow, self._limit.value)
+        expected = self.expected_s(flow.job_class)
+        wait = self._queue.wait_s(flow, expected, self._limit.value)
         if wait > LONGEST_WAIT_S:
             return refuse(RefusalReason.OVERLOADED, wait, self._rng)
-        if now + wait + self.expected_s(flow.job_class) > deadline:
+        if now + wait + expected > deadline:
             return refuse(RefusalReason.DEADLINE, wait, self._rng)
         return None
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -23,9 +23,9 @@
 _LATENCY_HALF_LIFE_S = 2.0
 _UNMEASURED_S = 0.001
 _FAILURE_PENALTY = 20.0
-_REPORT_VALID_S = 0.5
+_LOAD_HALF_LIFE_S = 0.5
 _REMOTE_HEADROOM = 1
-_DRAWS = 4
+_ROUNDS = 3
 
 
 class ExecutorState:
@@ -34,15 +34,13 @@
     Attributes:
       upstream: its entry in the platform's list.
       in_progress: requests of this node that it works on.
-      elsewhere: requests of other nodes that it works on, as they tell.
       health: whether it is given work.
     """
 
     __slots__ = (
         "_latency",
         "_reported",
-        "_reported_at",
-        "elsewhere",
+        "_told",
         "health",
         "in_progress",
         "upstream",
@@ -53,28 +51,28 @@
         self.upstream = upstream
         self.health = health
         self.in_progress = 0
-        self.elsewhere = 0
         self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
-        self._reported = 0
-        self._reported_at = float("-inf")
+        self._told = DecayingMean(_LOAD_HALF_LIFE_S)
+        self._reported = DecayingMean(_LOAD_HALF_LIFE_S)
 
-    def load(self, now: float) -> int:
-        """Returns the requests that it has by the best knowledge."""
-        known = self.in_progress + self.elsewhere
-        if now - self._reported_at < _REPORT_VALID_S:
-            return max(known, self._reported)
-        return known
+    def load(self) -> float:
+        """Returns the requests that it has by the best knowledge.
 
-    def free_slots(self, now: float) -> int:
+        This node's own are exact. The others' are means over a moment:
+        figures of an instant are old when they arrive, and nodes that all
+        follow them crowd the same executor.
+        """
+        return self.in_progress + max(self._told.value, self._reported.value)
+
+    def free_slots(self) -> float:
         """Returns how many more requests it can run at once."""
-        return self.upstream.slots - self.load(now)
+        return self.upstream.slots - self.load()
 
-    def cost(self, now: float) -> float:
+    def cost(self) -> float:
         """Returns the expected time of one more request, in seconds."""
         latency = max(self._latency.value, _UNMEASURED_S)
-        queue = (self.load(now) + 1) / self.upstream.slots
         failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
-        return latency * (1.0 + queue) * failing
+        return latency * (self.load() + 1.0) * failing
 
     def record_latency(self, seconds: float, now: float) -> None:
         """Takes the time of a good answer in, in seconds."""
@@ -85,8 +83,11 @@
 
         The request that carried the report has ended, so it isn't counted.
         """
-        self._reported = max(0, load - 1)
-        self._reported_at = now
+        self._reported.add(max(0.0, load - 1.0 - self.in_progress), now)
+
+    def record_elsewhere(self, requests: float, now: float) -> None:
+        """Takes in what the other nodes say that they have there."""
+        self._told.add(requests, now)
 
 
 class ExecutorPool:
@@ -132,10 +133,12 @@
             zone = state.upstream.availability_zone
             self._by_zone.setdefault(zone, []).append(state)
 
-    def take_elsewhere(self, counts: Mapping[ExecutorId, int]) -> None:
+    def take_elsewhere(
+        self, counts: Mapping[ExecutorId, int], now: float
+    ) -> None:
         """Takes in what the other nodes have in progress."""
         for executor_id, state in self._states.items():
-            state.elsewhere = counts.get(executor_id, 0)
+            state.record_elsewhere(counts.get(executor_id, 0), now)
 
     def slots(self) -> int:
         """Returns the slots of all executors that may be given work."""
@@ -156,17 +159,13 @@
         """
         fallback: ExecutorState | None = None
         for zone in self.zones.ordered(self._by_zone):
-            least_free = 1
-            if zone != self.zones.own:
-                least_free += _REMOTE_HEADROOM
             found = self._draw(zone, now, exclude)
             if found is None:
                 continue
-            if found.free_slots(now) >= least_free:
+            headroom = 0 if zone == self.zones.own else _REMOTE_HEADROOM
+            if found.free_slots() >= 1 + headroom:
                 return found
-            if fallback is None or (
-                found.free_slots(now) > fallback.free_slots(now)
-            ):
+            if fallback is None:
                 fallback = found
         return fallback
 
@@ -202,26 +201,26 @@
     def _draw(
         self, zone: ZoneName, now: float, exclude: Collection[ExecutorId]
     ) -> ExecutorState | None:
+        """Draws two candidates, and two more while the better one is full."""
         states = self._by_zone[zone]
-        drawn: list[ExecutorState] = []
-        for _ in range(_DRAWS):
-            state = states[int(self._rng.random() * len(states))]
-            if state not in drawn and self._accepts(state, now, exclude):
-                drawn.append(state)
-                if len(drawn) == 2:
-                    break
-        best = min(drawn, key=lambda each: each.cost(now), default=None)
-        if best is not None and best.free_slots(now) > 0:
-            return best
-        return self._scan(states, now, exclude)
-
-    def _scan(
-        self,
-        states: list[ExecutorState],
-        now: float,
-        exclude: Collection[ExecutorId],
+        best: ExecutorState | None = None
+        for _ in range(_ROUNDS):
+            for _ in range(2):
+                state = states[int(self._rng.random() * len(states))]
+                if state is best or not self._accepts(state, now, exclude):
+                    continue
+                if best is None or _rank(state) < _rank(best):
+                    best = state
+            if best is not None and best.free_slots() >= 1:
+                return best
+        if best is None:
+            best = self._any(states, exclude)
+        return best
+
+    def _any(
+        self, states: list[ExecutorState], exclude: Collection[ExecutorId]
     ) -> ExecutorState | None:
-        """Returns the freest executor when the drawn ones are full."""
+        """Returns an executor at random when no acceptable one was drawn."""
         usable = [
             state
             for state in states
@@ -229,11 +228,7 @@
             and state.upstream.executor_id not in self.leaving
             and state.upstream.executor_id not in exclude
         ]
-        return max(
-            usable,
-            key=lambda each: (each.free_slots(now), -each.cost(now)),
-            default=None,
-        )
+        return self._rng.choice(usable) if usable else None
 
     def _accepts(
         self,
@@ -246,3 +241,8 @@
             return False
         weight = state.health.weight(now)
         return weight >= 1.0 or self._rng.random() < weight
+
+
+def _rank(state: ExecutorState) -> tuple[bool, float]:
+    """Orders executors: those with a free slot first, then by cost."""
+    return state.free_slots() < 1.0, state.cost()
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/fair_queue.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/fair_queue.py
@@ -140,31 +140,37 @@
             if child.count:
                 self._enter(parent, child)
 
-    def wait_s(self, flow: Flow, slots: float) -> float:
+    def wait_s(self, flow: Flow, cost: float, slots: float) -> float:
         """Estimates how long a new ticket of a flow would wait.
 
-        Each level gives a bound, as what is backlogged there is served at
-        no less than its share of the slots; the lowest bound counts.
+        The flow is served at its share of the slots, as long as those who
+        are backlogged now stay so. A flow that has nothing waiting waits for
+        one round of the others at most, or for all that waits beside it.
 
         Args:
           flow: whose ticket it would be.
+          cost: slot time that the ticket takes, in seconds.
           slots: requests that run at once.
 
         Returns:
           The time, in seconds.
         """
         rate = max(slots, 1e-9)
-        wait = self._root.backlog_s / rate
         parent: _Child | None = self._root
+        beside = float("inf")
+        backlog = 0.0
         for key, weight in zip(flow, self._weights(flow), strict=True):
             child = parent.children.get(key) if parent is not None else None
-            if child is None or child.count == 0:
-                return 0.0
+            if child is not None and child.count == 0:
+                child = None
             if parent is not None:
-                rate *= weight / parent.active_weight
-            wait = min(wait, child.backlog_s / rate)
+                if child is None:
+                    beside = parent.backlog_s / rate
+                active = parent.active_weight + (0.0 if child else weight)
+                rate *= weight / active
+            backlog = child.backlog_s if child is not None else 0.0
             parent = child
-        return wait
+        return min(beside, (backlog + cost) / rate)
 
     def _weights(self, flow: Flow) -> tuple[float, float, float]:
         return (
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
@@ -20,7 +20,7 @@
 )
 from pomeloarch_core.routing.messages import Upstream
 from pomeloarch_core.routing.retry_budget import RetryBudget
-from pomeloarch_core.routing.sharing import fair_share
+from pomeloarch_core.routing.sharing import NodeLoad, fair_share
 from pomeloarch_core.routing.zones import ZoneCosts
 
 
@@ -50,7 +50,7 @@
         self.admission = ServiceAdmission(
             1.0, class_weights, organisation_weights, rng
         )
-        self._demands: tuple[int, ...] = ()
+        self._others: tuple[NodeLoad, ...] = ()
 
     def replace_upstreams(self, upstreams: Iterable[Upstream]) -> None:
         """Takes a newer list of the service's executors."""
@@ -61,6 +61,7 @@
         self,
         loads: Sequence[ServiceLoad],
         leaving: Iterable[ExecutorId],
+        now: float,
         silent_nodes: int = 0,
     ) -> None:
         """Takes in what the other live nodes tell.
@@ -68,19 +69,23 @@
         Args:
           loads: their loads of this service.
           leaving: executors that they know to be leaving.
+          now: the present time in seconds of the clock.
           silent_nodes: live nodes that have told nothing yet.
         """
-        self.pool.take_elsewhere(in_progress_elsewhere(loads, self.pool.states))
+        self.pool.take_elsewhere(
+            in_progress_elsewhere(loads, self.pool.states), now
+        )
         self.pool.leaving.take_peers(leaving)
-        self._demands = (
-            *(load.demand for load in loads),
-            *(0 for _ in range(silent_nodes)),
+        self._others = (
+            *(_node_load(load) for load in loads),
+            *(NodeLoad(0.0, 0.0) for _ in range(silent_nodes)),
         )
         self.refresh_share()
 
     def refresh_share(self) -> None:
         """Works this node's part of the usable slots out anew."""
-        share = fair_share(self.pool.slots(), self._demands)
+        own = NodeLoad(self.admission.in_progress, self.admission.waiting)
+        share = fair_share(self.pool.slots(), own, self._others)
         self.admission.set_share(share)
 
     def load(self) -> ServiceLoad:
@@ -99,3 +104,8 @@
     ) -> ExecutorState | None:
         """Returns the executor for a try, None if none may be given work."""
         return self.pool.choose(now, exclude)
+
+
+def _node_load(load: ServiceLoad) -> NodeLoad:
+    in_progress = sum(load.in_progress.values())
+    return NodeLoad(in_progress, max(0, load.demand - in_progress))
--- a/packages/pomeloarch-node/src/pomeloarch_node/requests.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/requests.py
@@ -180,7 +180,10 @@
         silent = max(0, len(self._peers.live_nodes()) - 1 - len(loads))
         for name, router in self._catalogue.routers.items():
             router.take_peers(
-                [load[name] for load in loads if name in load], leaving, silent
+                [load[name] for load in loads if name in load],
+                leaving,
+                self._clock(),
+                silent,
             )
 
     def _tell_peers(self) -> None:
@@ -274,7 +277,7 @@
                 "state": state.health.state.value,
                 "leaving": executor_id in router.pool.leaving,
                 "in_progress": state.in_progress,
-                "elsewhere": state.elsewhere,
+                "load": round(state.load(), 2),
             }
             for executor_id, state in router.pool.states.items()
         },
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/naive_routing.py
@@ -0,0 +1,79 @@
+"""An entry host that routes naively, to measure the product beside it."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+
+from pomeloarch_core.ids import ExecutorId, ZoneName
+from pomeloarch_core.routing import Ran, TryResult
+from pomeloarch_standins.executor_nodes import Complete, Completion, Work
+from pomeloarch_standins.executor_timeline import (
+    FakeExecutor,
+    Links,
+    Timeline,
+    TryEnd,
+)
+
+
+class NaiveNode:
+    """An entry host with round robin and a plain queue, for comparison.
+
+    It has as many requests in progress as its equal part of the slots.
+    """
+
+    def __init__(
+        self,
+        timeline: Timeline,
+        zone: ZoneName,
+        executors: Mapping[ExecutorId, FakeExecutor],
+        links: Links,
+        limit: int,
+        complete: Complete,
+    ) -> None:
+        """Starts with an empty queue."""
+        self.zone = zone
+        self._timeline = timeline
+        self._executors = list(executors.values())
+        self._links = links
+        self._limit = limit
+        self._complete = complete
+        self._queue: deque[Work] = deque()
+        self._in_progress = 0
+        self._next = 0
+
+    def arrive(self, work: Work) -> None:
+        """Takes a request that arrives now."""
+        self._queue.append(work)
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._queue and self._in_progress < self._limit:
+            work = self._queue.popleft()
+            if work.deadline <= self._timeline.now:
+                self._end(work, False)
+                continue
+            self._in_progress += 1
+            self._next = (self._next + 1) % len(self._executors)
+            self._send(work, self._executors[self._next])
+
+    def _send(self, work: Work, executor: FakeExecutor) -> None:
+        open_try = [True]
+
+        def _ended(end: TryEnd) -> None:
+            if open_try[0]:
+                open_try[0] = False
+                self._in_progress -= 1
+                self._end(work, end.result is TryResult.ANSWERED)
+                self._pump()
+
+        self._links.send(self.zone, executor, work.number, work.work_s, _ended)
+        self._timeline.at(
+            work.deadline, lambda: _ended(TryEnd(TryResult.ABANDONED))
+        )
+
+    def _end(self, work: Work, answered: bool) -> None:
+        now = self._timeline.now
+        in_time = answered and now <= work.deadline
+        ran = None if in_time else Ran.UNKNOWN
+        self._complete(Completion(work, now, in_time, ran))
