--- a/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
@@ -91,69 +91,123 @@
         self._expected_s = expected_s
         self._clock = clock
         self._suspect = suspect
+        self._task = asyncio.current_task()
+        self._timer: asyncio.TimerHandle | None = None
+        self._first: _Try | None = None
+        self._preempted = False
+        self._hedged = False
+        self._suspected = False
         self._tries: dict[asyncio.Task[UpstreamAnswer], _Try] = {}
         self._tried: list[ExecutorId] = []
         self._results: list[TryResult] = []
         self._failure: UpstreamAnswer | None = None
         self._detail = ""
 
-    @property
-    def may_have_run(self) -> bool:
-        """Whether any byte of the request may have reached an executor."""
-        return any(each.use.handed_out for each in self._tries.values()) or any(
-            result not in (TryResult.NOT_SENT, TryResult.REFUSED)
-            for result in self._results
-        )
-
     async def run(self) -> ExchangeEnd:
         """Sends the request; returns how it ended."""
         self._router.budget.record_request(self._clock())
         try:
-            if self._start(self._clock()):
+            answer = await self._first_try()
+            if answer is None:
                 answer = await self._await_answer()
-                if answer is not None:
-                    return ExchangeEnd(answer, tuple(self._results))
+            if answer is not None:
+                return ExchangeEnd(answer, tuple(self._results))
         finally:
             await self._abandon()
         return ExchangeEnd(self._failure, tuple(self._results), self._detail)
 
+    async def _first_try(self) -> UpstreamAnswer | None:
+        """Awaits the first try in this task, which costs no task of its own.
+
+        A timer starts what has to happen while it is under way. A hedge that
+        is answered first, or the deadline, ends it.
+        """
+        begun = self._begin(self._clock())
+        if begun is None:
+            return None
+        self._first = begun
+        self._arm()
+        try:
+            address = begun.state.upstream.address
+            answer = await self._client.send(address, self._req, begun.use)
+        except asyncio.CancelledError:
+            self._leave(begun)
+            if not self._preempted or self._task is None:
+                raise
+            self._task.uncancel()
+            return None
+        finally:
+            self._first = None
+            if self._timer is not None:
+                self._timer.cancel()
+        return self._settle(begun, answer)
+
+    def _arm(self) -> None:
+        now = self._clock()
+        self._timer = asyncio.get_running_loop().call_later(
+            self._pause(now), self._due
+        )
+
+    def _due(self) -> None:
+        """Does what is due while the first try is under way."""
+        if self._clock() >= self._deadline:
+            self._preempt()
+            return
+        self._look_after()
+        self._arm()
+
+    def _preempt(self) -> None:
+        """Ends the first try, as there is no use for its answer."""
+        if self._first is not None and self._task is not None:
+            self._preempted = True
+            self._task.cancel()
+
     async def _await_answer(self) -> UpstreamAnswer | None:
-        hedged = suspected = False
+        """Waits for tries that run in tasks of their own."""
         while self._tries:
             now = self._clock()
             if now >= self._deadline:
                 self._detail = "the deadline has passed"
                 return None
-            pause = self._pause(now, hedged=hedged, suspected=suspected)
             done, _ = await asyncio.wait(
-                self._tries, timeout=pause, return_when=asyncio.FIRST_COMPLETED
+                self._tries,
+                timeout=self._pause(now),
+                return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
-                answer = self._settle(task)
+                answer = self._settle(self._tries.pop(task), task.result())
                 if answer is not None:
                     return answer
-            if done:
-                continue
-            age = self._clock() - self._oldest()
-            if not hedged and self._idempotent and age >= self._hedge_after():
-                hedged = True
-                self._again()
-            if not suspected and age >= self._suspect_after():
-                suspected = True
-                self._report_suspects()
+            if not done:
+                self._look_after()
         return None
 
-    def _pause(self, now: float, *, hedged: bool, suspected: bool) -> float:
+    def _look_after(self) -> None:
+        """Hedges a slow request, and tells of tries that seem lost."""
+        age = self._clock() - self._oldest()
+        if not self._hedged and self._idempotent and age >= self._hedge_after():
+            self._hedged = True
+            self._again()
+        if not self._suspected and age >= self._suspect_after():
+            self._suspected = True
+            for each in self._open():
+                self._suspect(self._router, each.state, each.use)
+
+    def _pause(self, now: float) -> float:
         oldest = self._oldest()
         until = self._deadline
-        if not hedged and self._idempotent:
+        if not self._hedged and self._idempotent:
             until = min(until, oldest + self._hedge_after())
-        if not suspected:
+        if not self._suspected:
             until = min(until, oldest + self._suspect_after())
         return max(0.0, until - now)
 
+    def _open(self) -> list[_Try]:
+        first = [] if self._first is None else [self._first]
+        return [*first, *self._tries.values()]
+
     def _oldest(self) -> float:
-        return min(each.born for each in self._tries.values())
+        return min(each.born for each in self._open())
 
     def _hedge_after(self) -> float:
         return max(_LEAST_HEDGE_S, _HEDGE_FACTOR * self._expected_s)
@@ -161,40 +215,43 @@
     def _suspect_after(self) -> float:
         return max(_SUSPECT_AFTER_S, _SUSPECT_FACTOR * self._expected_s)
 
-    def _report_suspects(self) -> None:
-        for each in self._tries.values():
-            self._suspect(self._router, each.state, each.use)
-
-    def _start(self, now: float) -> bool:
+    def _begin(self, now: float) -> _Try | None:
+        """Chooses an executor for a try that starts now."""
         state = self._router.choose(now, self._tried)
         if state is None:
             self._detail = "no executor may be given work"
-            return False
+            return None
         self._tried.append(state.upstream.executor_id)
-        use = ConnectionUse(fresh=not self._idempotent)
         self._router.pool.begin(state)
-        task = asyncio.create_task(
-            self._client.send(state.upstream.address, self._req, use)
-        )
-        self._tries[task] = _Try(state, use, now)
-        return True
+        return _Try(state, ConnectionUse(fresh=not self._idempotent), now)
 
-    def _again(self) -> bool:
-        """Starts another try, if the budget has one left."""
+    def _again(self) -> None:
+        """Starts another try in a task, if the budget has one left."""
         now = self._clock()
         if not self._router.budget.try_spend(now):
-            return False
-        return self._start(now)
+            return
+        begun = self._begin(now)
+        if begun is None:
+            return
+        address = begun.state.upstream.address
+        task = asyncio.create_task(
+            self._client.send(address, self._req, begun.use)
+        )
+        task.add_done_callback(self._hedge_ended)
+        self._tries[task] = begun
+
+    def _hedge_ended(self, task: asyncio.Task[UpstreamAnswer]) -> None:
+        if task.cancelled() or task.exception() is not None:
+            return
+        if task.result().result is TryResult.ANSWERED:
+            self._preempt()
 
     def _settle(
-        self, task: asyncio.Task[UpstreamAnswer]
+        self, ended: _Try, answer: UpstreamAnswer
     ) -> UpstreamAnswer | None:
         """Takes a try's end in; returns the answer to pass on, if any."""
-        ended = self._tries.pop(task)
-        answer = task.result()
-        now = self._clock()
         self._results.append(answer.result)
-        self._learn(ended, answer, now)
+        self._learn(ended, answer, self._clock())
         if answer.result is TryResult.ANSWERED:
             return answer
         self._detail = answer.detail
@@ -219,19 +276,21 @@
             pool.zones.record_loss(zone, lost=True, now=now)
             pool.leaving.record_restart(upstream.executor_id)
 
-    async def _abandon(self) -> None:
-        """Leaves the tries that nobody waits for any more."""
+    def _leave(self, left: _Try) -> None:
+        """Takes in that nobody waits for a try any more."""
         now = self._clock()
+        self._results.append(
+            TryResult.ABANDONED if left.use.handed_out else TryResult.NOT_SENT
+        )
+        self._router.pool.end(
+            left.state, TryResult.ABANDONED, now - left.born, now
+        )
+
+    async def _abandon(self) -> None:
+        abandoned = list(self._tries)
         for task, each in self._tries.items():
             task.cancel()
-            sent = each.use.handed_out
-            self._results.append(
-                TryResult.ABANDONED if sent else TryResult.NOT_SENT
-            )
-            self._router.pool.end(
-                each.state, TryResult.ABANDONED, now - each.born, now
-            )
-        abandoned = list(self._tries)
+            self._leave(each)
         self._tries.clear()
         if abandoned:
             await asyncio.gather(*abandoned, return_exceptions=True)
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
@@ -24,10 +24,12 @@
 )
 from pomeloarch_node.request_problems import Failure, failure
 from pomeloarch_node.request_reply import Send, send_answer, send_failure
-from pomeloarch_node.request_watch import CallerWatch
+from pomeloarch_node.request_watch import CallerWatch, Watchdog
 from pomeloarch_node.upstream_client import UpstreamAnswer
 
 _DEFAULT_DEADLINE_S = 30.0
+_LONGEST_BODY_S = 10.0
+_LONGEST_SEND_S = 30.0
 
 
 class RequestHandler:
@@ -38,6 +40,7 @@
       dispatcher: gets the answers.
       memory: bytes of bodies, shared by the services.
       places: requests held at once, shared by the services.
+      watchdog: watches over slow callers and callers that leave.
       metrics: where requests are counted.
       clock: returns the present time in seconds.
       rng: makes the prefix of request ids.
@@ -54,6 +57,7 @@
         dispatcher: Dispatcher,
         memory: SharedBudget,
         places: SharedBudget,
+        watchdog: Watchdog,
         metrics: Metrics,
         clock: Callable[[], float],
         rng: random.Random,
@@ -67,6 +71,7 @@
         self._dispatcher = dispatcher
         self._memory = memory
         self._places = places
+        self._watchdog = watchdog
         self._metrics = metrics
         self._clock = clock
         self._prefix = f"{rng.getrandbits(64):016x}"
@@ -102,9 +107,15 @@
         reader = BodyReader(
             head.service, known.service.max_body_bytes, self._memory
         )
+        watch = self._watchdog.open(receive)
         try:
-            await self._answer(known, reader, receive, send)
+            await self._answer(known, reader, watch, receive, send)
+        except asyncio.CancelledError:
+            if not (watch.left or watch.expired):
+                raise
+            self._metrics.count("callers_left", service=head.service)
         finally:
+            self._watchdog.close(watch)
             reader.release()
             self._places.give_back(head.service, 1)
 
@@ -146,32 +157,36 @@
         self,
         req: KnownRequest,
         reader: BodyReader,
+        watch: CallerWatch,
         receive: Receive,
         send: Send,
     ) -> None:
         started = self._clock()
-        body = await reader.read(receive, req.deadline - started)
+        watch.limit(min(req.deadline, started + _LONGEST_BODY_S))
+        try:
+            body = await reader.read(receive)
+        except asyncio.CancelledError:
+            if not watch.expired:
+                raise
+            watch.take_back()
+            body = Err(RefusalReason.BODY_TOO_SLOW)
         if isinstance(body, Err):
+            watch.limit(self._clock() + _LONGEST_SEND_S)
             if not isinstance(body.err_value, CallerLeft):
                 refusal = self._dispatcher.soon(body.err_value)
                 await self._fail(send, failure(refusal))
             return
-        watch = CallerWatch(receive)
-        try:
-            ended = await self._dispatcher.serve(req, body.ok_value, watch)
-        except asyncio.CancelledError:
-            if not watch.cancelled:
-                raise
-            self._metrics.count("callers_left", service=req.head.service)
-            return
-        finally:
-            watch.stop()
+        watch.listen(started)
+        ended = await self._dispatcher.serve(req, body.ok_value, watch)
+        watch.stop_listening()
+        now = self._clock()
+        watch.limit(now + _LONGEST_SEND_S)
         if isinstance(ended, Failure):
             await self._fail(send, ended)
             return
         self._metrics.observe(
             "request_duration",
-            self._clock() - started,
+            now - started,
             service=req.head.service,
             job_class=req.job_class,
         )
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_reply.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_reply.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable, Mapping, MutableMapping
 from typing import Any
 
@@ -15,8 +14,6 @@
 Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
 Headers = list[tuple[bytes, bytes]]
 
-_LONGEST_SEND_S = 30.0
-
 # Headers of an answer that hold for one connection alone or that the
 # server of this node sets itself.
 _NOT_RETURNED = frozenset(
@@ -89,5 +86,4 @@
     await send(
         {"type": "http.response.start", "status": status, "headers": headers}
     )
-    async with asyncio.timeout(_LONGEST_SEND_S):
-        await send({"type": "http.response.body", "body": body})
+    await send({"type": "http.response.body", "body": body})
--- a/packages/pomeloarch-node/src/pomeloarch_node/requests.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/requests.py
@@ -32,6 +32,7 @@
 from pomeloarch_node.request_claims import ClaimKeeper
 from pomeloarch_node.request_dispatch import Dispatcher
 from pomeloarch_node.request_handler import RequestHandler
+from pomeloarch_node.request_watch import Watchdog
 from pomeloarch_node.settings import Settings
 from pomeloarch_node.upstream_client import UpstreamClient
 from pomeloarch_node.upstream_connector import ConnectionUse
@@ -88,11 +89,13 @@
             rng=rng,
             suspect=self._suspect,
         )
+        self._watchdog = Watchdog(clock)
         self._handler = RequestHandler(
             catalogue=self._catalogue,
             dispatcher=self._dispatcher,
             memory=self._memory,
             places=self._places,
+            watchdog=self._watchdog,
             metrics=metrics,
             clock=clock,
             rng=rng,
@@ -158,6 +161,7 @@
             self._take_peers()
             self._tell_peers()
             self._start_probes()
+            self._watchdog.sweep()
             for router in self._catalogue.routers.values():
                 self._dispatcher.pump(router)
             self._set_gauges()
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_bench.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_bench.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from pomeloarch_core.ids import (
     CallerName,
@@ -11,7 +11,7 @@
     OrganisationName,
     ZoneName,
 )
-from pomeloarch_core.routing import Flow
+from pomeloarch_core.routing import Flow, ZoneCosts
 from pomeloarch_standins.executor_nodes import Completion, ProductNode, Work
 from pomeloarch_standins.executor_timeline import (
     FakeExecutor,
@@ -35,6 +35,7 @@
       nodes_per_zone: entry hosts in each zone.
       weights: weights of the job classes.
       loss: the part of messages between zones that is sent again.
+      make_costs: makes what knows the zones' costs, for the product.
 
     Attributes:
       completions: how the requests ended, in the order of their ends.
@@ -50,8 +51,10 @@
         nodes_per_zone: int = 2,
         weights: Mapping[JobClassName, float] | None = None,
         loss: float = 0.01,
+        make_costs: Callable[[ZoneName], ZoneCosts] = ZoneCosts,
     ) -> None:
         """Makes hosts and executors."""
+        self._seed = seed
         self.rng = random.Random(seed)
         self.timeline = Timeline()
         self.links = Links(self.timeline, self.rng, loss)
@@ -75,6 +78,7 @@
                         weights or {},
                         self.completions.append,
                         random.Random(self.rng.random()),
+                        make_costs,
                     )
                 )
             else:
@@ -104,6 +108,9 @@
     ) -> None:
         """Lets a caller send requests at random times.
 
+        The times follow from the seed and the caller alone, so that they
+        are the same with and without others.
+
         Args:
           flow: whose requests.
           rate: requests a second.
@@ -115,7 +122,8 @@
           nodes: the hosts that they arrive at, None for all.
         """
         chosen = list(range(len(self.nodes))) if nodes is None else list(nodes)
-        time = start + self.rng.expovariate(rate)
+        rng = random.Random(f"{self._seed}/{flow}/{start}")
+        time = start + rng.expovariate(rate)
         while time < end:
             self._numbers += 1
             work = Work(
@@ -123,12 +131,12 @@
                 flow=flow,
                 arrives=time,
                 deadline=time + deadline_s,
-                work_s=work_s * self.rng.uniform(0.5, 1.5),
+                work_s=work_s * rng.uniform(0.5, 1.5),
                 idempotent=idempotent,
             )
-            node = self.nodes[self.rng.choice(chosen)]
+            node = self.nodes[rng.choice(chosen)]
             self.timeline.at(time, node.arrive, work)
-            time += self.rng.expovariate(rate)
+            time += rng.expovariate(rate)
 
     def run(self, until: float) -> None:
         """Lets time pass, in seconds."""
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
@@ -105,6 +105,7 @@
       weights: weights of job classes.
       complete: told of each request's end.
       rng: the source of chance.
+      make_costs: makes what knows the zones' costs.
     """
 
     def __init__(
@@ -116,11 +117,12 @@
         weights: Mapping[JobClassName, float],
         complete: Complete,
         rng: random.Random,
+        make_costs: Callable[[ZoneName], ZoneCosts] = ZoneCosts,
     ) -> None:
         """Starts with every executor on the list."""
         self.zone = zone
         self.router = ServiceRouter(
-            ServiceName("service"), weights, {}, ZoneCosts(zone), rng
+            ServiceName("service"), weights, {}, make_costs(zone), rng
         )
         self.router.replace_upstreams(
             each.upstream for each in executors.values()
@@ -151,6 +153,7 @@
         """Takes in what the other hosts tell, and probes executors."""
         now = self._timeline.now
         self.router.take_peers(loads, leaving, now, silent)
+        self._measure_round_trips()
         for executor_id in self.router.pool.ejector.due_probes(now):
             self._timeline.after(
                 _PROBE_S, self._probed, executor_id, self._lives(executor_id)
@@ -161,6 +164,20 @@
         """Takes a newer list of executors."""
         self.router.replace_upstreams(upstreams)
 
+    def _measure_round_trips(self) -> None:
+        """Makes one new connection to each other zone."""
+        now = self._timeline.now
+        zones = self.router.pool.zones
+        for zone in {
+            each.upstream.availability_zone for each in self._executors.values()
+        } - {self.zone}:
+            if self._links.is_cut(self.zone, zone):
+                zones.record_loss(zone, lost=True, now=now)
+                continue
+            there = self._links.delay_s(self.zone, zone)
+            back = self._links.delay_s(zone, self.zone)
+            zones.record_round_trip(zone, there + back, now)
+
     def _lives(self, executor_id: ExecutorId) -> bool:
         executor = self._executors[executor_id]
         there = executor.upstream.availability_zone
@@ -263,9 +280,6 @@
             pool.leaving.record_sign(state.upstream.executor_id, now)
         if end.load is not None:
             state.record_report(end.load, now)
-        zone = state.upstream.availability_zone
-        lost = end.result is TryResult.NOT_SENT
-        pool.zones.record_loss(zone, lost=lost, now=now)
         progress.open -= 1
         progress.results.append(end.result)
         if progress.done:
