Draw more candidates when the best has few free slots; prove routing in virtual time

Change: up to six pairs are drawn while the best has less than a quarter of its slots free. Ruled out: three or four pairs, which leave more.

--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -25,7 +25,8 @@
 _FAILURE_PENALTY = 20.0
 _LOAD_HALF_LIFE_S = 0.5
 _REMOTE_HEADROOM = 1
-_ROUNDS = 3
+_ROUNDS = 6
+_AMPLE_SHARE = 0.25
 
 
 class ExecutorState:
@@ -201,7 +202,7 @@
     def _draw(
         self, zone: ZoneName, now: float, exclude: Collection[ExecutorId]
     ) -> ExecutorState | None:
-        """Draws two candidates, and two more while the better one is full."""
+        """Draws two candidates, and more while the best has few free slots."""
         states = self._by_zone[zone]
         best: ExecutorState | None = None
         for _ in range(_ROUNDS):
@@ -211,7 +212,10 @@
                     continue
                 if best is None or _rank(state) < _rank(best):
                     best = state
-            if best is not None and best.free_slots() >= 1:
+            if (
+                best is not None
+                and best.free_slots() >= _AMPLE_SHARE * best.upstream.slots
+            ):
                 return best
         if best is None:
             best = self._any(states, exclude)
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/fair_queue.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/fair_queue.py
@@ -78,6 +78,14 @@
         """Slot time that all waiting tickets will take, in seconds."""
         return self._root.backlog_s
 
+    def remembered(self) -> int:
+        """Returns how many callers are remembered, waiting or idle."""
+        return sum(
+            len(organisation.children)
+            for job_class in self._root.children.values()
+            for organisation in job_class.children.values()
+        )
+
     def tickets(self) -> Iterator[Ticket]:
         """Yields all waiting tickets, in no particular order."""
         for job_class in self._root.children.values():
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_bench.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_bench.py
@@ -142,6 +142,11 @@
         """Lets time pass, in seconds."""
         self.timeline.run(until)
 
+    @property
+    def offered(self) -> int:
+        """How many requests callers send in all."""
+        return self._numbers
+
     def runs(self) -> dict[int, int]:
         """Returns how often each request ran, over all executors."""
         totals: dict[int, int] = {}
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_timeline.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_timeline.py
@@ -88,6 +88,8 @@
       fault: how it goes bad.
       runs: how often each request ran.
       most_load: the most requests that it had at once.
+      offered_at: when each request arrived, refused ones too, in seconds.
+      overfilled: requests that arrived while all slots were taken.
     """
 
     def __init__(self, timeline: Timeline, upstream: Upstream) -> None:
@@ -96,7 +98,8 @@
         self.fault = Fault.NONE
         self.runs: Counter[int] = Counter()
         self.most_load = 0
-        self.received_at: list[float] = []
+        self.offered_at: list[float] = []
+        self.overfilled = 0
         self._timeline = timeline
         self._running = 0
         self._queue: deque[tuple[int, float, Answered]] = deque()
@@ -114,6 +117,8 @@
           work_s: slot time that it takes, in seconds.
           answered: called with the answer as it leaves.
         """
+        self.offered_at.append(self._timeline.now)
+        self.overfilled += self.load >= self.upstream.slots
         if self.fault is Fault.DRAIN:
             answered(TryEnd(TryResult.REFUSED, draining=True))
             return
@@ -126,7 +131,6 @@
         if self.fault is Fault.SLOW:
             work_s *= _SLOW_FACTOR
         self._queue.append((number, work_s, answered))
-        self.received_at.append(self._timeline.now)
         self.most_load = max(self.most_load, self.load)
         self._start()
 
