--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
@@ -66,6 +66,12 @@
         """Requests in progress and waiting."""
         return self.in_progress + len(self._queue)
 
+    def longest_s(self) -> float:
+        """Returns the usual time of the slowest class, in seconds."""
+        return max(
+            (each.usual_s for each in self._baselines.values()), default=0.0
+        )
+
     def set_share(self, share: float) -> None:
         """Takes this node's present part of the service's slots."""
         self._limit.set_share(share)
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -26,6 +26,8 @@
 _LOAD_HALF_LIFE_S = 0.5
 _REMOTE_HEADROOM = 1
 _ROUNDS = 6
+_STALLED_AFTER_S = 3.0
+_STALLED_FACTOR = 8.0
 _AMPLE_SHARE = 0.25
 
 
@@ -36,6 +38,8 @@
       upstream: its entry in the platform's list.
       in_progress: requests of this node that it works on.
       health: whether it is given work.
+      waiting_since: since when it has had work without any answer, in
+        seconds of the clock.
     """
 
     __slots__ = (
@@ -45,6 +49,7 @@
         "health",
         "in_progress",
         "upstream",
+        "waiting_since",
     )
 
     def __init__(self, upstream: Upstream, health: ExecutorHealth) -> None:
@@ -52,6 +57,7 @@
         self.upstream = upstream
         self.health = health
         self.in_progress = 0
+        self.waiting_since = 0.0
         self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
         self._told = DecayingMean(_LOAD_HALF_LIFE_S)
         self._reported = DecayingMean(_LOAD_HALF_LIFE_S)
@@ -170,10 +176,30 @@
                 fallback = found
         return fallback
 
-    def begin(self, state: ExecutorState) -> None:
+    def begin(self, state: ExecutorState, now: float) -> None:
         """Counts a request that is sent to an executor."""
+        if state.in_progress == 0:
+            state.waiting_since = now
         state.in_progress += 1
 
+    def eject_stalled(self, longest_s: float, now: float) -> list[ExecutorId]:
+        """Ejects executors that have work and have answered none of it.
+
+        A slow executor still answers now and then; a stalled one does not.
+
+        Args:
+          longest_s: the usual time of the slowest class, in seconds.
+          now: the present time in seconds of the clock.
+        """
+        patience = max(_STALLED_AFTER_S, _STALLED_FACTOR * longest_s)
+        return [
+            executor_id
+            for executor_id, state in self._states.items()
+            if state.in_progress
+            and now - state.waiting_since > patience
+            and self.ejector.eject(executor_id, now)
+        ]
+
     def end(
         self,
         state: ExecutorState,
@@ -193,6 +219,7 @@
         executor_id = state.upstream.executor_id
         if result is TryResult.ABANDONED:
             return False
+        state.waiting_since = now
         if result is TryResult.ANSWERED:
             state.record_latency(seconds, now)
         if result is TryResult.REFUSED:
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
@@ -88,6 +88,16 @@
         share = fair_share(self.pool.slots(), own, self._others)
         self.admission.set_share(share)
 
+    def eject_stalled(self, now: float) -> list[ExecutorId]:
+        """Ejects executors that have work and answer none of it.
+
+        Nothing is judged before an answer has shown what is usual.
+        """
+        longest_s = self.admission.longest_s()
+        if longest_s == 0.0:
+            return []
+        return self.pool.eject_stalled(longest_s, now)
+
     def load(self) -> ServiceLoad:
         """Returns what this node tells the others."""
         return ServiceLoad(
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_dispatch.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_dispatch.py
@@ -38,6 +38,7 @@
 from pomeloarch_node.request_reply import returned_headers
 from pomeloarch_node.request_watch import CallerWatch
 from pomeloarch_node.upstream_client import (
+    Hold,
     UpstreamAnswer,
     UpstreamClient,
     UpstreamRequest,
@@ -91,6 +92,18 @@
         return not (self.head.non_idempotent or self.head.key)
 
 
+class HeldBody(msgspec.Struct, frozen=True):
+    """A request's whole body, and what takes memory beside it.
+
+    Attributes:
+      content: the body.
+      hold: takes memory for an answer, until the request has ended.
+    """
+
+    content: bytes
+    hold: Hold
+
+
 class Dispatcher:
     """Gets the answer of one request after another, or its failure.
 
@@ -118,7 +131,7 @@
         self._suspect = suspect
 
     async def serve(
-        self, req: KnownRequest, body: bytes, watch: CallerWatch
+        self, req: KnownRequest, body: HeldBody, watch: CallerWatch
     ) -> UpstreamAnswer | Failure:
         """Returns the whole answer of a request, or its failure.
 
@@ -147,7 +160,7 @@
         return refuse(reason, _RETRY_SOON_S, self._rng)
 
     async def _serve_keyed(
-        self, req: KnownRequest, key: str, body: bytes, watch: CallerWatch
+        self, req: KnownRequest, key: str, body: HeldBody, watch: CallerWatch
     ) -> UpstreamAnswer | Failure:
         """Serves a request whose key is claimed before it is sent."""
         now = self._clock()
@@ -157,7 +170,7 @@
         head = req.head
         claimed = await self._claims.claim(
             row_key(head.service, head.organisation, key),
-            fingerprint(head.method, head.target, body),
+            fingerprint(head.method, head.target, body.content),
             req.deadline - now,
         )
         if isinstance(claimed, Err):
@@ -188,7 +201,7 @@
         return failure(Refusal(reason), outcome)
 
     async def _serve_admitted(
-        self, req: KnownRequest, body: bytes, watch: CallerWatch
+        self, req: KnownRequest, body: HeldBody, watch: CallerWatch
     ) -> UpstreamAnswer | Failure:
         admission = req.router.admission
         ticket = Ticket(req.flow, req.deadline)
@@ -227,17 +240,18 @@
         self.pump(router)
 
     async def _exchange(
-        self, req: KnownRequest, body: bytes, watch: CallerWatch
+        self, req: KnownRequest, body: HeldBody, watch: CallerWatch
     ) -> ExchangeEnd:
         exchange = Exchange(
             router=req.router,
             client=self._client(),
-            req=self._upstream_request(req, body),
+            req=self._upstream_request(req, body.content),
             deadline=req.deadline,
             idempotent=req.idempotent,
             expected_s=req.router.admission.expected_s(req.job_class),
             clock=self._clock,
             suspect=self._suspect,
+            hold=body.hold,
         )
         watch.safe_to_leave = req.idempotent
         return await exchange.run()
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
@@ -15,13 +15,15 @@
     may_retry,
 )
 from pomeloarch_node.upstream_client import (
+    Hold,
     UpstreamAnswer,
     UpstreamClient,
     UpstreamRequest,
 )
 from pomeloarch_node.upstream_connector import ConnectionUse
 
-_SUSPECT_AFTER_S = 1.0
+_FIRST_SUSPECT_S = 1.0
+_LATEST_SUSPECT_S = 1.75
 _SUSPECT_FACTOR = 4.0
 _HEDGE_FACTOR = 3.0
 _LEAST_HEDGE_S = 0.05
@@ -69,6 +71,7 @@
       expected_s: the usual time of such a request, in seconds.
       clock: returns the present time in seconds.
       suspect: told of a try that stays without an answer for too long.
+      hold: takes memory for an answer, if there is some left.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         expected_s: float,
         clock: Callable[[], float],
         suspect: Suspect,
+        hold: Hold,
     ) -> None:
         """Prepares the exchange without sending anything yet."""
         self._router = router
@@ -91,6 +95,7 @@
         self._expected_s = expected_s
         self._clock = clock
         self._suspect = suspect
+        self._hold = hold
         self._task = asyncio.current_task()
         self._timer: asyncio.TimerHandle | None = None
         self._first: _Try | None = None
@@ -129,7 +134,9 @@
         self._arm()
         try:
             address = begun.state.upstream.address
-            answer = await self._client.send(address, self._req, begun.use)
+            answer = await self._client.send(
+                address, self._req, begun.use, self._hold
+            )
         except asyncio.CancelledError:
             self._leave(begun)
             if not self._preempted or self._task is None:
@@ -213,7 +220,8 @@
         return max(_LEAST_HEDGE_S, _HEDGE_FACTOR * self._expected_s)
 
     def _suspect_after(self) -> float:
-        return max(_SUSPECT_AFTER_S, _SUSPECT_FACTOR * self._expected_s)
+        usual = _SUSPECT_FACTOR * self._expected_s
+        return min(_LATEST_SUSPECT_S, max(_FIRST_SUSPECT_S, usual))
 
     def _begin(self, now: float) -> _Try | None:
         """Chooses an executor for a try that starts now."""
@@ -222,7 +230,7 @@
             self._detail = "no executor may be given work"
             return None
         self._tried.append(state.upstream.executor_id)
-        self._router.pool.begin(state)
+        self._router.pool.begin(state, now)
         return _Try(state, ConnectionUse(fresh=not self._idempotent), now)
 
     def _again(self) -> None:
@@ -235,7 +243,7 @@
             return
         address = begun.state.upstream.address
         task = asyncio.create_task(
-            self._client.send(address, self._req, begun.use)
+            self._client.send(address, self._req, begun.use, self._hold)
         )
         task.add_done_callback(self._hedge_ended)
         self._tries[task] = begun
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
@@ -11,10 +11,9 @@
 from pomeloarch_core.ids import RequestId
 from pomeloarch_core.routing import Refusal, RefusalReason, SharedBudget
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.problems import RequestOutcome
 from pomeloarch_node.request_body import BodyReader, CallerLeft, Receive
 from pomeloarch_node.request_catalogue import Catalogue
-from pomeloarch_node.request_dispatch import Dispatcher, KnownRequest
+from pomeloarch_node.request_dispatch import Dispatcher, HeldBody, KnownRequest
 from pomeloarch_node.request_head import (
     HeadError,
     RequestHead,
@@ -25,7 +24,6 @@
 from pomeloarch_node.request_problems import Failure, failure
 from pomeloarch_node.request_reply import Send, send_answer, send_failure
 from pomeloarch_node.request_watch import CallerWatch, Watchdog
-from pomeloarch_node.upstream_client import UpstreamAnswer
 
 _DEFAULT_DEADLINE_S = 30.0
 _LONGEST_BODY_S = 10.0
@@ -177,7 +175,8 @@
                 await self._fail(send, failure(refusal))
             return
         watch.listen(started)
-        ended = await self._dispatcher.serve(req, body.ok_value, watch)
+        held = HeldBody(body.ok_value, reader.hold)
+        ended = await self._dispatcher.serve(req, held, watch)
         watch.stop_listening()
         now = self._clock()
         watch.limit(now + _LONGEST_SEND_S)
@@ -190,20 +189,7 @@
             service=req.head.service,
             job_class=req.job_class,
         )
-        await self._pass_on(req, ended, reader, send)
-
-    async def _pass_on(
-        self,
-        req: KnownRequest,
-        answer: UpstreamAnswer,
-        reader: BodyReader,
-        send: Send,
-    ) -> None:
-        if answer.body and not reader.hold(len(answer.body)):
-            refusal = self._dispatcher.soon(RefusalReason.MEMORY)
-            await self._fail(send, failure(refusal, RequestOutcome.RAN))
-            return
-        await send_answer(send, answer, req.request_id, closing=self.draining)
+        await send_answer(send, ended, req.request_id, closing=self.draining)
 
     async def _fail(self, send: Send, failed: Failure) -> None:
         self._metrics.count(
--- a/packages/pomeloarch-node/src/pomeloarch_node/requests.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/requests.py
@@ -205,6 +205,9 @@
     def _start_probes(self) -> None:
         now = self._clock()
         for router in self._catalogue.routers.values():
+            for executor_id in router.eject_stalled(now):
+                logging.warning("the executor %s has stalled", executor_id)
+                self._metrics.count("stalled_executors")
             for executor_id in router.pool.ejector.due_probes(now):
                 state = router.pool.states.get(executor_id)
                 if state is not None:
--- a/packages/pomeloarch-node/src/pomeloarch_node/upstream_client.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/upstream_client.py
@@ -25,6 +25,9 @@
 _BODILESS = frozenset({204, 304})
 
 
+Hold = Callable[[int], bool]
+
+
 class UpstreamRequest(msgspec.Struct, frozen=True):
     """A request as it goes to an executor."""
 
@@ -86,7 +89,11 @@
         await self._session.close()
 
     async def send(
-        self, address: str, req: UpstreamRequest, use: ConnectionUse
+        self,
+        address: str,
+        req: UpstreamRequest,
+        use: ConnectionUse,
+        hold: Hold,
     ) -> UpstreamAnswer:
         """Sends a request once.
 
@@ -94,6 +101,7 @@
           address: the executor's `ip:port`.
           req: the request.
           use: filled in with what the try does with connections.
+          hold: takes memory for the answer before it is read.
 
         Returns:
           The whole answer, or how the try failed.
@@ -107,7 +115,7 @@
                 data=req.body or None,
                 allow_redirects=False,
             ) as resp:
-                body = await _read_whole(resp, req.method)
+                body = await _read_whole(resp, req.method, hold)
         except (aiohttp.ClientError, OSError, IncompleteAnswerError) as exc:
             result = TryResult.BROKEN if use.handed_out else TryResult.NOT_SENT
             return UpstreamAnswer(result, detail=str(exc) or repr(exc))
@@ -141,7 +149,9 @@
     return yarl.URL(f"http://{address}{target}", encoded=True)
 
 
-async def _read_whole(resp: aiohttp.ClientResponse, method: str) -> bytes:
+async def _read_whole(
+    resp: aiohttp.ClientResponse, method: str, hold: Hold
+) -> bytes:
     length = resp.content_length
     if method == "HEAD" or resp.status in _BODILESS:
         return b""
@@ -149,9 +159,9 @@
         coding = resp.headers.get("Transfer-Encoding", "")
         if "chunked" not in coding.lower():
             raise IncompleteAnswerError("the answer doesn't tell its length")
-        return await _read_chunks(resp)
-    if length > _LARGEST_ANSWER_BYTES:
-        raise IncompleteAnswerError("the answer is too long")
+        return await _read_chunks(resp, hold)
+    if length > _LARGEST_ANSWER_BYTES or not hold(length):
+        raise IncompleteAnswerError("there is no memory for the answer")
     body = await resp.read()
     if len(body) != length:
         raise IncompleteAnswerError(
@@ -160,13 +170,13 @@
     return body
 
 
-async def _read_chunks(resp: aiohttp.ClientResponse) -> bytes:
+async def _read_chunks(resp: aiohttp.ClientResponse, hold: Hold) -> bytes:
     chunks: list[bytes] = []
     size = 0
     async for chunk in resp.content.iter_any():
         size += len(chunk)
-        if size > _LARGEST_ANSWER_BYTES:
-            raise IncompleteAnswerError("the answer is too long")
+        if size > _LARGEST_ANSWER_BYTES or not hold(len(chunk)):
+            raise IncompleteAnswerError("there is no memory for the answer")
         chunks.append(chunk)
     return b"".join(chunks)
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
@@ -158,6 +158,7 @@
             self._timeline.after(
                 _PROBE_S, self._probed, executor_id, self._lives(executor_id)
             )
+        self.router.eject_stalled(now)
         self._pump()
 
     def take_list(self, upstreams: Sequence[Upstream]) -> None:
@@ -232,7 +233,7 @@
         executor_id = state.upstream.executor_id
         progress.tried.append(executor_id)
         progress.open += 1
-        self.router.pool.begin(state)
+        self.router.pool.begin(state, now)
         open_try = [True]
 
         def _ended(end: TryEnd) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_requests_decisions.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_requests_decisions.py
@@ -114,7 +114,7 @@
         state = router.choose(self._now)
         if state is None:
             raise AssertionError("no executor may be given work")
-        router.pool.begin(state)
+        router.pool.begin(state, self._now)
         router.pool.end(state, TryResult.ANSWERED, 0.02, self._now)
         state.record_report(3, self._now)
         router.admission.release(ticket, self._now)
