Keep figures of choice at hand; test slow senders, memory and leaving signs

One choice walked properties of each candidate; what changes at the end of a try or with a digest is now worked out there. The list of zones is put in order at each digest. Tests: a slow sender, an answer that finds no memory, an executor that the list or a peer calls leaving.

--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -44,8 +44,10 @@
 
     __slots__ = (
         "_latency",
+        "_others",
         "_reported",
         "_told",
+        "_unit_cost_s",
         "health",
         "in_progress",
         "upstream",
@@ -59,6 +61,8 @@
         self.in_progress = 0
         self.waiting_since = 0.0
         self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
+        self._others = 0.0
+        self._unit_cost_s = _UNMEASURED_S
         self._told = DecayingMean(_LOAD_HALF_LIFE_S)
         self._reported = DecayingMean(_LOAD_HALF_LIFE_S)
 
@@ -69,21 +73,23 @@
         figures of an instant are old when they arrive, and nodes that all
         follow them crowd the same executor.
         """
-        return self.in_progress + max(self._told.value, self._reported.value)
+        return self.in_progress + self._others
 
     def free_slots(self) -> float:
         """Returns how many more requests it can run at once."""
-        return self.upstream.slots - self.load()
+        return self.upstream.slots - self.in_progress - self._others
 
     def cost(self) -> float:
         """Returns the expected time of one more request, in seconds."""
+        return self._unit_cost_s * (self.in_progress + self._others + 1.0)
+
+    def record_end(self, result: TryResult, seconds: float, now: float) -> None:
+        """Takes the end of a try in, once its health has heard of it."""
+        if result is TryResult.ANSWERED:
+            self._latency.add(seconds, now)
         latency = max(self._latency.value, _UNMEASURED_S)
         failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
-        return latency * (self.load() + 1.0) * failing
-
-    def record_latency(self, seconds: float, now: float) -> None:
-        """Takes the time of a good answer in, in seconds."""
-        self._latency.add(seconds, now)
+        self._unit_cost_s = latency * failing
 
     def record_report(self, load: int, now: float) -> None:
         """Takes in what the executor says of its own load.
@@ -91,10 +97,12 @@
         The request that carried the report has ended, so it isn't counted.
         """
         self._reported.add(max(0.0, load - 1.0 - self.in_progress), now)
+        self._others = max(self._told.value, self._reported.value)
 
     def record_elsewhere(self, requests: float, now: float) -> None:
         """Takes in what the other nodes say that they have there."""
         self._told.add(requests, now)
+        self._others = max(self._told.value, self._reported.value)
 
 
 class ExecutorPool:
@@ -113,6 +121,7 @@
         self._rng = rng
         self._states: dict[ExecutorId, ExecutorState] = {}
         self._by_zone: dict[ZoneName, list[ExecutorState]] = {}
+        self._zone_order: list[ZoneName] = []
 
     @property
     def states(self) -> Mapping[ExecutorId, ExecutorState]:
@@ -139,6 +148,11 @@
         for state in self._states.values():
             zone = state.upstream.availability_zone
             self._by_zone.setdefault(zone, []).append(state)
+        self.order_zones()
+
+    def order_zones(self) -> None:
+        """Puts the zones in the order of their present costs."""
+        self._zone_order = self.zones.ordered(self._by_zone)
 
     def take_elsewhere(
         self, counts: Mapping[ExecutorId, int], now: float
@@ -165,7 +179,7 @@
           exclude: executors that this request has been tried at.
         """
         fallback: ExecutorState | None = None
-        for zone in self.zones.ordered(self._by_zone):
+        for zone in self._zone_order:
             found = self._draw(zone, now, exclude)
             if found is None:
                 continue
@@ -220,11 +234,11 @@
         if result is TryResult.ABANDONED:
             return False
         state.waiting_since = now
-        if result is TryResult.ANSWERED:
-            state.record_latency(seconds, now)
         if result is TryResult.REFUSED:
             return False
-        return self.ejector.record(executor_id, result, now)
+        ejected = self.ejector.record(executor_id, result, now)
+        state.record_end(result, seconds, now)
+        return ejected
 
     def _draw(
         self, zone: ZoneName, now: float, exclude: Collection[ExecutorId]
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/service_router.py
@@ -76,6 +76,7 @@
             in_progress_elsewhere(loads, self.pool.states), now
         )
         self.pool.leaving.take_peers(leaving)
+        self.pool.order_zones()
         self._others = (
             *(_node_load(load) for load in loads),
             *(NodeLoad(0.0, 0.0) for _ in range(silent_nodes)),
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_dispatch.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_dispatch.py
@@ -6,13 +6,9 @@
 import random
 from collections.abc import Callable
 
-import msgspec
 from result import Err
 
-from pomeloarch_core.ids import JobClassName, RequestId
-from pomeloarch_core.objects.model import Service
 from pomeloarch_core.routing import (
-    Flow,
     Ran,
     Refusal,
     RefusalReason,
@@ -32,13 +28,13 @@
 )
 from pomeloarch_node.problems import RequestOutcome
 from pomeloarch_node.request_claims import ClaimKeeper, NotHeld
-from pomeloarch_node.request_exchange import Exchange, ExchangeEnd, Suspect
-from pomeloarch_node.request_head import RequestHead
+from pomeloarch_node.request_exchange import Exchange
+from pomeloarch_node.request_known import HeldBody, KnownRequest
 from pomeloarch_node.request_problems import Failure, failure
 from pomeloarch_node.request_reply import returned_headers
+from pomeloarch_node.request_try import ExchangeEnd, Suspect
 from pomeloarch_node.request_watch import CallerWatch
 from pomeloarch_node.upstream_client import (
-    Hold,
     UpstreamAnswer,
     UpstreamClient,
     UpstreamRequest,
@@ -62,48 +58,6 @@
 }
 
 
-class KnownRequest(msgspec.Struct, frozen=True):
-    """A request whose head was taken.
-
-    Attributes:
-      head: its head.
-      service: the service that it asks.
-      router: that service's decisions.
-      job_class: its class.
-      request_id: its id.
-      deadline: when its caller stops waiting, in seconds of the clock.
-    """
-
-    head: RequestHead
-    service: Service
-    router: ServiceRouter
-    job_class: JobClassName
-    request_id: RequestId
-    deadline: float
-
-    @property
-    def flow(self) -> Flow:
-        """Whose request it is."""
-        return Flow(self.job_class, self.head.organisation, self.head.caller)
-
-    @property
-    def idempotent(self) -> bool:
-        """Whether it may be sent again after a doubt."""
-        return not (self.head.non_idempotent or self.head.key)
-
-
-class HeldBody(msgspec.Struct, frozen=True):
-    """A request's whole body, and what takes memory beside it.
-
-    Attributes:
-      content: the body.
-      hold: takes memory for an answer, until the request has ended.
-    """
-
-    content: bytes
-    hold: Hold
-
-
 class Dispatcher:
     """Gets the answer of one request after another, or its failure.
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
@@ -5,15 +5,13 @@
 import asyncio
 from collections.abc import Callable
 
-import msgspec
-
 from pomeloarch_core.ids import ExecutorId
 from pomeloarch_core.routing import (
-    ExecutorState,
     ServiceRouter,
     TryResult,
     may_retry,
 )
+from pomeloarch_node.request_try import ExchangeEnd, OpenTry, Suspect
 from pomeloarch_node.upstream_client import (
     Hold,
     UpstreamAnswer,
@@ -29,36 +27,6 @@
 _LEAST_HEDGE_S = 0.05
 
 
-class ExchangeEnd(msgspec.Struct, frozen=True):
-    """How all tries of a request ended.
-
-    Attributes:
-      answer: the answer to pass on, None if there is none.
-      results: how each try ended.
-      detail: what went wrong last, for people.
-    """
-
-    answer: UpstreamAnswer | None
-    results: tuple[TryResult, ...]
-    detail: str = ""
-
-
-class _Try:
-    """A try in progress."""
-
-    __slots__ = ("born", "state", "use")
-
-    def __init__(
-        self, state: ExecutorState, use: ConnectionUse, born: float
-    ) -> None:
-        self.state = state
-        self.use = use
-        self.born = born
-
-
-Suspect = Callable[[ServiceRouter, ExecutorState, ConnectionUse], None]
-
-
 class Exchange:
     """Sends one admitted request until an answer, the deadline or the end.
 
@@ -98,11 +66,11 @@
         self._hold = hold
         self._task = asyncio.current_task()
         self._timer: asyncio.TimerHandle | None = None
-        self._first: _Try | None = None
+        self._first: OpenTry | None = None
         self._preempted = False
         self._hedged = False
         self._suspected = False
-        self._tries: dict[asyncio.Task[UpstreamAnswer], _Try] = {}
+        self._tries: dict[asyncio.Task[UpstreamAnswer], OpenTry] = {}
         self._tried: list[ExecutorId] = []
         self._results: list[TryResult] = []
         self._failure: UpstreamAnswer | None = None
@@ -209,7 +177,7 @@
             until = min(until, oldest + self._suspect_after())
         return max(0.0, until - now)
 
-    def _open(self) -> list[_Try]:
+    def _open(self) -> list[OpenTry]:
         first = [] if self._first is None else [self._first]
         return [*first, *self._tries.values()]
 
@@ -223,7 +191,7 @@
         usual = _SUSPECT_FACTOR * self._expected_s
         return min(_LATEST_SUSPECT_S, max(_FIRST_SUSPECT_S, usual))
 
-    def _begin(self, now: float) -> _Try | None:
+    def _begin(self, now: float) -> OpenTry | None:
         """Chooses an executor for a try that starts now."""
         state = self._router.choose(now, self._tried)
         if state is None:
@@ -231,7 +199,7 @@
             return None
         self._tried.append(state.upstream.executor_id)
         self._router.pool.begin(state, now)
-        return _Try(state, ConnectionUse(fresh=not self._idempotent), now)
+        return OpenTry(state, ConnectionUse(fresh=not self._idempotent), now)
 
     def _again(self) -> None:
         """Starts another try in a task, if the budget has one left."""
@@ -255,7 +223,7 @@
             self._preempt()
 
     def _settle(
-        self, ended: _Try, answer: UpstreamAnswer
+        self, ended: OpenTry, answer: UpstreamAnswer
     ) -> UpstreamAnswer | None:
         """Takes a try's end in; returns the answer to pass on, if any."""
         self._results.append(answer.result)
@@ -269,7 +237,9 @@
             self._again()
         return None
 
-    def _learn(self, ended: _Try, answer: UpstreamAnswer, now: float) -> None:
+    def _learn(
+        self, ended: OpenTry, answer: UpstreamAnswer, now: float
+    ) -> None:
         pool = self._router.pool
         upstream = ended.state.upstream
         pool.end(ended.state, answer.result, now - ended.born, now)
@@ -284,7 +254,7 @@
             pool.zones.record_loss(zone, lost=True, now=now)
             pool.leaving.record_restart(upstream.executor_id)
 
-    def _leave(self, left: _Try) -> None:
+    def _leave(self, left: OpenTry) -> None:
         """Takes in that nobody waits for a try any more."""
         now = self._clock()
         self._results.append(
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
@@ -13,7 +13,7 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.request_body import BodyReader, CallerLeft, Receive
 from pomeloarch_node.request_catalogue import Catalogue
-from pomeloarch_node.request_dispatch import Dispatcher, HeldBody, KnownRequest
+from pomeloarch_node.request_dispatch import Dispatcher
 from pomeloarch_node.request_head import (
     HeadError,
     RequestHead,
@@ -21,6 +21,7 @@
     read_head,
     route_class,
 )
+from pomeloarch_node.request_known import HeldBody, KnownRequest
 from pomeloarch_node.request_problems import Failure, failure
 from pomeloarch_node.request_reply import Send, send_answer, send_failure
 from pomeloarch_node.request_watch import CallerWatch, Watchdog
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
@@ -11,7 +11,6 @@
 
 import aiohttp
 import uvicorn
-from result import Err, Ok, Result
 from starlette.applications import Starlette
 
 from pomeloarch_core.ids import (
@@ -34,119 +33,16 @@
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.peers import PeerMessage
-from pomeloarch_node.platform import (
-    Check,
-    Conflict,
-    Host,
-    HostKind,
-    PlatformError,
-    PlatformFailure,
-    Row,
-    Write,
-)
+from pomeloarch_node.platform import Host, HostKind, HostState
 from pomeloarch_node.requests import RequestPlane
 from pomeloarch_node.settings import Settings
+from pomeloarch_standins.executor_fakes import LonelyPeers, MemoryTables
 from pomeloarch_standins.executors import ExecutorFleet
 
 _ZONE = "patan"
 _SERVICE = "appraisal-desk"
 
 
-class LonelyPeers:
-    """A peer plane whose digests are set by a test."""
-
-    def __init__(self) -> None:
-        """Starts without any other node."""
-        self.told: dict[str, bytes] = {}
-        self.heard: dict[str, dict[NodeId, PeerMessage]] = {}
-
-    def set_digest(self, topic: str, payload: bytes) -> None:
-        """Keeps this node's digest."""
-        self.told[topic] = payload
-
-    def digests(self, topic: str) -> dict[NodeId, PeerMessage]:
-        """Returns what the test has set."""
-        return self.heard.get(topic, {})
-
-    def live_nodes(self) -> dict[NodeId, ZoneName]:
-        """Returns this node alone."""
-        return {NodeId("node-1"): ZoneName(_ZONE)}
-
-    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
-        """Sends nothing."""
-        return False
-
-    def subscribe(self, topic: str) -> asyncio.Queue[PeerMessage]:
-        """Returns a queue that stays empty."""
-        return asyncio.Queue()
-
-
-class MemoryTables:
-    """The platform's tables in memory, with faults of its answers.
-
-    Attributes:
-      rows: all rows by table and key.
-      down: every call fails without effect.
-      lose_answers: how many of the next writes take effect unanswered.
-    """
-
-    def __init__(self) -> None:
-        """Starts empty."""
-        self.rows: dict[tuple[str, str], Row] = {}
-        self.down = False
-        self.lose_answers = 0
-        self.writes = 0
-
-    async def transact(
-        self, checks: Sequence[Check], writes: Sequence[Write]
-    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
-        """Writes all rows if all checks hold."""
-        if self.down:
-            return Err(PlatformError(PlatformFailure.NOT_DONE, "down"))
-        wrong = [
-            self._row(check.table, check.key)
-            for check in checks
-            if self._row(check.table, check.key).version != check.version
-        ]
-        if wrong:
-            return Err(Conflict(tuple(wrong)))
-        versions = tuple(self._write(write) for write in writes)
-        self.writes += len(writes)
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return Err(PlatformError(PlatformFailure.UNKNOWN, "lost"))
-        return Ok(versions)
-
-    async def read(
-        self, keys: Sequence[tuple[str, str]]
-    ) -> Result[tuple[Row, ...], PlatformError]:
-        """Reads rows."""
-        if self.down:
-            return Err(PlatformError(PlatformFailure.NOT_DONE, "down"))
-        return Ok(tuple(self._row(*key) for key in keys))
-
-    async def scan(
-        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
-    ) -> Result[tuple[Row, ...], PlatformError]:
-        """Finds nothing."""
-        return Ok(())
-
-    async def membership(self) -> Result[tuple[Host, ...], PlatformError]:
-        """Lists nothing."""
-        return Ok(())
-
-    def _row(self, table: str, key: str) -> Row:
-        return self.rows.get((table, key), Row(table, key, 0))
-
-    def _write(self, write: Write) -> int:
-        version = self._row(write.table, write.key).version + 1
-        self.rows[write.table, write.key] = Row(
-            write.table, write.key, version, write.value
-        )
-        return version
-
-
 class ExecutorHarness:
     """One node's request plane, its HTTP server and stand-in executors.
 
@@ -233,7 +129,7 @@
         await asyncio.gather(self._plane_task, return_exceptions=True)
         await self.fleet.stop()
 
-    def list_executors(self, state: str = "live") -> None:
+    def list_executors(self, leaving: Sequence[str] = ()) -> None:
         """Puts the executors' present addresses on the node's list."""
         self.directory.replace(
             tuple(
@@ -242,6 +138,11 @@
                     kind=HostKind.EXECUTOR,
                     availability_zone=_ZONE,
                     address=each.address,
+                    state=(
+                        HostState.LEAVING
+                        if each.executor_id in leaving
+                        else HostState.LIVE
+                    ),
                     attributes={"service": _SERVICE, "slots": self._slots},
                 )
                 for each in self.fleet.executors
--- a/packages/pomeloarch-standins/tests/test_request_claims.py
+++ b/packages/pomeloarch-standins/tests/test_request_claims.py
@@ -4,8 +4,9 @@
 
 import pytest
 
+from pomeloarch_standins.executor_fakes import MemoryTables
 from pomeloarch_standins.executor_faults import Fault, FaultOrder
-from pomeloarch_standins.executor_harness import ExecutorHarness, MemoryTables
+from pomeloarch_standins.executor_harness import ExecutorHarness
 
 _ROW = ("request_keys", "appraisal-desk/shrestha/rug-1")
 
--- a/packages/pomeloarch-standins/tests/test_request_faults.py
+++ b/packages/pomeloarch-standins/tests/test_request_faults.py
@@ -201,3 +201,57 @@
             assert harness.plane.status()["buffered_bytes"] == 0
 
     asyncio.run(scenario())
+
+
+def test_a_slow_sender_is_refused_and_gives_its_memory_back():
+    async def scenario():
+        async with ExecutorHarness() as harness:
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", harness.port
+            )
+            writer.write(
+                b"POST /v1/services/appraisal-desk/a HTTP/1.1\r\n"
+                b"Host: desk\r\nPomelo-Organisation: shrestha\r\n"
+                b"Pomelo-Deadline-Ms: 100\r\nContent-Length: 100\r\n\r\nhalf"
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 408")
+            assert b'"outcome":"not_run"' in await reader.read(1000)
+            writer.close()
+            assert harness.fleet.runs() == {}
+            assert harness.plane.status()["buffered_bytes"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_an_answer_without_memory_for_it_is_a_clear_failure():
+    async def scenario():
+        async with ExecutorHarness(max_buffered_bytes=100) as harness:
+            status, _, problem = await harness.post(Pomelo_Non_Idempotent="1")
+            assert (status, problem["outcome"]) == (502, "unknown")
+            assert harness.plane.status()["buffered_bytes"] == 0
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("source", ["list", "peers"])
+def test_an_executor_that_others_call_leaving_gets_nothing_new(source):
+    async def scenario():
+        async with ExecutorHarness(executors=3) as harness:
+            await harness.post()
+            if source == "list":
+                harness.list_executors(leaving=["appraisal-desk-1"])
+            else:
+                harness.peers.hear("draining", ["appraisal-desk-1"])
+            await _until(
+                lambda: harness.plane.status()["services"]["appraisal-desk"][
+                    "executors"
+                ]["appraisal-desk-1"]["leaving"]
+            )
+            before = harness.fleet.executors[1].runs.total()
+            for _ in range(40):
+                status, _, _ = await harness.post()
+                assert status == 200
+            assert harness.fleet.executors[1].runs.total() == before
+
+    asyncio.run(scenario())
