--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -3,9 +3,10 @@
 Two candidates are drawn and the one with the lower cost is taken, after
 "The Power of Two Choices" (Mitzenmacher, 2001), Finagle's balancers and
 Prequal (NSDI 2024). The cost is the expected time there: the latency of its
-good answers, times what it has in progress from this node, from the others
-and by its own report, times a penalty for failures. Failures answered fast
-don't lower the latency, so that they don't attract work.
+good answers over the usual one of their classes, times what it has in
+progress from this node, from the others and by its own report, times a
+penalty for failures. Failures answered fast don't lower the latency, so that
+they don't attract work. While the best has few free slots, more are drawn.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
 from pomeloarch_core.routing.messages import TryResult, Upstream
 from pomeloarch_core.routing.zones import ZoneCosts
 
-_LATENCY_HALF_LIFE_S = 2.0
-_UNMEASURED_S = 0.001
+_SLOWNESS_HALF_LIFE_S = 2.0
+_LEAST_SLOWNESS = 0.25
 _FAILURE_PENALTY = 20.0
 _LOAD_HALF_LIFE_S = 0.5
 _REMOTE_HEADROOM = 1
@@ -43,11 +44,11 @@
     """
 
     __slots__ = (
-        "_latency",
         "_others",
         "_reported",
+        "_slowness",
         "_told",
-        "_unit_cost_s",
+        "_unit_cost",
         "health",
         "in_progress",
         "upstream",
@@ -60,9 +61,9 @@
         self.health = health
         self.in_progress = 0
         self.waiting_since = 0.0
-        self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
+        self._slowness = DecayingMean(_SLOWNESS_HALF_LIFE_S)
         self._others = 0.0
-        self._unit_cost_s = _UNMEASURED_S
+        self._unit_cost = 1.0
         self._told = DecayingMean(_LOAD_HALF_LIFE_S)
         self._reported = DecayingMean(_LOAD_HALF_LIFE_S)
 
@@ -80,16 +81,18 @@
         return self.upstream.slots - self.in_progress - self._others
 
     def cost(self) -> float:
-        """Returns the expected time of one more request, in seconds."""
-        return self._unit_cost_s * (self.in_progress + self._others + 1.0)
+        """Returns the expected time of one more request, in usual times."""
+        return self._unit_cost * (self.in_progress + self._others + 1.0)
 
-    def record_end(self, result: TryResult, seconds: float, now: float) -> None:
+    def record_end(
+        self, result: TryResult, slowness: float, now: float
+    ) -> None:
         """Takes the end of a try in, once its health has heard of it."""
         if result is TryResult.ANSWERED:
-            self._latency.add(seconds, now)
-        latency = max(self._latency.value, _UNMEASURED_S)
+            self._slowness.add(slowness, now)
+        slow = max(self._slowness.value, _LEAST_SLOWNESS)
         failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
-        self._unit_cost_s = latency * failing
+        self._unit_cost = slow * failing
 
     def record_report(self, load: int, now: float) -> None:
         """Takes in what the executor says of its own load.
@@ -218,7 +221,7 @@
         self,
         state: ExecutorState,
         result: TryResult,
-        seconds: float,
+        slowness: float,
         now: float,
     ) -> bool:
         """Takes a try's end in; returns whether its executor was ejected.
@@ -226,7 +229,7 @@
         Args:
           state: the executor.
           result: how the try ended.
-          seconds: how long it took, in seconds.
+          slowness: how long it took, over the usual time of its class.
           now: the present time in seconds of the clock.
         """
         state.in_progress -= 1
@@ -237,7 +240,7 @@
         if result is TryResult.REFUSED:
             return False
         ejected = self.ejector.record(executor_id, result, now)
-        state.record_end(result, seconds, now)
+        state.record_end(result, slowness, now)
         return ejected
 
     def _draw(
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
@@ -242,7 +242,8 @@
     ) -> None:
         pool = self._router.pool
         upstream = ended.state.upstream
-        pool.end(ended.state, answer.result, now - ended.born, now)
+        slowness = (now - ended.born) / self._expected_s
+        pool.end(ended.state, answer.result, slowness, now)
         if answer.draining:
             pool.leaving.record_sign(upstream.executor_id, now)
         if answer.load is not None:
@@ -260,9 +261,7 @@
         self._results.append(
             TryResult.ABANDONED if left.use.handed_out else TryResult.NOT_SENT
         )
-        self._router.pool.end(
-            left.state, TryResult.ABANDONED, now - left.born, now
-        )
+        self._router.pool.end(left.state, TryResult.ABANDONED, 0.0, now)
 
     async def _abandon(self) -> None:
         abandoned = list(self._tries)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_nodes.py
@@ -276,7 +276,10 @@
     ) -> None:
         now = self._timeline.now
         pool = self.router.pool
-        pool.end(state, end.result, now - sent, now)
+        expected_s = self.router.admission.expected_s(
+            progress.work.flow.job_class
+        )
+        pool.end(state, end.result, (now - sent) / expected_s, now)
         if end.draining:
             pool.leaving.record_sign(state.upstream.executor_id, now)
         if end.load is not None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_requests_decisions.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_requests_decisions.py
@@ -115,7 +115,7 @@
         if state is None:
             raise AssertionError("no executor may be given work")
         router.pool.begin(state, self._now)
-        router.pool.end(state, TryResult.ANSWERED, 0.02, self._now)
+        router.pool.end(state, TryResult.ANSWERED, 1.0, self._now)
         state.record_report(3, self._now)
         router.admission.release(ticket, self._now)
 
