--- a/packages/pomeloarch-core/tests/test_routing_parts.py
+++ b/packages/pomeloarch-core/tests/test_routing_parts.py
@@ -8,10 +8,15 @@
 from hypothesis import strategies as st
 
 from pomeloarch_core.routing import (
+    Flow,
     Ran,
     RetryBudget,
+    ServiceRouter,
     SharedBudget,
+    Ticket,
     TryResult,
+    Upstream,
+    ZoneCosts,
     may_retry,
     refuse,
     what_ran,
@@ -168,3 +173,27 @@
 def test_a_row_is_judged_by_token_request_and_state(found, wall_now, verdict):
     own = _claim("own", ClaimState.CLAIMED)
     assert judge(found, own, wall_now) is verdict
+
+
+@pytest.mark.parametrize(("answers", "stalled"), [(False, True), (True, False)])
+def test_a_stall_shows_in_work_without_any_answer(answers, stalled):
+    """The slow executor answers one request now and then."""
+    router = ServiceRouter(
+        "scorer", {}, {}, ZoneCosts("patan"), random.Random(1)
+    )
+    router.replace_upstreams(
+        Upstream(f"executor-{index}", "patan", f"10.0.0.{index}:80")
+        for index in range(4)
+    )
+    ticket = Ticket(Flow("urgent", "qasr", "truck"), deadline=100.0)
+    router.admission.submit(ticket, now=0.0)
+    router.admission.release(ticket, now=0.1)
+    state = next(iter(router.pool.states.values()))
+    ejected = []
+    for step in range(20):
+        now = 1.0 + 0.5 * step
+        router.pool.begin(state, now)
+        if answers and step % 4 == 3:
+            router.pool.end(state, TryResult.ANSWERED, 30.0, now)
+        ejected += router.eject_stalled(now)
+    assert bool(ejected) is stalled
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
@@ -53,7 +53,11 @@
       seed: seed of all chance.
       max_body_bytes: the service's largest body.
       max_buffered_bytes: the node's memory for bodies.
+      max_connections: how many requests the node holds.
       tables: the platform's tables, to share them among nodes.
+
+    Attributes:
+      clock_skew_s: time by which the node's clock runs ahead, in seconds.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         seed: int = 1,
         max_body_bytes: int = 1_000_000,
         max_buffered_bytes: int = 64_000_000,
+        max_connections: int = 10_000,
         tables: MemoryTables | None = None,
     ) -> None:
         """Prepares the parts without starting them."""
@@ -77,6 +82,7 @@
         self.holder = ConfigurationHolder()
         self._max_body_bytes = max_body_bytes
         self._slots = slots
+        self.clock_skew_s = 0.0
         settings = Settings(
             node_id=NodeId("node-1"),
             availability_zone=ZoneName(_ZONE),
@@ -85,6 +91,7 @@
             peer_port=0,
             platform_url="http://127.0.0.1:1",
             max_buffered_bytes=max_buffered_bytes,
+            max_connections=max_connections,
         )
         self.plane = RequestPlane(
             settings,
@@ -93,7 +100,7 @@
             self.peers,
             self.tables,
             self.metrics,
-            time.monotonic,
+            self._now,
             random.Random(seed),
         )
 
@@ -149,6 +156,9 @@
             )
         )
 
+    def _now(self) -> float:
+        return time.monotonic() + self.clock_skew_s
+
     def url(self, path: str = "/appraise", service: str = _SERVICE) -> str:
         """Returns the URL of a path of a service."""
         return f"http://127.0.0.1:{self.port}/v1/services/{service}{path}"
--- a/packages/pomeloarch-standins/tests/test_request_faults.py
+++ b/packages/pomeloarch-standins/tests/test_request_faults.py
@@ -224,6 +224,55 @@
     asyncio.run(scenario())
 
 
+def test_a_slow_reader_is_left_and_gives_its_memory_back():
+    async def scenario():
+        async with ExecutorHarness() as harness:
+            blocked = asyncio.Event()
+            messages = [{"type": "http.request", "body": b"rug"}]
+
+            async def receive():
+                if not messages:
+                    await asyncio.Event().wait()
+                return messages.pop()
+
+            async def send(message):
+                if message["type"] == "http.response.body":
+                    blocked.set()
+                    await asyncio.Event().wait()
+
+            scope = {
+                "type": "http",
+                "method": "POST",
+                "path": "/v1/services/appraisal-desk/a",
+                "headers": [(b"pomelo-organisation", b"shrestha")],
+            }
+            await harness.post()
+            (route,) = harness.plane.routes()
+            reading = asyncio.create_task(route.app(scope, receive, send))
+            await blocked.wait()
+            assert harness.plane.status()["buffered_bytes"] > 0
+            harness.clock_skew_s = 31.0
+            await reading
+            assert harness.plane.status()["buffered_bytes"] == 0
+            assert harness.plane.status()["in_progress"] == 0
+
+    asyncio.run(scenario())
+
+
+def test_no_more_requests_are_held_than_the_settings_say():
+    async def scenario():
+        async with ExecutorHarness(service_s=0.3, max_connections=5) as harness:
+            answers = await asyncio.gather(
+                *(harness.post(Pomelo_Non_Idempotent="1") for _ in range(20))
+            )
+            refused = [answer for status, _, answer in answers if status == 503]
+            assert len(refused) == 15
+            assert {answer["reason"] for answer in refused} == {"connections"}
+            assert sum(harness.fleet.runs().values()) == 5
+
+    asyncio.run(scenario())
+
+
 def test_an_answer_without_memory_for_it_is_a_clear_failure():
     async def scenario():
         async with ExecutorHarness(max_buffered_bytes=100) as harness:
