--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/job_zones.py
@@ -0,0 +1,63 @@
+"""Which availability zone a new job goes to."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from pomeloarch_core.ids import ZoneName
+from pomeloarch_core.objects.model import JobClass, ObjectSet
+from pomeloarch_node.job_checks import zones_that_fit
+from pomeloarch_node.job_requests import JobRequest
+
+
+def choose_zone(
+    req: JobRequest,
+    job_class: JobClass,
+    objects: ObjectSet,
+    loads: Mapping[ZoneName, float],
+    own_zone: ZoneName,
+) -> ZoneName | None:
+    """Returns the zone for a job.
+
+    The caller's word goes first, then a zone where the organisation holds a
+    guarantee that fits, then the least loaded zone. A zone whose load is not
+    known comes last, the node's own first among equals.
+
+    Args:
+      req: what is asked for.
+      job_class: its class.
+      objects: the generation in force.
+      loads: the wanted over the present accelerators of each known zone.
+      own_zone: this node's zone.
+    """
+    fitting = zones_that_fit(req, job_class, objects)
+    if req.zone is not None:
+        return req.zone if req.zone in fitting else None
+    if not fitting:
+        return None
+    guaranteed = _guaranteed_zones(req, objects)
+
+    def rank(zone: ZoneName) -> tuple[bool, bool, float, bool, str]:
+        return (
+            zone not in guaranteed,
+            zone not in loads,
+            loads.get(zone, 0.0),
+            zone != own_zone,
+            zone,
+        )
+
+    return min(fitting, key=rank)
+
+
+def _guaranteed_zones(req: JobRequest, objects: ObjectSet) -> set[ZoneName]:
+    zone_of_pool = {
+        pool.name: pool.availability_zone for pool in objects.worker_pool
+    }
+    return {
+        zone_of_pool[shape.worker_pool]
+        for shape in objects.guaranteed_shape
+        if shape.organisation == req.organisation
+        and shape.worker_pool in zone_of_pool
+        and shape.hosts * (shape.accelerators_per_host // req.accelerators)
+        >= req.members
+    }
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_fence.py
@@ -0,0 +1,73 @@
+"""The row by which a new scheduler of a zone shuts out an older one.
+
+Every transaction of a scheduler checks this row's version. A new holder
+changes it before it reads the jobs, so that whatever an older holder still
+sends, it is refused, also when that holder was paused beyond its lease.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from absl import logging
+from result import Err, Ok
+
+from pomeloarch_core.ids import Epoch, ZoneName
+from pomeloarch_node.job_records import FENCES_TABLE, encode
+from pomeloarch_node.platform import Check, PlatformClient, Row, Write
+from pomeloarch_node.scheduler_tenure import Tenure
+
+_RETRY_PAUSE_S = 0.5
+
+
+class Fence(msgspec.Struct, frozen=True):
+    """The value of the row: the highest epoch that has begun."""
+
+    epoch: Epoch
+
+
+async def raise_fence(
+    platform: PlatformClient, zone: ZoneName, tenure: Tenure
+) -> Check:
+    """Shuts out older holders; returns the check for this one's writes.
+
+    A lost answer is settled by reading the row again: only the holder of an
+    epoch writes it. When a newer epoch is found, the tenure is lost and this
+    waits for its end.
+    """
+    while True:
+        answer = await platform.read([(FENCES_TABLE, zone)])
+        if isinstance(answer, Ok):
+            check = await _raise_above(platform, answer.ok_value[0], tenure)
+            if check is not None:
+                return check
+        else:
+            logging.warning("fence: %s", answer.err_value.message)
+        await asyncio.sleep(_RETRY_PAUSE_S)
+
+
+async def _raise_above(
+    platform: PlatformClient, row: Row, tenure: Tenure
+) -> Check | None:
+    epoch = _epoch_of(row)
+    if epoch == tenure.epoch:
+        return Check(row.table, row.key, row.version)
+    if epoch > tenure.epoch:
+        tenure.supersede(f"the zone's scheduler has begun epoch {epoch}")
+        return None
+    if not tenure.held():
+        return None
+    answer = await platform.transact(
+        [Check(row.table, row.key, row.version)],
+        [Write(row.table, row.key, encode(Fence(tenure.epoch)))],
+    )
+    if isinstance(answer, Err):
+        return None
+    return Check(row.table, row.key, answer.ok_value[0])
+
+
+def _epoch_of(row: Row) -> Epoch:
+    if row.value is None:
+        return Epoch(0)
+    return msgspec.convert(row.value, Fence).epoch
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_inbox.py
@@ -0,0 +1,154 @@
+"""Finds the jobs of a zone in the platform's table."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import OrderedDict
+from collections.abc import Callable, Iterable
+
+from absl import logging
+from result import Err, Ok, Result
+
+from pomeloarch_core.gang.messages import JobRecord
+from pomeloarch_core.ids import JobId, ZoneName
+from pomeloarch_node.job_records import (
+    decode_record,
+    jobs_table,
+    time_key,
+)
+from pomeloarch_node.platform import PlatformClient, PlatformError, Row
+
+POLL_S = 0.25
+PAGE = 1000
+# Rows appear up to this long after the time in their ids, at usual loads.
+OVERLAP_S = 2.0
+# One page of the whole table, in turn, finds what came later than that.
+SWEEP_S = 5.0
+_REMEMBERED_ENDED = 20_000
+
+
+class JobInbox:
+    """Hands on each unfinished job of the zone once.
+
+    Ids sort by time, so that a poll reads only the table's end. Every few
+    seconds one page of the whole table is read besides, which finds rows
+    that were written late or under a clock that is behind.
+
+    Args:
+      platform: the platform.
+      zone: the scheduler's zone.
+      found: told of each unfinished job and the version of its row.
+      wall_clock: seconds of the wall clock.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformClient,
+        zone: ZoneName,
+        found: Callable[[JobRecord, int], None],
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Starts with no job known."""
+        self._platform = platform
+        self._zone = zone
+        self._table = jobs_table(zone)
+        self._found = found
+        self._wall_clock = wall_clock
+        self._known: set[JobId] = set()
+        self._ended: OrderedDict[JobId, None] = OrderedDict()
+        self._newest = ""
+        self._swept = ""
+
+    def ended(self, job_id: JobId) -> None:
+        """Notes that a job is over; an older answer may still show it."""
+        self._known.discard(job_id)
+        self._ended[job_id] = None
+        if len(self._ended) > _REMEMBERED_ENDED:
+            self._ended.popitem(last=False)
+
+    async def load(self) -> Result[None, PlatformError]:
+        """Reads the whole table, page by page."""
+        after = ""
+        while True:
+            answer = await self._platform.scan(
+                self._table, after=after, limit=PAGE
+            )
+            if isinstance(answer, Err):
+                return answer
+            rows = answer.ok_value
+            self._take(rows)
+            if len(rows) < PAGE:
+                return Ok(None)
+            after = rows[-1].key
+
+    async def poll(self) -> None:
+        """Reads the rows at the table's end."""
+        now = self._wall_clock()
+        start = f"{self._zone}-{time_key(now - OVERLAP_S)}"
+        after = min(start, self._newest) if self._newest else start
+        while True:
+            answer = await self._platform.scan(
+                self._table, after=after, limit=PAGE
+            )
+            if isinstance(answer, Err):
+                logging.warning("new jobs: %s", answer.err_value.message)
+                return
+            rows = answer.ok_value
+            self._take(rows)
+            if rows:
+                after = rows[-1].key
+            if len(rows) < PAGE:
+                self._newest = max(after, start)
+                return
+
+    async def read(self, job_ids: Iterable[JobId]) -> set[JobId]:
+        """Reads some jobs' rows; returns those that are over or absent."""
+        keys = [(self._table, str(job_id)) for job_id in job_ids]
+        if not keys:
+            return set()
+        answer = await self._platform.read(keys)
+        if isinstance(answer, Err):
+            return set()
+        self._take(answer.ok_value)
+        return {
+            JobId(row.key)
+            for row in answer.ok_value
+            if JobId(row.key) not in self._known
+        }
+
+    async def run(self) -> None:
+        """Polls, and sweeps the table page by page, until cancelled."""
+        loop = asyncio.get_running_loop()
+        sweep_at = loop.time() + SWEEP_S
+        while True:
+            await asyncio.sleep(POLL_S)
+            await self.poll()
+            if loop.time() >= sweep_at:
+                sweep_at = loop.time() + SWEEP_S
+                await self._sweep()
+
+    async def _sweep(self) -> None:
+        answer = await self._platform.scan(
+            self._table, after=self._swept, limit=PAGE
+        )
+        if isinstance(answer, Err):
+            return
+        rows = answer.ok_value
+        self._take(rows)
+        self._swept = rows[-1].key if len(rows) == PAGE else ""
+
+    def _take(self, rows: Iterable[Row]) -> None:
+        for row in rows:
+            job_id = JobId(row.key)
+            if job_id in self._known or job_id in self._ended:
+                continue
+            record = decode_record(row.value)
+            if record is None:
+                if row.value is not None:
+                    logging.error("%s is not a job record", row.key)
+                continue
+            if record.state.final:
+                continue
+            self._known.add(job_id)
+            self._found(record, row.version)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_link.py
@@ -0,0 +1,185 @@
+"""One worker's orders and heartbeats, in order, one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Sequence
+
+import msgspec
+from result import Ok
+
+from pomeloarch_core.gang.messages import (
+    OrderAnswered,
+    OrderOutcome,
+    TaskReport,
+    WorkerOrder,
+    WorkerReported,
+    WorkerUnreachable,
+)
+from pomeloarch_core.ids import Epoch, WorkerId
+from pomeloarch_node.worker_client import (
+    OrdersAnswer,
+    OrdersRequest,
+    WorkerError,
+    WorkerFailure,
+)
+from pomeloarch_node.worker_gate import WorkerGate
+
+MAX_ORDERS = 64
+ORDER_TRIES = 3
+RETRY_PAUSE_S = 0.2
+# Same reports that are still handed on: the scheduler counts some in a row.
+_REPEATS = 4
+
+
+class _Pending(msgspec.Struct):
+    """An order that was not settled yet."""
+
+    order: WorkerOrder
+    tries: int = 0
+    doubtful: bool = False
+
+
+class WorkerLink:
+    """Speaks with one worker.
+
+    A worker that gave no answer for a while gets calls that renew no lease,
+    so that it is known when its tasks have stopped: an order or heartbeat
+    that arrives while its answer is lost would otherwise keep them alive.
+
+    Args:
+      worker_id: the worker.
+      address: where it answers, `ip:port/worker-id`.
+      gate: the epoch to act under, and whom to tell.
+      now: the present time, in seconds.
+    """
+
+    def __init__(
+        self, worker_id: WorkerId, address: str, gate: WorkerGate, now: float
+    ) -> None:
+        """Starts with nothing to send."""
+        self.worker_id = worker_id
+        self.address = address
+        self._gate = gate
+        self._pending: deque[_Pending] = deque()
+        self._wake = asyncio.Event()
+        self._epoch = Epoch(0)
+        self._answered_at = now
+        self._renewed_at = now
+        self._unreachable = False
+        self._report: tuple[TaskReport, ...] | None = None
+        self._repeats = 0
+
+    def give(self, order: WorkerOrder) -> None:
+        """Takes an order to send with the next call, at once."""
+        self._pending.append(_Pending(order))
+        self._wake.set()
+
+    def begin(self, epoch: Epoch, now: float) -> None:
+        """Starts over under a new epoch: nothing of it is known yet."""
+        self._epoch = epoch
+        self._pending.clear()
+        self._answered_at = now
+        self._renewed_at = now
+        self._unreachable = False
+        self._report = None
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Sends orders as they come, and heartbeats in between."""
+        loop = asyncio.get_running_loop()
+        while True:
+            self._wake.clear()
+            answered = await self._exchange(loop.time())
+            if self._pending and answered:
+                continue
+            pause_s = self._gate.heartbeat_s
+            if self._pending:
+                pause_s = min(pause_s, RETRY_PAUSE_S)
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _exchange(self, now: float) -> bool:
+        epoch = self._gate.epoch_for_heartbeats()
+        if epoch is None:
+            self._pending.clear()
+            return True
+        if not self._gate.may_order(epoch):
+            self._pending.clear()
+        batch = [
+            self._pending.popleft()
+            for _ in range(min(MAX_ORDERS, len(self._pending)))
+        ]
+        silent = now - self._answered_at > self._gate.suspect_after_s
+        lease_s = 0.0 if silent else self._gate.lease_s
+        if not silent:
+            self._renewed_at = now
+        req = OrdersRequest(
+            epoch=epoch,
+            holder=self._gate.holder,
+            lease_s=lease_s,
+            orders=tuple(pending.order for pending in batch),
+        )
+        answer = await self._gate.client.post(self.address, req)
+        now = asyncio.get_running_loop().time()
+        if epoch != self._epoch:
+            return True
+        if isinstance(answer, Ok):
+            self._hear(batch, answer.ok_value, now)
+            return True
+        self._fail(batch, answer.err_value, now)
+        return False
+
+    def _hear(
+        self, batch: Sequence[_Pending], answer: OrdersAnswer, now: float
+    ) -> None:
+        self._answered_at = now
+        self._unreachable = False
+        for pending, result in zip(batch, answer.results, strict=True):
+            self._gate.emit(
+                OrderAnswered(pending.order, result.outcome, result.detail)
+            )
+        if answer.tasks == self._report and not batch:
+            self._repeats += 1
+        else:
+            self._repeats = 0
+        self._report = answer.tasks
+        if self._repeats <= _REPEATS:
+            self._gate.emit(WorkerReported(self.worker_id, answer.tasks))
+
+    def _fail(
+        self, batch: Sequence[_Pending], error: WorkerError, now: float
+    ) -> None:
+        if error.failure is WorkerFailure.FENCED:
+            self._gate.supersede(f"a worker has seen epoch {error.epoch}")
+            return
+        again = []
+        for pending in batch:
+            pending.tries += 1
+            if error.failure is WorkerFailure.UNKNOWN:
+                pending.doubtful = True
+            if pending.tries < ORDER_TRIES:
+                again.append(pending)
+            else:
+                self._give_up(pending, error.message)
+        self._pending.extendleft(reversed(again))
+        self._check_reachable(now)
+
+    def _give_up(self, pending: _Pending, message: str) -> None:
+        outcome = OrderOutcome.REFUSED
+        if pending.doubtful:
+            outcome = OrderOutcome.UNKNOWN
+        self._gate.emit(OrderAnswered(pending.order, outcome, message))
+
+    def _check_reachable(self, now: float) -> None:
+        """Tells once that the tasks' leases have certainly run out."""
+        if self._unreachable:
+            return
+        if now - self._renewed_at > self._gate.lapse_after_s:
+            self._unreachable = True
+            self._report = None
+            self._gate.emit(WorkerUnreachable(self.worker_id))
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
@@ -0,0 +1,98 @@
+"""The links to all workers of a zone, kept as the membership list changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pomeloarch_core.gang.messages import (
+    OrderAnswered,
+    OrderOutcome,
+    WorkerInfo,
+    WorkerOrder,
+)
+from pomeloarch_core.ids import Epoch, WorkerId, ZoneName
+from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.platform import Host
+from pomeloarch_node.worker_gate import WorkerGate
+from pomeloarch_node.worker_link import WorkerLink
+from pomeloarch_node.worker_list import zone_workers
+
+
+class WorkerLinks:
+    """One link and task for each worker of the zone.
+
+    Args:
+      zone: the zone.
+      hosts: the platform's list of hosts.
+      gate: what all links share.
+    """
+
+    def __init__(
+        self, zone: ZoneName, hosts: HostDirectory, gate: WorkerGate
+    ) -> None:
+        """Starts without any link."""
+        self._zone = zone
+        self._lists = hosts.subscribe()
+        self._gate = gate
+        self._links: dict[WorkerId, WorkerLink] = {}
+        self._tasks: dict[WorkerId, asyncio.Task[None]] = {}
+        self._workers: tuple[WorkerInfo, ...] = ()
+        self._changed = asyncio.Event()
+        self._epoch = Epoch(0)
+
+    @property
+    def workers(self) -> tuple[WorkerInfo, ...]:
+        """The zone's workers."""
+        return self._workers
+
+    async def changed(self) -> tuple[WorkerInfo, ...]:
+        """Waits for a change of the list and returns the new one."""
+        self._changed.clear()
+        await self._changed.wait()
+        return self._workers
+
+    def begin(self, epoch: Epoch) -> None:
+        """Starts all links over under a new epoch."""
+        self._epoch = epoch
+        now = asyncio.get_running_loop().time()
+        for link in self._links.values():
+            link.begin(epoch, now)
+
+    def give(self, order: WorkerOrder) -> None:
+        """Passes an order to its worker's link."""
+        link = self._links.get(order.worker_id)
+        if link is None:
+            detail = "the worker is not on the platform's list"
+            self._gate.emit(OrderAnswered(order, OrderOutcome.UNKNOWN, detail))
+            return
+        link.give(order)
+
+    async def run(self) -> None:
+        """Follows the membership list until cancelled."""
+        try:
+            while True:
+                self._follow(await self._lists.get())
+        finally:
+            for task in self._tasks.values():
+                task.cancel()
+
+    def _follow(self, hosts: tuple[Host, ...]) -> None:
+        wanted = zone_workers(hosts, self._zone)
+        self._gate.size(len(wanted))
+        for worker_id in list(self._links):
+            entry = wanted.get(worker_id)
+            if entry is None or entry[1] != self._links[worker_id].address:
+                self._tasks.pop(worker_id).cancel()
+                del self._links[worker_id]
+        now = asyncio.get_running_loop().time()
+        for worker_id, (_, address) in wanted.items():
+            if worker_id not in self._links:
+                self._open(worker_id, address, now)
+        self._workers = tuple(info for info, _ in wanted.values())
+        self._changed.set()
+
+    def _open(self, worker_id: WorkerId, address: str, now: float) -> None:
+        link = WorkerLink(worker_id, address, self._gate, now)
+        link.begin(self._epoch, now)
+        self._links[worker_id] = link
+        self._tasks[worker_id] = asyncio.create_task(link.run())
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/fake_platform.py
@@ -0,0 +1,202 @@
+"""The platform in memory, with the faults that it is known for."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import defaultdict, deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+from sortedcontainers import SortedDict
+
+from pomeloarch_node.platform import (
+    Check,
+    Conflict,
+    Host,
+    PlatformError,
+    PlatformFailure,
+    Row,
+    Write,
+)
+
+TIMEOUT_S = 2.0
+
+
+class Fault(enum.Enum):
+    """What goes wrong with one call.
+
+    LOSE_ANSWER: it takes effect, but the caller hears nothing.
+    LOSE_REQUEST: it never arrives; the caller can't tell the two apart.
+    LATE: it takes effect some time after the caller gave up.
+    REFUSE: the platform says that it did nothing.
+    """
+
+    LOSE_ANSWER = "lose_answer"
+    LOSE_REQUEST = "lose_request"
+    LATE = "late"
+    REFUSE = "refuse"
+
+
+_LOST = PlatformError(PlatformFailure.UNKNOWN, "no answer in time")
+_REFUSED = PlatformError(PlatformFailure.NOT_DONE, "the platform is away")
+_OVER_BUDGET = PlatformError(
+    PlatformFailure.NOT_DONE, "the platform answered 429"
+)
+
+
+class FakePlatform:
+    """A `PlatformClient` in memory; time is that of the running loop.
+
+    Attributes:
+      hosts: the membership list.
+      down: whether every call is refused.
+      silent: whether no call arrives and none is answered.
+      delay_s: how long each call takes, in seconds.
+      late_s: after how long a `LATE` call takes effect, in seconds.
+      writes_per_s: rows that may be written a second, None for no limit.
+      written: rows written so far.
+      reads: calls of read and scan so far.
+      most_written: the most rows that were written in one second.
+      on_transact: looks at each transaction before it is carried out, and
+        may return a fault for it.
+    """
+
+    def __init__(self, writes_per_s: int | None = None) -> None:
+        """Starts with empty tables."""
+        self.hosts: tuple[Host, ...] = ()
+        self.down = False
+        self.silent = False
+        self.delay_s = 0.0
+        self.late_s = 5.0
+        self.writes_per_s = writes_per_s
+        self.written = 0
+        self.reads = 0
+        self.most_written = 0
+        self.on_transact: (
+            Callable[[Sequence[Check], Sequence[Write]], Fault | None] | None
+        ) = None
+        self._faults: deque[Fault] = deque()
+        self._tables: dict[str, SortedDict] = defaultdict(SortedDict)
+        self._second = (0, 0)
+
+    def inject(self, *faults: Fault) -> None:
+        """Sets what goes wrong with the next transactions, one each."""
+        self._faults.extend(faults)
+
+    def table(self, name: str) -> dict[str, Any]:
+        """Returns the values of a table's rows by their keys."""
+        return {
+            key: msgspec.json.decode(body)
+            for key, (_, body) in self._tables[name].items()
+        }
+
+    def put(self, table: str, key: str, value: Any) -> None:
+        """Writes a row, past all faults and counts."""
+        self._write(Write(table, key, value))
+
+    async def transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
+        """Writes all rows if all checks hold; returns the new versions."""
+        fault = self._next_fault(checks, writes)
+        if not await self._arrives() or fault is Fault.REFUSE:
+            return Err(_LOST if self.silent else _REFUSED)
+        if fault is Fault.LATE:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.late_s, self._apply, checks, writes)
+        if fault in (Fault.LATE, Fault.LOSE_REQUEST):
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(_LOST)
+        answer = self._apply(checks, writes)
+        if fault is Fault.LOSE_ANSWER:
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(_LOST)
+        return answer
+
+    async def read(
+        self, keys: Sequence[tuple[str, str]]
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Reads rows, absent ones with version 0, in the order of keys."""
+        self.reads += 1
+        if not await self._arrives():
+            return Err(_LOST if self.silent else _REFUSED)
+        return Ok(tuple(self._row(table, key) for table, key in keys))
+
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Result[tuple[Row, ...], PlatformError]:
+        """Reads up to `limit` rows above `after` in the order of keys."""
+        self.reads += 1
+        if not await self._arrives():
+            return Err(_LOST if self.silent else _REFUSED)
+        start = max(prefix, after)
+        rows: list[Row] = []
+        for key in self._tables[table].irange(minimum=start):
+            if len(rows) >= limit or not key.startswith(prefix):
+                break
+            if key > after:
+                rows.append(self._row(table, key))
+        return Ok(tuple(rows))
+
+    async def membership(self) -> Result[tuple[Host, ...], PlatformError]:
+        """Reads the lagging list of hosts."""
+        if not await self._arrives():
+            return Err(_LOST if self.silent else _REFUSED)
+        return Ok(self.hosts)
+
+    def _next_fault(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Fault | None:
+        if self.on_transact is not None:
+            fault = self.on_transact(checks, writes)
+            if fault is not None:
+                return fault
+        return self._faults.popleft() if self._faults else None
+
+    async def _arrives(self) -> bool:
+        if self.silent:
+            await asyncio.sleep(TIMEOUT_S)
+        elif self.delay_s:
+            await asyncio.sleep(self.delay_s)
+        return not self.silent and not self.down
+
+    def _apply(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
+        found = [self._row(check.table, check.key) for check in checks]
+        conflicts = tuple(
+            row
+            for row, check in zip(found, checks, strict=True)
+            if row.version != check.version
+        )
+        if conflicts:
+            return Err(Conflict(conflicts))
+        if not self._within_budget(len(writes)):
+            return Err(_OVER_BUDGET)
+        return Ok(tuple(self._write(write) for write in writes))
+
+    def _within_budget(self, rows: int) -> bool:
+        second = int(asyncio.get_running_loop().time())
+        used = self._second[1] if self._second[0] == second else 0
+        if self.writes_per_s is not None and used + rows > self.writes_per_s:
+            return False
+        self._second = (second, used + rows)
+        self.most_written = max(self.most_written, used + rows)
+        self.written += rows
+        return True
+
+    def _write(self, write: Write) -> int:
+        table = self._tables[write.table]
+        version, _ = table.get(write.key, (0, b""))
+        if write.value is None:
+            table.pop(write.key, None)
+            return 0
+        table[write.key] = (version + 1, msgspec.json.encode(write.value))
+        return version + 1
+
+    def _row(self, table: str, key: str) -> Row:
+        version, body = self._tables[table].get(key, (0, b"null"))
+        return Row(table, key, version, msgspec.json.decode(body))
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
@@ -0,0 +1,222 @@
+"""Fakes of what the job plane asks of the rest of a node."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import defaultdict
+from collections.abc import MutableMapping
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+from starlette.types import ASGIApp
+
+from pomeloarch_core.ids import Epoch, NodeId, ZoneName
+from pomeloarch_node.peers import PeerMessage
+from pomeloarch_node.worker_client import (
+    OrdersAnswer,
+    OrdersRequest,
+    WorkerError,
+    WorkerFailure,
+)
+from pomeloarch_standins.worker_fleet import WorkerFleet
+from pomeloarch_standins.workers import FaultMode
+
+TIMEOUT_S = 2.0
+
+
+class FakeRole:
+    """A role that a test gives and takes."""
+
+    def __init__(self) -> None:
+        """Starts without a holder."""
+        self._epoch: Epoch | None = None
+        self._changed = asyncio.Event()
+        self.released = False
+
+    def epoch(self) -> Epoch | None:
+        """Returns the epoch to act under right now, None when not held."""
+        return self._epoch
+
+    async def changed(self) -> None:
+        """Waits until the role is gained, lost or gained anew."""
+        self._changed.clear()
+        await self._changed.wait()
+
+    async def release(self) -> None:
+        """Gives the role up so that another node takes it at once."""
+        self.released = True
+        self.set(None)
+
+    def set(self, epoch: int | None) -> None:
+        """Gives the role under an epoch, or takes it."""
+        self._epoch = None if epoch is None else Epoch(epoch)
+        self._changed.set()
+
+    def lapse(self) -> None:
+        """Lets the lease run out without any news of it."""
+        self._epoch = None
+
+
+class FakeNetwork:
+    """The nodes that hear each other."""
+
+    def __init__(self) -> None:
+        """Starts without any node."""
+        self.planes: dict[NodeId, FakePeers] = {}
+
+
+class FakePeers:
+    """A `PeerPlane` in memory.
+
+    Args:
+      network: the nodes that hear each other.
+      node: this node.
+      zone: its zone.
+    """
+
+    def __init__(
+        self, network: FakeNetwork, node: NodeId, zone: ZoneName
+    ) -> None:
+        """Joins the network."""
+        self.node = node
+        self.zone = zone
+        self.cut_off = False
+        self._network = network
+        self._own: dict[str, bytes] = {}
+        self._queues: dict[str, list[asyncio.Queue[PeerMessage]]] = defaultdict(
+            list
+        )
+        network.planes[node] = self
+
+    def set_digest(self, topic: str, payload: bytes) -> None:
+        """Replaces this node's digest of a topic; the latest one spreads."""
+        self._own[topic] = payload
+
+    def digests(self, topic: str) -> dict[NodeId, PeerMessage]:
+        """Returns the latest digests of the other live nodes."""
+        return {
+            node: PeerMessage(node, plane.zone, topic, plane._own[topic])
+            for node, plane in self._heard().items()
+            if node != self.node and topic in plane._own
+        }
+
+    def live_nodes(self) -> dict[NodeId, ZoneName]:
+        """Returns the nodes believed to live, this one included."""
+        return {node: plane.zone for node, plane in self._heard().items()}
+
+    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
+        """Sends one message; returns whether it was handed to a socket."""
+        plane = self._heard().get(node)
+        if plane is None:
+            return False
+        for queue in plane._queues[topic]:
+            queue.put_nowait(PeerMessage(self.node, self.zone, topic, payload))
+        return True
+
+    def subscribe(self, topic: str) -> asyncio.Queue[PeerMessage]:
+        """Returns a queue of the messages and digests of a topic."""
+        queue: asyncio.Queue[PeerMessage] = asyncio.Queue()
+        self._queues[topic].append(queue)
+        return queue
+
+    def _heard(self) -> dict[NodeId, FakePeers]:
+        return {
+            node: plane
+            for node, plane in self._network.planes.items()
+            if node == self.node or not (self.cut_off or plane.cut_off)
+        }
+
+
+class FakeWorkerClient:
+    """Carries calls to stand-in workers in the same process.
+
+    Args:
+      fleet: the workers.
+
+    Attributes:
+      faults: what is wrong with the way to a worker, by its id.
+      calls: how many calls were made.
+    """
+
+    def __init__(self, fleet: WorkerFleet) -> None:
+        """Starts with every worker within reach."""
+        self._fleet = fleet
+        self.faults: dict[str, FaultMode] = {}
+        self.calls = 0
+
+    async def post(
+        self, address: str, req: OrdersRequest
+    ) -> Result[OrdersAnswer, WorkerError]:
+        """Sends orders to the worker at `ip:port/worker-id`."""
+        self.calls += 1
+        worker_id = address.rpartition("/")[2]
+        mode = self.faults.get(worker_id, FaultMode.NONE)
+        if mode is FaultMode.DOWN:
+            return Err(WorkerError(WorkerFailure.NOT_SENT, "refused"))
+        if mode is FaultMode.REFUSE:
+            return Err(WorkerError(WorkerFailure.UNKNOWN, "status 503"))
+        if mode is FaultMode.STALL:
+            return await _time_out()
+        worker = self._fleet.workers[worker_id]
+        now = asyncio.get_running_loop().time()
+        answer = worker.handle(req, now)
+        if mode is FaultMode.LOSE:
+            return await _time_out()
+        if answer is None:
+            return Err(
+                WorkerError(WorkerFailure.FENCED, "fenced", worker.epoch)
+            )
+        return Ok(answer)
+
+
+class AsgiAnswer(msgspec.Struct, frozen=True):
+    """What an ASGI application answered."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body, decoded."""
+        return msgspec.json.decode(self.body)
+
+
+async def asgi_call(
+    app: ASGIApp,
+    method: str,
+    path: str,
+    body: bytes = b"",
+    headers: dict[str, str] | None = None,
+) -> AsgiAnswer:
+    """Calls an ASGI application in the same process."""
+    scope = {
+        "type": "http",
+        "method": method,
+        "path": path,
+        "raw_path": path.encode(),
+        "query_string": b"",
+        "headers": [
+            (name.lower().encode(), value.encode())
+            for name, value in (headers or {}).items()
+        ],
+    }
+    sent: list[dict[str, Any]] = []
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    async def send(message: MutableMapping[str, Any]) -> None:
+        sent.append(dict(message))
+
+    await app(scope, receive, send)
+    return AsgiAnswer(
+        sent[0]["status"],
+        {name.decode(): text.decode() for name, text in sent[0]["headers"]},
+        b"".join(part.get("body", b"") for part in sent[1:]),
+    )
+
+
+async def _time_out() -> Result[OrdersAnswer, WorkerError]:
+    await asyncio.sleep(TIMEOUT_S)
+    return Err(WorkerError(WorkerFailure.UNKNOWN, "no answer in time"))
