--- a/packages/pomeloarch-node/src/pomeloarch_node/platform.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform.py
@@ -8,7 +8,7 @@
 
 import enum
 from collections.abc import Sequence
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import aiohttp
 import msgspec
@@ -108,6 +108,12 @@
         """Reads the lagging list of hosts."""
 
 
+# The platform did certainly nothing when it answers with one of these.
+_REFUSAL_STATUSES = frozenset({400, 404, 429, 503})
+
+_Answer = TypeVar("_Answer")
+
+
 class _TxnAnswer(msgspec.Struct):
     versions: tuple[int, ...]
 
@@ -154,11 +160,16 @@
             return answer
         status, payload = answer.ok_value
         if status == 409:
-            found = msgspec.json.decode(payload, type=_ConflictAnswer)
-            return Err(Conflict(rows=found.conflicts))
+            found = _decode(payload, _ConflictAnswer)
+            if isinstance(found, Err):
+                return Err(found.err_value)
+            return Err(Conflict(rows=found.ok_value.conflicts))
         if status != 200:
-            return Err(_refused(status))
-        return Ok(msgspec.json.decode(payload, type=_TxnAnswer).versions)
+            return Err(_failed(status))
+        done = _decode(payload, _TxnAnswer)
+        if isinstance(done, Err):
+            return Err(done.err_value)
+        return Ok(done.ok_value.versions)
 
     async def read(
         self, keys: Sequence[tuple[str, str]]
@@ -185,8 +196,8 @@
             return answer
         status, payload = answer.ok_value
         if status != 200:
-            return Err(_refused(status))
-        return Ok(msgspec.json.decode(payload, type=_HostsAnswer).hosts)
+            return Err(_failed(status))
+        return _decode(payload, _HostsAnswer).map(lambda each: each.hosts)
 
     async def _rows(
         self, path: str, body: Any
@@ -196,8 +207,8 @@
             return answer
         status, payload = answer.ok_value
         if status != 200:
-            return Err(_refused(status))
-        return Ok(msgspec.json.decode(payload, type=_RowsAnswer).rows)
+            return Err(_failed(status))
+        return _decode(payload, _RowsAnswer).map(lambda each: each.rows)
 
     async def _call(
         self, method: str, path: str, body: Any
@@ -218,7 +229,18 @@
             return Err(PlatformError(PlatformFailure.UNKNOWN, repr(exc)))
 
 
-def _refused(status: int) -> PlatformError:
-    return PlatformError(
-        PlatformFailure.NOT_DONE, f"the platform answered {status}"
-    )
+def _decode(
+    payload: bytes, answer_type: type[_Answer]
+) -> Result[_Answer, PlatformError]:
+    try:
+        return Ok(msgspec.json.decode(payload, type=answer_type))
+    except msgspec.DecodeError as exc:
+        # A cut answer says nothing of whether the call took effect.
+        return Err(PlatformError(PlatformFailure.UNKNOWN, str(exc)))
+
+
+def _failed(status: int) -> PlatformError:
+    failure = PlatformFailure.UNKNOWN
+    if status in _REFUSAL_STATUSES:
+        failure = PlatformFailure.NOT_DONE
+    return PlatformError(failure, f"the platform answered {status}")
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_layout.py
@@ -0,0 +1,216 @@
+"""Where each process of the demo listens, and the files that tell it so.
+
+Each availability zone has loopback addresses of its own, as its hosts have
+on a real network: 127.block.zone.host.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import pathlib
+import sys
+
+import msgspec
+
+from pomeloarch_node.platform import Host, HostKind
+
+NODES_PER_ZONE = 2
+EXECUTORS_PER_ZONE = 8
+HTTP_PORT = 8080
+PEER_PORT = 8081
+PLATFORM_PORT = 8070
+WORKERS_PORT = 8060
+EXECUTORS_PORT = 9001
+EXECUTORS_CONTROL_PORT = 9000
+
+
+class Example(msgspec.Struct, frozen=True):
+    """What the demo has to know of an example besides its objects."""
+
+    name: str
+    zones: tuple[str, ...]
+    service: str
+    memory_gb: int
+
+
+EXAMPLES = {
+    "shrestha": Example(
+        "shrestha", ("patan", "bhaktapur", "boudha"), "appraisal-desk", 512
+    ),
+    "qasr": Example("qasr", ("amman-a", "amman-b", "amman-c"), "scorer", 256),
+}
+
+
+class NodePlace(msgspec.Struct, frozen=True):
+    """One node of the demo."""
+
+    name: str
+    availability_zone: str
+    address: str
+
+    @property
+    def url(self) -> str:
+        """Where callers and operators reach it."""
+        return f"http://{self.address}:{HTTP_PORT}"
+
+    @property
+    def peer_address(self) -> str:
+        """Where other nodes reach it."""
+        return f"{self.address}:{PEER_PORT}"
+
+
+class Layout(msgspec.Struct, frozen=True):
+    """All addresses of one run.
+
+    Attributes:
+      example: which example runs.
+      block: second number of all its loopback addresses.
+    """
+
+    example: Example
+    block: int
+
+    @classmethod
+    def from_name(cls, name: str, block: int) -> Layout:
+        """Returns the layout of an example."""
+        return cls(EXAMPLES[name], block)
+
+    @property
+    def shared_address(self) -> str:
+        """The address of the platform and the workers."""
+        return f"127.{self.block}.0.1"
+
+    @property
+    def platform_url(self) -> str:
+        """Where the platform answers."""
+        return f"http://{self.shared_address}:{PLATFORM_PORT}"
+
+    @property
+    def workers_url(self) -> str:
+        """Where the process of the workers answers."""
+        return f"http://{self.shared_address}:{WORKERS_PORT}"
+
+    def executor_address(self, zone: int) -> str:
+        """Returns the address of the executors of a zone."""
+        return f"127.{self.block}.{zone + 1}.20"
+
+    def nodes(self) -> list[NodePlace]:
+        """Returns all nodes."""
+        return [
+            NodePlace(
+                f"{zone}-{number + 1}",
+                zone,
+                f"127.{self.block}.{index + 1}.{11 + number}",
+            )
+            for index, zone in enumerate(self.example.zones)
+            for number in range(NODES_PER_ZONE)
+        ]
+
+    def hosts(self) -> list[Host]:
+        """Returns the platform's membership list without the workers."""
+        return [*self._node_hosts(), *self._executor_hosts()]
+
+    def _node_hosts(self) -> list[Host]:
+        return [
+            Host(
+                node.name,
+                HostKind.NODE,
+                node.availability_zone,
+                f"{node.address}:{HTTP_PORT}",
+                attributes={"peer_address": node.peer_address},
+            )
+            for node in self.nodes()
+        ]
+
+    def _executor_hosts(self) -> list[Host]:
+        return [
+            Host(
+                f"{zone}-executor-{number}",
+                HostKind.EXECUTOR,
+                zone,
+                f"{self.executor_address(index)}:{EXECUTORS_PORT + number}",
+                attributes={"service": self.example.service, "slots": 8},
+            )
+            for index, zone in enumerate(self.example.zones)
+            for number in range(EXECUTORS_PER_ZONE)
+        ]
+
+    def settings(self, node: NodePlace) -> str:
+        """Returns the settings file of a node."""
+        seeds = [other.peer_address for other in self.nodes()]
+        values = {
+            "node_id": node.name,
+            "availability_zone": node.availability_zone,
+            "address": node.address,
+            "http_port": HTTP_PORT,
+            "peer_port": PEER_PORT,
+            "platform_url": self.platform_url,
+            "seeds": seeds,
+            "drain_s": 1.0,
+        }
+        # JSON's strings, numbers and lists are TOML's too.
+        lines = [
+            f"{name} = {json.dumps(value)}" for name, value in values.items()
+        ]
+        return "\n".join(lines) + "\n"
+
+    def standins(self, output: pathlib.Path) -> list[str]:
+        """Returns the command lines of the stand-ins, one a process.
+
+        Args:
+          output: the folder with the files of the run.
+        """
+        package = "pomeloarch_standins"
+        shared = f"--address {self.shared_address}"
+        lines = [
+            f"platform {package}.platform_server {shared} "
+            f"--port {PLATFORM_PORT} --hosts {output}/hosts.json",
+            f"workers {package}.workers {shared} --port {WORKERS_PORT} "
+            f"--zones {','.join(self.example.zones)} --hosts-per-rack 8 "
+            f"--accelerators 8 --memory-gb {self.example.memory_gb} "
+            f"--pool {{zone}}-gpu",
+        ]
+        for index, zone in enumerate(self.example.zones):
+            lines.append(
+                f"executors-{zone} {package}.executors "
+                f"--address {self.executor_address(index)} "
+                f"--base-port {EXECUTORS_PORT} --count {EXECUTORS_PER_ZONE} "
+                f"--control-port {EXECUTORS_CONTROL_PORT} "
+                f"--service {self.example.service}"
+            )
+        return lines
+
+
+def write_files(layout: Layout, output: pathlib.Path) -> None:
+    """Writes the settings of all processes into a folder."""
+    hosts = msgspec.json.encode(layout.hosts())
+    (output / "hosts.json").write_bytes(hosts)
+    for node in layout.nodes():
+        (output / f"{node.name}.toml").write_text(layout.settings(node))
+    names = [node.name for node in layout.nodes()]
+    (output / "nodes.txt").write_text("".join(f"{name}\n" for name in names))
+    lines = [f"{line}\n" for line in layout.standins(output)]
+    (output / "standins.txt").write_text("".join(lines))
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Adds the arguments that name a run of the demo."""
+    parser.add_argument("--example", choices=sorted(EXAMPLES), required=True)
+    parser.add_argument("--block", type=int, default=1)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Writes the files of a run."""
+    parser = argparse.ArgumentParser(
+        prog="demo_layout", description="Write the settings of the demo."
+    )
+    add_arguments(parser)
+    parser.add_argument("--output", type=pathlib.Path, required=True)
+    args = parser.parse_args(argv)
+    write_files(Layout.from_name(args.example, args.block), args.output)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
