--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/generation_tables.py
@@ -0,0 +1,49 @@
+"""Generations from the platform's tables, for the spread between nodes."""
+
+from __future__ import annotations
+
+from pomeloarch_core.objects.delta import Delta
+from result import Err, Ok, Result
+
+from pomeloarch_core.ids import Generation
+from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_node.platform import PlatformError
+from pomeloarch_node.publication_store import PublicationStore
+
+_MAX_DELTAS = 64
+
+
+class TableSnapshotSource:
+    """A `SnapshotSource` over the tables that publications are written to.
+
+    Args:
+      store: reads the tables.
+    """
+
+    def __init__(self, store: PublicationStore) -> None:
+        """Keeps the store."""
+        self._store = store
+
+    async def load_head(self) -> Result[Generation, PlatformError]:
+        """Reads the highest generation's number, 0 when there is none."""
+        head = await self._store.head()
+        return head.map(lambda found: found.generation)
+
+    async def load_snapshot(self) -> Result[Snapshot, PlatformError]:
+        """Reads the highest generation, or one that was just the highest."""
+        return await self._store.load()
+
+    async def load_deltas(
+        self, base: Generation
+    ) -> Result[tuple[Delta, ...], PlatformError]:
+        """Reads the steps above a generation, in their order."""
+        head = await self.load_head()
+        if isinstance(head, Err):
+            return head
+        last = Generation(min(head.ok_value, base + _MAX_DELTAS))
+        if last <= base:
+            return Ok(())
+        records = await self._store.records(Generation(base + 1), last)
+        return records.map(
+            lambda found: tuple(record.delta() for record in found)
+        )
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -0,0 +1,210 @@
+"""Builds a node of its parts and runs it."""
+
+from __future__ import annotations
+
+import random
+import time
+
+import aiohttp
+import uvicorn
+
+from pomeloarch_core.gang import ZoneScheduler
+from pomeloarch_node.app import Health, StatusPages, build_app
+from pomeloarch_node.component import BackgroundPart, Component
+from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.generation_spreader import GenerationSpreader
+from pomeloarch_node.generation_tables import TableSnapshotSource
+from pomeloarch_node.host_watch import HostDirectoryTask
+from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.jobs_api import JobsApi
+from pomeloarch_node.lifecycle import (
+    CloseWhileStopping,
+    ExitCode,
+    Lifecycle,
+    NodeServer,
+)
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.operators_api import OperatorsApi
+from pomeloarch_node.peer_plane import TcpPeerPlane
+from pomeloarch_node.platform import HttpPlatformClient, PlatformClient
+from pomeloarch_node.requests import RequestPlane
+from pomeloarch_node.role_lease import LeasedRole
+from pomeloarch_node.scheduler_task import SchedulerTask
+from pomeloarch_node.settings import Settings
+from pomeloarch_node.worker_client import HttpWorkerClient
+
+_MILLISECONDS = 1000
+_KEEPALIVE_S = 30
+
+
+class Node:
+    """The parts of one node, wired together.
+
+    Attributes:
+      components: the parts by name, in the order in which a planned stop
+        drains them.
+
+    Args:
+      settings: the node's settings.
+      session: HTTP towards platform and workers; the caller closes it.
+    """
+
+    def __init__(
+        self, settings: Settings, session: aiohttp.ClientSession
+    ) -> None:
+        """Builds all parts; none runs yet."""
+        self._settings = settings
+        self._session = session
+        self._rng = random.Random()
+        self._metrics = Metrics()
+        self._holder = ConfigurationHolder()
+        self._directory = HostDirectory()
+        self._health = Health(self._holder)
+        self._platform: PlatformClient = HttpPlatformClient(
+            session, settings.platform_url
+        )
+        self._peers = TcpPeerPlane.from_settings(
+            settings,
+            int(time.time() * _MILLISECONDS),
+            self._metrics,
+            time.monotonic,
+            self._rng,
+        )
+        self._role = LeasedRole(
+            f"scheduler/{settings.availability_zone}",
+            settings.node_id,
+            self._platform,
+            time.monotonic,
+            self._metrics,
+            self._rng,
+        )
+        self.components = self._build_components()
+
+    def _build_components(self) -> dict[str, Component]:
+        operators = self._operators()
+        spreader = self._spreader(operators)
+        hosts = self._host_watch()
+        scheduler = self._scheduler()
+        return {
+            "requests": self._requests(),
+            "scheduler": scheduler,
+            "jobs": self._jobs(scheduler),
+            "operators": operators,
+            "role": BackgroundPart(self._role.run),
+            "generations": BackgroundPart(spreader.run),
+            "hosts": BackgroundPart(hosts.run),
+            "peers": BackgroundPart(self._peers.run, self._peers.drain),
+        }
+
+    def _requests(self) -> RequestPlane:
+        return RequestPlane(
+            self._settings,
+            self._holder,
+            self._directory,
+            self._peers,
+            self._platform,
+            self._metrics,
+            time.monotonic,
+            self._rng,
+        )
+
+    def _operators(self) -> OperatorsApi:
+        return OperatorsApi(
+            self._platform,
+            self._holder,
+            self._metrics,
+            self._settings.node_id,
+            self._rng,
+        )
+
+    def _spreader(self, operators: OperatorsApi) -> GenerationSpreader:
+        return GenerationSpreader(
+            self._holder,
+            TableSnapshotSource(operators.store),
+            self._peers,
+            self._settings.node_id,
+            self._settings.availability_zone,
+            time.monotonic,
+            self._metrics,
+            self._rng,
+        )
+
+    def _host_watch(self) -> HostDirectoryTask:
+        return HostDirectoryTask(
+            self._directory,
+            self._platform,
+            self._peers,
+            time.monotonic,
+            self._metrics,
+            self._rng,
+        )
+
+    def _scheduler(self) -> SchedulerTask:
+        return SchedulerTask(
+            self._settings.availability_zone,
+            self._settings.node_id,
+            self._platform,
+            self._role,
+            self._holder,
+            self._directory,
+            self._peers,
+            HttpWorkerClient(self._session),
+            self._metrics,
+            self._rng,
+            ZoneScheduler.from_config,
+        )
+
+    def _jobs(self, scheduler: SchedulerTask) -> JobsApi:
+        return JobsApi(
+            self._settings.availability_zone,
+            self._platform,
+            self._holder,
+            self._peers,
+            scheduler,
+            self._metrics,
+            self._rng,
+        )
+
+    def server(self) -> uvicorn.Server:
+        """Returns the HTTP server, which does not listen yet."""
+        pages = StatusPages(
+            self._settings.node_id,
+            self._settings.availability_zone,
+            self._health,
+            self._holder,
+            self._peers,
+            self._metrics,
+            self.components,
+        )
+        app = build_app(pages, list(self.components.values()))
+        config = uvicorn.Config(
+            CloseWhileStopping(app, self._health),
+            host=self._settings.address,
+            port=self._settings.http_port,
+            loop="asyncio",
+            http="httptools",
+            lifespan="off",
+            access_log=False,
+            log_config=None,
+            server_header=False,
+            timeout_keep_alive=_KEEPALIVE_S,
+        )
+        return NodeServer(config)
+
+    async def run(self) -> ExitCode:
+        """Runs until a planned stop is done or a second signal comes."""
+        lifecycle = Lifecycle(
+            self.server(),
+            self._health,
+            self.components,
+            self._settings.drain_s,
+            self._metrics,
+        )
+        return await lifecycle.run()
+
+
+async def run_node(settings: Settings) -> ExitCode:
+    """Runs a node by its settings and returns how it ended."""
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        return await Node(settings, session).run()
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -0,0 +1,346 @@
+"""The demo's driver: publishes, sends, reclaims, stops, kills and freezes.
+
+It prints what happened and the four measures, and exits with 1 when a
+promise was broken.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import json
+import pathlib
+import sys
+import time
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import aiohttp
+from pomeloarch_cli.main import main as pomelo
+
+from pomeloarch_standins.demo_client import (
+    Balancer,
+    Call,
+    Callers,
+    CallResult,
+    Ending,
+)
+from pomeloarch_standins.demo_hosts import DemoHosts
+from pomeloarch_standins.demo_jobs import JobCallers
+from pomeloarch_standins.demo_layout import (
+    EXECUTORS_CONTROL_PORT,
+    Layout,
+    add_arguments,
+)
+from pomeloarch_standins.demo_load import (
+    count_answered,
+    describe_endings,
+    describe_times,
+    mixed_call,
+    say,
+    steady_load,
+)
+from pomeloarch_standins.demo_promises import Promises
+from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
+
+_START_TIMEOUT_S = 20.0
+_FIRST_REQUESTS = 200
+_FIRST_CONCURRENCY = 16
+_FREEZE_S = 3.0
+_FLOOD_S = 4.0
+_FLOOD_CONCURRENCY = 400
+_SMALL_PER_S = 20.0
+_URGENT_START_S = 1.9
+
+
+class Demo:
+    """One run of the demo against processes that are already started.
+
+    Args:
+      layout: where everything listens.
+      work: the folder with the files of the run.
+      session: the HTTP session of callers and operators.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        work: pathlib.Path,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Prepares callers; nothing is sent yet."""
+        self._layout = layout
+        self._session = session
+        self._scenario: Scenario = SCENARIOS[layout.example.name]
+        self._hosts = DemoHosts(work)
+        self._nodes = layout.nodes()
+        self._balancer = Balancer(self._nodes, session)
+        self._callers = Callers(self._balancer, session, layout.example.service)
+        self._jobs = JobCallers(self._balancer, session)
+        self._results: list[CallResult] = []
+        self.promises = Promises()
+
+    async def run(self) -> None:
+        """Does everything in order."""
+        await self._wait_for_nodes()
+        await self._publish()
+        prober = asyncio.create_task(self._balancer.run())
+        await self._wait_until_ready()
+        await self._first_requests()
+        gang = asyncio.create_task(self._gang())
+        reclaim = asyncio.create_task(self._reclaim())
+        await self._planned_stop()
+        await self._kill()
+        await self._freeze()
+        await gang
+        await reclaim
+        await self._flood()
+        await self._check_runs()
+        prober.cancel()
+
+    async def _wait_for_nodes(self) -> None:
+        begun = time.monotonic()
+        for node in self._nodes:
+            while not await self._alive(node.url):
+                if time.monotonic() - begun > _START_TIMEOUT_S:
+                    raise RuntimeError(f"{node.name} did not start")
+                await asyncio.sleep(0.1)
+        say(f"6 nodes live after {time.monotonic() - begun:.1f} s")
+
+    async def _alive(self, url: str) -> bool:
+        try:
+            async with self._session.get(f"{url}/healthz") as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def _publish(self) -> None:
+        """Publishes the example as an operator does."""
+        url = self._nodes[0].url
+        example = f"examples/{self._layout.example.name}"
+        code = await asyncio.to_thread(
+            pomelo, ["publish", example, "--node", url, "--why", "first set"]
+        )
+        self.promises.expect(code == 0, f"publish ended with {code}")
+
+    async def _wait_until_ready(self) -> None:
+        begun = time.monotonic()
+        while len(self._balancer.ready) < len(self._nodes):
+            if time.monotonic() - begun > _START_TIMEOUT_S:
+                missing = {n.name for n in self._nodes} - self._balancer.ready
+                raise RuntimeError(f"not ready: {sorted(missing)}")
+            await asyncio.sleep(0.05)
+        say(f"all nodes ready {time.monotonic() - begun:.2f} s later")
+
+    async def _first_requests(self) -> None:
+        gate = asyncio.Semaphore(_FIRST_CONCURRENCY)
+
+        async def send(number: int) -> CallResult:
+            async with gate:
+                return await self._callers.send(
+                    mixed_call(self._scenario, number)
+                )
+
+        results = await asyncio.gather(*map(send, range(_FIRST_REQUESTS)))
+        self._take(results, "200 requests")
+        answered = sum(each.ending is Ending.ANSWERED for each in results)
+        self.promises.expect(
+            answered == _FIRST_REQUESTS,
+            f"only {answered} of {_FIRST_REQUESTS} requests were answered: "
+            f"{sorted({each.reason for each in results if each.reason})}",
+        )
+        say(f"completion time of these: {describe_times(results)}")
+
+    async def _gang(self) -> None:
+        job_id = await self._jobs.submit(self._scenario.gang)
+        state, waited = await self._jobs.wait(job_id, {"succeeded"}, 40.0)
+        self.promises.expect(
+            state == "succeeded", f"gang {job_id} ended as {state}"
+        )
+        say(f"gang of 4 hosts x 8 accelerators: {state} in {waited:.1f} s")
+
+    async def _reclaim(self) -> None:
+        scenario = self._scenario
+        borrower = await self._jobs.submit(scenario.borrower)
+        state, waited = await self._jobs.wait(borrower, {"running"}, 15.0)
+        self.promises.expect(
+            state == "running", f"the borrower is {state}, not running"
+        )
+        say(f"a borrower holds the whole rack after {waited:.1f} s")
+        owner = await self._jobs.submit(scenario.owner)
+        started = {"running", "succeeded"}
+        bound = scenario.grace_s + _URGENT_START_S
+        state, waited = await self._jobs.wait(owner, started, bound)
+        self.promises.expect(
+            state in started,
+            f"the guaranteed shape was not reclaimed in {bound} s: {state}",
+        )
+        say(f"its owner reclaimed the guaranteed shape in {waited:.2f} s")
+        await self._cancel(borrower)
+
+    async def _cancel(self, job_id: str) -> None:
+        url = f"{self._balancer.pick().url}/v1/jobs/{job_id}"
+        with contextlib.suppress(aiohttp.ClientError, asyncio.TimeoutError):
+            async with self._session.delete(url):
+                pass
+
+    async def _planned_stop(self) -> None:
+        node = self._nodes[0].name
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(0.5)
+            self._hosts.stop(node)
+            await self._until(lambda: bool(self._hosts.exits(node)), 12.0)
+            await asyncio.sleep(0.5)
+        self._take(results, f"planned stop of {node}")
+        self.promises.check_uncut(results, f"the planned stop of {node}")
+        code = self._hosts.exits(node)[:1]
+        self.promises.expect(code == [0], f"{node} exited with {code}")
+
+    async def _kill(self) -> None:
+        node = self._nodes[2].name
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(0.5)
+            self._hosts.kill(node)
+            await asyncio.sleep(2.0)
+        self._take(results, f"kill of {node}")
+        others = [each for each in results if each.node != node]
+        self.promises.check_uncut(others, f"the kill of {node} elsewhere")
+
+    async def _freeze(self) -> None:
+        node = self._nodes[4].name
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(0.5)
+            self._hosts.freeze(node)
+            await asyncio.sleep(_FREEZE_S)
+            self._hosts.thaw(node)
+            await asyncio.sleep(1.0)
+        self._take(results, f"freeze of {node}")
+        others = [each for each in results if each.node != node]
+        self.promises.check_uncut(others, f"the freeze of {node} elsewhere")
+
+    async def _flood(self) -> None:
+        """Measures urgent small callers without and with a flood."""
+        calm = await self._small_callers()
+        gate = asyncio.Event()
+        flooding = [
+            asyncio.create_task(self._flooder(gate))
+            for _ in range(_FLOOD_CONCURRENCY)
+        ]
+        flooded = await self._small_callers()
+        gate.set()
+        flood = [
+            each for batch in await asyncio.gather(*flooding) for each in batch
+        ]
+        self._results += [*calm, *flooded, *flood]
+        self.promises.check_answers([*calm, *flooded, *flood])
+        say(f"flood: {describe_endings(flood)}")
+        await self._print_measures(calm, flooded, flood)
+
+    async def _small_callers(self) -> list[CallResult]:
+        organisation, caller = self._scenario.small
+        path = self._scenario.urgent_path
+        tasks = []
+        for _ in range(int(_FLOOD_S * _SMALL_PER_S)):
+            call = Call(path, organisation, caller)
+            tasks.append(asyncio.create_task(self._callers.send(call)))
+            await asyncio.sleep(1 / _SMALL_PER_S)
+        return list(await asyncio.gather(*tasks))
+
+    async def _flooder(self, ended: asyncio.Event) -> list[CallResult]:
+        organisation, caller = self._scenario.large
+        results = []
+        while not ended.is_set():
+            call = Call(
+                self._scenario.flood_path,
+                organisation,
+                caller,
+                deadline_ms=2000,
+            )
+            results.append(await self._callers.send(call))
+            if results[-1].ending is not Ending.ANSWERED:
+                await asyncio.sleep(0.2)
+        return results
+
+    async def _print_measures(
+        self,
+        calm: list[CallResult],
+        flooded: list[CallResult],
+        flood: list[CallResult],
+    ) -> None:
+        kept = count_answered(flooded) / max(count_answered(calm), 1)
+        fragmentation = await self._fragmentation()
+        print("measures:")
+        print(f"  completion time, no flood        {describe_times(calm)}")
+        print(f"  fragmentation, by zone           {fragmentation}")
+        print(f"  service kept in a flood          {kept:.1%}")
+        print(f"  small caller in the flood        {describe_times(flooded)}")
+        print(f"  large caller in the flood        {describe_times(flood)}")
+
+    async def _fragmentation(self) -> dict[str, Any]:
+        found: dict[str, Any] = {}
+        for node in self._nodes:
+            with contextlib.suppress(aiohttp.ClientError):
+                async with self._session.get(f"{node.url}/v1/status") as resp:
+                    status = await resp.json()
+                scheduler = status.get("scheduler", {})
+                if scheduler.get("fragmentation") is not None:
+                    found[node.availability_zone] = scheduler["fragmentation"]
+        return found
+
+    async def _check_runs(self) -> None:
+        runs: dict[str, int] = {}
+        for zone in range(len(self._layout.example.zones)):
+            address = self._layout.executor_address(zone)
+            url = f"http://{address}:{EXECUTORS_CONTROL_PORT}/counts"
+            async with self._session.get(url) as response:
+                counts = json.loads(await response.read())["runs"]
+            for key, count in counts.items():
+                runs[key] = runs.get(key, 0) + count
+        self.promises.check_runs(self._results, runs)
+        async with self._session.get(
+            f"{self._layout.workers_url}/counts"
+        ) as response:
+            say(f"workers: {json.loads(await response.read())}")
+
+    def _take(self, results: Iterable[CallResult], phase: str) -> None:
+        results = list(results)
+        self._results += results
+        self.promises.check_answers(results)
+        say(f"{phase}: {describe_endings(results)}")
+
+    async def _until(
+        self, reached: Callable[[], bool], timeout_s: float
+    ) -> None:
+        begun = time.monotonic()
+        while not reached() and time.monotonic() - begun < timeout_s:
+            await asyncio.sleep(0.05)
+
+
+async def _run(layout: Layout, work: pathlib.Path) -> int:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        demo = Demo(layout, work, session)
+        await demo.run()
+    for line in demo.promises.broken:
+        print(f"BROKEN: {line}")
+    if demo.promises.broken:
+        return 1
+    print("all promises kept")
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs the demo and returns its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="demo", description="Drive the demo's processes."
+    )
+    add_arguments(parser)
+    parser.add_argument("--work", type=pathlib.Path, required=True)
+    args = parser.parse_args(argv)
+    layout = Layout.from_name(args.example, args.block)
+    return asyncio.run(_run(layout, args.work))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
