Read objects from TOML with all findings, and compare generations

Cause: operators need every fault of their files at once, with its line, and tomllib tells neither lines nor more than its first error. Change: a scanner splits a file into one block an object and knows the lines of headers and fields; each block is decoded on its own, so faults of several objects come together. Deltas and rebasing work on whole objects. Ruled out: decoding whole files (one error hides the rest of the file); a TOML library that keeps places (not among the fixed versions).

--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/__init__.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/__init__.py
@@ -1,5 +1,29 @@
 """The named objects that operators edit, check and publish."""
 
+from pomeloarch_core.objects.check import check, check_documents
+from pomeloarch_core.objects.delta import (
+    BaseMismatch,
+    Change,
+    Delta,
+    apply,
+    apply_change,
+    delta,
+    difference,
+)
+from pomeloarch_core.objects.findings import (
+    Finding,
+    Place,
+    Places,
+    SourceText,
+)
+from pomeloarch_core.objects.keys import (
+    Kind,
+    NamedObject,
+    ObjectKey,
+    by_key,
+    key_of,
+    object_set,
+)
 from pomeloarch_core.objects.model import (
     Adjacency,
     AvailabilityZone,
@@ -17,21 +41,45 @@
     Urgency,
     WorkerPool,
 )
+from pomeloarch_core.objects.parser import ParsedObjects, parse_documents
+from pomeloarch_core.objects.rebase import rebase
 
 __all__ = [
     "Adjacency",
     "AvailabilityZone",
+    "BaseMismatch",
+    "Change",
+    "Delta",
+    "Finding",
     "GuaranteedShape",
     "JobClass",
+    "Kind",
+    "NamedObject",
+    "ObjectKey",
     "ObjectSet",
     "Organisation",
     "OveruseAction",
+    "ParsedObjects",
+    "Place",
+    "Places",
     "Protection",
     "Route",
     "Service",
     "Snapshot",
+    "SourceText",
     "Team",
     "UpstreamGroup",
     "Urgency",
     "WorkerPool",
+    "apply",
+    "apply_change",
+    "by_key",
+    "check",
+    "check_documents",
+    "delta",
+    "difference",
+    "key_of",
+    "object_set",
+    "parse_documents",
+    "rebase",
 ]
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/check.py
@@ -0,0 +1,49 @@
+"""Checks what crosses objects, and reports all findings together."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from result import Err, Ok, Result
+
+from pomeloarch_core.objects.check_references import reference_findings
+from pomeloarch_core.objects.findings import Finding, Places, SourceText
+from pomeloarch_core.objects.model import ObjectSet
+from pomeloarch_core.objects.parser import ParsedObjects, parse_leniently
+
+_CHECKS: tuple[Callable[[ObjectSet, Places], list[Finding]], ...] = ()
+
+
+def check(objects: ObjectSet, places: Places) -> list[Finding]:
+    """Returns every finding on a set of well-shaped objects.
+
+    Args:
+      objects: the whole set.
+      places: where the objects stand.
+    """
+    return check_partly(ParsedObjects(objects, places))
+
+
+def check_partly(parsed: ParsedObjects) -> list[Finding]:
+    """Returns the findings on objects of which some could not be read."""
+    findings = reference_findings(parsed)
+    if not parsed.unread and not parsed.unread_kinds:
+        for find in _CHECKS:
+            findings += find(parsed.objects, parsed.places)
+    return sorted(findings)
+
+
+def check_documents(
+    texts: Sequence[SourceText],
+) -> Result[ParsedObjects, list[Finding]]:
+    """Reads and checks files of objects.
+
+    Args:
+      texts: the files; together they are the whole set.
+
+    Returns:
+      The objects with their places, or every finding.
+    """
+    parsed, findings = parse_leniently(texts)
+    findings = sorted(findings + check_partly(parsed))
+    return Err(findings) if findings else Ok(parsed)
