--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_problems.py
@@ -0,0 +1,96 @@
+"""Turns failures of publishing into problem documents."""
+
+from __future__ import annotations
+
+import functools
+
+from starlette.responses import Response
+
+from pomeloarch_node.operators_messages import ConflictProblem, FindingsProblem
+from pomeloarch_node.platform import PlatformError, PlatformFailure
+from pomeloarch_node.problems import (
+    Problem,
+    RequestOutcome,
+    problem_response,
+)
+from pomeloarch_node.publications import (
+    EditsConflict,
+    ObjectsRefused,
+    RequestRefused,
+)
+
+_RETRY_AFTER_S = 2.0
+
+
+@functools.singledispatch
+def failure_response(failure: object) -> Response:
+    """Returns the HTTP answer to a failure of publishing or reading."""
+    raise TypeError(f"no answer is known for {failure!r}")
+
+
+@failure_response.register
+def _(failure: ObjectsRefused) -> Response:
+    problem = FindingsProblem(
+        title=f"The objects have {len(failure.findings)} findings.",
+        status=422,
+        outcome=RequestOutcome.NOT_RUN,
+        reason="findings",
+        findings=failure.findings,
+    )
+    return problem_response(problem)
+
+
+@failure_response.register
+def _(failure: EditsConflict) -> Response:
+    names = ", ".join(sorted({edit.object for edit in failure.edits}))
+    problem = ConflictProblem(
+        title="Others changed the same objects.",
+        status=409,
+        outcome=RequestOutcome.NOT_RUN,
+        reason="conflict",
+        detail=f"Changed by both: {names}.",
+        conflicts=failure.edits,
+    )
+    return problem_response(problem)
+
+
+@failure_response.register
+def _(failure: RequestRefused) -> Response:
+    return bad_request(failure.reason, failure.message)
+
+
+@failure_response.register
+def _(failure: PlatformError) -> Response:
+    if failure.failure is PlatformFailure.UNKNOWN:
+        problem = Problem(
+            title="It is not known whether this was published.",
+            status=504,
+            outcome=RequestOutcome.UNKNOWN,
+            reason="platform_answer_lost",
+            detail=f"{failure.message}; try again with the same id",
+        )
+        return problem_response(problem, _RETRY_AFTER_S)
+    return platform_unavailable(failure)
+
+
+def platform_unavailable(failure: PlatformError) -> Response:
+    """Returns the answer to a call that the platform did not carry out."""
+    problem = Problem(
+        title="The platform's tables can't be used now.",
+        status=503,
+        outcome=RequestOutcome.NOT_RUN,
+        reason="platform_unavailable",
+        detail=failure.message,
+    )
+    return problem_response(problem, _RETRY_AFTER_S)
+
+
+def bad_request(reason: str, message: str, status: int = 400) -> Response:
+    """Returns the answer to a request that can't be met as it stands."""
+    problem = Problem(
+        title=message,
+        status=status,
+        outcome=RequestOutcome.NOT_RUN,
+        reason=reason,
+    )
+    return problem_response(problem)
