--- /dev/null
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
@@ -0,0 +1,188 @@
+"""`pomelo publish` and `pomelo rollback`."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import getpass
+import socket
+import time
+import uuid
+from typing import Any
+
+from result import Err
+
+from pomeloarch_cli.client import NodeClient
+from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
+from pomeloarch_cli.formats import (
+    ZoneProgress,
+    finding_lines,
+    progress_line,
+    published_lines,
+    zone_progress,
+)
+from pomeloarch_cli.output import Output
+from pomeloarch_cli.session import (
+    connect,
+    node_options,
+    output_of,
+    output_options,
+)
+from pomeloarch_cli.sources import read_sources
+from pomeloarch_core.ids import Generation
+from pomeloarch_core.objects import SourceText, check_documents
+
+_POLL_S = 0.1
+
+
+def add_to(commands: argparse._SubParsersAction) -> None:
+    """Adds the commands to a parser."""
+    parents = [_publication_options(), node_options(), output_options()]
+    publish = commands.add_parser(
+        "publish",
+        help="check files of objects and put them in force",
+        description="Checks files that together are the whole set of objects, "
+        "publishes them as one new generation and tells how many nodes of "
+        "each availability zone have it in force. An object that is in force "
+        "but not in the files is removed.",
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        parents=parents,
+    )
+    publish.add_argument("paths", nargs="+", metavar="PATH", help="as in check")
+    publish.set_defaults(run=_publish)
+    rollback = commands.add_parser(
+        "rollback",
+        help="publish the objects of an earlier generation again",
+        description="Publishes the objects of an earlier generation as a new "
+        "one; generations never go back.",
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        parents=parents,
+    )
+    rollback.add_argument(
+        "generation", type=int, help="the generation whose objects to take"
+    )
+    rollback.set_defaults(run=_rollback)
+
+
+def _publication_options() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument(
+        "--why", required=True, help="the reason, for the audit trail"
+    )
+    parser.add_argument(
+        "--who",
+        help="the operator, for the audit trail (default: the login name)",
+    )
+    parser.add_argument(
+        "--base",
+        type=int,
+        metavar="GENERATION",
+        help="the generation that the edit started from: later edits of other "
+        "objects are kept, and one of the same object is a conflict (default: "
+        "the generation in force, so that the whole set is replaced)",
+    )
+    parser.add_argument(
+        "--publication-id",
+        metavar="ID",
+        help="the id of an earlier try whose outcome is not known",
+    )
+    parser.add_argument(
+        "--wait-s",
+        type=float,
+        default=10.0,
+        metavar="SECONDS",
+        help="how long to wait until every known node has it in force "
+        "(default: %(default)s)",
+    )
+    return parser
+
+
+async def _publish(args: argparse.Namespace) -> ExitCode:
+    out = output_of(args)
+    sources = read_sources(args.paths)
+    if isinstance(sources, Err):
+        return out.usage("; ".join(sources.err_value))
+    checked = check_documents(sources.ok_value)
+    if isinstance(checked, Err):
+        findings = checked.err_value
+        out.result(finding_lines(findings), {"findings": findings})
+        return ExitCode.REFUSED
+    body = _body(args, documents=_documents(sources.ok_value))
+    return await _send(args, out, body)
+
+
+async def _rollback(args: argparse.Namespace) -> ExitCode:
+    body = _body(args, rollback_to=args.generation)
+    return await _send(args, output_of(args), body)
+
+
+def _documents(sources: list[SourceText]) -> list[dict[str, str]]:
+    return [
+        {"path": source.path, "text": source.content.decode("utf-8")}
+        for source in sources
+    ]
+
+
+def _body(args: argparse.Namespace, **content: Any) -> dict[str, Any]:
+    return {
+        "publication": args.publication_id or uuid.uuid4().hex,
+        "who": args.who or _login_name(),
+        "why": args.why,
+        "origin": socket.gethostname(),
+        "base": args.base,
+        **content,
+    }
+
+
+def _login_name() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+async def _send(
+    args: argparse.Namespace, out: Output, body: dict[str, Any]
+) -> ExitCode:
+    async with connect(args) as client:
+        answer = await client.call("POST", "/v1/publications", body=body)
+        if isinstance(answer, Err):
+            option = f"--publication-id {body['publication']}"
+            return out.no_answer(answer.err_value, option)
+        reply = answer.ok_value
+        if not reply.ok:
+            return out.refused(reply)
+        generation = Generation(reply.field("generation", 0))
+        zones = await _wait_in_force(client, out, generation, args.wait_s)
+    lines = [*published_lines(reply.body), progress_line(zones)]
+    out.result(lines, {**reply.body, "in_force": zones})
+    return ExitCode.OK
+
+
+async def _wait_in_force(
+    client: NodeClient, out: Output, generation: Generation, wait_s: float
+) -> list[ZoneProgress]:
+    """Waits until every known node has a generation, or time is over."""
+    give_up_at = time.monotonic() + wait_s
+    shown = ""
+    while True:
+        zones = await _zones(client, generation)
+        done = bool(zones) and all(z.in_force == z.nodes for z in zones)
+        if done or time.monotonic() >= give_up_at:
+            return zones
+        line = progress_line(zones)
+        if line != shown:
+            out.progress(line)
+            shown = line
+        await asyncio.sleep(_POLL_S)
+
+
+async def _zones(
+    client: NodeClient, generation: Generation
+) -> list[ZoneProgress]:
+    answer = await client.get("/v1/status")
+    if isinstance(answer, Err):
+        return []
+    return zone_progress(answer.ok_value.field("generations", ()), generation)
--- /dev/null
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
@@ -0,0 +1,74 @@
+"""What every command that asks a node shares."""
+
+from __future__ import annotations
+
+import argparse
+import contextlib
+import os
+from collections.abc import AsyncIterator
+
+import aiohttp
+
+from pomeloarch_cli.client import NodeClient
+from pomeloarch_cli.output import Output
+
+NODES_VARIABLE = "POMELO_NODES"
+DEFAULT_NODE = "http://127.0.0.1:8080"
+
+
+def output_options() -> argparse.ArgumentParser:
+    """Returns the options of every command, as a parent parser."""
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument(
+        "--format",
+        choices=("text", "json"),
+        default="text",
+        help="text for people, or one JSON object for programs",
+    )
+    parser.add_argument(
+        "--verbose",
+        action="store_true",
+        help="log what each node answers to stderr",
+    )
+    return parser
+
+
+def node_options() -> argparse.ArgumentParser:
+    """Returns the options of commands that ask nodes, as a parent parser."""
+    parser = argparse.ArgumentParser(add_help=False)
+    parser.add_argument(
+        "--node",
+        action="append",
+        metavar="URL",
+        help="a node's URL; may be given more than once, and the next one is "
+        f"asked when one does not answer (default: ${NODES_VARIABLE}, with "
+        f"commas between, or {DEFAULT_NODE})",
+    )
+    parser.add_argument(
+        "--timeout-s",
+        type=float,
+        default=30.0,
+        metavar="SECONDS",
+        help="time that one node is given to answer (default: %(default)s)",
+    )
+    return parser
+
+
+def output_of(args: argparse.Namespace) -> Output:
+    """Returns the output in the format that was asked for."""
+    return Output(as_json=args.format == "json")
+
+
+def nodes_of(args: argparse.Namespace) -> list[str]:
+    """Returns the nodes to ask, in their order."""
+    if args.node:
+        return list(args.node)
+    listed = os.environ.get(NODES_VARIABLE, "").split(",")
+    return [url.strip() for url in listed if url.strip()] or [DEFAULT_NODE]
+
+
+@contextlib.asynccontextmanager
+async def connect(args: argparse.Namespace) -> AsyncIterator[NodeClient]:
+    """Opens a client for the nodes of a command line."""
+    async with aiohttp.ClientSession() as session:
+        yield NodeClient(session, nodes_of(args), args.timeout_s)
