Name the cells of a guarantee in a job's record

A successor has to know which running jobs stand in a guaranteed shape. Without it, it would count an owner's own work against the owner's shape. JobRecord gains cells, empty by default, so that older rows still decode.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/messages.py
@@ -108,6 +108,8 @@
       checkpoint: the last checkpoint's name, from which it goes on.
       cancel_requested: a caller asked for its end.
       reason: why it is in this state, for people.
+      cells: the cell of a guaranteed shape that each member stands in, as
+        `shape/instance/cell`; empty outside of guarantees.
     """
 
     spec: JobSpec
@@ -119,6 +121,7 @@
     checkpoint: str | None = None
     cancel_requested: bool = False
     reason: str = ""
+    cells: tuple[str, ...] = ()
 
 
 class WorkerInfo(msgspec.Struct, frozen=True):
