Schedule whole gangs of a zone under guarantees

ZoneScheduler takes events and returns decisions, without I/O: admission, queue with fair shares, placement by capacity indices, a witness for guaranteed shapes, preemption, and the protocol of an attempt from its written intent to quiet members.

Small fakes of table and workers in virtual time drive the tests.

--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/admission.py
@@ -0,0 +1,158 @@
+"""Jobs that can never run under a generation, and why."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from pomeloarch_core.gang.messages import JobSpec
+from pomeloarch_core.ids import ZoneName
+from pomeloarch_core.objects.model import (
+    Adjacency,
+    GuaranteedShape,
+    JobClass,
+    ObjectSet,
+    Organisation,
+    WorkerPool,
+)
+
+
+class Admission:
+    """Checks jobs against the objects of one generation.
+
+    Args:
+      objects: the generation's objects.
+      availability_zone: the zone whose pools count.
+    """
+
+    def __init__(self, objects: ObjectSet, availability_zone: ZoneName) -> None:
+        """Indexes the objects by name."""
+        self._zone = availability_zone
+        self._classes = {c.name: c for c in objects.job_class}
+        self._organisations = {o.name: o for o in objects.organisation}
+        self._pools = [
+            pool
+            for pool in objects.worker_pool
+            if pool.availability_zone == availability_zone
+        ]
+        names = {pool.name for pool in self._pools}
+        self._shapes = [
+            shape
+            for shape in objects.guaranteed_shape
+            if shape.worker_pool in names
+        ]
+
+    def refusal(self, spec: JobSpec) -> str | None:
+        """Returns why a job can never run, None if it can.
+
+        All reasons are given together.
+        """
+        job_class = self._classes.get(spec.job_class)
+        organisation = self._organisations.get(spec.organisation)
+        reasons = []
+        if job_class is None:
+            reasons.append(f"there is no job class {spec.job_class}")
+        if organisation is None:
+            reasons.append(f"there is no organisation {spec.organisation}")
+        if spec.members < 1 or spec.accelerators < 1:
+            reasons.append("a job needs members and accelerators")
+        if not reasons and job_class and organisation:
+            reasons.extend(_over_quota(spec, organisation))
+            reasons.extend(self._over_fleet(spec, job_class))
+        return "; ".join(reasons) or None
+
+    def _over_fleet(self, spec: JobSpec, job_class: JobClass) -> Iterator[str]:
+        if spec.members > job_class.max_gang:
+            yield (
+                f"class {job_class.name} allows gangs of {job_class.max_gang}"
+                f", not {spec.members}"
+            )
+        memory = max((p.memory_gb_per_host for p in self._pools), default=0)
+        if spec.memory_gb > memory:
+            yield (
+                f"no worker of {self._zone} has {spec.memory_gb:g} GB; "
+                f"the largest has {memory}"
+            )
+        elif not any(_holds(p, spec, job_class) for p in self._pools):
+            yield (
+                f"no pool of {self._zone} can hold {spec.members} members of "
+                f"{spec.accelerators} accelerators, adjacency "
+                f"{job_class.adjacency.value}"
+            )
+        elif not self._beside_guarantees(spec, job_class):
+            yield (
+                "guarantees of others leave no room for it, and it can't be "
+                "preempted"
+            )
+
+    def _beside_guarantees(self, spec: JobSpec, job_class: JobClass) -> bool:
+        """Whether a job fits beside all guarantees, counted only."""
+        if job_class.preemptible and spec.idempotent:
+            return True
+        return any(
+            _holds(pool, spec, job_class)
+            and (
+                spec.members * spec.accelerators
+                <= _size(pool) - self._guaranteed(pool)
+                or self._covered(pool, spec)
+            )
+            for pool in self._pools
+        )
+
+    def _guaranteed(self, pool: WorkerPool) -> int:
+        return sum(
+            shape.hosts * shape.accelerators_per_host * shape.count
+            for shape in self._shapes
+            if shape.worker_pool == pool.name
+        )
+
+    def _covered(self, pool: WorkerPool, spec: JobSpec) -> bool:
+        """Whether the owner's own guarantees could hold a job."""
+        return spec.members <= sum(
+            _slots(shape, spec.accelerators)
+            for shape in self._shapes
+            if shape.worker_pool == pool.name
+            and shape.organisation == spec.organisation
+        )
+
+
+def _slots(shape: GuaranteedShape, size: int) -> int:
+    return shape.count * shape.hosts * (shape.accelerators_per_host // size)
+
+
+def _size(pool: WorkerPool) -> int:
+    return pool.racks * pool.hosts_per_rack * pool.accelerators_per_host
+
+
+def _over_quota(spec: JobSpec, organisation: Organisation) -> Iterator[str]:
+    size = spec.members * spec.accelerators
+    if size > organisation.quota_accelerators:
+        yield (
+            f"{size} accelerators are above the quota of "
+            f"{organisation.name}, {organisation.quota_accelerators}"
+        )
+    if spec.team is None:
+        return
+    quotas = {t.name: t.quota_accelerators for t in organisation.teams}
+    if spec.team not in quotas:
+        yield f"{organisation.name} has no team {spec.team}"
+    elif size > quotas[spec.team]:
+        yield (
+            f"{size} accelerators are above the quota of team {spec.team}, "
+            f"{quotas[spec.team]}"
+        )
+
+
+def _holds(pool: WorkerPool, spec: JobSpec, job_class: JobClass) -> bool:
+    """Returns whether an empty pool could hold a job."""
+    if spec.accelerators > pool.accelerators_per_host:
+        return False
+    per_host = pool.accelerators_per_host // spec.accelerators
+    if spec.memory_gb > 0:
+        in_memory = int(pool.memory_gb_per_host / spec.memory_gb)
+        per_host = min(per_host, in_memory)
+    per_rack = per_host * pool.hosts_per_rack
+    if job_class.adjacency is Adjacency.HOST or spec.members == 1:
+        return spec.members <= per_host
+    if job_class.adjacency is Adjacency.RACK:
+        return spec.members <= per_rack
+    return spec.members <= per_rack * pool.racks
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
@@ -0,0 +1,206 @@
+"""One pass over the queue: which waiting jobs are placed now."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+
+from pomeloarch_core.gang.attempts import Attempts
+from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.holdings import Holdings
+from pomeloarch_core.gang.jobs import Job, Phase
+from pomeloarch_core.gang.placer import Place, Placer
+from pomeloarch_core.gang.preemption import URGENT_GRACE_S
+from pomeloarch_core.gang.queue import JobQueue
+from pomeloarch_core.gang.records import Records
+from pomeloarch_core.gang.shares import Shares
+from pomeloarch_core.gang.witness import Witness
+from pomeloarch_core.ids import JobId
+
+_TRIES_PER_PASS = 24
+_SEEN_PER_PASS = 512
+_BLOCKED_KEYS = 10_000
+
+
+class Dispatcher:
+    """Places waiting jobs within a bound of work for each pass.
+
+    Args:
+      fleet: the workers.
+      witness: where the guarantees stand.
+      shares: who holds how much.
+      queue: the waiting jobs.
+      placer: finds places.
+      holdings: books them.
+      attempts: begins and ends attempts.
+      records: whether a job's row is up to date.
+      jobs: all jobs by id.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        witness: Witness,
+        shares: Shares,
+        queue: JobQueue,
+        placer: Placer,
+        holdings: Holdings,
+        attempts: Attempts,
+        records: Records,
+        jobs: Mapping[JobId, Job],
+    ) -> None:
+        """Keeps the parts that a pass needs."""
+        self._fleet = fleet
+        self._witness = witness
+        self._shares = shares
+        self._queue = queue
+        self._placer = placer
+        self._holdings = holdings
+        self._attempts = attempts
+        self._records = records
+        self._jobs = jobs
+        self._blocked: dict[object, tuple[int, int]] = {}
+        self._tries = 0
+        self._seen = 0
+        self._skip = 0
+        self.dirty = False
+
+    def reset(self) -> None:
+        """Has every job tried again, after a change of configuration."""
+        self._blocked.clear()
+        self.dirty = True
+
+    def run(self, now: float) -> None:
+        """Places what can be placed; `dirty` says whether to go on."""
+        self.dirty = False
+        self._tries, self._seen = _TRIES_PER_PASS, _SEEN_PER_PASS
+        while self._place_one(now):
+            self._skip = 0
+        if self._tries > 0 and self._seen > 0:
+            self._skip = 0
+        else:
+            self.dirty = self._tries <= 0
+            self._skip += _SEEN_PER_PASS - max(0, self._seen)
+
+    def _place_one(self, now: float) -> bool:
+        for job in self._claimants():
+            if self._out_of_bounds():
+                return False
+            if self._may_try(job, now) and self._try_claim(job, now):
+                return True
+        for number, job in enumerate(self._queue.in_order()):
+            if number < self._skip:
+                continue
+            if self._out_of_bounds():
+                return False
+            if self._may_try(job, now) and self._try_place(job, now):
+                return True
+        return False
+
+    def _out_of_bounds(self) -> bool:
+        self._seen -= 1
+        return self._seen <= 0 or self._tries <= 0
+
+    def _claimants(self) -> Iterator[Job]:
+        for owner in self._witness.owners():
+            if self._queue.waits(owner):
+                yield from self._queue.of_organisation(owner)
+
+    def _may_try(self, job: Job, now: float) -> bool:
+        return (
+            job.phase is Phase.QUEUED
+            and job.not_before <= now
+            and self._records.settled(job)
+        )
+
+    # ---- the ways of placing a job
+
+    def _try_claim(self, job: Job, now: float) -> bool:
+        key = ("claim", job.spec.organisation, *self._shape_key(job))
+        if self._is_blocked(key, job):
+            return False
+        if self._shares.team_quota_left(job) < job.size:
+            job.waits_for = "its team's quota"
+            return False
+        self._tries -= 1
+        place = self._placer.claim(job)
+        if place is None:
+            self._block(key, job)
+            return False
+        self._take(job, place, now)
+        return True
+
+    def _try_place(self, job: Job, now: float) -> bool:
+        if self._shares.quota_left(job) < job.size:
+            job.waits_for = "its quota"
+            return False
+        key = ("place", job.spec.job_class, *self._shape_key(job))
+        if self._is_blocked(key, job):
+            return False
+        self._tries -= 1
+        place = self._placer.place(job)
+        if place is None:
+            job.waits_for = "accelerators"
+            self._block(key, job)
+            return False
+        self._take(job, place, now)
+        return True
+
+    def _shape_key(self, job: Job) -> tuple[object, ...]:
+        spec = job.spec
+        return (
+            spec.members,
+            spec.accelerators,
+            spec.memory_gb,
+            job.job_class.adjacency,
+            job.preemptible,
+        )
+
+    def _is_blocked(self, key: object, job: Job) -> bool:
+        """Whether the same need failed since capacity last came up."""
+        if job.failed_on:
+            return False
+        before = self._blocked.get(key)
+        if before is None or before[0] != self._fleet.version:
+            return False
+        if job.urgent or self._shares.below_floor(job.spec.job_class):
+            return before[1] == self._shares.version
+        return True
+
+    def _block(self, key: object, job: Job) -> None:
+        if len(self._blocked) > _BLOCKED_KEYS:
+            self._blocked.clear()
+        if not job.failed_on:
+            self._blocked[key] = (self._fleet.version, self._shares.version)
+
+    # ---- carrying a place out
+
+    def _take(self, job: Job, place: Place, now: float) -> None:
+        self._queue.remove(job)
+        job.waits_for = ""
+        cells = tuple(i.cell_name(cell) for i, cell in place.cells)
+        job.cells = cells
+        self._holdings.take(job, place)
+        hurry = job.urgent and place.standing is not Standing.COVERED
+        for victim in place.victims:
+            self.evict(self._jobs[victim], job, now, hurry=hurry)
+        if not job.awaited:
+            self._attempts.begin(job, now)
+
+    def evict(self, victim: Job, heir: Job, now: float, *, hurry: bool) -> None:
+        """Has a job make way for another one.
+
+        Args:
+          victim: the job that goes.
+          heir: the job that comes.
+          now: the present time, in seconds.
+          hurry: whether the victim's grace is cut for urgent work.
+        """
+        reason = f"preempted for {heir.job_id} of {heir.spec.organisation}"
+        grace_s = victim.job_class.grace_s
+        if hurry:
+            grace_s = min(grace_s, URGENT_GRACE_S)
+        self._holdings.stand(victim, Standing.LEAVING)
+        if victim.phase is Phase.CHECKPOINTING:
+            self._attempts.hasten(victim, grace_s, now)
+        elif victim.phase is not Phase.ENDING:
+            self._attempts.checkpoint(victim, grace_s, reason, now)
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/queue.py
@@ -0,0 +1,151 @@
+"""Waiting jobs by class, organisation and caller."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from itertools import islice
+
+from pomeloarch_core.gang.jobs import Job
+from pomeloarch_core.gang.shares import Shares
+from pomeloarch_core.ids import (
+    CallerName,
+    JobClassName,
+    JobId,
+    OrganisationName,
+)
+from pomeloarch_core.objects.model import JobClass, Urgency
+
+_HEADS_PER_CALLER = 3
+_RANK = {Urgency.URGENT: 0, Urgency.STANDARD: 1, Urgency.BATCH: 2}
+
+_ByCaller = dict[CallerName, dict[JobId, Job]]
+_ByOrganisation = dict[OrganisationName, _ByCaller]
+
+
+class JobQueue:
+    """Jobs that wait, in the order in which they should be placed.
+
+    Args:
+      shares: who holds how much.
+    """
+
+    def __init__(self, shares: Shares) -> None:
+        """Makes an empty queue."""
+        self._shares = shares
+        self._jobs: dict[JobClassName, _ByOrganisation] = {}
+        self._classes: dict[JobClassName, JobClass] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Returns how many jobs wait."""
+        return self._count
+
+    def lengths(self) -> dict[JobClassName, int]:
+        """Returns how many jobs of each class wait."""
+        return {
+            name: sum(len(q) for c in callers.values() for q in c.values())
+            for name, callers in self._jobs.items()
+        }
+
+    def add(self, job: Job) -> None:
+        """Adds a job behind its caller's others of its class."""
+        spec = job.spec
+        self._classes[spec.job_class] = job.job_class
+        by_organisation = self._jobs.setdefault(spec.job_class, {})
+        by_caller = by_organisation.setdefault(spec.organisation, {})
+        waiting = by_caller.setdefault(spec.caller, {})
+        if job.job_id not in waiting:
+            waiting[job.job_id] = job
+            self._count += 1
+
+    def add_first(self, job: Job) -> None:
+        """Adds a job before its caller's others: it had already started."""
+        self.add(job)
+        spec = job.spec
+        by_caller = self._jobs[spec.job_class][spec.organisation]
+        waiting = by_caller[spec.caller]
+        if len(waiting) > 1 and len(waiting) <= _REORDER_BOUND:
+            del waiting[job.job_id]
+            by_caller[spec.caller] = {job.job_id: job, **waiting}
+
+    def remove(self, job: Job) -> bool:
+        """Removes a job; returns whether it was waiting."""
+        spec = job.spec
+        by_organisation = self._jobs.get(spec.job_class, {})
+        by_caller = by_organisation.get(spec.organisation, {})
+        waiting = by_caller.get(spec.caller, {})
+        if waiting.pop(job.job_id, None) is None:
+            return False
+        self._count -= 1
+        if not waiting:
+            del by_caller[spec.caller]
+        if not by_caller:
+            del by_organisation[spec.organisation]
+        if not by_organisation:
+            del self._jobs[spec.job_class]
+        return True
+
+    def waits(self, organisation: OrganisationName) -> bool:
+        """Returns whether an organisation has jobs that wait."""
+        return any(organisation in by_org for by_org in self._jobs.values())
+
+    def waiting(self) -> Iterator[Job]:
+        """Yields all waiting jobs."""
+        for by_organisation in self._jobs.values():
+            for by_caller in by_organisation.values():
+                for jobs in by_caller.values():
+                    yield from jobs.values()
+
+    def of_organisation(self, organisation: OrganisationName) -> Iterator[Job]:
+        """Yields the first jobs of an organisation, urgent ones first."""
+        for name in self._by_urgency():
+            callers = self._jobs[name].get(organisation)
+            if callers:
+                yield from self._of_callers(organisation, callers)
+
+    def in_order(self) -> Iterator[Job]:
+        """Yields the first jobs of each caller in the order of service.
+
+        Classes below their floor come first, then urgent ones; within a
+        class the organisation that holds least for its weight, and within
+        it the caller that holds least.
+        """
+        for name in self._by_urgency():
+            by_organisation = self._jobs[name]
+            heap = [
+                (self._shares.organisation_load(organisation), number)
+                for number, organisation in enumerate(by_organisation)
+            ]
+            heapq.heapify(heap)
+            names = list(by_organisation)
+            while heap:
+                organisation = names[heapq.heappop(heap)[1]]
+                yield from self._of_callers(
+                    organisation, by_organisation[organisation]
+                )
+
+    def _by_urgency(self) -> list[JobClassName]:
+        return sorted(
+            self._jobs,
+            key=lambda name: (
+                not self._shares.below_floor(name),
+                _RANK[self._classes[name].urgency],
+            ),
+        )
+
+    def _of_callers(
+        self, organisation: OrganisationName, by_caller: _ByCaller
+    ) -> Iterator[Job]:
+        heap = [
+            (self._shares.caller_load(organisation, caller), number)
+            for number, caller in enumerate(by_caller)
+        ]
+        heapq.heapify(heap)
+        names = list(by_caller)
+        while heap:
+            caller = names[heapq.heappop(heap)[1]]
+            yield from islice(by_caller[caller].values(), _HEADS_PER_CALLER)
+
+
+_REORDER_BOUND = 256
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/shares.py
@@ -0,0 +1,124 @@
+"""Who holds how much: fair shares, quotas and floors of one zone."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.jobs import Job
+from pomeloarch_core.ids import (
+    CallerName,
+    JobClassName,
+    OrganisationName,
+    TeamName,
+)
+from pomeloarch_core.objects.model import JobClass, ObjectSet, Organisation
+
+_Team = tuple[OrganisationName, TeamName]
+_Caller = tuple[OrganisationName, CallerName]
+
+
+class Shares:
+    """Accelerators held, by organisation, team, caller and class.
+
+    Args:
+      fleet: the workers, for how much there is to share.
+
+    Attributes:
+      version: grows with every change.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Makes shares of which nobody holds any."""
+        self._fleet = fleet
+        self._classes: dict[JobClassName, JobClass] = {}
+        self._organisations: dict[OrganisationName, Organisation] = {}
+        self._quota: dict[_Team, int] = {}
+        self._floors = 0.0
+        self._of_organisation: Counter[OrganisationName] = Counter()
+        self._borrowed: Counter[OrganisationName] = Counter()
+        self._of_team: Counter[_Team] = Counter()
+        self._of_caller: Counter[_Caller] = Counter()
+        self._of_class: Counter[JobClassName] = Counter()
+        self._fixed: Counter[JobClassName] = Counter()
+        self.version = 0
+
+    def configure(self, objects: ObjectSet) -> None:
+        """Takes weights, quotas and floors of a generation in."""
+        self._classes = {c.name: c for c in objects.job_class}
+        self._organisations = {o.name: o for o in objects.organisation}
+        self._quota = {
+            (organisation.name, team.name): team.quota_accelerators
+            for organisation in objects.organisation
+            for team in organisation.teams
+        }
+        self._floors = sum(c.floor_share for c in objects.job_class)
+
+    def add(self, job: Job, sign: int = 1) -> None:
+        """Counts a job in, or with sign -1 out."""
+        self.version += 1
+        spec, amount = job.spec, sign * job.size
+        self._of_organisation[spec.organisation] += amount
+        self._of_class[spec.job_class] += amount
+        if spec.team is not None:
+            self._of_team[spec.organisation, spec.team] += amount
+        if job.share_standing is not Standing.COVERED:
+            self._borrowed[spec.organisation] += amount
+            self._of_caller[spec.organisation, spec.caller] += amount
+        if job.share_standing is Standing.FIXED:
+            self._fixed[spec.job_class] += amount
+
+    def organisation_load(self, organisation: OrganisationName) -> float:
+        """Returns accelerators held outside of guarantees, over weight."""
+        known = self._organisations.get(organisation)
+        weight = known.weight if known else 1.0
+        return self._borrowed[organisation] / weight
+
+    def caller_load(
+        self, organisation: OrganisationName, caller: CallerName
+    ) -> int:
+        """Returns accelerators that a caller holds."""
+        return self._of_caller[organisation, caller]
+
+    def quota_left(self, job: Job) -> int:
+        """Returns what the quotas of a job's owner leave it."""
+        spec = job.spec
+        organisation = self._organisations.get(spec.organisation)
+        if organisation is None:
+            return 0
+        held = self._of_organisation[spec.organisation]
+        left = organisation.quota_accelerators - held
+        return min(left, self.team_quota_left(job))
+
+    def team_quota_left(self, job: Job) -> int:
+        """Returns what the quota of a job's team leaves it."""
+        if job.spec.team is None:
+            return job.size
+        key = (job.spec.organisation, job.spec.team)
+        return self._quota.get(key, 0) - self._of_team[key]
+
+    def floor(self, job_class: JobClassName) -> float:
+        """Returns the accelerators that a class keeps in any flood."""
+        known = self._classes.get(job_class)
+        share = known.floor_share if known else 0.0
+        return share * self._fleet.listed_accelerators
+
+    def below_floor(self, job_class: JobClassName) -> bool:
+        """Returns whether a class holds less than its floor."""
+        return self._of_class[job_class] < self.floor(job_class)
+
+    def above_floor(self, job_class: JobClassName) -> float:
+        """Returns what a class holds beyond its floor."""
+        return self._of_class[job_class] - self.floor(job_class)
+
+    def fixed_allowed(self, job: Job) -> bool:
+        """Returns whether the floors of others bear a job that can't yield.
+
+        Work that can't be preempted must not stand on what other classes
+        keep, since it could not be given back.
+        """
+        name = job.spec.job_class
+        others = self._floors * self._fleet.listed_accelerators
+        others -= self.floor(name)
+        allowed = self._fleet.listed_accelerators - others
+        return self._fixed[name] + job.size <= allowed
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/gang_world.py
@@ -0,0 +1,488 @@
+"""Small fakes of a table and of workers round one zone's scheduler.
+
+Time is virtual: `GangWorld.advance` carries events between the scheduler,
+the table and the workers in the order of their times.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import msgspec
+
+from pomeloarch_core.gang.messages import (
+    TICK_S,
+    ClearAlert,
+    Decision,
+    Event,
+    FleetChanged,
+    JobCancelled,
+    JobRecord,
+    JobSpec,
+    JobSubmitted,
+    OrderAnswered,
+    OrderKind,
+    OrderOutcome,
+    RaiseAlert,
+    RecordNotWritten,
+    RecordWritten,
+    TaskReport,
+    TaskState,
+    Tick,
+    WorkerInfo,
+    WorkerOrder,
+    WorkerReported,
+    WorkerUnreachable,
+    WriteRecord,
+)
+from pomeloarch_core.ids import (
+    AttemptId,
+    Epoch,
+    JobId,
+    PoolName,
+    RackId,
+    WorkerId,
+    ZoneName,
+)
+from pomeloarch_core.objects.model import WorkerPool
+
+LEASE_S = 5.0
+HEARTBEAT_S = 0.5
+UNREACHABLE_S = 6.0
+_HOP_S = 0.002
+_WRITE_S = 0.01
+_MEMORY_S = 60.0
+
+_Key = tuple[AttemptId, int]
+
+
+class Scheduler(Protocol):
+    """What the world asks of a scheduler."""
+
+    def handle(self, event: Event, now: float) -> list[Decision]:
+        """Takes an event in and returns decisions."""
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when a tick is due."""
+
+
+class FakeTask:
+    """One member of an attempt on a worker."""
+
+    def __init__(self, order: WorkerOrder) -> None:
+        """Reserves it."""
+        self.order = order
+        self.state = TaskState.RESERVED
+        self.checkpoint: str | None = None
+        self.progress = 0.0
+        self.usage = 1.0
+        self.started_at = 0.0
+        self.ended_at = 0.0
+
+
+class FakeWorker:
+    """A worker that checks epochs, leases and its accelerators."""
+
+    def __init__(self, info: WorkerInfo) -> None:
+        """Makes an idle worker."""
+        self.info = info
+        self.epoch = Epoch(0)
+        self.tasks: dict[_Key, FakeTask] = {}
+        self.used: dict[int, _Key] = {}
+        self.lease_until = 0.0
+        self.up = True
+        self.reachable = True
+        self.broken = False
+
+    def reports(self) -> tuple[TaskReport, ...]:
+        """Returns all tasks that it knows."""
+        return tuple(
+            TaskReport(
+                attempt=attempt,
+                member=member,
+                state=task.state,
+                usage=task.usage,
+                checkpoint=task.checkpoint,
+            )
+            for (attempt, member), task in self.tasks.items()
+        )
+
+    def free(self, key: _Key) -> None:
+        """Lets go of a task's accelerators."""
+        for accelerator, holder in list(self.used.items()):
+            if holder == key:
+                del self.used[accelerator]
+
+    def live(self) -> list[_Key]:
+        """Returns the tasks that hold accelerators."""
+        return [
+            key
+            for key, task in self.tasks.items()
+            if task.state
+            in (
+                TaskState.RESERVED,
+                TaskState.RUNNING,
+                TaskState.CHECKPOINTED,
+            )
+        ]
+
+
+class GangWorld:
+    """The table, the workers and the wires of one zone.
+
+    Args:
+      scheduler: the scheduler under test, replaced at a takeover.
+      epoch: its epoch.
+      rng: chance for the workers' delays.
+
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        epoch: Epoch,
+        rng: random.Random,
+        now: float = 0.0,
+    ) -> None:
+        """Makes a world without workers."""
+        self.scheduler = scheduler
+        self.epoch = epoch
+        self.now = now
+        self.rng = rng
+        self.workers: dict[WorkerId, FakeWorker] = {}
+        self.table: dict[JobId, JobRecord] = {}
+        self.role_epoch = epoch
+        self.run_s: dict[JobId, float] = {}
+        self.failing: set[JobId] = set()
+        self.checkpoint_s = 0.3
+        self.starts: Counter[JobId] = Counter()
+        self.started_members: Counter[tuple[JobId, int]] = Counter()
+        self.first_start: dict[JobId, float] = {}
+        self.ended_at: dict[JobId, float] = {}
+        self.submitted_at: dict[JobId, float] = {}
+        self.alerts: dict[tuple[str, str], str] = {}
+        self.order_fault: Callable[[WorkerOrder], str | None] = lambda _: None
+        self.write_delay: Callable[[], float] = lambda: _WRITE_S
+        self.log: list[tuple[float, Event | Decision]] | None = None
+        self.on_handled: Callable[[Event, list[Decision]], None] | None = None
+        self.violations: list[str] = []
+        self._heap: list[tuple[float, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self._wake_at: float | None = None
+        self._read: dict[JobId, JobRecord] = {}
+        self._last_heard: dict[WorkerId, float] = {}
+        self._told_unreachable: set[WorkerId] = set()
+        self._after(HEARTBEAT_S, self._heartbeats)
+        self._after(TICK_S, self._ticks)
+
+    # ---- driving
+
+    def _after(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._sequence += 1
+        entry = (self.now + delay_s, self._sequence, action)
+        heapq.heappush(self._heap, entry)
+
+    def advance(self, seconds: float) -> None:
+        """Lets some virtual time pass."""
+        until = self.now + seconds
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, action = heapq.heappop(self._heap)
+            action()
+        self.now = until
+
+    def tell(self, event: Event) -> None:
+        """Hands an event to the scheduler and carries its decisions out."""
+        if self.log is not None:
+            self.log.append((self.now, event))
+        decisions = self.scheduler.handle(event, self.now)
+        if self.log is not None:
+            self.log.extend((self.now, d) for d in decisions)
+        if self.on_handled is not None:
+            self.on_handled(event, decisions)
+        for decision in decisions:
+            self._carry_out(decision)
+        self._arm()
+
+    def _arm(self) -> None:
+        at = self.scheduler.next_wakeup(self.now)
+        if at is None:
+            return
+        at = max(at, self.now + 0.001)
+        if self._wake_at is None or at < self._wake_at:
+            self._wake_at = at
+            self._after(at - self.now, self._wake)
+
+    def _wake(self) -> None:
+        if self._wake_at is not None and self.now >= self._wake_at:
+            self._wake_at = None
+            self.tell(Tick())
+
+    def _ticks(self) -> None:
+        self.tell(Tick())
+        self._after(TICK_S, self._ticks)
+
+    def _carry_out(self, decision: Decision) -> None:
+        match decision:
+            case WriteRecord(record):
+                self._after(
+                    self.write_delay(), _Call(self._write, record, self.epoch)
+                )
+            case WorkerOrder():
+                self._after(_HOP_S, _Call(self._order, decision))
+            case RaiseAlert(kind, subject, reason):
+                self.alerts[kind.value, subject] = reason
+            case ClearAlert(kind, subject):
+                self.alerts.pop((kind.value, subject), None)
+
+    # ---- callers and operators
+
+    def submit(
+        self, spec: JobSpec, run_s: float = 10.0, *, fails: bool = False
+    ) -> None:
+        """Has a caller submit a job that really runs for some time."""
+        record = JobRecord(spec)
+        self.table[spec.job_id] = record
+        self.run_s[spec.job_id] = run_s
+        self.submitted_at[spec.job_id] = self.now
+        if fails:
+            self.failing.add(spec.job_id)
+        self._read[spec.job_id] = record
+        self.tell(JobSubmitted(record))
+
+    def cancel(self, job_id: JobId) -> None:
+        """Has a caller cancel a job by a write of its row."""
+        record = self.table[job_id]
+        if record.state.final:
+            return
+        record = msgspec.structs.replace(record, cancel_requested=True)
+        self.table[job_id] = record
+        self.tell(JobCancelled(job_id))
+
+    def set_fleet(self, infos: Iterable[WorkerInfo]) -> None:
+        """Sets the platform's list of workers."""
+        listed = tuple(infos)
+        for info in listed:
+            known = self.workers.get(info.worker_id)
+            if known is None:
+                self.workers[info.worker_id] = FakeWorker(info)
+                self._last_heard[info.worker_id] = self.now
+            else:
+                known.info = info
+        self.tell(FleetChanged(listed))
+
+    def take_over(self, scheduler: Scheduler) -> None:
+        """Has another node's scheduler take the role under a new epoch."""
+        self.epoch = Epoch(self.epoch + 1)
+        self.role_epoch = self.epoch
+        self.scheduler = scheduler
+        self._wake_at = None
+        self.alerts.clear()
+        self._read = dict(self.table)
+        self._told_unreachable.clear()
+        for record in list(self.table.values()):
+            if not record.state.final:
+                self.tell(JobSubmitted(record))
+        self._last_heard = dict.fromkeys(self.workers, self.now)
+
+    # ---- the table
+
+    def _write(self, record: JobRecord, epoch: Epoch) -> None:
+        job_id = record.spec.job_id
+        if epoch != self.role_epoch or epoch != self.epoch:
+            return
+        if self.table.get(job_id) != self._read.get(job_id):
+            found = self.table.get(job_id)
+            if found is not None:
+                self._read[job_id] = found
+            self.tell(RecordNotWritten(record, found))
+            return
+        self.table[job_id] = self._read[job_id] = record
+        if record.state.final:
+            self.ended_at[job_id] = self.now
+        self.tell(RecordWritten(record))
+
+    # ---- workers
+
+    def _order(self, order: WorkerOrder) -> None:
+        fault = self.order_fault(order)
+        worker = self.workers.get(order.worker_id)
+        outcome = OrderOutcome.UNKNOWN
+        arrives = worker is not None and worker.up and worker.reachable
+        if arrives and worker is not None and fault != "lost":
+            if order.epoch < worker.epoch:
+                return
+            worker.epoch = order.epoch
+            outcome = self._obey(worker, order)
+            if fault == "answer_lost":
+                outcome = OrderOutcome.UNKNOWN
+        delay_s = _HOP_S if outcome is not OrderOutcome.UNKNOWN else 0.5
+        self._after(delay_s, _Call(self._answer, order, outcome))
+
+    def _answer(self, order: WorkerOrder, outcome: OrderOutcome) -> None:
+        if order.epoch == self.epoch:
+            self.tell(OrderAnswered(order, outcome))
+
+    def _obey(self, worker: FakeWorker, order: WorkerOrder) -> OrderOutcome:
+        key = (order.attempt, order.member)
+        task = worker.tasks.get(key)
+        match order.kind:
+            case OrderKind.RESERVE:
+                return self._reserve(worker, order, task)
+            case OrderKind.START:
+                return self._start(worker, order, task)
+            case OrderKind.RELEASE | OrderKind.STOP:
+                if task is None:
+                    task = worker.tasks[key] = FakeTask(order)
+                if key in worker.live():
+                    task.state = TaskState.STOPPED
+                task.ended_at = self.now
+                worker.free(key)
+            case OrderKind.CHECKPOINT:
+                self._after(
+                    self.checkpoint_s, _Call(self._checkpoint, worker, key)
+                )
+        return OrderOutcome.DONE
+
+    def _reserve(
+        self, worker: FakeWorker, order: WorkerOrder, task: FakeTask | None
+    ) -> OrderOutcome:
+        key = (order.attempt, order.member)
+        if task is not None:
+            live = key in worker.live()
+            return OrderOutcome.DONE if live else OrderOutcome.REFUSED
+        if any(
+            a in worker.used or a >= worker.info.accelerators
+            for a in order.accelerators
+        ):
+            return OrderOutcome.REFUSED
+        worker.tasks[key] = FakeTask(order)
+        worker.used.update(dict.fromkeys(order.accelerators, key))
+        return OrderOutcome.DONE
+
+    def _start(
+        self, worker: FakeWorker, order: WorkerOrder, task: FakeTask | None
+    ) -> OrderOutcome:
+        if task is None:
+            return OrderOutcome.REFUSED
+        if task.state is not TaskState.RESERVED:
+            ended = task.state is TaskState.STOPPED
+            return OrderOutcome.REFUSED if ended else OrderOutcome.DONE
+        task.state = TaskState.RUNNING
+        task.started_at = self.now
+        if order.checkpoint:
+            task.progress = float(order.checkpoint)
+            task.checkpoint = order.checkpoint
+        if order.member == 0:
+            self.starts[order.job_id] += 1
+            self.first_start.setdefault(order.job_id, self.now)
+        self.started_members[order.job_id, order.member] += 1
+        left = max(0.05, self.run_s.get(order.job_id, 1.0) - task.progress)
+        fails = worker.broken or order.job_id in self.failing
+        key = (order.attempt, order.member)
+        end = TaskState.FAILED if fails else TaskState.SUCCEEDED
+        self._after(
+            min(left, 0.2) if fails else left,
+            _Call(self._end_task, worker, key, end),
+        )
+        return OrderOutcome.DONE
+
+    def _checkpoint(self, worker: FakeWorker, key: _Key) -> None:
+        task = worker.tasks.get(key)
+        if task is not None and task.state is TaskState.RUNNING and worker.up:
+            task.state = TaskState.CHECKPOINTED
+            done = task.progress + self.now - task.started_at
+            task.checkpoint = f"{done:.3f}"
+            self._report_soon(worker)
+
+    def _end_task(
+        self, worker: FakeWorker, key: _Key, state: TaskState
+    ) -> None:
+        task = worker.tasks.get(key)
+        if task is not None and task.state is TaskState.RUNNING and worker.up:
+            task.state = state
+            task.ended_at = self.now
+            worker.free(key)
+            self._report_soon(worker)
+
+    def _report_soon(self, worker: FakeWorker) -> None:
+        if worker.reachable:
+            self._after(_HOP_S, _Call(self._report, worker))
+
+    def _report(self, worker: FakeWorker) -> None:
+        if worker.up and worker.reachable and worker.epoch <= self.epoch:
+            worker.epoch = self.epoch
+            worker.lease_until = self.now + LEASE_S
+            self._last_heard[worker.info.worker_id] = self.now
+            self._told_unreachable.discard(worker.info.worker_id)
+            reports = worker.reports()
+            self.tell(WorkerReported(worker.info.worker_id, reports))
+            self._prune(worker)
+
+    def _prune(self, worker: FakeWorker) -> None:
+        """Forgets attempts that ended long ago."""
+        live = set(worker.live())
+        for key, task in list(worker.tasks.items()):
+            if key not in live and self.now - task.ended_at > _MEMORY_S:
+                del worker.tasks[key]
+
+    def _heartbeats(self) -> None:
+        for worker in list(self.workers.values()):
+            if self.now > worker.lease_until:
+                self._lapse(worker)
+            self._report(worker)
+            self._check_reachable(worker.info.worker_id)
+        self._after(HEARTBEAT_S, self._heartbeats)
+
+    def _check_reachable(self, worker_id: WorkerId) -> None:
+        silent_s = self.now - self._last_heard.get(worker_id, self.now)
+        told = worker_id in self._told_unreachable
+        if silent_s > UNREACHABLE_S and not told:
+            self._told_unreachable.add(worker_id)
+            self.tell(WorkerUnreachable(worker_id))
+
+    def _lapse(self, worker: FakeWorker) -> None:
+        for key in worker.live():
+            worker.tasks[key].state = TaskState.STOPPED
+            worker.tasks[key].ended_at = self.now
+            worker.free(key)
+
+    def kill(self, worker_id: WorkerId) -> None:
+        """Has a worker's host fail: all its tasks end."""
+        worker = self.workers[worker_id]
+        worker.up = False
+        self._lapse(worker)
+
+    def revive(self, worker_id: WorkerId) -> None:
+        """Has a failed host come back; it remembers its ended attempts."""
+        self.workers[worker_id].up = True
+
+
+class _Call:
+    """A call put off until its time."""
+
+    def __init__(self, action: Callable[..., None], *args: object) -> None:
+        self._action = action
+        self._args = args
+
+    def __call__(self) -> None:
+        self._action(*self._args)
+
+
+def infos_of(pool: WorkerPool) -> list[WorkerInfo]:
+    """Returns all workers of a pool as the platform lists them."""
+    return [
+        WorkerInfo(
+            worker_id=WorkerId(f"{pool.name}-{rack}-{host}"),
+            availability_zone=ZoneName(pool.availability_zone),
+            pool=PoolName(pool.name),
+            rack=RackId(f"{pool.name}-{rack}"),
+            accelerators=pool.accelerators_per_host,
+            memory_gb=float(pool.memory_gb_per_host),
+        )
+        for rack in range(pool.racks)
+        for host in range(pool.hosts_per_rack)
+    ]
