--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(wildcard packages/*)
 ARGS ?=
 
-.PHONY: demo test measure fuzz format lint types unit clean
+.PHONY: demo drill test measure fuzz format lint types unit clean
 
 # The stamp is rebuilt when a version or a package's metadata changes.
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
@@ -17,6 +17,10 @@
 demo: $(VENV)/.installed
 	bash tools/demo.sh $(if $(ARGS),$(ARGS),shrestha)
 
+# Failures on the real processes, under load; takes some minutes.
+drill: $(VENV)/.installed
+	bash tools/demo.sh $(if $(ARGS),$(ARGS),shrestha) pomeloarch_standins.drill
+
 test: lint types unit
 
 lint: $(VENV)/.installed
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -59,8 +59,8 @@
     def handle(self, event: Event, now: float) -> list[Decision]:
         """Takes an event and returns what is to be done."""
 
-    def next_wakeup(self, now: float) -> float:
-        """Returns when a `Tick` is due, in seconds."""
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when a `Tick` is due, in seconds; None for no deadline."""
 
     def status(self) -> Any:
         """Returns what an operator wants to know."""
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -9,7 +9,6 @@
 import argparse
 import asyncio
 import contextlib
-import json
 import pathlib
 import sys
 import time
@@ -17,8 +16,8 @@
 from typing import Any
 
 import aiohttp
-from pomeloarch_cli.main import main as pomelo
 
+from pomeloarch_cli.main import main as pomelo
 from pomeloarch_standins.demo_client import (
     Balancer,
     Call,
@@ -26,13 +25,10 @@
     CallResult,
     Ending,
 )
+from pomeloarch_standins.demo_control import DemoControl
 from pomeloarch_standins.demo_hosts import DemoHosts
 from pomeloarch_standins.demo_jobs import JobCallers
-from pomeloarch_standins.demo_layout import (
-    EXECUTORS_CONTROL_PORT,
-    Layout,
-    add_arguments,
-)
+from pomeloarch_standins.demo_layout import Layout, add_arguments
 from pomeloarch_standins.demo_load import (
     count_answered,
     describe_endings,
@@ -78,6 +74,7 @@
         self._balancer = Balancer(self._nodes, session)
         self._callers = Callers(self._balancer, session, layout.example.service)
         self._jobs = JobCallers(self._balancer, session)
+        self._control = DemoControl(layout, session)
         self._results: list[CallResult] = []
         self.promises = Promises()
 
@@ -289,19 +286,9 @@
         return found
 
     async def _check_runs(self) -> None:
-        runs: dict[str, int] = {}
-        for zone in range(len(self._layout.example.zones)):
-            address = self._layout.executor_address(zone)
-            url = f"http://{address}:{EXECUTORS_CONTROL_PORT}/counts"
-            async with self._session.get(url) as response:
-                counts = json.loads(await response.read())["runs"]
-            for key, count in counts.items():
-                runs[key] = runs.get(key, 0) + count
+        runs = await self._control.runs()
         self.promises.check_runs(self._results, runs)
-        async with self._session.get(
-            f"{self._layout.workers_url}/counts"
-        ) as response:
-            say(f"workers: {json.loads(await response.read())}")
+        self.promises.check_workers(await self._control.worker_counts())
 
     def _take(self, results: Iterable[CallResult], phase: str) -> None:
         results = list(results)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_layout.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_layout.py
@@ -14,12 +14,19 @@
 import msgspec
 
 from pomeloarch_node.platform import Host, HostKind
+from pomeloarch_standins.relay import LinkAddress
+from pomeloarch_standins.worker_fleet import worker_hosts
 
 NODES_PER_ZONE = 2
 EXECUTORS_PER_ZONE = 8
+WORKERS_PER_ZONE = 8
+ACCELERATORS_PER_WORKER = 8
+POOL = "{zone}-gpu"
 HTTP_PORT = 8080
 PEER_PORT = 8081
 PLATFORM_PORT = 8070
+PLATFORM_LINK_PORT = 8071
+RELAY_CONTROL_PORT = 8069
 WORKERS_PORT = 8060
 EXECUTORS_PORT = 9001
 EXECUTORS_CONTROL_PORT = 9000
@@ -86,6 +93,29 @@
         """Where the platform answers."""
         return f"http://{self.shared_address}:{PLATFORM_PORT}"
 
+    @property
+    def relay_url(self) -> str:
+        """Where the relay takes orders to cut links."""
+        return f"http://{self.shared_address}:{RELAY_CONTROL_PORT}"
+
+    def platform_link_url(self, node: NodePlace) -> str:
+        """Returns where a node reaches the platform, through a relay."""
+        port = PLATFORM_LINK_PORT + self.nodes().index(node)
+        return f"http://{self.shared_address}:{port}"
+
+    def platform_links(self) -> list[LinkAddress]:
+        """Returns the relay's links from each node to the platform."""
+        return [
+            LinkAddress(
+                node.name,
+                self.shared_address,
+                PLATFORM_LINK_PORT + index,
+                self.shared_address,
+                PLATFORM_PORT,
+            )
+            for index, node in enumerate(self.nodes())
+        ]
+
     @property
     def workers_url(self) -> str:
         """Where the process of the workers answers."""
@@ -108,8 +138,16 @@
         ]
 
     def hosts(self) -> list[Host]:
-        """Returns the platform's membership list without the workers."""
-        return [*self._node_hosts(), *self._executor_hosts()]
+        """Returns the platform's membership list."""
+        workers = worker_hosts(
+            f"{self.shared_address}:{WORKERS_PORT}",
+            list(self.example.zones),
+            hosts_per_rack=WORKERS_PER_ZONE,
+            accelerators=ACCELERATORS_PER_WORKER,
+            memory_gb=self.example.memory_gb,
+            pool=POOL,
+        )
+        return [*self._node_hosts(), *self._executor_hosts(), *workers]
 
     def _node_hosts(self) -> list[Host]:
         return [
@@ -145,7 +183,7 @@
             "address": node.address,
             "http_port": HTTP_PORT,
             "peer_port": PEER_PORT,
-            "platform_url": self.platform_url,
+            "platform_url": self.platform_link_url(node),
             "seeds": seeds,
             "drain_s": 1.0,
         }
@@ -166,10 +204,13 @@
         lines = [
             f"platform {package}.platform_server {shared} "
             f"--port {PLATFORM_PORT} --hosts {output}/hosts.json",
+            f"relay {package}.relay {shared} --port {RELAY_CONTROL_PORT} "
+            f"--links {output}/links.json",
             f"workers {package}.workers {shared} --port {WORKERS_PORT} "
-            f"--zones {','.join(self.example.zones)} --hosts-per-rack 8 "
-            f"--accelerators 8 --memory-gb {self.example.memory_gb} "
-            f"--pool {{zone}}-gpu",
+            f"--zones {','.join(self.example.zones)} "
+            f"--hosts-per-rack {WORKERS_PER_ZONE} "
+            f"--accelerators {ACCELERATORS_PER_WORKER} "
+            f"--memory-gb {self.example.memory_gb} --pool {POOL}",
         ]
         for index, zone in enumerate(self.example.zones):
             lines.append(
@@ -186,6 +227,8 @@
     """Writes the settings of all processes into a folder."""
     hosts = msgspec.json.encode(layout.hosts())
     (output / "hosts.json").write_bytes(hosts)
+    links = msgspec.json.encode(layout.platform_links())
+    (output / "links.json").write_bytes(links)
     for node in layout.nodes():
         (output / f"{node.name}.toml").write_text(layout.settings(node))
     names = [node.name for node in layout.nodes()]
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_promises.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_promises.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
+from typing import Any
 
 from pomeloarch_standins.demo_client import CallResult, Ending
 
@@ -51,6 +52,24 @@
                     f"{result.call.key}: non-idempotent, but ran {count} times",
                 )
 
+    def check_workers(
+        self, counts: Mapping[str, Any], once_jobs: Iterable[str] = ()
+    ) -> None:
+        """Checks that no gang ran in part and nothing started twice.
+
+        Args:
+          counts: what the workers counted.
+          once_jobs: the non-idempotent jobs.
+        """
+        for violation in counts["violations"]:
+            self.broken.append(f"workers: {violation}")
+        for job_id in once_jobs:
+            starts = counts["starts"].get(job_id, 0)
+            self.expect(
+                starts <= 1,
+                f"{job_id}: non-idempotent, but started {starts} times",
+            )
+
     def check_uncut(self, results: Iterable[CallResult], cause: str) -> None:
         """Checks that no request was cut or left in doubt."""
         endings = Counter(
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -0,0 +1,344 @@
+"""Brings failures about on the demo's processes and checks the promises.
+
+`make drill` runs it: platform outages, lost answers, racing operators, a
+zone cut off from the platform, a leaving executor, a killed scheduler, and
+the replacement of all nodes, each under a steady load.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import pathlib
+import shutil
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+
+from pomeloarch_cli.main import main as pomelo
+from pomeloarch_standins.demo_client import (
+    Balancer,
+    Callers,
+    CallResult,
+    Ending,
+)
+from pomeloarch_standins.demo_control import DemoControl
+from pomeloarch_standins.demo_hosts import DemoHosts
+from pomeloarch_standins.demo_jobs import JobAsk, JobCallers
+from pomeloarch_standins.demo_layout import Layout, NodePlace, add_arguments
+from pomeloarch_standins.demo_load import describe_endings, say, steady_load
+from pomeloarch_standins.demo_promises import Promises
+from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
+from pomeloarch_standins.platform_server import Faults
+from pomeloarch_standins.relay import Cut
+
+_START_TIMEOUT_S = 25.0
+_OUTAGE_S = 5.0
+_LEAVING_GRACE_S = 2.0
+_LIST_LAG_S = 2.0
+_FINAL = {"succeeded", "failed", "cancelled", "refused", "unknown"}
+
+
+class Drill:
+    """One run of all failures.
+
+    Args:
+      layout: where everything listens.
+      work: the folder with the files of the run.
+      session: the HTTP session of callers and operators.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        work: pathlib.Path,
+        session: aiohttp.ClientSession,
+    ) -> None:
+        """Prepares callers; nothing is sent yet."""
+        self._layout = layout
+        self._work = work
+        self._session = session
+        self._scenario: Scenario = SCENARIOS[layout.example.name]
+        self._hosts = DemoHosts(work)
+        self._nodes = layout.nodes()
+        self._balancer = Balancer(self._nodes, session)
+        self._callers = Callers(self._balancer, session, layout.example.service)
+        self._jobs = JobCallers(self._balancer, session)
+        self._control = DemoControl(layout, session)
+        self._results: list[CallResult] = []
+        self._once_jobs: list[str] = []
+        self.promises = Promises()
+
+    async def run(self) -> None:
+        """Brings all failures about, one after another."""
+        prober = asyncio.create_task(self._balancer.run())
+        await self._publish()
+        failures: list[Callable[[], Awaitable[None]]] = [
+            self._operators_race,
+            self._platform_loses_answers,
+            self._platform_down,
+            self._zone_cut_from_platform,
+            self._executor_leaves,
+            self._scheduler_killed,
+            self._nodes_replaced_in_turn,
+            self._three_nodes_at_once,
+        ]
+        for failure in failures:
+            await failure()
+        await self._check_all()
+        prober.cancel()
+
+    async def _publish(self) -> None:
+        await self._until_ready(set(), _START_TIMEOUT_S, self._any_alive)
+        example = f"examples/{self._layout.example.name}"
+        code = await self._pomelo(["publish", example, "--why", "first set"])
+        self.promises.expect(code == 0, f"publish ended with {code}")
+        await self._until_all_ready()
+
+    async def _pomelo(
+        self, argv: list[str], node: NodePlace | None = None
+    ) -> int:
+        place = node or self._balancer.pick()
+        return await asyncio.to_thread(pomelo, [*argv, "--node", place.url])
+
+    def _edited(self, name: str, old: str, new: str) -> str:
+        """Returns a copy of the example with one edit in it."""
+        source = pathlib.Path("examples") / self._layout.example.name
+        target = self._work / name
+        shutil.copytree(source, target, dirs_exist_ok=True)
+        for path in target.glob("*.toml"):
+            path.write_text(path.read_text().replace(old, new))
+        return str(target)
+
+    async def _operators_race(self) -> None:
+        """Both change the same object: one wins, the other is told."""
+        base = ["--base", "1", "--why", "race"]
+        edits = [
+            self._edited("race-a", "grace_s = 10.0", "grace_s = 9.0"),
+            self._edited("race-b", "grace_s = 10.0", "grace_s = 8.0"),
+        ]
+        codes = await asyncio.gather(
+            *(
+                self._pomelo(["publish", path, *base], node)
+                for path, node in zip(edits, self._nodes[::3], strict=True)
+            )
+        )
+        self.promises.expect(
+            sorted(codes) == [0, 1], f"racing operators ended with {codes}"
+        )
+        say(f"two operators raced: exit codes {sorted(codes)}")
+
+    async def _platform_loses_answers(self) -> None:
+        await self._control.platform_faults(Faults(lose_answers=0.4))
+        async with steady_load(self._callers, self._scenario) as results:
+            jobs = [await self._submit_once() for _ in range(3)]
+            await asyncio.sleep(_OUTAGE_S)
+        await self._control.platform_faults(Faults())
+        self._take(results, "platform loses 40% of its answers")
+        for job_id in jobs:
+            state, _ = await self._jobs.wait(job_id, _FINAL, 30.0)
+            say(f"non-idempotent job under lost answers: {state}")
+            self.promises.expect(
+                state in {"succeeded", "unknown"}, f"{job_id} is {state}"
+            )
+
+    async def _submit_once(self) -> str:
+        ask = JobAsk(
+            self._scenario.owner.organisation,
+            "standard",
+            2,
+            4,
+            1.0,
+            self._scenario.gang.availability_zone,
+            idempotent=False,
+        )
+        job_id = await self._jobs.submit(ask)
+        self._once_jobs.append(job_id)
+        return job_id
+
+    async def _platform_down(self) -> None:
+        gang = await self._jobs.submit(self._scenario.gang)
+        await self._jobs.wait(gang, {"running"}, 15.0)
+        await self._control.platform_faults(Faults(down=True))
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(_OUTAGE_S)
+        await self._control.platform_faults(Faults())
+        self._take(results, "platform down")
+        plain = [each for each in results if not each.call.non_idempotent]
+        self.promises.expect(
+            all(each.ending is Ending.ANSWERED for each in plain),
+            "an idempotent request failed while the platform was down: "
+            f"{describe_endings(plain)}",
+        )
+        state, _ = await self._jobs.wait(gang, _FINAL, 30.0)
+        self.promises.expect(
+            state == "succeeded", f"gang over the outage ended as {state}"
+        )
+        say(f"gang that ran over the outage: {state}")
+
+    async def _zone_cut_from_platform(self) -> None:
+        """A generation published meanwhile reaches the zone by its peers."""
+        zone = self._layout.example.zones[0]
+        await self._control.cut_platform(zone, Cut.SILENT)
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(1.0)
+            begun = time.monotonic()
+            edit = self._edited("cut", "grace_s = 5.0", "grace_s = 4.0")
+            code = await self._pomelo(
+                ["publish", edit, "--why", "during a cut"], self._nodes[2]
+            )
+            took = time.monotonic() - begun
+            await asyncio.sleep(_OUTAGE_S)
+        await self._control.cut_platform(zone, Cut.OPEN)
+        self._take(results, f"{zone} cut off from the platform")
+        self.promises.expect(
+            code == 0, f"publish during the cut ended with {code}"
+        )
+        say(f"published during the cut, in force everywhere in {took:.1f} s")
+
+    async def _executor_leaves(self) -> None:
+        """No new work after the list's lag and two seconds."""
+        zone = self._layout.example.zones[1]
+        await self._control.set_host(f"{zone}-executor-3", "leaving")
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(2 * _LIST_LAG_S + _LEAVING_GRACE_S)
+            before = await self._control.runs_of_executor(1, 3)
+            await asyncio.sleep(2.0)
+            after = await self._control.runs_of_executor(1, 3)
+        self._take(results, "an executor leaves")
+        self.promises.expect(
+            before == after,
+            f"a leaving executor got {after - before} new requests",
+        )
+        self.promises.check_uncut(results, "a leaving executor")
+
+    async def _scheduler_killed(self) -> None:
+        zone = self._layout.example.zones[2]
+        once = await self._submit_once()
+        gang = await self._jobs.submit(self._scenario.gang)
+        await self._jobs.wait(gang, {"running"}, 15.0)
+        holder = await self._holder(zone)
+        self._hosts.kill(holder)
+        for job_id, allowed in (
+            (gang, {"succeeded"}),
+            (once, {"succeeded", "unknown"}),
+        ):
+            state, waited = await self._jobs.wait(job_id, _FINAL, 40.0)
+            self.promises.expect(state in allowed, f"{job_id} ended as {state}")
+            say(f"{holder}, a scheduler, killed: job {state} {waited:.1f} s on")
+        await self._until_all_ready()
+
+    async def _holder(self, zone: str) -> str:
+        for node in self._nodes:
+            if node.availability_zone != zone:
+                continue
+            async with self._session.get(f"{node.url}/v1/status") as response:
+                status = await response.json()
+            if status["scheduler"]["role"] == "holder":
+                return node.name
+        raise RuntimeError(f"{zone} has no scheduler")
+
+    async def _nodes_replaced_in_turn(self) -> None:
+        gang = await self._jobs.submit(self._scenario.gang)
+        async with steady_load(self._callers, self._scenario) as results:
+            for node in self._nodes:
+                await self._replace([node])
+        await self._after_replacement(results, gang, "all nodes in turn")
+
+    async def _three_nodes_at_once(self) -> None:
+        gang = await self._jobs.submit(self._scenario.gang)
+        async with steady_load(self._callers, self._scenario) as results:
+            await self._replace(self._nodes[::2])
+        await self._after_replacement(results, gang, "three nodes at once")
+
+    async def _replace(self, nodes: list[NodePlace]) -> None:
+        """Stops nodes in a planned way and waits for those in their place."""
+        before = {
+            node.name: len(self._hosts.exits(node.name)) for node in nodes
+        }
+        for name in names:
+            self._hosts.stop(name)
+
+        def ended() -> bool:
+            return all(
+                len(self._hosts.exits(name)) > count
+                for name, count in before.items()
+            )
+
+        await self._until_ready(set(), _START_TIMEOUT_S, ended)
+        await self._until_all_ready()
+        for name in names:
+            code = self._hosts.exits(name)[-1]
+            self.promises.expect(code == 0, f"{name} exited with {code}")
+
+    async def _after_replacement(
+        self, results: list[CallResult], gang: str, what: str
+    ) -> None:
+        self._take(results, f"replaced {what}")
+        self.promises.check_uncut(results, f"the replacement of {what}")
+        state, _ = await self._jobs.wait(gang, _FINAL, 40.0)
+        self.promises.expect(
+            state == "succeeded", f"gang over the replacement: {state}"
+        )
+
+    def _any_alive(self) -> bool:
+        return all((self._work / f"{n.name}.pid").exists() for n in self._nodes)
+
+    async def _until_all_ready(self) -> None:
+        await asyncio.sleep(1.0)
+        await self._until_ready(
+            {node.name for node in self._nodes}, _START_TIMEOUT_S, lambda: True
+        )
+
+    async def _until_ready(
+        self, names: set[str], timeout_s: float, reached: Callable[[], bool]
+    ) -> None:
+        begun = time.monotonic()
+        while not (names <= self._balancer.ready and reached()):
+            if time.monotonic() - begun > timeout_s:
+                missing = sorted(names - self._balancer.ready)
+                self.promises.broken.append(f"not ready in time: {missing}")
+                return
+            await asyncio.sleep(0.05)
+
+    def _take(self, results: list[CallResult], phase: str) -> None:
+        self._results += results
+        self.promises.check_answers(results)
+        say(f"{phase}: {describe_endings(results)}")
+
+    async def _check_all(self) -> None:
+        self.promises.check_runs(self._results, await self._control.runs())
+        counts = await self._control.worker_counts()
+        self.promises.check_workers(counts, self._once_jobs)
+        say(f"platform used: {await self._control.platform_counts()}")
+
+
+async def _run(layout: Layout, work: pathlib.Path) -> int:
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        drill = Drill(layout, work, session)
+        await drill.run()
+    for line in drill.promises.broken:
+        print(f"BROKEN: {line}")
+    if drill.promises.broken:
+        return 1
+    print("all promises kept")
+    return 0
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Runs all failures and returns the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="drill", description="Bring failures about on the processes."
+    )
+    add_arguments(parser)
+    parser.add_argument("--work", type=pathlib.Path, required=True)
+    args = parser.parse_args(argv)
+    layout = Layout.from_name(args.example, args.block)
+    return asyncio.run(_run(layout, args.work))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
