Add peers' membership, leased roles and the spread of generations, thin

Nodes find and probe each other over TCP with packed Cap'n Proto frames and reconcile digests by version. A role is a row that is renewed and taken over on the condition of its version. Generations are announced and pulled.

--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -0,0 +1,235 @@
+"""A leased role as one row of the platform's table.
+
+The table has no clock. A candidate that has seen the row's version unchanged
+for the whole lease, by its own clock, may take the row over under the next
+epoch; the write is conditional on that version. A holder counts its lease
+from the moment before it sent the renewal that was confirmed, and ends it
+early by a bound for the drift between clocks (Gray and Cheriton, "Leases",
+1989).
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from pomeloarch_core.ids import Epoch, NodeId
+
+
+class LeaseRow(msgspec.Struct, frozen=True):
+    """The value of a role's row.
+
+    Attributes:
+      holder: the node that holds it, None when it was given up.
+      owner: tells one process from another of the same node.
+      epoch: grows with each change of holder.
+      renewal: grows with each renewal within an epoch.
+    """
+
+    holder: NodeId | None
+    owner: str
+    epoch: Epoch
+    renewal: int = 0
+
+
+class LeaseConfig(msgspec.Struct, frozen=True):
+    """Times of a lease, in seconds.
+
+    Attributes:
+      lease_s: how long candidates wait on an unchanged row.
+      drift_bound_s: how much earlier the holder ends its own lease.
+      renew_s: time between renewals.
+      poll_s: time between a candidate's reads.
+      retry_s: time until a write without an answer is sent again.
+    """
+
+    lease_s: float = 3.0
+    drift_bound_s: float = 0.3
+    renew_s: float = 0.8
+    poll_s: float = 0.5
+    retry_s: float = 0.25
+
+
+class ReadRow(msgspec.Struct, frozen=True):
+    """Read the role's row."""
+
+
+class WriteRow(msgspec.Struct, frozen=True):
+    """Write the role's row on the condition of its version."""
+
+    version: int
+    value: LeaseRow
+
+
+LeaseAction = ReadRow | WriteRow
+
+
+class LeaseMachine:
+    """Decides what a candidate or holder of one role does next.
+
+    The caller asks `action`, carries it out and reports the outcome; it
+    does one action at a time. All times are of the caller's monotonic
+    clock, in seconds.
+
+    Args:
+      node: this node.
+      owner: a value that no other process uses.
+      cfg: the lease's times.
+      start_after: earliest time of a first try, which lets roles spread.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        owner: str,
+        cfg: LeaseConfig | None = None,
+        start_after: float = 0.0,
+    ) -> None:
+        """Starts as a candidate that knows nothing."""
+        self._node = node
+        self._owner = owner
+        self._cfg = cfg or LeaseConfig()
+        self._start_after = start_after
+        self._version = 0
+        self._row: LeaseRow | None = None
+        self._seen_since: float | None = None
+        self._poll_due = start_after
+        self._held: Epoch | None = None
+        self._lease_end = 0.0
+        self._renew_due = 0.0
+        self._pending: WriteRow | None = None
+        self._pending_since = 0.0
+        self._retry_due = 0.0
+        self._released = False
+
+    def epoch(self, now: float) -> Epoch | None:
+        """Returns the epoch to act under, None when the role isn't held."""
+        if self._released or self._held is None or now >= self._lease_end:
+            return None
+        return self._held
+
+    @property
+    def lease_end(self) -> float:
+        """When the held lease ends unless it is renewed."""
+        return self._lease_end
+
+    def release(self) -> None:
+        """Ends the role here; the row says so with the next action."""
+        self._released = True
+        if self._held is not None:
+            self._pending = None
+
+    @property
+    def released(self) -> bool:
+        """Whether nothing is left to do after `release`."""
+        return self._released and self._held is None and self._pending is None
+
+    def due(self, now: float) -> float:
+        """Returns when `action` will next return something."""
+        if self.released:
+            return float("inf")
+        if self._pending is not None:
+            return self._retry_due
+        if self._held is not None:
+            return now if self._released else self._renew_due
+        if self._claimable_at() <= self._poll_due:
+            return self._claimable_at()
+        return self._poll_due
+
+    def action(self, now: float) -> LeaseAction | None:
+        """Returns what to do now, None when nothing is due."""
+        self._drop_lapsed(now)
+        if self.released or now < self.due(now):
+            return None
+        if self._pending is not None:
+            self._retry_due = now + self._cfg.retry_s
+            return self._pending
+        if self._held is not None:
+            return self._begin(self._next_own_row(self._held), now)
+        if self._claimable_at() <= now:
+            return self._begin(self._claim_row(), now)
+        self._poll_due = now + self._cfg.poll_s
+        return ReadRow()
+
+    def observed(self, version: int, row: LeaseRow | None, now: float) -> None:
+        """Takes the row as it was read; `now` is when the answer came."""
+        if self._seen_since is None or version != self._version:
+            self._version = version
+            self._row = row
+            self._seen_since = now
+
+    def confirmed(self, version: int, now: float) -> None:
+        """The pending write took effect."""
+        write = self._pending
+        if write is None:
+            return
+        self._pending = None
+        self._settle(version, write.value, now)
+
+    def refused(self, version: int, row: LeaseRow | None, now: float) -> None:
+        """The pending write's condition did not hold; the row is this."""
+        write = self._pending
+        self._pending = None
+        if write is not None and row == write.value:
+            # An earlier sending of the same write had taken effect.
+            self._settle(version, write.value, now)
+            return
+        if self._released and row is not None and row.owner == self._owner:
+            # A renewal took effect whose answer was not waited for.
+            self._version, self._row = version, row
+            return
+        self._held = None
+        self.observed(version, row, now)
+
+    def unanswered(self, now: float) -> None:
+        """Nothing is known of the pending action; it is tried again."""
+        self._retry_due = now + self._cfg.retry_s
+        self._poll_due = max(self._poll_due, self._retry_due)
+
+    def _settle(self, version: int, row: LeaseRow, now: float) -> None:
+        self._version = version
+        self._row = row
+        self._seen_since = now
+        if row.holder is None:
+            self._held = None
+            return
+        self._held = row.epoch
+        # The row may have changed as soon as the first sending left.
+        self._lease_end = (
+            self._pending_since + self._cfg.lease_s - self._cfg.drift_bound_s
+        )
+        self._renew_due = self._pending_since + self._cfg.renew_s
+
+    def _begin(self, value: LeaseRow, now: float) -> WriteRow:
+        self._pending = WriteRow(self._version, value)
+        self._pending_since = now
+        self._retry_due = now + self._cfg.retry_s
+        return self._pending
+
+    def _drop_lapsed(self, now: float) -> None:
+        """Becomes a candidate again once its own lease has run out."""
+        if self._held is None or now < self._lease_end:
+            return
+        self._held = None
+        if self._pending is not None and self._pending.value.holder:
+            self._pending = None
+            self._poll_due = now
+            self._seen_since = None
+
+    def _claimable_at(self) -> float:
+        if self._released or self._seen_since is None:
+            return float("inf")
+        if self._row is None or self._row.holder is None:
+            return max(self._start_after, self._seen_since)
+        if self._row.owner == self._owner:
+            return self._seen_since
+        return self._seen_since + self._cfg.lease_s
+
+    def _claim_row(self) -> LeaseRow:
+        last = self._row.epoch if self._row else 0
+        return LeaseRow(self._node, self._owner, Epoch(last + 1))
+
+    def _next_own_row(self, epoch: Epoch) -> LeaseRow:
+        if self._released:
+            return LeaseRow(None, self._owner, epoch)
+        renewal = self._row.renewal + 1 if self._row else 1
+        return LeaseRow(self._node, self._owner, epoch, renewal)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peer_codec.py
@@ -0,0 +1,223 @@
+"""Frames between nodes as packed Cap'n Proto behind their length.
+
+The schema is loaded when the module is; no generator is needed, and only
+the encoding of the library is used.
+"""
+
+from __future__ import annotations
+
+import functools
+import pathlib
+import struct
+from typing import Any
+
+import capnp
+from result import Err, Ok, Result
+
+from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.membership.messages import (
+    Ack,
+    Body,
+    Entries,
+    Entry,
+    Frame,
+    Mark,
+    NodeState,
+    Probe,
+    ProbeRequest,
+    Rumour,
+    RumoursOnly,
+    TopicMessage,
+)
+
+# A longer frame closes its connection.
+MAX_FRAME_BYTES = 32_768
+LENGTH_BYTES = 4
+# Packed zeros expand; the unpacked words are bounded as well.
+_MAX_WORDS = 16_384
+_MAX_NESTING = 8
+
+_capnp: Any = capnp
+_schema: Any = _capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Returns a frame as it goes onto a connection, its length first."""
+    body = _body_fields(frame.body)
+    message = _schema.Frame.new_message(
+        sender=frame.sender,
+        availabilityZone=frame.availability_zone,
+        address=frame.address,
+        incarnation=frame.incarnation,
+        rumours=list(map(_rumour_fields, frame.rumours)),
+        body=body,
+    )
+    packed: bytes = message.to_bytes_packed()
+    return struct.pack(">I", len(packed)) + packed
+
+
+def decode_length(header: bytes) -> Result[int, str]:
+    """Returns the length of the frame behind a header."""
+    length: int = struct.unpack(">I", header)[0]
+    if not 0 < length <= MAX_FRAME_BYTES:
+        return Err(f"a frame of {length} bytes is outside the limits")
+    return Ok(length)
+
+
+def decode_frame(packed: bytes) -> Result[Frame, str]:
+    """Returns the frame of a peer, or what is wrong with its bytes."""
+    try:
+        message = _schema.Frame.from_bytes_packed(
+            packed,
+            traversal_limit_in_words=_MAX_WORDS,
+            nesting_limit=_MAX_NESTING,
+        )
+        return Ok(_frame(message))
+    except (
+        _capnp.KjException,
+        ValueError,
+        RuntimeError,
+        MemoryError,
+    ) as exc:
+        return Err(f"not a frame: {str(exc).splitlines()[:1]}")
+
+
+@functools.singledispatch
+def _body_fields(body: Body) -> dict[str, Any]:
+    raise TypeError(f"no such body: {type(body).__name__}")
+
+
+@_body_fields.register
+def _(body: RumoursOnly) -> dict[str, Any]:
+    del body
+    return {"rumoursOnly": None}
+
+
+@_body_fields.register
+def _(body: Probe) -> dict[str, Any]:
+    return {
+        "probe": {
+            "sequence": body.sequence,
+            "target": body.target,
+            "marks": list(map(_mark_fields, body.marks)),
+        }
+    }
+
+
+@_body_fields.register
+def _(body: Ack) -> dict[str, Any]:
+    return {
+        "ack": {
+            "sequence": body.sequence,
+            "target": body.target,
+            "entries": list(map(_entry_fields, body.entries)),
+            "wanted": list(map(_mark_fields, body.wanted)),
+        }
+    }
+
+
+@_body_fields.register
+def _(body: ProbeRequest) -> dict[str, Any]:
+    return {"probeRequest": {"sequence": body.sequence, "target": body.target}}
+
+
+@_body_fields.register
+def _(body: Entries) -> dict[str, Any]:
+    return {"entries": {"entries": list(map(_entry_fields, body.entries))}}
+
+
+@_body_fields.register
+def _(body: TopicMessage) -> dict[str, Any]:
+    return {"message": {"topic": body.topic, "payload": body.payload}}
+
+
+def _rumour_fields(rumour: Rumour) -> dict[str, Any]:
+    return {
+        "node": rumour.node,
+        "availabilityZone": rumour.availability_zone,
+        "address": rumour.address,
+        "state": int(rumour.state),
+        "incarnation": rumour.incarnation,
+    }
+
+
+def _mark_fields(mark: Mark) -> dict[str, Any]:
+    return {
+        "node": mark.node,
+        "incarnation": mark.incarnation,
+        "version": mark.version,
+    }
+
+
+def _entry_fields(entry: Entry) -> dict[str, Any]:
+    return {
+        "node": entry.node,
+        "incarnation": entry.incarnation,
+        "version": entry.version,
+        "after": entry.after,
+        "topic": entry.topic,
+        "payload": entry.payload,
+    }
+
+
+def _frame(message: Any) -> Frame:
+    return Frame(
+        sender=NodeId(message.sender),
+        availability_zone=ZoneName(message.availabilityZone),
+        address=message.address,
+        incarnation=message.incarnation,
+        body=_body(message.body),
+        rumours=tuple(map(_rumour, message.rumours)),
+    )
+
+
+def _body(body: Any) -> Body:
+    kind = body.which()
+    value = getattr(body, kind)
+    if kind == "probe":
+        return Probe(value.sequence, NodeId(value.target), _marks(value.marks))
+    if kind == "ack":
+        return Ack(
+            value.sequence,
+            NodeId(value.target),
+            _entries(value.entries),
+            _marks(value.wanted),
+        )
+    if kind == "probeRequest":
+        return ProbeRequest(value.sequence, NodeId(value.target))
+    if kind == "entries":
+        return Entries(_entries(value.entries))
+    if kind == "message":
+        return TopicMessage(value.topic, bytes(value.payload))
+    return RumoursOnly()
+
+
+def _rumour(value: Any) -> Rumour:
+    return Rumour(
+        NodeId(value.node),
+        ZoneName(value.availabilityZone),
+        value.address,
+        NodeState(value.state),
+        value.incarnation,
+    )
+
+
+def _marks(values: Any) -> tuple[Mark, ...]:
+    return tuple(
+        Mark(NodeId(value.node), value.incarnation, value.version)
+        for value in values
+    )
+
+
+def _entries(values: Any) -> tuple[Entry, ...]:
+    return tuple(
+        Entry(
+            NodeId(value.node),
+            value.incarnation,
+            value.version,
+            value.after,
+            value.topic,
+            bytes(value.payload),
+        )
+        for value in values
+    )
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -0,0 +1,179 @@
+"""A leased role as a task: renews, watches and takes over its row."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import zlib
+from collections.abc import Callable
+
+import msgspec
+from absl import logging
+from result import Err
+
+from pomeloarch_core.ids import Epoch, NodeId
+from pomeloarch_core.membership import (
+    LeaseConfig,
+    LeaseMachine,
+    LeaseRow,
+    ReadRow,
+    WriteRow,
+)
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import (
+    Check,
+    Conflict,
+    PlatformClient,
+    Row,
+    Write,
+)
+
+ROLES_TABLE = "roles"
+_CALL_TIMEOUT_S = 0.7
+_LONGEST_SLEEP_S = 0.25
+_SPREAD_S = 0.3
+_OWNER_BITS = 64
+
+
+class LeasedRole:
+    """Holds or waits for one role; see `pomeloarch_node.roles.Role`.
+
+    One task waits on `changed`. A released role is not taken again.
+
+    Args:
+      name: the role's name, the key of its row.
+      node_id: this node.
+      platform: the tables.
+      clock: monotonic time, in seconds.
+      metrics: tells whether the role is held.
+      rng: for jitter and to tell this process from others.
+      cfg: the lease's times.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        node_id: NodeId,
+        platform: PlatformClient,
+        clock: Callable[[], float],
+        metrics: Metrics,
+        rng: random.Random,
+        cfg: LeaseConfig | None = None,
+    ) -> None:
+        """Starts as a candidate."""
+        self._name = name
+        self._node_id = node_id
+        self._platform = platform
+        self._clock = clock
+        self._metrics = metrics
+        self._rng = rng
+        owner = f"{node_id}/{rng.getrandbits(_OWNER_BITS):016x}"
+        # Different nodes come first for different roles.
+        turn = zlib.crc32(f"{name} {node_id}".encode()) % 1000 / 1000
+        self._machine = LeaseMachine(
+            node_id, owner, cfg, clock() + turn * _SPREAD_S
+        )
+        self._told: Epoch | None = None
+        self._change = asyncio.Event()
+        self._wake = asyncio.Event()
+        self._finished = asyncio.Event()
+
+    def epoch(self) -> Epoch | None:
+        """Returns the epoch to act under right now, None when not held."""
+        return self._machine.epoch(self._clock())
+
+    async def changed(self) -> None:
+        """Waits until the role is gained, lost or gained anew."""
+        await self._change.wait()
+        self._change.clear()
+
+    async def release(self) -> None:
+        """Gives the role up; returns when its row says so or it lapsed."""
+        self._machine.release()
+        self._note_change()
+        if self._machine.released:
+            return
+        self._wake.set()
+        wait_s = max(0.0, self._machine.lease_end - self._clock())
+        try:
+            async with asyncio.timeout(wait_s):
+                await self._finished.wait()
+        except TimeoutError:
+            logging.warning("the lease of %s runs out by itself", self._name)
+
+    async def run(self) -> None:
+        """Competes for the role and renews it until it is cancelled."""
+        while True:
+            action = self._machine.action(self._clock())
+            if isinstance(action, ReadRow):
+                await self._read()
+            elif isinstance(action, WriteRow):
+                await self._write(action)
+            self._note_change()
+            await self._pause()
+
+    async def _pause(self) -> None:
+        """Sleeps until something is due, with jitter, or `release`."""
+        now = self._clock()
+        wait_s = min(self._machine.due(now) - now, _LONGEST_SLEEP_S)
+        self._wake.clear()
+        if wait_s <= 0:
+            await asyncio.sleep(0)
+            return
+        try:
+            async with asyncio.timeout(wait_s * self._rng.uniform(1.0, 1.1)):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _read(self) -> None:
+        self._metrics.count("platform_reads", role=self._name)
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                answer = await self._platform.read([(ROLES_TABLE, self._name)])
+        except TimeoutError:
+            return self._machine.unanswered(self._clock())
+        now = self._clock()
+        if isinstance(answer, Err):
+            return self._machine.unanswered(now)
+        row = answer.ok_value[0]
+        return self._machine.observed(row.version, _lease_row(row), now)
+
+    async def _write(self, action: WriteRow) -> None:
+        self._metrics.count("platform_writes", role=self._name)
+        check = Check(ROLES_TABLE, self._name, action.version)
+        value = msgspec.to_builtins(action.value)
+        write = Write(ROLES_TABLE, self._name, value)
+        try:
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                answer = await self._platform.transact([check], [write])
+        except TimeoutError:
+            return self._machine.unanswered(self._clock())
+        now = self._clock()
+        if not isinstance(answer, Err):
+            return self._machine.confirmed(answer.ok_value[0], now)
+        error = answer.err_value
+        if isinstance(error, Conflict):
+            row = error.rows[0]
+            return self._machine.refused(row.version, _lease_row(row), now)
+        return self._machine.unanswered(now)
+
+    def _note_change(self) -> None:
+        if self._machine.released:
+            self._finished.set()
+        epoch = self.epoch()
+        if epoch == self._told:
+            return
+        self._told = epoch
+        self._change.set()
+        self._metrics.set(
+            "role_held", 0 if epoch is None else 1, role=self._name
+        )
+        self._metrics.set("role_epoch", epoch or 0, role=self._name)
+        logging.info("role %s: epoch held is now %s", self._name, epoch)
+
+
+def _lease_row(row: Row) -> LeaseRow | None:
+    if row.value is None:
+        return None
+    return msgspec.convert(row.value, LeaseRow)
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_peer_host_watch.py
@@ -0,0 +1,136 @@
+"""The list of hosts, from the platform or else from a peer."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+from result import Err, Ok
+
+from pomeloarch_node.host_watch import TOPIC, HostDirectoryTask
+from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.peers import PeerMessage
+from pomeloarch_node.platform import (
+    Host,
+    HostKind,
+    PlatformError,
+    PlatformFailure,
+)
+from pomeloarch_standins.virtual_time import run_virtual
+
+
+def worker(number):
+    return Host(f"w{number}", HostKind.WORKER, "patan", f"h:{number}")
+
+
+class FakePlatform:
+    def __init__(self):
+        self.hosts = (worker(1),)
+        self.cut = False
+        self.reads = 0
+
+    async def membership(self):
+        self.reads += 1
+        await asyncio.sleep(0.01)
+        if self.cut:
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "cut"))
+        return Ok(self.hosts)
+
+
+class FakePeers:
+    """Two planes that pass messages to each other."""
+
+    def __init__(self, node):
+        self.node = node
+        self.other = None
+        self.queue = asyncio.Queue()
+
+    def live_nodes(self):
+        return {self.node: "patan", self.other.node: "patan"}
+
+    async def send(self, node, topic, payload):
+        message = PeerMessage(self.node, "patan", topic, payload)
+        if node == self.other.node:
+            self.other.queue.put_nowait(message)
+        return True
+
+    def subscribe(self, topic):
+        assert topic == TOPIC
+        return self.queue
+
+
+@contextlib.asynccontextmanager
+async def two_nodes():
+    peers = FakePeers("n0"), FakePeers("n1")
+    peers[0].other, peers[1].other = peers[1], peers[0]
+    platforms = FakePlatform(), FakePlatform()
+    directories = HostDirectory(), HostDirectory()
+    tasks = [
+        asyncio.create_task(
+            HostDirectoryTask(
+                directories[index],
+                platforms[index],
+                peers[index],
+                asyncio.get_running_loop().time,
+                Metrics(),
+                random.Random(index),
+            ).run()
+        )
+        for index in range(2)
+    ]
+    try:
+        yield platforms, directories, peers
+    finally:
+        for task in tasks:
+            task.cancel()
+
+
+def test_a_change_of_the_list_is_taken_within_3_s():
+    async def scenario():
+        async with two_nodes() as (platforms, directories, _):
+            await asyncio.sleep(1.0)
+            assert directories[0].hosts(HostKind.WORKER) == (worker(1),)
+            platforms[0].hosts = (worker(1), worker(2))
+            await asyncio.sleep(3.0)
+            assert directories[0].hosts(HostKind.WORKER) == (
+                worker(1),
+                worker(2),
+            )
+            await asyncio.sleep(96.0)
+            assert platforms[0].reads <= 70
+
+    run_virtual(scenario())
+
+
+def test_a_node_cut_off_from_the_platform_gets_the_list_from_a_peer():
+    async def scenario():
+        async with two_nodes() as (platforms, directories, _):
+            platforms[1].cut = True
+            platforms[0].hosts = (worker(7),)
+            await asyncio.sleep(20.0)
+            assert directories[1].hosts(HostKind.WORKER) == (worker(7),)
+
+    run_virtual(scenario())
+
+
+def test_the_last_list_stays_when_nobody_has_a_newer_one():
+    async def scenario():
+        async with two_nodes() as (platforms, directories, _):
+            await asyncio.sleep(1.0)
+            platforms[0].cut = platforms[1].cut = True
+            await asyncio.sleep(600.0)
+            assert directories[0].hosts(HostKind.WORKER) == (worker(1),)
+
+    run_virtual(scenario())
+
+
+@pytest.mark.parametrize("payload", [b"x", b"x\x9c\x03\x00\x00\x00\x00\x01"])
+def test_a_bad_list_of_a_peer_is_dropped(payload):
+    async def scenario():
+        async with two_nodes() as (_, directories, peers):
+            await peers[0].send("n1", TOPIC, payload)
+            await asyncio.sleep(5.0)
+            assert directories[1].hosts(HostKind.WORKER) == (worker(1),)
+
+    run_virtual(scenario())
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_role_lease.py
@@ -0,0 +1,210 @@
+"""Leased roles over a fake of the platform's tables, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+from result import Err, Ok
+
+from pomeloarch_core.ids import NodeId
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import (
+    Conflict,
+    PlatformError,
+    PlatformFailure,
+    Row,
+)
+from pomeloarch_node.role_lease import LeasedRole
+from pomeloarch_standins.virtual_time import run_virtual
+
+NAME = "scheduler/patan"
+
+
+class FakeTables:
+    """One table's rows, with faults."""
+
+    def __init__(self):
+        self.rows = {}
+        self.down = False
+        self.lose_answers = False
+        self.writes = 0
+
+    async def read(self, keys):
+        await asyncio.sleep(0.005)
+        if self.down:
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "down"))
+        return Ok(tuple(self._row(key) for key in keys))
+
+    async def transact(self, checks, writes):
+        await asyncio.sleep(0.005)
+        if self.down:
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "down"))
+        keys = [(check.table, check.key) for check in checks]
+        found = [self._row(key) for key in keys]
+        if [row.version for row in found] != [c.version for c in checks]:
+            return Err(Conflict(tuple(found)))
+        versions = []
+        for write in writes:
+            version = self._row((write.table, write.key)).version + 1
+            self.rows[write.table, write.key] = (version, write.value)
+            versions.append(version)
+            self.writes += 1
+        if self.lose_answers:
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "lost"))
+        return Ok(tuple(versions))
+
+    def _row(self, key):
+        version, value = self.rows.get(key, (0, None))
+        return Row(*key, version, value)
+
+
+class Candidates:
+    """Candidates for one role, and whether two ever acted at once."""
+
+    def __init__(self, tables, count):
+        self.tables = tables
+        self.clock = asyncio.get_running_loop().time
+        self.roles = {}
+        self.tasks = {}
+        self.overlaps = 0
+        self.epochs = set()
+        for index in range(count):
+            self.start(f"n{index}")
+        self.watcher = asyncio.create_task(self._watch())
+
+    def start(self, node):
+        role = LeasedRole(
+            NAME,
+            NodeId(node),
+            self.tables,
+            self.clock,
+            Metrics(),
+            random.Random(node),
+        )
+        self.roles[node] = role
+        self.tasks[node] = asyncio.create_task(role.run())
+
+    def kill(self, node):
+        self.tasks.pop(node).cancel()
+        return self.roles.pop(node)
+
+    def holders(self):
+        return [n for n, role in self.roles.items() if role.epoch()]
+
+    async def held(self, within_s):
+        """Waits for a holder; returns how long that took."""
+        begin = self.clock()
+        while not self.holders():
+            if self.clock() - begin > within_s:
+                pytest.fail(f"nobody holds the role after {within_s} s")
+            await asyncio.sleep(0.01)
+        return self.clock() - begin
+
+    async def _watch(self):
+        while True:
+            holders = self.holders()
+            self.overlaps += len(holders) > 1
+            self.epochs.update(
+                (self.roles[node].epoch(), node) for node in holders
+            )
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def candidates(count=3):
+    tables = FakeTables()
+    fleet = Candidates(tables, count)
+    try:
+        yield fleet, tables
+    finally:
+        fleet.watcher.cancel()
+        for task in fleet.tasks.values():
+            task.cancel()
+    assert fleet.overlaps == 0
+    assert len({epoch for epoch, _ in fleet.epochs}) == len(fleet.epochs)
+
+
+def test_one_candidate_takes_a_free_role():
+    async def scenario():
+        async with candidates() as (fleet, _):
+            await fleet.held(within_s=2.0)
+            await asyncio.sleep(30.0)
+            assert len(fleet.epochs) == 1
+
+    run_virtual(scenario())
+
+
+def test_a_dead_holder_is_replaced_within_5_s_under_the_next_epoch():
+    async def scenario():
+        async with candidates() as (fleet, _):
+            await fleet.held(within_s=2.0)
+            for moment in range(8):
+                await asyncio.sleep(5.0 + moment * 0.11)
+                dead = fleet.holders()[0]
+                before = fleet.roles[dead].epoch()
+                fleet.kill(dead)
+                assert await fleet.held(within_s=5.0) < 5.0
+                holder = fleet.holders()[0]
+                assert fleet.roles[holder].epoch() == before + 1
+                fleet.start(dead)
+
+    run_virtual(scenario())
+
+
+def test_a_released_role_is_taken_within_1_s():
+    async def scenario():
+        async with candidates() as (fleet, _):
+            await fleet.held(within_s=2.0)
+            for moment in range(2):
+                await asyncio.sleep(5.0 + moment * 0.13)
+                leaving = fleet.holders()[0]
+                begin = fleet.clock()
+                await fleet.roles[leaving].release()
+                await fleet.held(within_s=1.0)
+                assert fleet.clock() - begin < 1.0
+                assert fleet.holders() != [leaving]
+
+    run_virtual(scenario())
+
+
+def test_a_holder_cut_off_from_the_platform_stops_before_its_lease_ends():
+    async def scenario():
+        async with candidates() as (fleet, tables):
+            await fleet.held(within_s=2.0)
+            await asyncio.sleep(5.0)
+            tables.down = True
+            await asyncio.sleep(3.0)
+            assert fleet.holders() == []
+            tables.down = False
+            await fleet.held(within_s=5.0)
+
+    run_virtual(scenario())
+
+
+def test_lost_answers_neither_end_the_lease_nor_double_it():
+    async def scenario():
+        async with candidates() as (fleet, tables):
+            tables.lose_answers = True
+            await fleet.held(within_s=5.0)
+            await asyncio.sleep(30.0)
+            assert len(fleet.epochs) == 1
+            assert len(fleet.holders()) == 1
+
+    run_virtual(scenario())
+
+
+def test_a_change_is_told_once_to_the_waiting_task():
+    async def scenario():
+        async with candidates(count=1) as (fleet, tables):
+            role = fleet.roles["n0"]
+            await role.changed()
+            assert role.epoch() == 1
+            tables.down = True
+            await role.changed()
+            assert role.epoch() is None
+            tables.down = False
+            await role.changed()
+            assert role.epoch() == 2
+
+    run_virtual(scenario())
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
@@ -0,0 +1,65 @@
+"""An event loop in virtual time: sleeping takes none of the real time.
+
+Sockets work as usual. The clock jumps to the next timer only when no socket
+has had anything to say for a moment.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+_SETTLE_S = 0.002
+
+
+class _JumpingSelector(selectors.DefaultSelector):
+    """Turns waiting for a timer into a jump of the clock."""
+
+    def __init__(self, settle_s: float) -> None:
+        super().__init__()
+        self.skipped_s = 0.0
+        self._settle_s = settle_s
+
+    def select(
+        self, timeout: float | None = None
+    ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None or timeout <= 0:
+            return super().select(timeout)
+        events = super().select(min(timeout, self._settle_s))
+        if not events:
+            self.skipped_s += timeout
+        return events
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose `time` starts at 0 and jumps.
+
+    Args:
+      settle_s: real time that sockets are given before each jump; 0 for
+        code without sockets, in seconds.
+    """
+
+    def __init__(self, settle_s: float = 0.0) -> None:
+        """Starts at time 0."""
+        self._jumping = _JumpingSelector(settle_s)
+        super().__init__(self._jumping)
+
+    def time(self) -> float:
+        """Returns the virtual time, in seconds."""
+        return self._jumping.skipped_s
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, T], sockets: bool = False) -> T:
+    """Runs a coroutine to its end in virtual time.
+
+    Args:
+      coroutine: what to run; its clock is `loop.time`.
+      sockets: whether it uses sockets of this machine.
+    """
+    loop = VirtualLoop(_SETTLE_S if sockets else 0.0)
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        return runner.run(coroutine)
