--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -255,9 +255,8 @@
 
     async def _replace(self, nodes: list[NodePlace]) -> None:
         """Stops nodes in a planned way and waits for those in their place."""
-        before = {
-            node.name: len(self._hosts.exits(node.name)) for node in nodes
-        }
+        names = [node.name for node in nodes]
+        before = {name: len(self._hosts.exits(name)) for name in names}
         for name in names:
             self._hosts.stop(name)
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
@@ -1,7 +1,7 @@
-"""An event loop whose clock jumps to the next timer instead of waiting.
+"""An event loop in virtual time: sleeping takes none of the real time.
 
-Tests of tasks and timers run in no time and give the same result each time.
-It is for fakes in memory: sockets don't work on it.
+Sockets work as usual. The clock jumps to the next timer only when no socket
+has had anything to say for a moment.
 """
 
 from __future__ import annotations
@@ -11,49 +11,69 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
-_T = TypeVar("_T")
+T = TypeVar("T")
+
+_SETTLE_S = 0.002
 
 
 class _JumpingSelector(selectors.DefaultSelector):
-    """Never waits: lets the time pass at once instead."""
+    """Turns waiting for a timer into a jump of the clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, settle_s: float) -> None:
         super().__init__()
-        self.now = 0.0
+        self.skipped_s = 0.0
+        self._settle_s = settle_s
 
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        ready: list[tuple[selectors.SelectorKey, int]] = super().select(0)
-        if ready:
+        if timeout is None and self._settle_s == 0.0:
+            ready = super().select(0)
+            if not ready:
+                raise RuntimeError("all tasks wait and no timer is set")
             return ready
-        if timeout is None:
-            raise RuntimeError("all tasks wait and no timer is set")
-        self.now += max(0.0, timeout)
-        return []
+        if timeout is None or timeout <= 0:
+            return super().select(timeout)
+        events = super().select(min(timeout, self._settle_s))
+        if not events:
+            self.skipped_s += timeout
+        return events
+
 
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop whose `time` starts at 0 and jumps.
 
-class VirtualTimeLoop(asyncio.SelectorEventLoop):
-    """An event loop that starts at time 0 and never waits."""
+    Args:
+      settle_s: real time that sockets are given before each jump; 0 for
+        code without sockets, in seconds.
+    """
 
-    def __init__(self) -> None:
-        """Makes a loop at time 0."""
-        self._jumping = _JumpingSelector()
+    def __init__(self, settle_s: float = 0.0) -> None:
+        """Starts at time 0."""
+        self._jumping = _JumpingSelector(settle_s)
         super().__init__(self._jumping)
 
     def time(self) -> float:
         """Returns the virtual time, in seconds."""
-        return self._jumping.now
+        return self._jumping.skipped_s
 
 
-def run(main: Coroutine[Any, Any, _T]) -> _T:
+def run_virtual(coroutine: Coroutine[Any, Any, T], sockets: bool = False) -> T:
     """Runs a coroutine to its end in virtual time.
 
+    Args:
+      coroutine: what to run; its clock is `loop.time`.
+      sockets: whether it uses sockets of this machine.
+
     >>> async def wait():
     ...     await asyncio.sleep(3600.0)
     ...     return asyncio.get_running_loop().time()
-    >>> run(wait())
+    >>> run_virtual(wait())
     3600.0
     """
-    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
-        return runner.run(main)
+    loop = VirtualLoop(_SETTLE_S if sockets else 0.0)
+    with asyncio.Runner(loop_factory=lambda: loop) as runner:
+        return runner.run(coroutine)
+
+
+run = run_virtual
