--- a/packages/pomeloarch-node/src/pomeloarch_node/app.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/app.py
@@ -12,13 +12,16 @@
 from starlette.routing import BaseRoute, Route
 
 from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.membership.generation_messages import (
+    Have,
+    decode_message,
+)
 from pomeloarch_node.component import Component
 from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.generation_spreader import TOPIC
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.peers import PeerMessage, PeerPlane
 
-GENERATION_TOPIC = "generation"
-
 
 class Health:
     """Whether the balancer may send work to this node.
@@ -118,12 +121,13 @@
 
     def _generations(self) -> list[NodeGeneration]:
         own = NodeGeneration(self._node, self._zone, self._holder.generation)
-        others = self._peers.digests(GENERATION_TOPIC)
+        others = self._peers.digests(TOPIC)
         return [own, *(_node_generation(each) for each in others.values())]
 
 
 def _node_generation(digest: PeerMessage) -> NodeGeneration:
-    number = msgspec.msgpack.decode(digest.payload, type=int)
+    message = decode_message(digest.payload).unwrap_or(None)
+    number = message.generation if isinstance(message, Have) else 0
     return NodeGeneration(digest.sender, digest.availability_zone, number)
 
 
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_status_pages.py
@@ -0,0 +1,77 @@
+import asyncio
+
+import httpx2
+import pytest
+
+from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.membership.generation_messages import (
+    Have,
+    encode_message,
+)
+from pomeloarch_core.objects.model import ObjectSet, Snapshot
+from pomeloarch_node.app import Health, StatusPages, build_app
+from pomeloarch_node.component import BackgroundPart
+from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.peers import PeerMessage
+
+
+class FakePeers:
+    def __init__(self, payloads):
+        self.payloads = payloads
+
+    def digests(self, topic):
+        return {
+            name: PeerMessage(NodeId(name), ZoneName("boudha"), topic, payload)
+            for name, payload in self.payloads.items()
+        }
+
+
+async def _get(holder, payloads, path):
+    part = BackgroundPart(lambda: None, status=lambda: {"held": True})
+    pages = StatusPages(
+        NodeId("patan-1"),
+        ZoneName("patan"),
+        Health(holder),
+        holder,
+        FakePeers(payloads),
+        Metrics(),
+        {"role": part},
+    )
+    transport = httpx2.ASGITransport(app=build_app(pages, [part]))
+    async with httpx2.AsyncClient(
+        transport=transport, base_url="http://node"
+    ) as client:
+        return await client.get(path)
+
+
+def _get_now(holder, payloads, path):
+
+    return asyncio.run(_get(holder, payloads, path))
+
+
+def _holder(generation):
+    holder = ConfigurationHolder()
+    if generation:
+        holder.offer(Snapshot(generation, "p", ObjectSet()))
+    return holder
+
+
+def test_status_tells_the_generation_of_each_node():
+    payloads = {"boudha-1": encode_message(Have(2)), "boudha-2": b"garbage"}
+    status = _get_now(_holder(3), payloads, "/v1/status").json()
+    found = {each["node"]: each["generation"] for each in status["generations"]}
+    assert found == {"patan-1": 3, "boudha-1": 2, "boudha-2": 0}
+    assert status["role"] == {"held": True}
+
+
+@pytest.mark.parametrize(("generation", "code"), [(0, 503), (1, 200)])
+def test_a_node_without_configuration_is_not_ready(generation, code):
+    answer = _get_now(_holder(generation), {}, "/readyz")
+    assert answer.status_code == code
+
+
+def test_a_lower_generation_is_never_taken():
+    holder = _holder(3)
+    assert not holder.offer(Snapshot(2, "old", ObjectSet()))
+    assert holder.generation == 3
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 
 from pomeloarch_cli.main import main as pomelo
 from pomeloarch_standins.demo_client import (
@@ -26,9 +27,10 @@
     Ending,
 )
 from pomeloarch_standins.demo_control import DemoControl
+from pomeloarch_standins.demo_flood import OFF_FILE, ON_FILE, results_path
 from pomeloarch_standins.demo_hosts import DemoHosts
 from pomeloarch_standins.demo_jobs import JobCallers
-from pomeloarch_standins.demo_layout import Layout, add_arguments
+from pomeloarch_standins.demo_layout import FLOODERS, Layout, add_arguments
 from pomeloarch_standins.demo_load import (
     count_answered,
     describe_endings,
@@ -45,7 +47,8 @@
 _FIRST_CONCURRENCY = 16
 _FREEZE_S = 3.0
 _FLOOD_S = 4.0
-_FLOOD_CONCURRENCY = 400
+_FLOOD_RISE_S = 1.0
+_FLOOD_END_S = 8.0
 _SMALL_PER_S = 20.0
 _URGENT_START_S = 1.9
 
@@ -69,6 +72,7 @@
         self._layout = layout
         self._session = session
         self._scenario: Scenario = SCENARIOS[layout.example.name]
+        self._work = work
         self._hosts = DemoHosts(work)
         self._nodes = layout.nodes()
         self._balancer = Balancer(self._nodes, session)
@@ -219,21 +223,30 @@
     async def _flood(self) -> None:
         """Measures urgent small callers without and with a flood."""
         calm = await self._small_callers()
-        gate = asyncio.Event()
-        flooding = [
-            asyncio.create_task(self._flooder(gate))
-            for _ in range(_FLOOD_CONCURRENCY)
-        ]
+        (self._work / ON_FILE).touch()
+        await asyncio.sleep(_FLOOD_RISE_S)
         flooded = await self._small_callers()
-        gate.set()
-        flood = [
-            each for batch in await asyncio.gather(*flooding) for each in batch
-        ]
+        (self._work / OFF_FILE).touch()
+        flood = await self._flood_results()
         self._results += [*calm, *flooded, *flood]
         self.promises.check_answers([*calm, *flooded, *flood])
         say(f"flood: {describe_endings(flood)}")
         await self._print_measures(calm, flooded, flood)
 
+    async def _flood_results(self) -> list[CallResult]:
+        paths = [results_path(self._work, n) for n in range(FLOODERS)]
+        await self._until(
+            lambda: all(path.exists() for path in paths), _FLOOD_END_S
+        )
+        return [
+            result
+            for path in paths
+            if path.exists()
+            for result in msgspec.json.decode(
+                path.read_bytes(), type=list[CallResult]
+            )
+        ]
+
     async def _small_callers(self) -> list[CallResult]:
         organisation, caller = self._scenario.small
         path = self._scenario.urgent_path
@@ -244,21 +257,6 @@
             await asyncio.sleep(1 / _SMALL_PER_S)
         return list(await asyncio.gather(*tasks))
 
-    async def _flooder(self, ended: asyncio.Event) -> list[CallResult]:
-        organisation, caller = self._scenario.large
-        results = []
-        while not ended.is_set():
-            call = Call(
-                self._scenario.flood_path,
-                organisation,
-                caller,
-                deadline_ms=2000,
-            )
-            results.append(await self._callers.send(call))
-            if results[-1].ending is not Ending.ANSWERED:
-                await asyncio.sleep(0.2)
-        return results
-
     async def _print_measures(
         self,
         calm: list[CallResult],
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_layout.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_layout.py
@@ -19,6 +19,8 @@
 
 NODES_PER_ZONE = 2
 EXECUTORS_PER_ZONE = 8
+FLOODERS = 2
+SERVICE_S = 0.1
 WORKERS_PER_ZONE = 8
 ACCELERATORS_PER_WORKER = 8
 POOL = "{zone}-gpu"
@@ -218,11 +220,22 @@
                 f"--address {self.executor_address(index)} "
                 f"--base-port {EXECUTORS_PORT} --count {EXECUTORS_PER_ZONE} "
                 f"--control-port {EXECUTORS_CONTROL_PORT} "
-                f"--service {self.example.service}"
+                f"--service {self.example.service} "
+                f"--service-s {SERVICE_S}"
             )
         return lines
 
 
+def flooders(layout: Layout, output: pathlib.Path) -> list[str]:
+    """Returns the command lines of the processes that flood the service."""
+    return [
+        f"flood-{index} pomeloarch_standins.demo_flood "
+        f"--example {layout.example.name} --block {layout.block} "
+        f"--work {output} --index {index}"
+        for index in range(FLOODERS)
+    ]
+
+
 def write_files(layout: Layout, output: pathlib.Path) -> None:
     """Writes the settings of all processes into a folder."""
     hosts = msgspec.json.encode(layout.hosts())
@@ -233,7 +246,8 @@
         (output / f"{node.name}.toml").write_text(layout.settings(node))
     names = [node.name for node in layout.nodes()]
     (output / "nodes.txt").write_text("".join(f"{name}\n" for name in names))
-    lines = [f"{line}\n" for line in layout.standins(output)]
+    commands = [*layout.standins(output), *flooders(layout, output)]
+    lines = [f"{line}\n" for line in commands]
     (output / "standins.txt").write_text("".join(lines))
 
 
