Drive the core's scheduler under a leased role

Cause: the zone's decisions need someone who hears, writes and orders.

After a lapsed lease heartbeats alone go on under the last epoch until a higher one shows itself. A worker is told lost only when the last renewal that may have arrived has run out.

--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -0,0 +1,249 @@
+import asyncio
+
+import pytest
+
+from pomeloarch_core.gang.messages import (
+    OrderAnswered,
+    OrderKind,
+    OrderOutcome,
+    TaskState,
+    WorkerOrder,
+    WorkerReported,
+    WorkerUnreachable,
+)
+from pomeloarch_core.ids import Epoch
+from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.scheduler_tenure import Tenure
+from pomeloarch_node.worker_gate import WorkerGate
+from pomeloarch_node.worker_links import WorkerLinks
+from pomeloarch_standins import virtual_time
+from pomeloarch_standins.job_fakes import FakeRole, FakeWorkerClient
+from pomeloarch_standins.worker_fleet import WorkerFleet, worker_hosts
+from pomeloarch_standins.workers import FaultMode
+
+WORKER = "patan-r1-w1"
+
+
+class Holder:
+    """A node that speaks with the workers of a zone."""
+
+    def __init__(self, fleet, hosts, epoch=1):
+        self.client = FakeWorkerClient(fleet)
+        self.gate = WorkerGate(self.client, "n1")
+        directory = HostDirectory()
+        directory.replace(hosts)
+        self.directory = directory
+        self.links = WorkerLinks("patan", directory, self.gate)
+        self.role = FakeRole()
+        self.epoch = epoch
+        self.events = []
+        self.on_unreachable = lambda: None
+        self.begin(epoch)
+        self.task = asyncio.create_task(self.links.run())
+
+    def begin(self, epoch):
+        self.epoch = epoch
+        self.role.set(epoch)
+        self.tenure = Tenure(self.role, Epoch(epoch))
+        self.gate.begin(self.tenure, self._hear)
+        self.links.begin(Epoch(epoch))
+
+    def _hear(self, event):
+        self.events.append((asyncio.get_running_loop().time(), event))
+        if isinstance(event, WorkerUnreachable):
+            self.on_unreachable()
+
+    def order(self, kind, member=0, **fields):
+        order = WorkerOrder(
+            worker_id=WORKER,
+            kind=kind,
+            epoch=self.epoch,
+            job_id="job",
+            attempt="a",
+            member=member,
+            **fields,
+        )
+        self.links.give(order)
+
+    def start(self, command="run_s=60"):
+        self.order(OrderKind.RESERVE, accelerators=(0,), memory_gb=1.0)
+        self.order(OrderKind.START, command=command)
+
+    def heard(self, kind):
+        return [event for _, event in self.events if isinstance(event, kind)]
+
+    def outcomes(self):
+        return [event.outcome for event in self.heard(OrderAnswered)]
+
+
+def run(main):
+    """Runs a test on a fleet of one worker."""
+
+    async def with_fleet():
+        hosts = worker_hosts("127.0.0.1:1", ["patan"], hosts_per_rack=1)
+        fleet = WorkerFleet.from_hosts(hosts)
+        return await main(fleet, hosts)
+
+    return virtual_time.run(with_fleet())
+
+
+def state(fleet):
+    now = asyncio.get_running_loop().time()
+    worker = fleet.workers[WORKER]
+    worker.advance(now)
+    return [task.state for task in worker._tasks.values()]
+
+
+def test_orders_go_out_at_once_and_in_order():
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start()
+        await asyncio.sleep(0.01)
+        return holder.outcomes(), state(fleet)
+
+    assert run(main) == ([OrderOutcome.DONE] * 2, [TaskState.RUNNING])
+
+
+@pytest.mark.parametrize(
+    ("fault", "for_s", "outcome", "starts"),
+    [
+        (FaultMode.LOSE, 1.0, OrderOutcome.DONE, 1),
+        (FaultMode.LOSE, 30.0, OrderOutcome.UNKNOWN, 1),
+        (FaultMode.STALL, 1.0, OrderOutcome.DONE, 1),
+        (FaultMode.STALL, 30.0, OrderOutcome.UNKNOWN, 0),
+        (FaultMode.REFUSE, 30.0, OrderOutcome.UNKNOWN, 0),
+        (FaultMode.DOWN, 0.3, OrderOutcome.DONE, 1),
+        (FaultMode.DOWN, 30.0, OrderOutcome.REFUSED, 0),
+    ],
+)
+def test_an_order_ends_as_what_is_certain(fault, for_s, outcome, starts):
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.client.faults[WORKER] = fault
+        holder.start()
+        await asyncio.sleep(for_s)
+        del holder.client.faults[WORKER]
+        await asyncio.sleep(20.0)
+        counts = fleet.ledger.counts(0.0)
+        return holder.outcomes(), counts.member_starts.get("a", 0)
+
+    assert run(main) == ([outcome] * 2, starts)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [FaultMode.LOSE, FaultMode.STALL, FaultMode.REFUSE, FaultMode.DOWN],
+)
+def test_unreachable_is_said_once_and_only_when_no_task_runs(fault):
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(5.0)
+        holder.client.faults[WORKER] = fault
+        at_the_time = []
+        holder.on_unreachable = lambda: at_the_time.extend(state(fleet))
+        await asyncio.sleep(60.0)
+        after_s = next(
+            at
+            for at, event in holder.events
+            if isinstance(event, WorkerUnreachable)
+        )
+        times = len(holder.heard(WorkerUnreachable))
+        del holder.client.faults[WORKER]
+        holder.events.clear()
+        await asyncio.sleep(3.0)
+        return at_the_time, after_s, times, holder.heard(WorkerReported)
+
+    found, after_s, times, reports = run(main)
+    assert found == [TaskState.STOPPED]
+    assert after_s < 5.5 + 15.0
+    assert times == 1
+    assert reports[0].tasks[0].state is TaskState.STOPPED
+
+
+def test_orders_of_a_paused_holder_are_refused_by_the_workers():
+    async def main(fleet, hosts):
+        old = Holder(fleet, hosts, epoch=1)
+        await asyncio.sleep(0.5)
+        new = Holder(fleet, hosts, epoch=2)
+        await asyncio.sleep(0.5)
+        old.start()
+        await asyncio.sleep(30.0)
+        return old, new, state(fleet)
+
+    old, new, found = run(main)
+    assert found == []
+    assert old.outcomes() == []
+    assert old.tenure.superseded
+    assert new.tenure.held()
+
+
+def test_a_holder_without_a_lease_sends_no_order_but_keeps_leases():
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(1.0)
+        holder.role.lapse()
+        holder.order(OrderKind.STOP)
+        await asyncio.sleep(300.0)
+        kept = state(fleet), holder.gate.caretaking
+        Holder(fleet, hosts, epoch=2)
+        await asyncio.sleep(3.0)
+        calls = holder.client.calls
+        await asyncio.sleep(30.0)
+        return kept, holder.gate.caretaking, holder.client.calls - calls
+
+    kept, caretaking, calls = run(main)
+    assert kept == ([TaskState.RUNNING], True)
+    assert not caretaking
+    assert calls == 0
+
+
+def test_a_new_epoch_hears_every_worker_anew():
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(60.0)
+        holder.events.clear()
+        holder.begin(2)
+        holder.start("run_s=600")
+        await asyncio.sleep(0.5)
+        return holder.heard(WorkerReported), fleet.workers[WORKER].epoch
+
+    reports, epoch = run(main)
+    assert reports[0].tasks[0].state is TaskState.RUNNING
+    assert epoch == 2
+
+
+def test_links_follow_the_membership_list():
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start()
+        await asyncio.sleep(1.0)
+        holder.directory.replace(())
+        await asyncio.sleep(1.0)
+        calls = holder.client.calls
+        holder.order(OrderKind.STOP)
+        await asyncio.sleep(10.0)
+        assert holder.client.calls == calls
+        holder.directory.replace(hosts)
+        await asyncio.sleep(1.0)
+        return holder.outcomes()[-1], holder.client.calls > calls
+
+    assert run(main) == (OrderOutcome.UNKNOWN, True)
+
+
+@pytest.mark.parametrize(
+    ("workers", "heartbeat_s"), [(24, 1.0), (100, 1.0), (1456, 14.56)]
+)
+def test_heartbeats_slow_down_as_the_fleet_grows(workers, heartbeat_s):
+    gate = WorkerGate(None, "n1")
+    gate.size(workers)
+    assert gate.heartbeat_s == heartbeat_s
+    assert gate.lease_s == 6 * heartbeat_s
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import defaultdict
-from collections.abc import MutableMapping
+from collections.abc import Callable, MutableMapping
 from typing import Any
 
 import msgspec
@@ -137,6 +137,8 @@
     Attributes:
       faults: what is wrong with the way to a worker, by its id.
       calls: how many calls were made.
+      on_post: looks at each call before it is carried out, and may return
+        what goes wrong with it.
     """
 
     def __init__(self, fleet: WorkerFleet) -> None:
@@ -144,6 +146,9 @@
         self._fleet = fleet
         self.faults: dict[str, FaultMode] = {}
         self.calls = 0
+        self.on_post: (
+            Callable[[str, OrdersRequest], FaultMode | None] | None
+        ) = None
 
     async def post(
         self, address: str, req: OrdersRequest
@@ -152,6 +157,8 @@
         self.calls += 1
         worker_id = address.rpartition("/")[2]
         mode = self.faults.get(worker_id, FaultMode.NONE)
+        if self.on_post is not None:
+            mode = self.on_post(worker_id, req) or mode
         if mode is FaultMode.DOWN:
             return Err(WorkerError(WorkerFailure.NOT_SENT, "refused"))
         if mode is FaultMode.REFUSE:
