--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -91,7 +91,7 @@
             "jobs": self._jobs(scheduler),
             "operators": operators,
             "role": BackgroundPart(self._role.run),
-            "generations": BackgroundPart(spreader.run),
+            "generation_spread": BackgroundPart(spreader.run),
             "hosts": BackgroundPart(hosts.run),
             "peers": BackgroundPart(self._peers.run, self._peers.drain),
         }
