--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -25,6 +25,7 @@
     Callers,
     CallResult,
     Ending,
+    wait_until_alive,
 )
 from pomeloarch_standins.demo_control import DemoControl
 from pomeloarch_standins.demo_flood import OFF_FILE, ON_FILE, results_path
@@ -84,7 +85,8 @@
 
     async def run(self) -> None:
         """Does everything in order."""
-        await self._wait_for_nodes()
+        await wait_until_alive(self._nodes, self._session, _START_TIMEOUT_S)
+        say("6 nodes live")
         await self._publish()
         prober = asyncio.create_task(self._balancer.run())
         await self._wait_until_ready()
@@ -100,22 +102,6 @@
         await self._check_runs()
         prober.cancel()
 
-    async def _wait_for_nodes(self) -> None:
-        begun = time.monotonic()
-        for node in self._nodes:
-            while not await self._alive(node.url):
-                if time.monotonic() - begun > _START_TIMEOUT_S:
-                    raise RuntimeError(f"{node.name} did not start")
-                await asyncio.sleep(0.1)
-        say(f"6 nodes live after {time.monotonic() - begun:.1f} s")
-
-    async def _alive(self, url: str) -> bool:
-        try:
-            async with self._session.get(f"{url}/healthz") as response:
-                return response.status == 200
-        except aiohttp.ClientError:
-            return False
-
     async def _publish(self) -> None:
         """Publishes the example as an operator does."""
         url = self._nodes[0].url
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_client.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_client.py
@@ -118,6 +118,30 @@
         return choices[next(self._turn) % len(choices)]
 
 
+async def wait_until_alive(
+    nodes: list[NodePlace], session: aiohttp.ClientSession, timeout_s: float
+) -> None:
+    """Waits until every node answers.
+
+    Raises:
+      RuntimeError: a node did not start in time.
+    """
+    begun = time.monotonic()
+    for node in nodes:
+        while not await _alive(node.url, session):
+            if time.monotonic() - begun > timeout_s:
+                raise RuntimeError(f"{node.name} did not start")
+            await asyncio.sleep(_PROBE_INTERVAL_S)
+
+
+async def _alive(url: str, session: aiohttp.ClientSession) -> bool:
+    try:
+        async with session.get(f"{url}/healthz") as response:
+            return response.status == 200
+    except aiohttp.ClientError:
+        return False
+
+
 class Callers:
     """Sends requests through the balancer and judges their answers.
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -23,6 +23,7 @@
     Callers,
     CallResult,
     Ending,
+    wait_until_alive,
 )
 from pomeloarch_standins.demo_control import DemoControl
 from pomeloarch_standins.demo_hosts import DemoHosts
@@ -91,7 +92,7 @@
         prober.cancel()
 
     async def _publish(self) -> None:
-        await self._until_ready(set(), _START_TIMEOUT_S, self._any_alive)
+        await wait_until_alive(self._nodes, self._session, _START_TIMEOUT_S)
         example = f"examples/{self._layout.example.name}"
         code = await self._pomelo(["publish", example, "--why", "first set"])
         self.promises.expect(code == 0, f"publish ended with {code}")
@@ -282,9 +283,6 @@
             state == "succeeded", f"gang over the replacement: {state}"
         )
 
-    def _any_alive(self) -> bool:
-        return all((self._work / f"{n.name}.pid").exists() for n in self._nodes)
-
     async def _until_all_ready(self) -> None:
         await asyncio.sleep(1.0)
         await self._until_ready(
