Check what crosses objects, guarantees by an exact packing

Cause: counts of accelerators accept guarantees that no rack can hold; faults across objects came to light only at run time. Findings end after 1,000.

--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/check.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/check.py
@@ -2,16 +2,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from result import Err, Ok, Result
 
+from pomeloarch_core.objects.check_classes import class_findings
+from pomeloarch_core.objects.check_guarantees import guarantee_findings
 from pomeloarch_core.objects.check_references import reference_findings
+from pomeloarch_core.objects.check_services import service_findings
 from pomeloarch_core.objects.findings import Finding, Places, SourceText
 from pomeloarch_core.objects.model import ObjectSet
 from pomeloarch_core.objects.parser import ParsedObjects, parse_leniently
 
-_CHECKS: tuple[Callable[[ObjectSet, Places], list[Finding]], ...] = ()
+_CHECKS: tuple[Callable[[ParsedObjects], Iterable[Finding]], ...] = (
+    reference_findings,
+    guarantee_findings,
+    class_findings,
+    service_findings,
+)
 
 
 def check(objects: ObjectSet, places: Places) -> list[Finding]:
@@ -26,11 +34,7 @@
 
 def check_partly(parsed: ParsedObjects) -> list[Finding]:
     """Returns the findings on objects of which some could not be read."""
-    findings = reference_findings(parsed)
-    if not parsed.unread and not parsed.unread_kinds:
-        for find in _CHECKS:
-            findings += find(parsed.objects, parsed.places)
-    return sorted(findings)
+    return sorted(finding for find in _CHECKS for finding in find(parsed))
 
 
 def check_documents(
--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/model.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/model.py
@@ -25,6 +25,7 @@
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+AcceleratorsPerHost = Annotated[int, msgspec.Meta(ge=1, le=64)]
 Share = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Weight = Annotated[float, msgspec.Meta(gt=0.0, le=1_000.0)]
 Seconds = Annotated[float, msgspec.Meta(ge=0.0, le=31_536_000.0)]
@@ -83,7 +84,7 @@
     availability_zone: ZoneName
     racks: Count
     hosts_per_rack: Count
-    accelerators_per_host: Count
+    accelerators_per_host: AcceleratorsPerHost
     cores_per_host: Count
     memory_gb_per_host: Count
     protections: bool = True
--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/parser.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/parser.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import re
 import tomllib
 from collections.abc import Iterator, Sequence
@@ -25,12 +26,14 @@
     object_set,
 )
 from pomeloarch_core.objects.model import ObjectSet
-from pomeloarch_core.objects.scanner import Block, scan
+from pomeloarch_core.objects.scanner import MAX_KEY_PARTS, Block, scan
 from pomeloarch_core.objects.shape import did_you_mean, shape_faults, shown
 
 MAX_FILE_BYTES = 1_000_000
 MAX_OBJECT_BYTES = 64_000
 MAX_FINDINGS_PER_OBJECT = 50
+# Files with more are not read on: the first ones are plenty to mend.
+MAX_FINDINGS = 1_000
 
 _KINDS = frozenset(kind.value for kind in Kind)
 _AT_LINE = re.compile(r" \(at line (\d+), column (\d+)\)$")
@@ -53,6 +56,12 @@
     unread: frozenset[ObjectKey] = frozenset()
     unread_kinds: frozenset[str] = frozenset()
 
+    def complete(self, kind: Kind) -> bool:
+        """Returns whether all objects of a kind could be read."""
+        if kind.value in self.unread_kinds:
+            return False
+        return all(key.kind != kind.value for key in self.unread)
+
 
 def parse_documents(
     texts: Sequence[SourceText],
@@ -97,7 +106,9 @@
         )
 
     def read(self, source: SourceText) -> None:
-        """Reads one file."""
+        """Reads one file, unless there are findings enough."""
+        if len(self.findings) >= MAX_FINDINGS:
+            return
         if len(source.content) > MAX_FILE_BYTES:
             message = (
                 f"the file is larger than {MAX_FILE_BYTES:,} bytes; "
@@ -114,11 +125,20 @@
             )
             return
         blocks = scan(text.replace("\r\n", "\n"))
-        self.findings += _layout_findings(source.path, blocks)
+        room = MAX_FINDINGS - len(self.findings)
+        layout = _layout_findings(source.path, blocks)
+        self.findings += itertools.islice(layout, room)
         for block in blocks:
+            if len(self.findings) >= MAX_FINDINGS:
+                self._stop(source.path)
+                return
             if block.kind in _KINDS and not block.nested:
                 self._read_block(source.path, block)
 
+    def _stop(self, path: str) -> None:
+        line = self.findings[-1].line
+        self._skip_file(path, line, "more findings may follow; mend the others")
+
     def _skip_file(self, path: str, line: int, message: str) -> None:
         self.findings.append(Finding(path, line, "file", message))
         self._unread_kinds |= _KINDS
@@ -135,7 +155,11 @@
         struct = STRUCT_OF_KIND[Kind(block.kind)]
         place = Place(path, block.line, block.fields)
         taken = self._taken(key, place)
-        faults = list(shape_faults(table, struct))
+        faults = list(
+            itertools.islice(
+                shape_faults(table, struct), MAX_FINDINGS_PER_OBJECT
+            )
+        )
         if faults:
             self._fail(key, _shape_findings(place, key, faults))
         elif not taken:
@@ -213,6 +237,9 @@
     if len(block.text) > MAX_OBJECT_BYTES:
         message = f"the object is longer than {MAX_OBJECT_BYTES:,} characters"
         return Finding(path, block.line, str(key), message)
+    if block.deep_line:
+        message = f"a dotted key has more than {MAX_KEY_PARTS} parts"
+        return Finding(path, block.deep_line, str(key), message)
     try:
         found = tomllib.loads(f"{block.text}\n")[block.kind]
     except RecursionError:
@@ -243,5 +270,5 @@
 ) -> list[Finding]:
     return [
         Finding(place.path, place.line_of(path), str(key), message)
-        for path, message in faults[:MAX_FINDINGS_PER_OBJECT]
+        for path, message in faults
     ]
--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/scanner.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/scanner.py
@@ -19,6 +19,8 @@
 _KEY = re.compile(
     rf"[ \t]*+({_BARE_OR_QUOTED}(?:[ \t]*+\.[ \t]*+{_BARE_OR_QUOTED})*+)[ \t]*+"
 )
+# Decoding takes time by the square of a dotted key's parts.
+MAX_KEY_PARTS = 8
 _KEY_PART = re.compile(_BARE_OR_QUOTED)
 _BLANK = re.compile(r"(?:[ \t\r\n]++|#[^\n]*+)*+")
 _REST_OF_LINE = re.compile(r"[^\n]*+\n?")
@@ -49,6 +51,7 @@
       array: whether its header has two brackets.
       nested: whether its header names a table within a table.
       fields: lines of its fields, also of nested ones.
+      deep_line: the line of a dotted key with too many parts, 0 without.
     """
 
     kind: str
@@ -57,6 +60,7 @@
     array: bool = False
     nested: bool = False
     fields: dict[FieldPath, int] = {}
+    deep_line: int = 0
 
 
 def scan(text: str) -> list[Block]:
@@ -97,11 +101,13 @@
         line = self._line(pos)
         kind, rest = parts[0], parts[1:]
         if rest and kind == self._block.kind:
+            self._note_depth(len(parts), line)
             self._nested_table(rest, array, line)
             return False
         self._block = Block(kind, line, array=array, nested=bool(rest))
         self._block.fields = {}
         self._table, self._counts = rest, {}
+        self._note_depth(len(parts), line)
         return True
 
     def _nested_table(self, rest: FieldPath, array: bool, line: int) -> None:
@@ -116,12 +122,14 @@
         match = _KEY.match(self._text, pos)
         if match is None:
             return self._skip(_REST_OF_LINE, pos)
-        path = (*self._table, *_parts(match.group(1)))
+        parts = _parts(match.group(1))
+        self._note_depth(len(parts), self._line(pos))
+        path = (*self._table, *parts)
         self._block.fields.setdefault(path, self._line(pos))
         return self._skip_value(match.end(), path)
 
     def _skip_value(self, pos: int, path: FieldPath) -> int:
-        depth = element = 0
+        depth = element = dots = 0
         for match in _tokens(self._text, pos):
             token = match.group()
             if token == "\n" and (
@@ -133,8 +141,15 @@
                 self._block.fields[*path, element] = line
                 element += 1
             depth += (token in "[{") - (token in "]}")
+            dots = _dots(dots, token)
+            if dots >= MAX_KEY_PARTS:
+                self._note_depth(dots + 1, self._line(match.start()))
         return len(self._text)
 
+    def _note_depth(self, parts: int, line: int) -> None:
+        if parts > MAX_KEY_PARTS and not self._block.deep_line:
+            self._block.deep_line = line
+
     def _skip(self, pattern: re.Pattern[str], pos: int) -> int:
         match = pattern.match(self._text, pos)
         return match.end() if match else pos
@@ -149,5 +164,15 @@
         pos = match.end()
 
 
+def _dots(before: int, token: str) -> int:
+    """Returns how many dots a key within a value may have so far."""
+    if token in "[]{}\n":
+        return 0
+    if token[0] in "\"'#":
+        return before
+    last = token.rpartition(",")
+    return last[2].count(".") + (0 if last[1] else before)
+
+
 def _parts(key: str) -> tuple[str, ...]:
     return tuple(part.strip("\"'") for part in _KEY_PART.findall(key))
--- a/packages/pomeloarch-core/tests/test_objects_parser.py
+++ b/packages/pomeloarch-core/tests/test_objects_parser.py
@@ -5,7 +5,7 @@
     check_documents,
     parse_documents,
 )
-from pomeloarch_core.objects.parser import MAX_FILE_BYTES
+from pomeloarch_core.objects.parser import MAX_FILE_BYTES, MAX_FINDINGS
 
 ORGANISATION = '[[organisation]]\nname = "a"\n'
 
@@ -79,6 +79,12 @@
         (ORGANISATION + "weight = " + "[" * 9_000, [
             "f.toml:1: organisation/a: tables and lists are nested too deeply",
         ]),
+        (ORGANISATION + "a." * 20_000 + "a = 1", [
+            "f.toml:3: organisation/a: a dotted key has more than 8 parts",
+        ]),
+        (ORGANISATION + 'x = {y = 1.5, "a"' + '."a"' * 9_000 + " = 1}", [
+            "f.toml:3: organisation/a: a dotted key has more than 8 parts",
+        ]),
         (b"a = 1\n\xff\xfe", [
             "f.toml:2: file: the file is not UTF-8; save it as UTF-8",
         ]),
@@ -107,3 +113,10 @@
         ("b.toml", 3),
         ("b.toml", 4),
     }
+
+
+def test_a_file_full_of_faults_ends_in_a_bounded_list():
+    findings = found("[[organisation]]\nweight = 1.0\n" * 30_000)
+    assert len(findings) == MAX_FINDINGS + 1
+    more = "f.toml:1999: file: more findings may follow; mend the others"
+    assert findings.count(more) == 1
