Reserve for large gangs, quarantine bad workers, act on overuse

Large gangs get a reservation with backfill by learnt run times, and move smaller preemptible jobs by checkpoint where that costs less than waiting. Workers are quarantined by evidence, probed with safe work and returned. Usage above the declared size is throttled, then checkpointed or stopped.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/__init__.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/__init__.py
@@ -1,6 +1,6 @@
 """Whole gangs under guarantees: fleet, queue, placement and preemption."""
 
 from pomeloarch_core.gang.scheduler import ZoneScheduler
-from pomeloarch_core.gang.status import SchedulerStatus
+from pomeloarch_core.gang.status import GuaranteePlace, SchedulerStatus
 
-__all__ = ["SchedulerStatus", "ZoneScheduler"]
+__all__ = ["GuaranteePlace", "SchedulerStatus", "ZoneScheduler"]
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/admission.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/admission.py
@@ -5,7 +5,9 @@
 from collections.abc import Iterator
 
 from pomeloarch_core.gang.messages import JobSpec
-from pomeloarch_core.ids import ZoneName
+from pomeloarch_core.gang.placement import Need
+from pomeloarch_core.gang.whatif import fits_beside
+from pomeloarch_core.ids import PoolName, ZoneName
 from pomeloarch_core.objects.model import (
     Adjacency,
     GuaranteedShape,
@@ -15,6 +17,9 @@
     WorkerPool,
 )
 
+# In larger pools counts decide: a rack for one gang is always found.
+_SMALL_POOL_WORKERS = 256
+
 
 class Admission:
     """Checks jobs against the objects of one generation.
@@ -35,6 +40,7 @@
             if pool.availability_zone == availability_zone
         ]
         names = {pool.name for pool in self._pools}
+        self._beside: dict[tuple[PoolName, Need], bool] = {}
         self._shapes = [
             shape
             for shape in objects.guaranteed_shape
@@ -85,19 +91,32 @@
             )
 
     def _beside_guarantees(self, spec: JobSpec, job_class: JobClass) -> bool:
-        """Whether a job fits beside all guarantees, counted only."""
+        """Whether a job fits beside all guarantees, or in its owner's."""
         if job_class.preemptible and spec.idempotent:
             return True
         return any(
             _holds(pool, spec, job_class)
-            and (
-                spec.members * spec.accelerators
-                <= _size(pool) - self._guaranteed(pool)
-                or self._covered(pool, spec)
-            )
+            and (self._covered(pool, spec) or self._fits(pool, spec, job_class))
             for pool in self._pools
         )
 
+    def _fits(
+        self, pool: WorkerPool, spec: JobSpec, job_class: JobClass
+    ) -> bool:
+        """Whether a job has a place in a pool that holds guarantees only."""
+        size = spec.members * spec.accelerators
+        if size > _size(pool) - self._guaranteed(pool):
+            return False
+        near = job_class.adjacency is not Adjacency.ANY or spec.members == 1
+        if not near or pool.racks * pool.hosts_per_rack > _SMALL_POOL_WORKERS:
+            return True
+        shapes = [s for s in self._shapes if s.worker_pool == pool.name]
+        need = Need.from_spec(spec, job_class.adjacency)
+        key = (pool.name, need)
+        if key not in self._beside:
+            self._beside[key] = fits_beside(pool, shapes, need)
+        return self._beside[key]
+
     def _guaranteed(self, pool: WorkerPool) -> int:
         return sum(
             shape.hosts * shape.accelerators_per_host * shape.count
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
@@ -74,7 +74,6 @@
         self._timers = timers
         self._out = out
         self.finished: list[Job] = []
-        self.running: list[Job] = []
         self.failures: list[Failure] = []
 
     # ---- from intent to running
@@ -85,6 +84,7 @@
         job.attempt = AttemptId(f"{job.job_id}.{self._epoch}.{job.attempts}")
         job.phase = Phase.WRITING
         job.ending = None
+        job.adopted = job.running = False
         job.starts_sent = job.start_repeated = False
         job.tasks = [None] * job.spec.members
         job.quiet = set()
@@ -157,9 +157,9 @@
             task in _BEGUN for task in job.tasks
         ):
             job.phase = Phase.RUNNING
+            job.running = True
             job.started_at = now
             job.retries = 0
-            self.running.append(job)
             self._records.change(
                 job, state=JobState.RUNNING, reason="all members run"
             )
@@ -172,6 +172,7 @@
         first = order.kind is OrderKind.START and not job.start_repeated
         if first and job.spec.members == 1:
             job.starts_sent = False
+        job.failed_on.add(order.worker_id)
         self.failures.append(Failure(job, order.worker_id))
         self.give_up(job, f"worker {order.worker_id} refused it", now)
 
@@ -265,6 +266,7 @@
     def adopt(self, job: Job, now: float) -> None:
         """Waits for the workers of an attempt that another one began."""
         job.phase = Phase.RECOVERING
+        job.adopted = True
         job.attempt = job.record.attempt
         job.tasks = [None] * len(job.placement)
         job.quiet = set()
@@ -349,6 +351,10 @@
         self._timers.add(job.deadline, job.job_id)
         self._order_all(job, OrderKind.CHECKPOINT)
 
+    def throttle(self, job: Job) -> None:
+        """Has all members of a job throttled."""
+        self._order_all(job, OrderKind.THROTTLE)
+
     def hasten(self, job: Job, grace_s: float, now: float) -> None:
         """Shortens the grace of a job that is being checkpointed."""
         if job.phase is Phase.CHECKPOINTING and job.deadline > now + grace_s:
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/capacity.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/capacity.py
@@ -122,6 +122,20 @@
         for bucket in self._workers[size:]:
             yield from bucket
 
+    def most_free(self) -> Iterator[WorkerId]:
+        """Yields all workers, those with the largest number first."""
+        for bucket in reversed(self._workers):
+            yield from bucket
+
+    def all_racks(self) -> Iterator[RackId]:
+        """Yields racks, the one with most free first, then full ones."""
+        buckets = self._by_slots.get(1)
+        if buckets is not None:
+            yield from buckets.largest_first()
+        for rack_id, rack in self._racks.items():
+            if not rack.slots.get(1, 0):
+                yield rack_id
+
     def racks_with_slots(self, size: int, count: int) -> Iterator[RackId]:
         """Yields racks with at least `count` slots, the tightest first."""
         buckets = self._by_slots.get(size)
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/cells.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/cells.py
@@ -55,6 +55,13 @@
         """Whether all its cells stand on workers."""
         return all(cell.worker_id is not None for cell in self.cells)
 
+    @property
+    def worker_ids(self) -> tuple[WorkerId, ...]:
+        """The workers that it stands on, none while it is not placed."""
+        workers = [cell.worker_id for cell in self.cells]
+        found = tuple(w for w in workers if w is not None)
+        return found if len(found) == len(workers) else ()
+
     @property
     def pinned(self) -> bool:
         """Whether a covered job holds some of it."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Iterator, Mapping
+from itertools import islice
 
 from pomeloarch_core.gang.attempts import Attempts
-from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.fleet import Fleet, Standing, Worker
 from pomeloarch_core.gang.holdings import Holdings
 from pomeloarch_core.gang.jobs import Job, Phase
+from pomeloarch_core.gang.placement import Slots, free_members
 from pomeloarch_core.gang.placer import Place, Placer
 from pomeloarch_core.gang.preemption import URGENT_GRACE_S
 from pomeloarch_core.gang.queue import JobQueue
 from pomeloarch_core.gang.records import Records
+from pomeloarch_core.gang.reservations import Reservations
 from pomeloarch_core.gang.shares import Shares
 from pomeloarch_core.gang.witness import Witness
 from pomeloarch_core.ids import JobId
@@ -19,6 +22,7 @@
 _TRIES_PER_PASS = 24
 _SEEN_PER_PASS = 512
 _BLOCKED_KEYS = 10_000
+_PROBE_CANDIDATES = 64
 
 
 class Dispatcher:
@@ -34,6 +38,7 @@
       attempts: begins and ends attempts.
       records: whether a job's row is up to date.
       jobs: all jobs by id.
+      reservations: workers that are kept for a waiting gang.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         attempts: Attempts,
         records: Records,
         jobs: Mapping[JobId, Job],
+        reservations: Reservations,
     ) -> None:
         """Keeps the parts that a pass needs."""
         self._fleet = fleet
@@ -58,6 +64,7 @@
         self._attempts = attempts
         self._records = records
         self._jobs = jobs
+        self._reservations = reservations
         self._blocked: dict[object, tuple[int, int]] = {}
         self._tries = 0
         self._seen = 0
@@ -72,6 +79,7 @@
     def run(self, now: float) -> None:
         """Places what can be placed; `dirty` says whether to go on."""
         self.dirty = False
+        self._reservations.check(now)
         self._tries, self._seen = _TRIES_PER_PASS, _SEEN_PER_PASS
         while self._place_one(now):
             self._skip = 0
@@ -133,11 +141,16 @@
         if self._shares.quota_left(job) < job.size:
             job.waits_for = "its quota"
             return False
-        key = ("place", job.spec.job_class, *self._shape_key(job))
-        if self._is_blocked(key, job):
+        admitted = self._reservations.admits(job, now)
+        key = (admitted, job.spec.job_class, *self._shape_key(job))
+        wanted = self._reservations.wants(job, now)
+        if self._is_blocked(key, job) and not wanted:
             return False
         self._tries -= 1
-        place = self._placer.place(job)
+        with self._reservations.opened_for(job, now):
+            place = self._placer.place(job)
+        if place is None:
+            place = self._compact(job, now)
         if place is None:
             job.waits_for = "accelerators"
             self._block(key, job)
@@ -145,6 +158,38 @@
         self._take(job, place, now)
         return True
 
+    def _compact(self, job: Job, now: float) -> Place | None:
+        """Reserves workers for a large gang, or makes it start earlier."""
+        if self._reservations.wants(job, now):
+            self._reservations.make(job, now)
+        current = self._reservations.current
+        if current is None or current.job is not job:
+            return None
+        job.expected_at = current.start_at
+        return self._placer.compact(job, current.start_at, now)
+
+    def probe(self, worker: Worker, now: float) -> Job | None:
+        """Places safe work on a quarantined worker: it may be lost.
+
+        Returns:
+          The job, if any waits that is small, idempotent and preemptible.
+        """
+        for job in islice(self._queue.in_order(), _PROBE_CANDIDATES):
+            safe = job.preemptible and job.spec.members == 1
+            fits = (
+                job.spec.accelerators <= worker.free
+                and job.spec.memory_gb <= worker.memory_free_gb
+                and self._shares.quota_left(job) >= job.size
+            )
+            if safe and fits and self._may_try(job, now):
+                slots = [Slots(worker.worker_id, 1)]
+                members = free_members(
+                    self._fleet, slots, job.spec.accelerators
+                )
+                self._take(job, Place(members, job.borrowing), now)
+                return job
+        return None
+
     def _shape_key(self, job: Job) -> tuple[object, ...]:
         spec = job.spec
         return (
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
@@ -75,6 +75,10 @@
       attempts: how many attempts were begun.
       failures: how many attempts ended with a failed member.
       failed_on: the workers on which a member failed.
+      avoid_until: until when it avoids these, in seconds.
+      adopted: whether its attempt was begun by an earlier epoch.
+      running: whether all members of its attempt have run.
+      ran_s: how long its earlier attempts ran, in seconds.
       retries: attempts in a row that ended without a start.
       not_before: when it may be placed again, in seconds.
       queued_at: since when it has been waiting, in seconds.
@@ -83,6 +87,7 @@
       deadline: when its grace is over, in seconds.
       cancelled: whether its caller does not want it any more.
       waits_for: what it lacked when it was last tried.
+      expected_at: when a reservation has it start, in seconds.
       cells: the names of the cells that its members stand in.
       overuses: how often it was checkpointed for overuse.
     """
@@ -111,6 +116,10 @@
         self.attempts = record.attempts
         self.failures = 0
         self.failed_on: set[WorkerId] = set()
+        self.avoid_until = now
+        self.adopted = False
+        self.running = False
+        self.ran_s = 0.0
         self.retries = 0
         self.not_before = now
         self.queued_at = now
@@ -120,6 +129,7 @@
         self.overuses = 0
         self.cancelled = False
         self.waits_for = ""
+        self.expected_at: float | None = None
         self.cells = record.cells
 
     @property
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/lifecycle.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/lifecycle.py
@@ -20,6 +20,7 @@
 _FIRST_BACKOFF_S = 0.25
 _LONGEST_BACKOFF_S = 30.0
 _DOUBLINGS = 7
+_AVOID_S = 10.0
 
 _FINAL_STATES = {
     Ending.SUCCEEDED: JobState.SUCCEEDED,
@@ -177,6 +178,10 @@
         job.phase = Phase.QUEUED
         job.ending = None
         job.cells = ()
+        job.queued_at = now
+        if job.failed_on:
+            job.avoid_until = now + _AVOID_S
+            self._timers.add(job.avoid_until, job.job_id)
         backoff_s = min(
             _LONGEST_BACKOFF_S,
             _FIRST_BACKOFF_S * 2 ** min(job.retries, _DOUBLINGS),
@@ -195,6 +200,11 @@
             )
         self._queue.add_first(job)
 
+    def due(self, job: Job, now: float) -> None:
+        """Lets a waiting job try workers again on which it failed."""
+        if job.failed_on and now >= job.avoid_until:
+            job.failed_on.clear()
+
     # ---- for people
 
     def explain(self, job_id: JobId) -> str:
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/placement.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/placement.py
@@ -109,6 +109,67 @@
     return None
 
 
+def ways_in_racks(
+    index: CapacityIndex,
+    fleet: Fleet,
+    need: Need,
+    avoid: Collection[WorkerId] = (),
+) -> list[list[Slots]]:
+    """Returns several ways to put a whole gang on one rack.
+
+    Args:
+      index: how many accelerators each worker offers for it.
+      fleet: the workers, for their memory.
+      need: what it needs.
+      avoid: workers that it must not be placed on.
+
+    Returns:
+      For a bounded number of racks: on as few workers as possible, on the
+      workers that offer least, and spread over all of them.
+    """
+    ways = []
+    racks = index.racks_with_slots(need.size, need.members)
+    for rack in islice(racks, _RACK_CANDIDATES):
+        values = index.rack_workers(rack)
+        offers = {
+            w: count
+            for w, value in values.items()
+            if w not in avoid
+            and (count := _fitting(fleet.workers[w], value // need.size, need))
+        }
+        largest = sorted(offers, key=lambda w: -offers[w])
+        for order in (largest, largest[::-1]):
+            ways.append(_greedy(order, offers, need.members))
+        ways.append(_evenly(largest, offers, need.members))
+    return [way for way in ways if sum(s.count for s in way) == need.members]
+
+
+def _greedy(
+    order: list[WorkerId], offers: dict[WorkerId, int], missing: int
+) -> list[Slots]:
+    way = []
+    for worker_id in order:
+        count = min(missing, offers[worker_id])
+        if count:
+            way.append(Slots(worker_id, count))
+            missing -= count
+    return way
+
+
+def _evenly(
+    order: list[WorkerId], offers: dict[WorkerId, int], missing: int
+) -> list[Slots]:
+    counts = dict.fromkeys(order, 0)
+    while missing:
+        open_workers = [w for w in order if counts[w] < offers[w]]
+        if not open_workers:
+            break
+        for worker_id in open_workers[:missing]:
+            counts[worker_id] += 1
+            missing -= 1
+    return [Slots(w, count) for w, count in counts.items() if count]
+
+
 def _on_any_rack(
     index: CapacityIndex,
     fleet: Fleet,
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/placer.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/placer.py
@@ -9,13 +9,14 @@
 
 from pomeloarch_core.gang.cells import Cell, Instance
 from pomeloarch_core.gang.fleet import Fleet, PoolCapacity, Standing
-from pomeloarch_core.gang.jobs import Job
+from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.messages import Member
 from pomeloarch_core.gang.placement import (
     Need,
     Slots,
     find_slots,
     free_members,
+    ways_in_racks,
 )
 from pomeloarch_core.gang.preemption import (
     Evictions,
@@ -29,6 +30,9 @@
 from pomeloarch_core.objects.model import Adjacency, Urgency
 
 _MOVE_CANDIDATES = 4
+# A job that has just started, or was just moved, is left alone.
+_MOVE_AFTER_S = 10.0
+_RESTART_S = 2.0
 
 
 class Place(msgspec.Struct, frozen=True):
@@ -119,8 +123,10 @@
                 if worker_id not in avoid
             ]
         else:
-            slots = find_slots(pool.free, self._fleet, need, avoid)
-            ways = [slots] if slots else []
+            ways = ways_in_racks(pool.free, self._fleet, need, avoid)
+            if need.adjacency is Adjacency.ANY:
+                slots = find_slots(pool.free, self._fleet, need, avoid)
+                ways.extend([slots] if slots else [])
         for way in ways:
             if self._clear(way, need):
                 return way
@@ -174,6 +180,71 @@
             self._fleet, self._jobs, may_evict, self._shares.above_floor
         )
 
+    # ---- compaction
+
+    def compact(self, job: Job, start_at: float, now: float) -> Place | None:
+        """Moves other jobs by checkpoint so that a gang starts earlier.
+
+        Args:
+          job: the gang.
+          start_at: when it would start by waiting, in seconds.
+          now: the present time, in seconds.
+
+        Returns:
+          Its place, if the moved jobs have free places elsewhere and lose
+          less, in accelerator seconds, than the gang gains.
+        """
+        need = Need.from_spec(job.spec, job.job_class.adjacency)
+        if not job.preemptible and not self._shares.fixed_allowed(job):
+            return None
+
+        def may_evict(other: Job) -> bool:
+            return (
+                other.standing is Standing.BORROWED
+                and other.size < job.size
+                and other.phase is Phase.RUNNING
+                and now - other.started_at >= _MOVE_AFTER_S
+            )
+
+        for pool in self._fleet.pools.values():
+            index = (
+                pool.evictable if job.preemptible else pool.evictable_unclaimed
+            )
+            plan = plan_on_index(
+                lambda: Evictions(self._fleet, self._jobs, may_evict),
+                self._fleet,
+                index,
+                need,
+                job.failed_on,
+            )
+            if plan is None:
+                continue
+            victims = [self._jobs[victim] for victim in plan.victims]
+            gain_s = start_at - now
+            if _pays(job, victims, gain_s) and self._fit_elsewhere(
+                pool, plan.members, victims
+            ):
+                return Place(plan.members, job.borrowing, plan.victims)
+        return None
+
+    def _fit_elsewhere(
+        self,
+        pool: PoolCapacity,
+        members: tuple[Member, ...],
+        victims: list[Job],
+    ) -> bool:
+        """Whether victims fit on free accelerators of other workers."""
+        own = {member.worker_id for member in members}
+        wanted = sum(victim.size for victim in victims)
+        for size in {victim.spec.accelerators for victim in victims}:
+            slots = pool.free.slots(size)
+            slots -= sum(pool.free.value(w) // size for w in own)
+            of_size = [v for v in victims if v.spec.accelerators == size]
+            if slots < sum(v.spec.members for v in of_size):
+                return False
+        free = pool.free.slots(1) - sum(pool.free.value(w) for w in own)
+        return free >= wanted
+
     # ---- guarantees
 
     def claim(self, job: Job) -> Place | None:
@@ -214,3 +285,11 @@
             tuple(evictions.victims),
             tuple(ordered),
         )
+
+
+def _pays(job: Job, victims: list[Job], gain_s: float) -> bool:
+    """Returns whether moving victims costs less than waiting does."""
+    graces = [victim.job_class.grace_s for victim in victims]
+    delay_s = max(graces, default=0.0) + _RESTART_S
+    lost = sum(victim.size for victim in victims) * delay_s
+    return job.size * (gain_s - delay_s) > lost
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -9,9 +9,11 @@
 from pomeloarch_core.gang.alerts import Alerts, Explanations
 from pomeloarch_core.gang.attempts import Attempts
 from pomeloarch_core.gang.dispatcher import Dispatcher
+from pomeloarch_core.gang.estimates import RunTimes
 from pomeloarch_core.gang.fleet import Fleet
+from pomeloarch_core.gang.health import WorkerHealth
 from pomeloarch_core.gang.holdings import Holdings
-from pomeloarch_core.gang.jobs import Job, Phase
+from pomeloarch_core.gang.jobs import Ending, Job, Phase
 from pomeloarch_core.gang.lifecycle import Lifecycle
 from pomeloarch_core.gang.messages import (
     AlertKind,
@@ -20,6 +22,7 @@
     Event,
     FleetChanged,
     JobCancelled,
+    JobRecord,
     JobState,
     JobSubmitted,
     OrderAnswered,
@@ -31,14 +34,20 @@
 )
 from pomeloarch_core.gang.orphans import Orphans
 from pomeloarch_core.gang.placer import Placer
+from pomeloarch_core.gang.protection import Protections
 from pomeloarch_core.gang.queue import JobQueue
 from pomeloarch_core.gang.records import Records
+from pomeloarch_core.gang.reservations import Reservations
 from pomeloarch_core.gang.shares import Shares
-from pomeloarch_core.gang.status import SchedulerStatus, summarise
+from pomeloarch_core.gang.status import (
+    GuaranteePlace,
+    SchedulerStatus,
+    summarise,
+)
 from pomeloarch_core.gang.timers import Timers
 from pomeloarch_core.gang.witness import Witness
-from pomeloarch_core.ids import Epoch, JobId, WorkerId, ZoneName
-from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_core.ids import Epoch, JobId, PoolName, WorkerId, ZoneName
+from pomeloarch_core.objects.model import Snapshot, WorkerPool
 
 # A worker that is off the platform's list is sent nothing any more, so that
 # its tasks' leases run out.
@@ -66,6 +75,8 @@
         self._out: list[Decision] = []
         self._jobs: dict[JobId, Job] = {}
         self._gone: dict[WorkerId, float] = {}
+        # Records of placed jobs that came before the list of workers.
+        self._early: list[JobRecord] | None = []
         self._superseded = False
         self._fleet = Fleet()
         self._witness = Witness(self._fleet)
@@ -76,6 +87,10 @@
         self._orphans = Orphans(epoch, self._out)
         self._alerts = Alerts(self._out)
         self._attempts = Attempts(epoch, self._records, self._timers, self._out)
+        self._health = WorkerHealth(self._fleet)
+        self._protections = Protections(self._attempts)
+        self._run_times = RunTimes()
+        self._pools: dict[PoolName, WorkerPool] = {}
         self._holdings = Holdings(
             self._fleet, self._witness, self._shares, self._jobs
         )
@@ -89,6 +104,7 @@
             self._attempts,
             self._records,
             self._jobs,
+            Reservations(self._fleet, self._jobs, self._run_times),
         )
         self._lifecycle = Lifecycle(
             self._jobs,
@@ -123,7 +139,7 @@
           A scheduler that has to be told of all workers and jobs.
         """
         scheduler = cls(availability_zone, epoch, rng)
-        scheduler.handle(ConfigurationChanged(snapshot), now)
+        scheduler._on(ConfigurationChanged(snapshot), now)
         return scheduler
 
     def handle(self, event: Event, now: float) -> list[Decision]:
@@ -139,10 +155,9 @@
         if self._superseded:
             return []
         self._on(event, now)
-        self._witness.repair()
-        self._lifecycle.settle(now)
+        self._settle(now)
         self._dispatcher.run(now)
-        self._lifecycle.settle(now)
+        self._settle(now)
         self._update_alerts()
         decisions = list(self._out)
         self._out.clear()
@@ -160,7 +175,10 @@
 
     @_on.register
     def _on_submitted(self, event: JobSubmitted, now: float) -> None:
-        self._lifecycle.submit(event.record, now)
+        if self._early is not None and event.record.placement:
+            self._early.append(event.record)
+        else:
+            self._lifecycle.submit(event.record, now)
 
     @_on.register
     def _on_cancelled(self, event: JobCancelled, now: float) -> None:
@@ -173,8 +191,8 @@
         self, event: ConfigurationChanged, now: float
     ) -> None:
         objects = event.snapshot.objects
-        pools = {
-            pool.name
+        pools = self._pools = {
+            pool.name: pool
             for pool in objects.worker_pool
             if pool.availability_zone == self._zone
         }
@@ -197,6 +215,9 @@
                 self._orphans.forget(worker.worker_id)
                 self._gone[worker.worker_id] = now + GONE_WORKER_QUIET_S
         self._holdings.uncovered()
+        early, self._early = self._early or [], None
+        for record in early:
+            self._lifecycle.submit(record, now)
 
     @_on.register
     def _on_reported(self, event: WorkerReported, now: float) -> None:
@@ -204,6 +225,8 @@
         if worker.unreachable or not worker.reported:
             worker.unreachable, worker.reported = False, True
             self._fleet.touch(worker)
+        pool = self._pools.get(worker.info.pool)
+        protected = pool is not None and pool.protections
         tasks = {(task.attempt, task.member): task for task in event.tasks}
         for job_id in list(worker.tenants):
             job = self._jobs[job_id]
@@ -212,6 +235,8 @@
             for member in job.members_on(event.worker_id):
                 task = tasks.pop((job.attempt, member), None)
                 self._attempts.reported(job, member, task, now)
+                if protected and task is not None:
+                    self._protections.observe(job, member, task.usage, now)
         self._orphans.seen(event.worker_id, tasks.values(), now)
 
     @_on.register
@@ -270,12 +295,43 @@
             if job is None:
                 continue
             if job.phase is Phase.QUEUED:
+                self._lifecycle.due(job, now)
                 self._dispatcher.dirty = True
             else:
                 self._attempts.due(job, now)
 
+        for worker in self._health.to_probe(now):
+            job = self._dispatcher.probe(worker, now)
+            if job is not None:
+                self._health.probing(worker.worker_id, job)
+
     # ---- after each event
 
+    def _settle(self, now: float) -> None:
+        self._observe(now)
+        self._lifecycle.settle(now)
+        self._witness.repair()
+        self._holdings.uncovered()
+
+    def _observe(self, now: float) -> None:
+        """Learns from what has ended since the last call."""
+        for failure in self._attempts.failures:
+            if self._health.failed(failure.job, failure.worker_id, now):
+                worker = self._fleet.known(failure.worker_id)
+                self._witness.worker_lost(worker)
+        self._attempts.failures.clear()
+        for job in self._attempts.finished:
+            self._protections.forget(job)
+            if job.running:
+                job.ran_s += now - job.started_at
+            if job.ending is Ending.SUCCEEDED:
+                if not job.adopted:
+                    self._run_times.learn(job.spec, job.ran_s)
+                for member in job.placement:
+                    self._health.succeeded(job, member.worker_id)
+            else:
+                self._health.probe_over(job, now)
+
     def _lose(self, worker_id: WorkerId, now: float) -> None:
         for job_id in list(self._fleet.known(worker_id).tenants):
             job = self._jobs[job_id]
@@ -283,8 +339,13 @@
                 self._attempts.lost_worker(job, worker_id, now)
 
     def _update_alerts(self) -> None:
+        if self._early is not None:
+            return
         short = {i.name: i.reason for i in self._witness.short()}
         self._alerts.update(AlertKind.GUARANTEE_SHORT, short)
+        self._alerts.update(
+            AlertKind.WORKER_QUARANTINED, self._health.reasons()
+        )
 
     # ---- what people ask for
 
@@ -299,6 +360,18 @@
             self._jobs.values(),
         )
 
+    def guarantees(self) -> list[GuaranteePlace]:
+        """Returns where each guaranteed shape can be had, or that it can't."""
+        return [
+            GuaranteePlace(
+                name=instance.name,
+                organisation=instance.shape.organisation,
+                worker_ids=instance.worker_ids,
+                accelerators_per_host=instance.shape.accelerators_per_host,
+            )
+            for instance in self._witness.instances
+        ]
+
     def explain(self, job_id: JobId) -> str:
         """Returns why a job stands where it does, for people."""
         return self._lifecycle.explain(job_id)
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/status.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/status.py
@@ -13,7 +13,23 @@
 from pomeloarch_core.gang.messages import AlertKind
 from pomeloarch_core.gang.placement import Need, find_slots
 from pomeloarch_core.gang.queue import JobQueue
-from pomeloarch_core.ids import Epoch, ZoneName
+from pomeloarch_core.ids import Epoch, OrganisationName, WorkerId, ZoneName
+
+
+class GuaranteePlace(msgspec.Struct, frozen=True):
+    """Where one guaranteed shape can be had at this moment.
+
+    Attributes:
+      name: the shape and its number.
+      organisation: its owner.
+      worker_ids: the worker of each cell; empty while it is short.
+      accelerators_per_host: accelerators of each cell.
+    """
+
+    name: str
+    organisation: OrganisationName
+    worker_ids: tuple[WorkerId, ...]
+    accelerators_per_host: int
 
 
 class SchedulerStatus(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/tests/test_gang_scheduler.py
+++ b/packages/pomeloarch-core/tests/test_gang_scheduler.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from pomeloarch_core.gang import ZoneScheduler
@@ -31,6 +32,12 @@
 )
 _CLASSES = (
     JobClass(name="counter", urgency=Urgency.URGENT, preemptible=False),
+    JobClass(
+        name="urgent-pair",
+        urgency=Urgency.URGENT,
+        preemptible=False,
+        max_gang=2,
+    ),
     JobClass(
         name="standard", urgency=Urgency.STANDARD, max_gang=4, grace_s=2.0
     ),
@@ -162,6 +169,18 @@
     assert reason in world.scheduler.explain("a")
 
 
+def test_a_gang_that_no_guarantee_leaves_room_for_is_refused():
+    """By count there is room: 8 accelerators, but nowhere 2 times 3."""
+    pair = msgspec.structs.replace(_SHAPE, accelerators_per_host=2)
+    whole = msgspec.structs.replace(_SHAPE, name="whole", hosts=1)
+    world = _world(pair, whole)
+    world.submit(_spec("a", "urgent-pair", 2, 3, organisation="auction"))
+    world.submit(_spec("b", "urgent-pair", 2, 2, organisation="auction"))
+    world.advance(0.5)
+    assert "guarantees of others" in world.table["a"].reason
+    assert _state(world, "b") is JobState.RUNNING
+
+
 def test_a_job_that_does_not_fit_now_waits(world):
     world.submit(_spec("a", "batch", 2, 4), run_s=5.0)
     world.submit(_spec("b", "batch", 2, 4, organisation="shrestha"), 5.0)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/gang_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/gang_world.py
@@ -169,15 +169,17 @@
         self.write_delay: Callable[[], float] = lambda: _WRITE_S
         self.log: list[tuple[float, Event | Decision]] | None = None
         self.on_handled: Callable[[Event, list[Decision]], None] | None = None
-        self.violations: list[str] = []
+        self.collisions = 0
+        self.heartbeat_s = HEARTBEAT_S
+        self.tick_s = TICK_S
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = 0
         self._wake_at: float | None = None
         self._read: dict[JobId, JobRecord] = {}
         self._last_heard: dict[WorkerId, float] = {}
         self._told_unreachable: set[WorkerId] = set()
-        self._after(HEARTBEAT_S, self._heartbeats)
-        self._after(TICK_S, self._ticks)
+        self._after(self.heartbeat_s, self._heartbeats)
+        self._after(self.tick_s, self._ticks)
 
     # ---- driving
 
@@ -223,7 +225,7 @@
 
     def _ticks(self) -> None:
         self.tell(Tick())
-        self._after(TICK_S, self._ticks)
+        self._after(self.tick_s, self._ticks)
 
     def _carry_out(self, decision: Decision) -> None:
         match decision:
@@ -358,6 +360,7 @@
             a in worker.used or a >= worker.info.accelerators
             for a in order.accelerators
         ):
+            self.collisions += 1
             return OrderOutcome.REFUSED
         worker.tasks[key] = FakeTask(order)
         worker.used.update(dict.fromkeys(order.accelerators, key))
@@ -435,7 +438,7 @@
                 self._lapse(worker)
             self._report(worker)
             self._check_reachable(worker.info.worker_id)
-        self._after(HEARTBEAT_S, self._heartbeats)
+        self._after(self.heartbeat_s, self._heartbeats)
 
     def _check_reachable(self, worker_id: WorkerId) -> None:
         silent_s = self.now - self._last_heard.get(worker_id, self.now)
