Prove takeovers, outages and cancellation waves of the job plane

Cause: recovery is worth what its tests bring about.

Change: a bench runs whole nodes on an in-memory platform and workers in virtual time. The holder dies, pauses or dies long before its successor at each of 13 steps of an attempt, for jobs that may and may not run twice; the platform is away or silent; workers stall; random faults run through six takeovers; 10,000 cancellations arrive at once. Submissions to a platform that gives no answers are refused as not run, since a read goes first then. The loop round the core's scheduler has a module of its own.

--- a/packages/pomeloarch-node/src/pomeloarch_node/generation_tables.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/generation_tables.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from pomeloarch_core.objects.delta import Delta
 from result import Err, Ok, Result
 
 from pomeloarch_core.ids import Generation
+from pomeloarch_core.objects.delta import Delta
 from pomeloarch_core.objects.model import Snapshot
 from pomeloarch_node.platform import PlatformError
 from pomeloarch_node.publication_store import PublicationStore
--- a/packages/pomeloarch-node/src/pomeloarch_node/job_store.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/job_store.py
@@ -77,6 +77,7 @@
     def __init__(self, platform: PlatformClient) -> None:
         """Keeps the platform's client."""
         self._platform = platform
+        self._in_doubt = False
 
     async def find(
         self, job_id: JobId
@@ -105,12 +106,19 @@
 
         The transaction asks for absent rows, so that writing it again after
         a lost answer can't make a second job: it meets the first one.
+        While the platform gives no answers, nothing is written before a read
+        has come back, so that the refusal is certain.
 
         Args:
           record: the job, under an id that was never used.
           claim_key: the key's row, None where the caller gave no key.
           fingerprint: the digest of the request.
         """
+        if self._in_doubt:
+            reached = await self.find(record.spec.job_id)
+            if isinstance(reached, Err):
+                message = reached.err_value.message
+                return Err(SubmitError(SubmitFailure.NOT_WRITTEN, message))
         writes = _writes(record, claim_key, fingerprint)
         checks = [Check(write.table, write.key, 0) for write in writes]
         doubtful = False
@@ -119,6 +127,9 @@
             if attempt:
                 await asyncio.sleep(RETRY_PAUSE_S * attempt)
             answer = await self._platform.transact(checks, writes)
+            self._in_doubt = isinstance(answer, Err) and isinstance(
+                answer.err_value, PlatformError
+            )
             if isinstance(answer, Ok):
                 return Ok(Submitted(record, fresh=True))
             if isinstance(answer.err_value, Conflict):
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_loop.py
@@ -0,0 +1,153 @@
+"""Hands events to the core's scheduler and carries its decisions out."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import random
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from pomeloarch_core.gang.messages import (
+    TICK_S,
+    ClearAlert,
+    Decision,
+    Event,
+    Explanation,
+    RaiseAlert,
+    RecordWritten,
+    Tick,
+    WorkerOrder,
+    WriteRecord,
+)
+from pomeloarch_core.ids import Epoch, JobId, ZoneName
+from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.scheduler_alerts import Alerts, Explanations
+from pomeloarch_node.scheduler_records import RecordWriter
+from pomeloarch_node.scheduler_tenure import Tenure
+from pomeloarch_node.worker_links import WorkerLinks
+
+_MIN_TICK_S = 0.01
+
+
+class Scheduler(Protocol):
+    """The core's scheduler of a zone."""
+
+    def handle(self, event: Event, now: float) -> list[Decision]:
+        """Takes an event and returns what is to be done."""
+
+    def next_wakeup(self, now: float) -> float | None:
+        """Returns when a `Tick` is due, in seconds; None for no deadline."""
+
+    def status(self) -> Any:
+        """Returns what an operator wants to know."""
+
+    def explain(self, job_id: JobId) -> str:
+        """Returns why a job is where it is."""
+
+
+MakeScheduler = Callable[
+    [Snapshot, ZoneName, Epoch, float, random.Random], Scheduler
+]
+
+
+class SchedulerLoop:
+    """Runs the core's scheduler, one event at a time.
+
+    Args:
+      scheduler: the core's scheduler.
+      tenure: the right to act; without it no event is handed on.
+      writer: makes records durable.
+      links: carry orders to workers.
+      alerts: shown to operators.
+      explanations: kept for people who ask.
+      ended: told of each job whose final record is durable.
+      metrics: the node's metrics.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        tenure: Tenure,
+        writer: RecordWriter,
+        links: WorkerLinks,
+        alerts: Alerts,
+        explanations: Explanations,
+        ended: Callable[[JobId], None],
+        metrics: Metrics,
+    ) -> None:
+        """Keeps what it works with."""
+        self.scheduler = scheduler
+        self._tenure = tenure
+        self._writer = writer
+        self._links = links
+        self._alerts = alerts
+        self._explanations = explanations
+        self._ended = ended
+        self._metrics = metrics
+
+    async def run(self, events: asyncio.Queue[Event]) -> None:
+        """Handles events, and ticks in between, until cancelled."""
+        loop = asyncio.get_running_loop()
+        tick_at = loop.time() + TICK_S
+        while True:
+            if loop.time() >= tick_at:
+                self.handle(Tick(), loop.time())
+                tick_at = self._next_tick(loop.time())
+            try:
+                async with asyncio.timeout_at(tick_at):
+                    event = await events.get()
+            except TimeoutError:
+                continue
+            self.handle(event, loop.time())
+            # Others get their turn, also under a flood of events.
+            await asyncio.sleep(0)
+
+    def handle(self, event: Event, now: float) -> None:
+        """Hands one event on and has the decisions carried out."""
+        if not self._tenure.held():
+            return
+        if isinstance(event, RecordWritten) and event.record.state.final:
+            self._ended(event.record.spec.job_id)
+        began = time.perf_counter()
+        decisions = self.scheduler.handle(event, now)
+        self._metrics.observe(
+            "scheduler_decision",
+            time.perf_counter() - began,
+            event=type(event).__name__,
+        )
+        for decision in decisions:
+            self._carry_out(decision)
+
+    def _next_tick(self, now: float) -> float:
+        wakeup = self.scheduler.next_wakeup(now)
+        latest = now + TICK_S
+        if wakeup is None:
+            return latest
+        return min(latest, max(wakeup, now + _MIN_TICK_S))
+
+    @functools.singledispatchmethod
+    def _carry_out(self, decision: Decision) -> None:
+        raise TypeError(f"unknown decision {type(decision).__name__}")
+
+    @_carry_out.register
+    def _on_write(self, decision: WriteRecord) -> None:
+        self._writer.put(decision.record)
+
+    @_carry_out.register
+    def _on_order(self, decision: WorkerOrder) -> None:
+        self._links.give(decision)
+
+    @_carry_out.register
+    def _on_alert(self, decision: RaiseAlert) -> None:
+        self._alerts.raise_alert(decision)
+
+    @_carry_out.register
+    def _on_clear(self, decision: ClearAlert) -> None:
+        self._alerts.clear(decision)
+
+    @_carry_out.register
+    def _on_explanation(self, decision: Explanation) -> None:
+        self._explanations.add(decision)
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -1,45 +1,36 @@
-"""One tenure of a zone's scheduler: what it hears, decides and has done."""
+"""One tenure of a zone's scheduler, from the takeover to its end."""
 
 from __future__ import annotations
 
 import asyncio
-import functools
 import random
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import msgspec
 from absl import logging
 from result import Ok
 
 from pomeloarch_core.gang.messages import (
-    TICK_S,
-    ClearAlert,
     ConfigurationChanged,
-    Decision,
     Event,
-    Explanation,
     FleetChanged,
     JobCancelled,
     JobRecord,
     JobSubmitted,
-    RaiseAlert,
-    RecordWritten,
-    Tick,
-    WorkerOrder,
-    WriteRecord,
 )
-from pomeloarch_core.ids import Epoch, JobId, ZoneName
+from pomeloarch_core.ids import JobId, ZoneName
 from pomeloarch_core.objects.model import Snapshot
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.platform import PlatformClient
+from pomeloarch_node.platform import Check, PlatformClient
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
 from pomeloarch_node.scheduler_budget import WriteBudget
 from pomeloarch_node.scheduler_cancels import CancelReader
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_inbox import JobInbox
+from pomeloarch_node.scheduler_loop import MakeScheduler, SchedulerLoop
 from pomeloarch_node.scheduler_records import RecordWriter
 from pomeloarch_node.scheduler_tenure import Tenure
 from pomeloarch_node.worker_gate import WorkerGate
@@ -50,32 +41,10 @@
 WRITES_KEPT = 40
 _RETRY_PAUSE_S = 0.5
 _WORKERS_TIMEOUT_S = 10.0
-_MIN_TICK_S = 0.01
-
-
-class Scheduler(Protocol):
-    """The core's scheduler of a zone."""
-
-    def handle(self, event: Event, now: float) -> list[Decision]:
-        """Takes an event and returns what is to be done."""
-
-    def next_wakeup(self, now: float) -> float:
-        """Returns when a `Tick` is due, in seconds."""
-
-    def status(self) -> Any:
-        """Returns what an operator wants to know."""
-
-    def explain(self, job_id: JobId) -> Any:
-        """Returns why a job is where it is."""
-
-
-MakeScheduler = Callable[
-    [Snapshot, ZoneName, Epoch, float, random.Random], Scheduler
-]
 
 
 class SchedulerSession:
-    """Runs the core's scheduler for as long as a tenure lasts.
+    """Schedules a zone for as long as a tenure lasts.
 
     Args:
       zone: the zone.
@@ -107,7 +76,6 @@
         self._zone = zone
         self._tenure = tenure
         self._platform = platform
-        self._configuration = configuration
         self._snapshots = configuration.subscribe()
         self._links = links
         self._gate = gate
@@ -115,23 +83,22 @@
         self._rng = rng
         self._make_scheduler = make_scheduler
         self._events: asyncio.Queue[Event] = asyncio.Queue()
-        self._scheduler: Scheduler | None = None
+        self._inbox = JobInbox(platform, zone, self._found, wall_clock)
         self._writer: RecordWriter | None = None
         self._cancels: CancelReader | None = None
-        self._inbox = JobInbox(platform, zone, self._found, wall_clock)
+        self._loop: SchedulerLoop | None = None
+        self._loaded: list[tuple[JobRecord, int]] = []
+        self._sizes: dict[JobId, int] = {}
         self._poked: set[JobId] = set()
         self._poke = asyncio.Event()
-        self._versions: dict[JobId, int] = {}
-        self._loaded: list[JobRecord] = []
-        self._sizes: dict[JobId, int] = {}
         self._explanations = Explanations()
         self._alerts = Alerts(metrics)
-        self.rebuilt_s: float | None = None
+        self._rebuilt_s: float | None = None
 
     @property
     def ready(self) -> bool:
         """Whether all jobs were read and decisions are made."""
-        return self._scheduler is not None
+        return self._rebuilt_s is not None
 
     @property
     def wanted_accelerators(self) -> int:
@@ -159,32 +126,29 @@
 
     def poke(self, job_id: JobId) -> None:
         """Reads a job at once that another node says is new."""
-        if self._scheduler is not None:
-            self._poked.add(job_id)
-            self._poke.set()
+        self._poked.add(job_id)
+        self._poke.set()
 
     def explain(self, job_id: JobId) -> list[str]:
         """Returns why a job is where it is, the newest reason last."""
         reasons = self._explanations.of(job_id)
-        if self._scheduler is None:
-            return reasons
-        present = self._scheduler.explain(job_id)
-        return reasons + _as_lines(present)
+        present = self._loop.scheduler.explain(job_id) if self._loop else ""
+        if present and present not in reasons:
+            reasons.append(present)
+        return reasons
 
     def status(self) -> dict[str, Any]:
         """Returns what an operator wants to know."""
-        core = None
-        if self._scheduler is not None:
-            core = msgspec.to_builtins(self._scheduler.status())
+        core = self._loop.scheduler.status() if self._loop else {}
         return {
+            **msgspec.to_builtins(core),
             "ready": self.ready,
-            "rebuilt_s": self.rebuilt_s,
+            "rebuilt_s": self._rebuilt_s,
             "unfinished_jobs": len(self._sizes),
             "cancellations_waiting": (
                 self._cancels.waiting if self._cancels else 0
             ),
             "alerts": msgspec.to_builtins(self._alerts.views()),
-            "scheduler": core,
         }
 
     async def _work(self) -> None:
@@ -194,21 +158,8 @@
         snapshot = await self._newest_snapshot()
         await self._wait_for_workers()
         await self._load()
-        now = loop.time()
-        budget = WriteBudget(WRITES_PER_S, WRITES_BURST, WRITES_KEPT, now)
-        writer = RecordWriter(
-            self._platform,
-            self._zone,
-            self._tenure,
-            fence,
-            budget,
-            self._events.put_nowait,
-            self._metrics,
-        )
-        for job_id, version in self._versions.items():
-            writer.learn(job_id, version)
-        self._writer = writer
-        self._cancels = CancelReader(
+        writer = self._make_writer(fence)
+        cancels = CancelReader(
             self._platform,
             self._zone,
             self._tenure,
@@ -217,23 +168,56 @@
             writer,
             lambda job_id: self._events.put_nowait(JobCancelled(job_id)),
         )
-        self._scheduler = self._make_scheduler(
-            snapshot, self._zone, self._tenure.epoch, now, self._rng
-        )
-        self._handle(FleetChanged(self._links.workers), now)
-        for record in self._loaded:
-            self._handle(JobSubmitted(record), loop.time())
-        self._loaded = []
-        self.rebuilt_s = loop.time() - began
-        self._metrics.observe("scheduler_rebuild", self.rebuilt_s)
+        self._writer = writer
+        self._cancels = cancels
+        decisions = self._rebuild(snapshot, writer)
+        self._rebuilt_s = loop.time() - began
+        self._metrics.observe("scheduler_rebuild", self._rebuilt_s)
         async with asyncio.TaskGroup() as group:
             group.create_task(writer.run())
-            group.create_task(self._cancels.run())
+            group.create_task(cancels.run())
             group.create_task(self._inbox.run())
             group.create_task(self._follow_pokes())
             group.create_task(self._follow_workers())
             group.create_task(self._follow_configuration())
-            group.create_task(self._decide())
+            group.create_task(decisions.run(self._events))
+
+    def _make_writer(self, fence: Check) -> RecordWriter:
+        now = asyncio.get_running_loop().time()
+        return RecordWriter(
+            self._platform,
+            self._zone,
+            self._tenure,
+            fence,
+            WriteBudget(WRITES_PER_S, WRITES_BURST, WRITES_KEPT, now),
+            self._events.put_nowait,
+            self._metrics,
+        )
+
+    def _rebuild(
+        self, snapshot: Snapshot, writer: RecordWriter
+    ) -> SchedulerLoop:
+        """Makes the core's scheduler and tells it what was found."""
+        now = asyncio.get_running_loop().time()
+        scheduler = self._make_scheduler(
+            snapshot, self._zone, self._tenure.epoch, now, self._rng
+        )
+        self._loop = SchedulerLoop(
+            scheduler,
+            self._tenure,
+            writer,
+            self._links,
+            self._alerts,
+            self._explanations,
+            self._note_end,
+            self._metrics,
+        )
+        self._loop.handle(FleetChanged(self._links.workers), now)
+        for record, version in self._loaded:
+            writer.learn(record.spec.job_id, version)
+            self._loop.handle(JobSubmitted(record), now)
+        self._loaded = []
+        return self._loop
 
     async def _newest_snapshot(self) -> Snapshot:
         snapshot = await self._snapshots.get()
@@ -275,74 +259,11 @@
             snapshot = await self._newest_snapshot()
             self._events.put_nowait(ConfigurationChanged(snapshot))
 
-    async def _decide(self) -> None:
-        loop = asyncio.get_running_loop()
-        scheduler = self._scheduler
-        assert scheduler is not None
-        tick_at = loop.time() + TICK_S
-        while True:
-            now = loop.time()
-            if now >= tick_at:
-                self._handle(Tick(), now)
-                wakeup = scheduler.next_wakeup(now)
-                tick_at = now + TICK_S if wakeup is None else wakeup
-                tick_at = min(now + TICK_S, max(tick_at, now + _MIN_TICK_S))
-            try:
-                async with asyncio.timeout_at(tick_at):
-                    event = await self._events.get()
-            except TimeoutError:
-                continue
-            self._handle(event, loop.time())
-            # Others get their turn, also under a flood of events.
-            await asyncio.sleep(0)
-
-    def _handle(self, event: Event, now: float) -> None:
-        if not self._tenure.held():
-            return
-        assert self._scheduler is not None
-        if isinstance(event, RecordWritten) and event.record.state.final:
-            self._note_end(event.record.spec.job_id)
-        began = time.perf_counter()
-        decisions = self._scheduler.handle(event, now)
-        self._metrics.observe(
-            "scheduler_decision",
-            time.perf_counter() - began,
-            event=type(event).__name__,
-        )
-        for decision in decisions:
-            self._carry_out(decision)
-
-    @functools.singledispatchmethod
-    def _carry_out(self, decision: Decision) -> None:
-        raise TypeError(f"no such decision: {decision!r}")
-
-    @_carry_out.register
-    def _(self, decision: WriteRecord) -> None:
-        assert self._writer is not None
-        self._writer.put(decision.record)
-
-    @_carry_out.register
-    def _(self, decision: WorkerOrder) -> None:
-        self._links.give(decision)
-
-    @_carry_out.register
-    def _(self, decision: RaiseAlert) -> None:
-        self._alerts.raise_alert(decision)
-
-    @_carry_out.register
-    def _(self, decision: ClearAlert) -> None:
-        self._alerts.clear(decision)
-
-    @_carry_out.register
-    def _(self, decision: Explanation) -> None:
-        self._explanations.add(decision)
-
     def _found(self, record: JobRecord, version: int) -> None:
         spec = record.spec
         self._sizes[spec.job_id] = spec.members * spec.accelerators
         if self._writer is None:
-            self._versions[spec.job_id] = version
-            self._loaded.append(record)
+            self._loaded.append((record, version))
             return
         self._writer.learn(spec.job_id, version)
         self._events.put_nowait(JobSubmitted(record))
@@ -352,11 +273,3 @@
         self._inbox.ended(job_id)
         if self._cancels is not None:
             self._cancels.ended(job_id)
-
-
-def _as_lines(reasons: Any) -> list[str]:
-    if reasons is None:
-        return []
-    if isinstance(reasons, str):
-        return [reasons] if reasons else []
-    return [str(reason) for reason in reasons]
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_task.py
@@ -26,8 +26,8 @@
     decode_digests,
     encode_digest,
 )
+from pomeloarch_node.scheduler_loop import MakeScheduler
 from pomeloarch_node.scheduler_session import (
-    MakeScheduler,
     SchedulerSession,
 )
 from pomeloarch_node.scheduler_tenure import Tenure
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -0,0 +1,429 @@
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from pomeloarch_core.gang import ZoneScheduler
+from pomeloarch_core.gang.messages import JobRecord, JobSpec, OrderKind
+from pomeloarch_core.objects.model import (
+    AvailabilityZone,
+    GuaranteedShape,
+    JobClass,
+    ObjectSet,
+    Organisation,
+    Snapshot,
+    Urgency,
+    WorkerPool,
+)
+from pomeloarch_node.job_records import CancelBatch, encode
+from pomeloarch_standins import virtual_time
+from pomeloarch_standins.fake_platform import Fault
+from pomeloarch_standins.job_bench import WALL_CLOCK_S, ZoneBench
+from pomeloarch_standins.workers import FaultMode
+
+OBJECTS = ObjectSet(
+    availability_zone=(AvailabilityZone("patan", "valley"),),
+    worker_pool=(WorkerPool("patan", "patan", 1, 8, 8, 128, 512),),
+    organisation=(Organisation("desk"), Organisation("archive")),
+    guaranteed_shape=(GuaranteedShape("g", "desk", "patan", 2, 8),),
+    job_class=(
+        JobClass("scan", Urgency.URGENT),
+        JobClass("match", Urgency.BATCH, max_gang=16, grace_s=2.0),
+    ),
+)
+SNAPSHOT = Snapshot(1, "p1", OBJECTS)
+GANG = {
+    "organisation": "archive",
+    "job_class": "match",
+    "members": 3,
+    "accelerators": 8,
+}
+SCAN = {"organisation": "desk", "job_class": "scan"}
+URGENT_START_S = 1.9
+TAKEOVER_S = 5.0
+
+
+def run(main, **options):
+    async def with_bench():
+        bench = ZoneBench(SNAPSHOT, ZoneScheduler.from_config, **options)
+        return await main(bench)
+
+    return virtual_time.run(with_bench())
+
+
+async def submit(node, job, **fields):
+    answer = await node.submit(**job, **fields)
+    assert answer.status == 202
+    return answer.json()["job_id"]
+
+
+def check_promises(bench):
+    """Checks what holds after whatever happened."""
+    counts = bench.fleet.ledger.counts(bench.now())
+    assert counts.violations == ()
+    for job_id, record in bench.records().items():
+        if not record["spec"]["idempotent"]:
+            assert counts.starts.get(job_id, 0) <= 1
+        if record["state"] == "succeeded":
+            assert counts.starts.get(job_id, 0) >= 1
+        if record["state"] in ("queued", "cancelled", "refused"):
+            assert record["attempts"] >= counts.starts.get(job_id, 0)
+
+
+def test_urgent_work_starts_soon_and_gangs_run_whole():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        other = bench.node("n2")
+        ids = [await submit(other, SCAN), await submit(other, GANG)]
+        took_s = await bench.until("running")
+        await bench.until("succeeded")
+        check_promises(bench)
+        counts = bench.fleet.ledger.counts(bench.now())
+        return took_s, [counts.starts[i] for i in ids], node.scheduler.status()
+
+    took_s, starts, status = run(main)
+    assert took_s < URGENT_START_S
+    assert starts == [1, 1]
+    assert status["role"] == "holder"
+    assert status["unfinished_jobs"] == 0
+
+
+def test_a_job_is_found_without_any_message_between_nodes():
+    async def main(bench):
+        bench.node("n1", 1)
+        other = bench.node("n2")
+        other.peers.cut_off = True
+        await asyncio.sleep(1.0)
+        await submit(other, SCAN)
+        return await bench.until("running")
+
+    assert run(main) < URGENT_START_S
+
+
+# ---- the holder dies or pauses at each step of an attempt
+
+
+def at_write(state, fault):
+    """Arms the holder's death at the first write of a state."""
+
+    def arm(bench, node, stop):
+        def look(checks, writes):
+            states = {(write.value or {}).get("state") for write in writes}
+            if state not in states:
+                return None
+            bench.platform.on_transact = None
+            stop()
+            return fault
+
+        bench.platform.on_transact = look
+
+    return arm
+
+
+def at_order(kind, number, fault):
+    """Arms the holder's death at the nth call with an order of a kind."""
+
+    def arm(bench, node, stop):
+        calls = 0
+
+        def look(worker_id, req):
+            nonlocal calls
+            if kind not in {order.kind for order in req.orders}:
+                return None
+            calls += 1
+            if calls < number:
+                return None
+            node.client.on_post = None
+            stop()
+            return fault
+
+        node.client.on_post = look
+
+    return arm
+
+
+STEPS = {
+    "before the intent is written": at_write("starting", Fault.LOSE_REQUEST),
+    "after the intent is written": at_write("starting", Fault.LOSE_ANSWER),
+    "while the intent is on its way": at_write("starting", Fault.LATE),
+    "before any reservation": at_order(OrderKind.RESERVE, 1, FaultMode.STALL),
+    "after one reservation": at_order(OrderKind.RESERVE, 1, FaultMode.LOSE),
+    "after all reservations": at_order(OrderKind.START, 1, FaultMode.STALL),
+    "after one start": at_order(OrderKind.START, 1, FaultMode.LOSE),
+    "before the last start": at_order(OrderKind.START, 3, FaultMode.STALL),
+    "after the last start": at_order(OrderKind.START, 3, FaultMode.LOSE),
+    "before running is written": at_write("running", Fault.LOSE_REQUEST),
+    "after running is written": at_write("running", Fault.LOSE_ANSWER),
+    "before the end is written": at_write("succeeded", Fault.LOSE_REQUEST),
+    "after the end is written": at_write("succeeded", Fault.LOSE_ANSWER),
+}
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+@pytest.mark.parametrize("way", ["dies", "pauses", "dies, late successor"])
+@pytest.mark.parametrize("step", STEPS)
+def test_no_step_of_an_attempt_loses_or_doubles_a_job(step, way, idempotent):
+    async def main(bench):
+        holder = bench.node("n1", 1)
+        spare = bench.node("n2")
+        await asyncio.sleep(1.0)
+        stopped = asyncio.Event()
+
+        def stop():
+            stopped.set()
+            if way != "pauses":
+                holder.kill()
+
+        STEPS[step](bench, holder, stop)
+        await submit(spare, GANG, idempotent=idempotent, command="run_s=3")
+        await asyncio.wait_for(stopped.wait(), 30.0)
+        # A paused holder goes on as if its lease had not run out.
+        await asyncio.sleep(12.0 if way == "dies, late successor" else 1.0)
+        spare.role.set(2)
+        await asyncio.sleep(TAKEOVER_S)
+        assert spare.scheduler.status()["ready"]
+        took_s = await bench.until("succeeded", "unknown", timeout_s=60.0)
+        check_promises(bench)
+        if way == "pauses":
+            assert not holder.role.released or holder.role.epoch() is None
+        return bench.states()[0], took_s
+
+    state, took_s = run(main)
+    assert took_s < 45.0
+    if idempotent:
+        assert state == "succeeded"
+
+
+# ---- the platform and the workers fail
+
+
+@pytest.mark.parametrize("fault", ["down", "silent"])
+def test_a_zone_cut_off_from_the_platform_goes_on(fault):
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        long_job = await submit(node, GANG, command="run_s=90")
+        done = await submit(node, SCAN, command="run_s=5")
+        await bench.until("running")
+        setattr(bench.platform, fault, True)
+        await asyncio.sleep(3.0)
+        node.role.lapse()
+        await asyncio.sleep(10.0)
+        answers = [await node.submit(**SCAN) for _ in range(3)]
+        caretaking = node.scheduler.status()["role"]
+        await asyncio.sleep(17.0)
+        setattr(bench.platform, fault, False)
+        node.role.set(2)
+        await asyncio.sleep(3.0)
+        states = bench.states([long_job, done])
+        await bench.until("succeeded", timeout_s=60.0)
+        check_promises(bench)
+        counts = bench.fleet.ledger.counts(bench.now())
+        return answers, caretaking, states, counts, len(bench.records())
+
+    answers, caretaking, states, counts, jobs = run(main)
+    assert caretaking == "caretaker"
+    assert states == ["running", "succeeded"]
+    assert set(counts.starts.values()) == {1}
+    assert [answer.status for answer in answers] == [503] * 3
+    assert answers[-1].json()["outcome"] == "not_run"
+    assert jobs == 2
+
+
+def test_a_worker_that_is_gone_loses_no_job():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        await submit(node, GANG, command="run_s=20")
+        await bench.until("running")
+        victim = next(iter(bench.records().values()))["placement"][0]
+        node.client.faults[victim["worker_id"]] = FaultMode.STALL
+        took_s = await bench.until("succeeded", timeout_s=90.0)
+        check_promises(bench)
+        return took_s, bench.fleet.ledger.counts(bench.now()).starts
+
+    took_s, starts = run(main)
+    assert took_s < 60.0
+    assert list(starts.values()) == [2]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_stretch_of_random_faults_breaks_no_promise(seed):
+    rng = random.Random(seed)
+
+    async def main(bench):
+        nodes = [bench.node(f"n{number}") for number in range(3)]
+        nodes[0].role.set(1)
+        await asyncio.sleep(1.0)
+        calm = False
+
+        def lose(checks, writes):
+            if calm or rng.random() > 0.15:
+                return None
+            return rng.choice(list(Fault))
+
+        def lose_call(worker_id, req):
+            if calm or rng.random() > 0.1:
+                return None
+            modes = [FaultMode.LOSE, FaultMode.STALL, FaultMode.REFUSE]
+            return rng.choice(modes)
+
+        bench.platform.on_transact = lose
+        for node in nodes:
+            node.client.on_post = lose_call
+        accepted = []
+        for epoch in range(2, 8):
+            for _ in range(5):
+                job = rng.choice([GANG, SCAN])
+                answer = await rng.choice(nodes).submit(
+                    **job,
+                    idempotent=rng.random() < 0.5,
+                    command=f"run_s={rng.uniform(1.0, 12.0):.1f}",
+                )
+                if answer.status == 202:
+                    accepted.append(answer.json()["job_id"])
+                await asyncio.sleep(rng.uniform(0.0, 2.0))
+            # The older holder may go on: nothing told it.
+            nodes[epoch % 3].role.set(epoch)
+        calm = True
+        took_s = await bench.until("succeeded", "unknown", timeout_s=180.0)
+        check_promises(bench)
+        return took_s, bench.states(accepted)
+
+    took_s, states = run(main)
+    assert took_s < 180.0
+    assert states
+    assert states.count("succeeded") >= len(states) // 2
+
+
+# ---- many at once
+
+
+def test_a_wave_of_cancellations_starves_no_new_work():
+    jobs = 10_000
+
+    async def main(bench):
+        node = bench.node("n1")
+        ids = []
+        for number in range(jobs):
+            spec = JobSpec(
+                f"patan-{number:032x}",
+                "archive",
+                "match",
+                1,
+                8,
+                submitted_at=WALL_CLOCK_S,
+                command="run_s=600",
+            )
+            ids.append(spec.job_id)
+            bench.platform.put(
+                "jobs/patan", spec.job_id, encode(JobRecord(spec))
+            )
+        node.role.set(1)
+        await asyncio.sleep(5.0)
+        for start in range(0, jobs, 500):
+            batch = CancelBatch(tuple(ids[start : start + 500]))
+            bench.platform.put(
+                "job_cancels/patan", f"{start:06d}", encode(batch)
+            )
+        await asyncio.sleep(5.0)
+        waits_s = []
+        for _ in range(5):
+            job_id = await submit(node, SCAN, command="run_s=1")
+            waits_s.append(
+                await bench.until("running", "succeeded", job_ids=[job_id])
+            )
+            await asyncio.sleep(5.0)
+        took_s = await bench.until(
+            "cancelled", "succeeded", timeout_s=600.0, look_s=10.0
+        )
+        await asyncio.sleep(5.0)
+        left = bench.platform.table("job_cancels/patan")
+        return waits_s, took_s, bench.platform.most_written, left
+
+    waits_s, took_s, most_written, left = run(main)
+    assert max(waits_s) < URGENT_START_S
+    assert took_s < 300.0
+    assert most_written <= 200
+    assert left == {}
+
+
+def test_a_planned_stop_hands_over_without_ending_a_task():
+    async def main(bench):
+        holder = bench.node("n1", 1)
+        spare = bench.node("n2")
+        await asyncio.sleep(1.0)
+        await submit(spare, GANG, command="run_s=30")
+        await bench.until("running")
+        draining = asyncio.create_task(holder.scheduler.drain())
+        await asyncio.sleep(1.0)
+        released = holder.role.released
+        spare.role.set(2)
+        await draining
+        holder.kill()
+        await bench.until("succeeded")
+        check_promises(bench)
+        return released, bench.fleet.ledger.counts(bench.now()).starts
+
+    released, starts = run(main)
+    assert released
+    assert list(starts.values()) == [1]
+
+
+def test_a_reclaim_checkpoints_and_resumes_the_borrower():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        borrower = await submit(
+            node, {**GANG, "members": 8}, command="run_s=20"
+        )
+        await bench.until("running")
+        await asyncio.sleep(10.0)
+        owner = await submit(
+            node,
+            {"organisation": "desk", "job_class": "match"},
+            members=2,
+            accelerators=8,
+            command="run_s=3",
+        )
+        reclaim_s = await bench.until("running", job_ids=[owner])
+        ended_s = await bench.until("succeeded")
+        check_promises(bench)
+        starts = bench.fleet.ledger.counts(bench.now()).starts
+        return reclaim_s, ended_s, starts[borrower]
+
+    reclaim_s, ended_s, starts = run(main)
+    assert reclaim_s < 2.0 + URGENT_START_S
+    assert ended_s < 20.0
+    assert starts == 2
+
+
+# ---- what people see
+
+
+def test_decisions_are_explained_and_alerts_are_shown():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        for number in range(1, 8):
+            node.client.faults[f"patan-r1-w{number}"] = FaultMode.DOWN
+        await asyncio.sleep(20.0)
+        job_id = await submit(node, SCAN)
+        await submit(node, {**GANG, "members": 8})
+        await asyncio.sleep(2.0)
+        status = node.scheduler.status()
+        shown = node.metrics.render()
+        reasons = node.scheduler.explain(job_id)
+        node.client.faults.clear()
+        await asyncio.sleep(5.0)
+        return status, shown, reasons, node.metrics.render()
+
+    status, shown, reasons, later = run(main)
+    alert = 'scheduler_alert{kind="guarantee_short",subject="g/0"}'
+    assert [a["subject"] for a in status["alerts"]] == ["g/0"]
+    assert f"{alert} 1" in shown
+    assert f"{alert} 0" in later
+    assert reasons
+    assert msgspec.json.encode(status)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -17,8 +17,8 @@
 from typing import Any
 
 import aiohttp
-from pomeloarch_cli.main import main as pomelo
 
+from pomeloarch_cli.main import main as pomelo
 from pomeloarch_standins.demo_client import (
     Balancer,
     Call,
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/fake_platform.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/fake_platform.py
@@ -93,6 +93,10 @@
             for key, (_, body) in self._tables[name].items()
         }
 
+    def value(self, table: str, key: str) -> Any:
+        """Returns the value of one row, None for an absent one."""
+        return self._row(table, key).value
+
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row, past all faults and counts."""
         self._write(Write(table, key, value))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/job_bench.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_bench.py
@@ -14,9 +14,10 @@
 from pomeloarch_core.objects.model import Snapshot
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.job_records import jobs_table
 from pomeloarch_node.jobs_api import JobsApi
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.scheduler_session import MakeScheduler
+from pomeloarch_node.scheduler_loop import MakeScheduler
 from pomeloarch_node.scheduler_task import SchedulerTask
 from pomeloarch_standins.fake_platform import FakePlatform
 from pomeloarch_standins.job_fakes import (
@@ -31,7 +32,7 @@
 
 WALL_CLOCK_S = 1_700_000_000.0
 _ADVANCE_S = 0.1
-_LOOK_S = 0.05
+LOOK_S = 0.05
 
 
 class BenchNode:
@@ -170,22 +171,35 @@
 
     def states(self, job_ids: Sequence[str] | None = None) -> list[str]:
         """Returns the states of jobs, as their rows say."""
-        records = self.records()
-        wanted = records if job_ids is None else job_ids
-        return [records[job_id]["state"] for job_id in wanted]
+        if job_ids is None:
+            return [record["state"] for record in self.records().values()]
+        table = jobs_table(self.zone)
+        return [self.platform.value(table, job)["state"] for job in job_ids]
 
-    async def until(self, *states: str, timeout_s: float = 120.0) -> float:
-        """Waits until all jobs are in one of some states.
+    async def until(
+        self,
+        *states: str,
+        job_ids: Sequence[str] | None = None,
+        timeout_s: float = 120.0,
+        look_s: float = LOOK_S,
+    ) -> float:
+        """Waits until all jobs, or some of them, are in one of some states.
+
+        Args:
+          states: the states.
+          job_ids: the jobs, None for all of the zone.
+          timeout_s: how long to wait at most, in seconds.
+          look_s: how often to look, in seconds.
 
         Returns:
           How long that took, in seconds; `timeout_s` if they never were.
         """
         began = self.now()
         while self.now() - began < timeout_s:
-            found = self.states()
+            found = self.states(job_ids)
             if found and set(found) <= set(states):
                 return self.now() - began
-            await asyncio.sleep(_LOOK_S)
+            await asyncio.sleep(look_s)
         return timeout_s
 
     async def _advance(self) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/workers.py
@@ -151,7 +151,7 @@
     parser.add_argument("--run-s", type=float, default=2.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument(
-        "--pool", default="{zone}", help="a pool's name, by its {zone}"
+        "--pool", default="{zone}-gpu", help="a pool's name, by its {zone}"
     )
     return parser
 
