Count the nodes of the platform's list that have not told their generation

publish said '1 of 1 nodes' when it was run before the nodes had met; the list's nodes now count as not yet in force until they say otherwise.

--- a/packages/pomeloarch-node/src/pomeloarch_node/app.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/app.py
@@ -19,8 +19,10 @@
 from pomeloarch_node.component import Component
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.generation_spreader import TOPIC
+from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.peers import PeerMessage, PeerPlane
+from pomeloarch_node.platform import HostKind, HostState
 
 
 class Health:
@@ -61,6 +63,7 @@
       health: whether work may be sent here.
       holder: the configuration in force.
       peers: what other nodes say of theirs.
+      directory: the platform's list, with the nodes that say nothing.
       metrics: what `/metrics` renders.
       components: the parts by name, each with a share of the status.
     """
@@ -72,6 +75,7 @@
         health: Health,
         holder: ConfigurationHolder,
         peers: PeerPlane,
+        directory: HostDirectory,
         metrics: Metrics,
         components: dict[str, Component],
     ) -> None:
@@ -81,6 +85,7 @@
         self._health = health
         self._holder = holder
         self._peers = peers
+        self._directory = directory
         self._metrics = metrics
         self._components = components
 
@@ -120,9 +125,20 @@
         )
 
     def _generations(self) -> list[NodeGeneration]:
-        own = NodeGeneration(self._node, self._zone, self._holder.generation)
-        others = self._peers.digests(TOPIC)
-        return [own, *(_node_generation(each) for each in others.values())]
+        """Returns what each node has; 0 for one that is only on the list."""
+        found = {
+            NodeId(host.id): NodeGeneration(
+                NodeId(host.id), ZoneName(host.availability_zone), 0
+            )
+            for host in self._directory.hosts(HostKind.NODE)
+            if host.state is HostState.LIVE
+        }
+        for name, digest in self._peers.digests(TOPIC).items():
+            found[name] = _node_generation(digest)
+        found[self._node] = NodeGeneration(
+            self._node, self._zone, self._holder.generation
+        )
+        return list(found.values())
 
 
 def _node_generation(digest: PeerMessage) -> NodeGeneration:
--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -173,6 +173,7 @@
             self._health,
             self._holder,
             self._peers,
+            self._directory,
             self._metrics,
             self.components,
         )
--- a/packages/pomeloarch-node/tests/test_status_pages.py
+++ b/packages/pomeloarch-node/tests/test_status_pages.py
@@ -12,8 +12,10 @@
 from pomeloarch_node.app import Health, StatusPages, build_app
 from pomeloarch_node.component import BackgroundPart
 from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.peers import PeerMessage
+from pomeloarch_node.platform import Host, HostKind
 
 
 class FakePeers:
@@ -28,6 +30,9 @@
 
 
 async def _get(holder, payloads, path):
+    directory = HostDirectory()
+    silent = Host("patan-2", HostKind.NODE, "patan", "127.0.0.1:1")
+    directory.replace((silent,))
     part = BackgroundPart(lambda: None, status=lambda: {"held": True})
     pages = StatusPages(
         NodeId("patan-1"),
@@ -35,6 +40,7 @@
         Health(holder),
         holder,
         FakePeers(payloads),
+        directory,
         Metrics(),
         {"role": part},
     )
@@ -61,7 +67,12 @@
     payloads = {"boudha-1": encode_message(Have(2)), "boudha-2": b"garbage"}
     status = _get_now(_holder(3), payloads, "/v1/status").json()
     found = {each["node"]: each["generation"] for each in status["generations"]}
-    assert found == {"patan-1": 3, "boudha-1": 2, "boudha-2": 0}
+    assert found == {
+        "patan-1": 3,
+        "patan-2": 0,
+        "boudha-1": 2,
+        "boudha-2": 0,
+    }
     assert status["role"] == {"held": True}
 
 
