--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/members.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/members.py
@@ -18,7 +18,9 @@
 
 BRIDGES_PER_ZONE = 2
 _RETRANSMIT_FACTOR = 3
-_FORGET_S = 300.0
+# Longer than a cut between regions, so that it heals without seeds.
+_FORGET_S = 21_600.0
+MAX_MEMBERS = 1_024
 
 
 class Member(msgspec.Struct):
@@ -76,6 +78,7 @@
         self._node = node
         self._zone = availability_zone
         self._members: dict[NodeId, Member] = {}
+        self._bridges_of: dict[ZoneName, list[NodeId]] = {}
 
     def get(self, node: NodeId) -> Member | None:
         """Returns what is believed of a node."""
@@ -105,6 +108,8 @@
         if known is None:
             if rumour.state >= NodeState.DEAD:
                 return False
+            if not self._make_room():
+                return False
             known = Member(rumour, now)
             self._members[rumour.node] = known
         elif not supersedes(rumour, known.rumour):
@@ -112,6 +117,7 @@
         known.rumour = rumour
         known.changed_at = now
         known.sends_left = self._retransmits()
+        self._bridges_of.clear()
         self._trim(rumour.availability_zone)
         return rumour.node in self._members
 
@@ -152,7 +158,27 @@
             or self.is_bridge(rumour.node, rumour.availability_zone)
         )
 
+    def _make_room(self) -> bool:
+        """Drops the node dead for longest when the table is full."""
+        if len(self._members) < MAX_MEMBERS:
+            return True
+        dead = [
+            (member.changed_at, node)
+            for node, member in self._members.items()
+            if not member.live
+        ]
+        if dead:
+            del self._members[min(dead)[1]]
+        return bool(dead)
+
     def _bridges(self, availability_zone: ZoneName) -> list[NodeId]:
+        if availability_zone not in self._bridges_of:
+            self._bridges_of[availability_zone] = self._find_bridges(
+                availability_zone
+            )
+        return self._bridges_of[availability_zone]
+
+    def _find_bridges(self, availability_zone: ZoneName) -> list[NodeId]:
         nodes = {
             rumour.node: rumour.availability_zone for rumour in self.live()
         }
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
@@ -40,6 +40,11 @@
 )
 from pomeloarch_core.membership.sizes import frame_bytes
 
+# Addresses tried at once by a node that knows no live one.
+_LONELY_TRIES = 3
+# Leaving is told to this many; they pass it on.
+_FAREWELLS = 16
+
 
 class MembershipConfig(msgspec.Struct, frozen=True):
     """Times and bounds of the protocol.
@@ -103,7 +108,8 @@
         self._me = me
         self._cfg = cfg or MembershipConfig()
         self._rng = rng
-        self._seeds = sorted(set(seeds) - {me.address})
+        self._seeds = set(seeds) - {me.address}
+        self._listed: set[str] = set()
         self._members = MemberTable(me.node, me.availability_zone)
         self._digests = DigestStore(me.node, me.incarnation)
         self._bucket = TokenBucket(self._cfg.bytes_per_s, self._cfg.burst_bytes)
@@ -114,6 +120,8 @@
         self._probe_due = 0.0
         self._rejoin_due = 0.0
         self._last_tick: float | None = None
+        self._checked: dict[NodeId, float] = {}
+        self._outdated: set[NodeId] = set()
         self._effects: list[Effect] = []
 
     # ---- asked by the other parts of the node
@@ -158,9 +166,9 @@
             self._me.node, self._me.availability_zone
         )
 
-    def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Replaces the addresses that are tried beside the known nodes."""
-        self._seeds = sorted(set(addresses) - {self._me.address})
+    def set_listed(self, addresses: Iterable[str]) -> None:
+        """Takes addresses from the platform's list, tried like seeds."""
+        self._listed = set(addresses) - {self._me.address}
 
     def message(
         self, node: NodeId, topic: str, payload: bytes, now: float
@@ -204,7 +212,7 @@
             jitter = self._rng.uniform(0.5, 1.0)
             self._rejoin_due = now + self._cfg.rejoin_s * jitter
             self._rejoin(now)
-            self._members.forget_old(now)
+            self._forget_old(now)
         return self._take_effects()
 
     def receive(self, frame: Frame, now: float) -> list[Effect]:
@@ -218,6 +226,7 @@
             NodeState.ALIVE,
             frame.incarnation,
         )
+        self._note_outdated(sender)
         self._hear(sender, now)
         for rumour in frame.rumours:
             self._hear(rumour, now)
@@ -227,12 +236,23 @@
     def leave(self, now: float) -> list[Effect]:
         """Announces that this node leaves."""
         self._me = msgspec.structs.replace(self._me, state=NodeState.LEFT)
-        for rumour in self._members.live():
+        live = self._members.live()
+        for rumour in self._rng.sample(live, min(_FAREWELLS, len(live))):
             self._send(rumour.address, rumour.node, RumoursOnly(), now)
         return self._take_effects()
 
     # ---- the parts of a tick
 
+    def _forget_old(self, now: float) -> None:
+        self._members.forget_old(now)
+        for node in [
+            node for node in self._checked if self._members.get(node) is None
+        ]:
+            del self._checked[node]
+        self._outdated &= {
+            member.rumour.node for member in self._members.members()
+        }
+
     def _allow_for_pause(self, now: float) -> None:
         """Blames nobody for silence while this process was paused."""
         last, self._last_tick = self._last_tick, now
@@ -321,21 +341,33 @@
         self._send_probe(self._sequence, waiting, now)
 
     def _rejoin(self, now: float) -> None:
-        """Tries a seed or a node believed dead, so that cuts heal."""
-        live = {rumour.address for rumour in self._members.live()}
+        """Tries seeds and nodes believed dead, so that cuts heal."""
+        live = self._members.live()
+        reached = {rumour.address for rumour in live}
+        zones = {rumour.availability_zone for rumour in live}
         lost = [
-            member.rumour.address
+            member.rumour
             for member in self._members.members()
             if member.rumour.state is NodeState.DEAD
         ]
-        addresses = sorted({*lost, *self._seeds} - live)
-        if not addresses:
-            return
-        tries = len(addresses) if not live else 1
-        for address in self._rng.sample(addresses, min(tries, 3)):
-            self._sequence += 1
-            waiting = _Waiting(NodeId(""), address, now)
-            self._send_probe(self._sequence, waiting, now)
+        silent_zones = {
+            rumour.address
+            for rumour in lost
+            if rumour.availability_zone not in zones
+        }
+        others = {rumour.address for rumour in lost}
+        others |= self._seeds | self._listed
+        for addresses in (silent_zones - reached, others - reached):
+            tries = 1 if live else _LONELY_TRIES
+            chosen = sorted(addresses)
+            for address in self._rng.sample(chosen, min(tries, len(chosen))):
+                self._introduce(address, now)
+
+    def _introduce(self, address: str, now: float) -> None:
+        """Probes whoever listens at an address, without a suspicion."""
+        self._sequence += 1
+        waiting = _Waiting(NodeId(""), address, now)
+        self._send_probe(self._sequence, waiting, now)
 
     # ---- the parts of a receipt
 
@@ -441,11 +473,34 @@
             self._refute(rumour)
             return
         if not self._members.apply(rumour, now):
+            self._check_dead(rumour, now)
             return
         self._effects.append(NodeChanged(rumour))
         if rumour.state >= NodeState.DEAD:
             self._digests.forget(rumour.node)
 
+    def _check_dead(self, rumour: Rumour, now: float) -> None:
+        """Asks a node itself when another one knows it as alive."""
+        member = self._members.get(rumour.node)
+        if (
+            member is None
+            or member.rumour.state is not NodeState.DEAD
+            or rumour.state is not NodeState.ALIVE
+            or rumour.incarnation < member.rumour.incarnation
+        ):
+            return
+        if now >= self._checked.get(rumour.node, now):
+            self._checked[rumour.node] = now + self._cfg.rejoin_s
+            self._introduce(rumour.address, now)
+
+    def _note_outdated(self, sender: Rumour) -> None:
+        """Notes a restarted node that has to take a higher incarnation."""
+        member = self._members.get(sender.node)
+        if member is None or member.rumour.incarnation <= sender.incarnation:
+            self._outdated.discard(sender.node)
+        else:
+            self._outdated.add(sender.node)
+
     def _refute(self, rumour: Rumour) -> None:
         """Takes a higher incarnation if others believe this node gone."""
         if self._me.state is NodeState.LEFT:
@@ -510,7 +565,8 @@
         receiver = self._members.get(node)
         if receiver is not None:
             zone = receiver.rumour.availability_zone
-            if receiver.rumour.state is not NodeState.ALIVE:
+            known_wrong = node in self._outdated
+            if known_wrong or receiver.rumour.state is not NodeState.ALIVE:
                 rumours.append(receiver.rumour)
         rumours += self._members.rumours(zone, self._cfg.max_rumours)
         rumours += self._sampled(zone)
--- a/packages/pomeloarch-node/src/pomeloarch_node/host_watch.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/host_watch.py
@@ -5,7 +5,8 @@
 import asyncio
 import random
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import msgspec
 from absl import logging
@@ -25,6 +26,13 @@
 _MAX_UNPACKED_BYTES = 4_000_000
 
 
+class ListedPeers(PeerPlane, Protocol):
+    """A plane between nodes that takes addresses from the list."""
+
+    def set_listed(self, addresses: Iterable[str]) -> None:
+        """Takes peer addresses from the platform's list."""
+
+
 class _Listing(msgspec.Struct, frozen=True):
     """A list of hosts on its way between nodes.
 
@@ -53,7 +61,7 @@
         self,
         directory: HostDirectory,
         platform: PlatformClient,
-        peers: PeerPlane,
+        peers: ListedPeers,
         clock: Callable[[], float],
         metrics: Metrics,
         rng: random.Random,
@@ -99,6 +107,7 @@
         self._hosts = hosts
         self._taken_at = self._clock() - age_s
         self._directory.replace(hosts)
+        self._peers.set_listed(_peer_addresses(hosts))
         self._metrics.set("hosts_known", len(hosts))
 
     async def _ask_peer(self) -> None:
@@ -135,6 +144,15 @@
         await self._peers.send(message.sender, TOPIC, payload)
 
 
+def _peer_addresses(hosts: tuple[Host, ...]) -> list[str]:
+    addresses = [
+        host.attributes.get("peer_address")
+        for host in hosts
+        if host.kind is HostKind.NODE
+    ]
+    return [address for address in addresses if isinstance(address, str)]
+
+
 def _encode(listing: _Listing) -> bytes:
     return zlib.compress(msgspec.json.encode(listing))
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/peer_codec.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peer_codec.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import functools
+import ipaddress
 import pathlib
 import struct
 from typing import Any
@@ -37,6 +38,11 @@
 _MAX_WORDS = 16_384
 _MAX_NESTING = 8
 
+_MAX_NAME = 253
+_PORTS = 65_536
+# Counters above this are garbage; they leave room to count on.
+_MAX_COUNT = 2**53
+
 _capnp: Any = capnp
 _schema: Any = _capnp.load(str(pathlib.Path(__file__).with_name("peer.capnp")))
 
@@ -72,7 +78,9 @@
             traversal_limit_in_words=_MAX_WORDS,
             nesting_limit=_MAX_NESTING,
         )
-        return Ok(_frame(message))
+        frame = _frame(message)
+        _check_frame(frame)
+        return Ok(frame)
     except (
         _capnp.KjException,
         ValueError,
@@ -82,6 +90,46 @@
         return Err(f"not a frame: {str(exc).splitlines()[:1]}")
 
 
+def _check_frame(frame: Frame) -> None:
+    """Raises ValueError for values that no node sends."""
+    _check_node(frame.sender, frame.availability_zone, frame.address)
+    counts = [frame.incarnation]
+    for rumour in frame.rumours:
+        _check_node(rumour.node, rumour.availability_zone, rumour.address)
+        counts.append(rumour.incarnation)
+    if isinstance(frame.body, Probe | Ack | Entries):
+        counts += _counts(frame.body)
+    if any(count > _MAX_COUNT for count in counts):
+        raise ValueError("a counter is out of range")
+
+
+def _counts(body: Probe | Ack | Entries) -> list[int]:
+    items: list[Mark | Entry] = []
+    if isinstance(body, Probe):
+        items += body.marks
+    elif isinstance(body, Ack):
+        items += [*body.wanted, *body.entries]
+    else:
+        items += body.entries
+    return [count for item in items for count in _counters(item)]
+
+
+def _counters(item: Mark | Entry) -> tuple[int, int]:
+    return item.incarnation, item.version
+
+
+@functools.lru_cache(maxsize=4_096)
+def _check_node(node: str, availability_zone: str, address: str) -> None:
+    if not 0 < len(node) <= _MAX_NAME:
+        raise ValueError("a node's name is empty or too long")
+    if not 0 < len(availability_zone) <= _MAX_NAME:
+        raise ValueError("a zone's name is empty or too long")
+    host, _, port = address.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 < int(port) < _PORTS:
+        raise ValueError("a port is out of range")
+
+
 @functools.singledispatch
 def _body_fields(body: Body) -> dict[str, Any]:
     raise TypeError(f"no such body: {type(body).__name__}")
--- a/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
@@ -119,9 +119,9 @@
         """
         return self._protocol.live_nodes()
 
-    def add_seeds(self, addresses: Iterable[str]) -> None:
-        """Replaces the addresses to join by."""
-        self._protocol.add_seeds(addresses)
+    def set_listed(self, addresses: Iterable[str]) -> None:
+        """Takes peer addresses from the platform's list."""
+        self._protocol.set_listed(addresses)
 
     async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
         """Sends one message; returns whether it was handed to a socket."""
@@ -163,15 +163,20 @@
 
     async def _step(self) -> None:
         """Waits for a frame or for what is due, and handles it."""
-        wait_s = max(0.0, self._protocol.due() - self._clock())
+        wait_s = self._protocol.due() - self._clock()
+        if wait_s <= 0:
+            self._carry_out(self._protocol.tick(self._clock()))
+            self._report()
+        frame = await self._next_frame(max(0.0, wait_s))
+        if frame is not None:
+            self._carry_out(self._protocol.receive(frame, self._clock()))
+
+    async def _next_frame(self, wait_s: float) -> Frame | None:
         try:
             async with asyncio.timeout(wait_s):
-                frame = await self._inbox.get()
+                return await self._inbox.get()
         except TimeoutError:
-            self._carry_out(self._protocol.tick(self._clock()))
-            self._report()
-            return
-        self._carry_out(self._protocol.receive(frame, self._clock()))
+            return None
 
     def _take(self, frame: Frame) -> None:
         try:
--- a/packages/pomeloarch-node/tests/test_peer_host_watch.py
+++ b/packages/pomeloarch-node/tests/test_peer_host_watch.py
@@ -55,6 +55,9 @@
             self.other.queue.put_nowait(message)
         return True
 
+    def set_listed(self, addresses):
+        self.listed = list(addresses)
+
     def subscribe(self, topic):
         assert topic == TOPIC
         return self.queue
@@ -114,6 +117,23 @@
     run_virtual(scenario())
 
 
+def test_the_nodes_of_the_list_become_addresses_to_join_by():
+    async def scenario():
+        async with two_nodes() as (platforms, _, peers):
+            node = Host(
+                "n9",
+                HostKind.NODE,
+                "patan",
+                "10.0.0.9:80",
+                attributes={"peer_address": "10.0.0.9:7000"},
+            )
+            platforms[0].hosts = (node, worker(1))
+            await asyncio.sleep(5.0)
+            assert peers[0].listed == ["10.0.0.9:7000"]
+
+    run_virtual(scenario())
+
+
 def test_the_last_list_stays_when_nobody_has_a_newer_one():
     async def scenario():
         async with two_nodes() as (platforms, directories, _):
