Prove racing publishers against a serial one, and order the audit trail

Decisions are looked for in growing windows of time. Shown to fail without each guard: the head's condition, the conflict of rebase, the rebase itself, the read-back of the id, the state of doubt. A publisher without conditions loses an edit and publishes twice.

--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
@@ -77,6 +77,7 @@
         """Keeps what it answers from."""
         self._holder = holder
         self._metrics = metrics
+        self._wall_clock = wall_clock
         self.store = PublicationStore(platform, lambda: holder.snapshot)
         self._writer = PublicationWriter(
             platform,
@@ -237,7 +238,7 @@
     async def _audit_trail(self, request: Request) -> Response:
         limit = _number(request, "limit", _DEFAULT_LISTED, MAX_LISTED)
         entries = await self._audit.entries(
-            limit, request.query_params.get("subject", "")
+            limit, self._wall_clock(), request.query_params.get("subject", "")
         )
         if isinstance(entries, Err):
             return platform_unavailable(entries.err_value)
--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_audit.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_audit.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import msgspec
 from result import Err, Ok, Result
 
 from pomeloarch_core.ids import Generation
 from pomeloarch_core.objects.keys import by_key
 from pomeloarch_node.operators_messages import AuditEntry
-from pomeloarch_node.platform import PlatformClient, PlatformError, Row
+from pomeloarch_node.platform import PlatformClient, PlatformError, Row, Write
 from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.publications import PublicationRecord
 
@@ -15,6 +16,21 @@
 
 _GENERATIONS_SEARCHED = 1000
 _PAGES_SEARCHED = 20
+_MILLISECONDS = 1000
+# The newest entries are looked for in longer and longer times, in seconds.
+_WINDOWS_S = (3_600.0, 86_400.0, 2_592_000.0)
+
+
+def audit_write(entry: AuditEntry, unique: str) -> Write:
+    """Returns the row of a decision, to go with what the decision writes.
+
+    Args:
+      entry: the decision.
+      unique: tells it from others of the same millisecond, such as the name
+        of a role and its epoch.
+    """
+    key = f"{_time_key(entry.at)}-{unique}"
+    return Write(AUDIT_TABLE, key, msgspec.to_builtins(entry))
 
 
 class AuditTrail:
@@ -33,12 +49,13 @@
         self._store = store
 
     async def entries(
-        self, limit: int, subject: str = ""
+        self, limit: int, now: float, subject: str = ""
     ) -> Result[tuple[AuditEntry, ...], PlatformError]:
         """Reads the newest entries.
 
         Args:
           limit: how many at most.
+          now: the present time, in seconds of the wall clock.
           subject: only those whose subject begins with this.
         """
         head = await self._store.head()
@@ -50,7 +67,7 @@
         records = await self._store.records(first, last)
         if isinstance(records, Err):
             return records
-        decisions = await self._decisions()
+        decisions = await self._decisions(now, searched)
         if isinstance(decisions, Err):
             return decisions
         found = [
@@ -63,9 +80,17 @@
         kept.sort(key=_age)
         return Ok(tuple(kept[:limit]))
 
-    async def _decisions(self) -> Result[list[Row], PlatformError]:
+    async def _decisions(
+        self, now: float, wanted: int
+    ) -> Result[list[Row], PlatformError]:
+        for window_s in _WINDOWS_S:
+            rows = await self._rows_after(_time_key(now - window_s))
+            if isinstance(rows, Err) or len(rows.ok_value) >= wanted:
+                return rows
+        return await self._rows_after("")
+
+    async def _rows_after(self, after: str) -> Result[list[Row], PlatformError]:
         found: list[Row] = []
-        after = ""
         for _ in range(_PAGES_SEARCHED):
             rows = await self._platform.scan(AUDIT_TABLE, after=after)
             if isinstance(rows, Err):
@@ -108,5 +133,10 @@
     )
 
 
+def _time_key(at: float) -> str:
+    """Returns the beginning of the keys of a time, in the order of time."""
+    return f"{max(0, int(at * _MILLISECONDS)):015d}"
+
+
 def _age(entry: AuditEntry) -> tuple[float, int]:
     return -entry.at, -(entry.generation or 0)
--- a/packages/pomeloarch-node/src/pomeloarch_node/publication_store.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/publication_store.py
@@ -63,18 +63,30 @@
         answer = await self._platform.read([(CONFIG_TABLE, HEAD_KEY)])
         return answer.map(lambda rows: head_of(rows[0]))
 
+    def known(self) -> Snapshot:
+        """Returns the snapshot that the node holds, to be asked for first.
+
+        One that arrives after the head was read could be above that head.
+        """
+        return self._known() or EMPTY
+
     async def load(self) -> Result[Snapshot, PlatformError]:
         """Reads the highest generation; generation 0 is the empty set."""
+        known = self.known()
         head = await self.head()
         if isinstance(head, Err):
             return head
-        return await self.load_at_least(head.ok_value)
+        return await self.reach(head.ok_value, known)
 
-    async def load_at_least(
-        self, head: Head
+    async def reach(
+        self, head: Head, known: Snapshot
     ) -> Result[Snapshot, PlatformError]:
-        """Returns the snapshot of a head that was just read, or a newer one."""
-        known = self._known() or EMPTY
+        """Returns the snapshot of a head, or a newer one.
+
+        Args:
+          head: the head as it was just read.
+          known: the snapshot that the node held before that.
+        """
         if known.generation > head.generation:
             return Err(_went_back(known.generation, head.generation))
         gap = head.generation - known.generation
--- a/packages/pomeloarch-node/src/pomeloarch_node/publication_writer.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/publication_writer.py
@@ -12,47 +12,26 @@
 import time
 from collections.abc import Awaitable, Callable
 
-import msgspec
 from result import Err, Ok, Result
 
 from pomeloarch_core.ids import Generation, NodeId
-from pomeloarch_core.objects.check import check
-from pomeloarch_core.objects.delta import Change, difference, select
-from pomeloarch_core.objects.findings import Places
-from pomeloarch_core.objects.keys import ObjectKey, by_key
-from pomeloarch_core.objects.model import ObjectSet, Snapshot
-from pomeloarch_core.objects.rebase import rebase
+from pomeloarch_core.objects.model import ObjectSet
 from pomeloarch_node.platform import (
-    Check,
-    Conflict,
     PlatformClient,
     PlatformError,
     PlatformFailure,
-    Row,
-    Write,
 )
-from pomeloarch_node.publication_store import (
-    PublicationStore,
-    head_of,
-    record_key,
+from pomeloarch_node.publication_attempt import (
+    Offload,
+    Outcome,
+    PublicationAttempts,
+    TryAgain,
 )
+from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.publications import (
-    CONFIG_TABLE,
-    HEAD_KEY,
-    MAX_OBJECTS_PER_PUBLICATION,
-    OBJECTS_TABLE,
-    PUBLICATION_IDS_TABLE,
-    PUBLICATIONS_TABLE,
-    ConflictingEdit,
-    EditsConflict,
-    Head,
-    ObjectsRefused,
-    PublicationIdRow,
     PublicationRecord,
     PublicationRequest,
-    Published,
     PublishFailure,
-    RequestRefused,
 )
 
 PATIENCE_S = 15.0
@@ -60,27 +39,6 @@
 _LONGEST_DELAY_S = 1.0
 
 
-class Outcome(msgspec.Struct, frozen=True):
-    """What was published and the snapshot that it is part of."""
-
-    published: Published
-    snapshot: Snapshot
-
-
-class _TryAgain(msgspec.Struct, frozen=True):
-    """An attempt that came to no end; None stands for a lost race."""
-
-    cause: PlatformError | None
-
-
-class _Rows(msgspec.Struct, frozen=True):
-    head: Row
-    publication_id: Row
-
-
-_Attempt = Result[Outcome, PublishFailure | _TryAgain]
-
-
 class PublicationWriter:
     """Publishes generations into the platform's tables.
 
@@ -92,6 +50,7 @@
       wall_clock: returns the present time in seconds of the wall clock.
       clock: returns the present time in seconds of a monotonic clock.
       sleep: waits for a number of seconds.
+      offload: runs the check of a whole set beside the event loop.
       patience_s: for how long a publication is retried, in seconds.
     """
 
@@ -105,6 +64,7 @@
         wall_clock: Callable[[], float] = time.time,
         clock: Callable[[], float] = time.monotonic,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        offload: Offload = asyncio.to_thread,
         patience_s: float = PATIENCE_S,
     ) -> None:
         """Keeps where to write."""
@@ -115,6 +75,7 @@
         self._wall_clock = wall_clock
         self._clock = clock
         self._sleep = sleep
+        self._offload = offload
         self._patience_s = patience_s
 
     async def publish(
@@ -127,14 +88,16 @@
         """
         give_up_at = self._clock() + self._patience_s
         delay_s = _FIRST_DELAY_S
-        attempts = _Attempts(self._platform, self._store, request)
+        attempts = PublicationAttempts(
+            self._platform, self._store, request, self._offload
+        )
         while True:
             record = self._record_of(request)
             attempt = await attempts.attempt(record)
             if isinstance(attempt, Ok):
                 return attempt
             failure = attempt.err_value
-            if not isinstance(failure, _TryAgain):
+            if not isinstance(failure, TryAgain):
                 return Err(failure)
             if self._clock() + delay_s > give_up_at:
                 return Err(_gave_up(failure.cause, attempts.in_doubt))
@@ -158,224 +121,6 @@
         )
 
 
-class _Attempts:
-    """The attempts at one publication.
-
-    Attributes:
-      in_doubt: whether a transaction's answer was lost.
-    """
-
-    def __init__(
-        self,
-        platform: PlatformClient,
-        store: PublicationStore,
-        request: PublicationRequest,
-    ) -> None:
-        self._platform = platform
-        self._store = store
-        self._request = request
-        self._base: tuple[Generation, ObjectSet] | None = None
-        self.in_doubt = False
-
-    async def attempt(self, record: PublicationRecord) -> _Attempt:
-        """Reads what stands, and publishes on top of it."""
-        rows = await self._read_rows()
-        if isinstance(rows, Err):
-            return Err(_TryAgain(rows.err_value))
-        head = head_of(rows.ok_value.head)
-        loaded = await self._store.load_at_least(head)
-        if isinstance(loaded, Err):
-            return Err(_TryAgain(loaded.err_value))
-        snapshot = loaded.ok_value
-        if rows.ok_value.publication_id.value is not None:
-            return await self._settled(rows.ok_value.publication_id, snapshot)
-        if snapshot.generation != head.generation:
-            return Err(_TryAgain(None))
-        wanted = await self._wanted(snapshot)
-        if isinstance(wanted, Err):
-            return wanted
-        return await self._write(
-            record, rows.ok_value, snapshot, wanted.ok_value
-        )
-
-    async def _read_rows(self) -> Result[_Rows, PlatformError]:
-        keys = [
-            (CONFIG_TABLE, HEAD_KEY),
-            (PUBLICATION_IDS_TABLE, self._request.publication),
-        ]
-        rows = await self._platform.read(keys)
-        return rows.map(lambda found: _Rows(found[0], found[1]))
-
-    async def _settled(self, row: Row, snapshot: Snapshot) -> _Attempt:
-        """Answers for a publication that an earlier try has written."""
-        found = msgspec.convert(row.value, PublicationIdRow)
-        if found.content != self._request.content_hash():
-            message = (
-                f"the id {self._request.publication} was used for another "
-                f"publication, generation {found.generation}; use a new one"
-            )
-            return Err(RequestRefused("publication_id_used", message))
-        records = await self._store.records(found.generation, found.generation)
-        if isinstance(records, Err):
-            return Err(_TryAgain(records.err_value))
-        published = Published(
-            found.generation,
-            self._request.publication,
-            records.ok_value[0].change(),
-            repeated=True,
-        )
-        return Ok(Outcome(published, snapshot))
-
-    async def _wanted(
-        self, head: Snapshot
-    ) -> Result[ObjectSet, PublishFailure | _TryAgain]:
-        """Returns the wanted set on top of the head, checked again."""
-        base = await self._find_base(head)
-        if isinstance(base, Err):
-            return base
-        base_generation, base_objects = base.ok_value
-        rebased = rebase(base_objects, self._request.objects, head.objects)
-        if isinstance(rebased, Err):
-            return await self._conflict(
-                rebased.err_value, base_generation, head.generation
-            )
-        places = Places(
-            self._request.places.objects, f"generation {head.generation}"
-        )
-        findings = await asyncio.to_thread(check, rebased.ok_value, places)
-        if findings:
-            return Err(ObjectsRefused(tuple(findings)))
-        return Ok(rebased.ok_value)
-
-    async def _find_base(
-        self, head: Snapshot
-    ) -> Result[tuple[Generation, ObjectSet], RequestRefused | _TryAgain]:
-        """Returns what the operator started from, the same in each try."""
-        if self._base is not None:
-            return Ok(self._base)
-        generation = self._request.base
-        if generation is None:
-            generation = head.generation
-        if generation > head.generation:
-            message = (
-                f"the base generation {generation} does not exist; "
-                f"the highest is {head.generation}"
-            )
-            return Err(RequestRefused("base_unknown", message))
-        objects = await self._store.objects_at(generation, head)
-        if isinstance(objects, Err):
-            return Err(_TryAgain(objects.err_value))
-        self._base = generation, objects.ok_value
-        return Ok(self._base)
-
-    async def _conflict(
-        self,
-        keys: frozenset[ObjectKey],
-        base: Generation,
-        head: Generation,
-    ) -> Err[PublishFailure | _TryAgain]:
-        records = await self._store.records(Generation(base + 1), head)
-        if isinstance(records, Err):
-            return Err(_TryAgain(records.err_value))
-        edits = [
-            ConflictingEdit(
-                str(key),
-                record.generation,
-                record.who,
-                record.why,
-                record.at,
-            )
-            for record in records.ok_value
-            for key in sorted(record.change().keys() & keys)
-        ]
-        return Err(EditsConflict(tuple(edits)))
-
-    async def _write(
-        self,
-        record: PublicationRecord,
-        rows: _Rows,
-        head: Snapshot,
-        wanted: ObjectSet,
-    ) -> _Attempt:
-        change = difference(head.objects, wanted)
-        keys = change.keys()
-        if not keys:
-            published = Published(head.generation, head.publication, change)
-            return Ok(Outcome(published, head))
-        if len(keys) > MAX_OBJECTS_PER_PUBLICATION:
-            return Err(_too_many(len(keys)))
-        generation = Generation(head.generation + 1)
-        record = msgspec.structs.replace(
-            record,
-            generation=generation,
-            before=select(head.objects, keys),
-            after=change.changed,
-        )
-        answer = await self._platform.transact(
-            _checks(rows, record), self._writes(record, change)
-        )
-        if isinstance(answer, Err):
-            return Err(self._not_written(answer.err_value))
-        published = Published(generation, record.publication, change)
-        return Ok(
-            Outcome(published, Snapshot(generation, record.publication, wanted))
-        )
-
-    def _not_written(self, failure: Conflict | PlatformError) -> _TryAgain:
-        if isinstance(failure, Conflict):
-            return _TryAgain(None)
-        if failure.failure is PlatformFailure.UNKNOWN:
-            self.in_doubt = True
-        return _TryAgain(failure)
-
-    def _writes(self, record: PublicationRecord, change: Change) -> list[Write]:
-        id_row = PublicationIdRow(
-            record.generation, self._request.content_hash()
-        )
-        head = Head(record.generation, record.publication)
-        writes = [
-            Write(OBJECTS_TABLE, str(key), msgspec.to_builtins(item))
-            for key, item in by_key(change.changed).items()
-        ]
-        writes += [
-            Write(OBJECTS_TABLE, str(key), None) for key in change.removed
-        ]
-        return [
-            *writes,
-            Write(
-                PUBLICATIONS_TABLE,
-                record_key(record.generation),
-                msgspec.to_builtins(record),
-            ),
-            Write(
-                PUBLICATION_IDS_TABLE,
-                record.publication,
-                msgspec.to_builtins(id_row),
-            ),
-            Write(CONFIG_TABLE, HEAD_KEY, msgspec.to_builtins(head)),
-        ]
-
-
-def _checks(rows: _Rows, record: PublicationRecord) -> list[Check]:
-    return [
-        Check(CONFIG_TABLE, HEAD_KEY, rows.head.version),
-        Check(
-            PUBLICATION_IDS_TABLE,
-            record.publication,
-            rows.publication_id.version,
-        ),
-        Check(PUBLICATIONS_TABLE, record_key(record.generation), 0),
-    ]
-
-
-def _too_many(count: int) -> RequestRefused:
-    message = (
-        f"the publication changes {count} objects, more than "
-        f"{MAX_OBJECTS_PER_PUBLICATION}; publish it in parts"
-    )
-    return RequestRefused("too_many_changes", message)
-
-
 def _gave_up(cause: PlatformError | None, in_doubt: bool) -> PlatformError:
     if in_doubt:
         return PlatformError(
--- a/packages/pomeloarch-node/tests/test_publication_writer.py
+++ b/packages/pomeloarch-node/tests/test_publication_writer.py
@@ -2,14 +2,23 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from result import Err, Ok
 
 from pomeloarch_core.ids import Generation, NodeId, PublicationId
-from pomeloarch_core.objects import ObjectSet, Organisation, Places
-from pomeloarch_node.platform import PlatformFailure
+from pomeloarch_core.objects import (
+    ObjectSet,
+    Organisation,
+    Places,
+    apply_change,
+    by_key,
+    difference,
+)
+from pomeloarch_node.platform import PlatformError, PlatformFailure, Write
 from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.publication_writer import PublicationWriter
-from pomeloarch_node.publications import PublicationRequest
+from pomeloarch_node.publications import EditsConflict, PublicationRequest
 from pomeloarch_standins.memory_platform import Fault, MemoryPlatform
 
 
@@ -22,6 +31,10 @@
         await asyncio.sleep(0)
 
 
+async def run_here(function, *args):
+    return function(*args)
+
+
 class Operators:
     def __init__(self):
         self.platform = MemoryPlatform()
@@ -37,6 +50,7 @@
             wall_clock=lambda: 1_000.0,
             clock=lambda: self.clock.now,
             sleep=self.clock.sleep,
+            offload=run_here,
         )
 
     async def publish(self, objects, *, base=None, name="p", who="asha"):
@@ -86,6 +100,8 @@
         ([], [Fault.LOST_ANSWER]),
         ([], [Fault.LOST_REQUEST, Fault.LOST_ANSWER]),
         ([], [Fault.DOWN, Fault.DOWN]),
+        ([], [Fault.LATE]),
+        ([], [Fault.LATE, Fault.LATE, Fault.LOST_ANSWER]),
         ([Fault.NONE] * 3 + [Fault.DOWN] * 3, [Fault.LOST_ANSWER]),
     ],
 )
@@ -165,3 +181,129 @@
         assert head.generation == 2
 
     asyncio.run(run())
+
+
+async def naive_publish(platform, objects, name):
+    """Reads, then writes without conditions, again when in doubt."""
+    while True:
+        [head] = (await platform.read([("config", "head")])).unwrap()
+        number = (head.value or {"generation": 0})["generation"] + 1
+        writes = [Write("publications", f"{number:012d}", name)]
+        writes.append(Write("config", "head", {"generation": number}))
+        writes += [
+            Write("objects", str(key), item.weight)
+            for key, item in by_key(objects).items()
+        ]
+        if isinstance(await platform.transact([], writes), Ok):
+            return
+
+
+def test_the_naive_publisher_loses_an_edit_and_publishes_twice():
+    async def run():
+        race = MemoryPlatform()
+        await asyncio.gather(
+            naive_publish(race, organisations(a=2.0, b=1.0), "p1"),
+            naive_publish(race, organisations(a=1.0, b=3.0), "p2"),
+        )
+        rows = (await race.scan("objects")).unwrap()
+        lost_answer = MemoryPlatform()
+        lost_answer.txn_faults.append(Fault.LOST_ANSWER)
+        await naive_publish(lost_answer, organisations(a=1.0), "p1")
+        doubled = (await lost_answer.scan("publications")).unwrap()
+        return [row.value for row in rows], len(doubled)
+
+    assert asyncio.run(run()) == ([1.0, 3.0], 2)
+
+
+WEIGHTS = st.one_of(st.none(), st.sampled_from([1.0, 2.0, 3.0]))
+EDITS = st.dictionaries(st.sampled_from("abc"), WEIGHTS, min_size=1)
+ROUNDS = st.lists(
+    st.lists(st.tuples(EDITS, st.integers(0, 3)), min_size=1, max_size=3),
+    min_size=1,
+    max_size=4,
+)
+FAULTS = st.lists(st.sampled_from(Fault), max_size=8)
+
+
+def edited(objects, edits):
+    weights = {item.name: item.weight for item in objects.organisation}
+    kept = {
+        name: weight
+        for name, weight in (weights | edits).items()
+        if weight is not None
+    }
+    return organisations(**dict(sorted(kept.items())))
+
+
+async def states(operators):
+    """Returns the records, and the objects of all generations by replay."""
+    operators.platform.read_faults.clear()
+    operators.platform.txn_faults.clear()
+    head = await operators.head()
+    records = await operators.store.records(Generation(1), head.generation)
+    found = [ObjectSet()]
+    for record in records.unwrap():
+        found.append(apply_change(found[-1], record.change()))
+    assert found[-1] == head.objects
+    return records.unwrap(), found
+
+
+@given(ROUNDS, FAULTS, FAULTS)
+def test_racing_publishers_agree_with_a_serial_one(rounds, reads, txns):
+    async def run():
+        operators = Operators()
+        asked, answers = {}, {}
+        for number, operations in enumerate(rounds):
+            _, before = await states(operators)
+            operators.platform.read_faults.extend(reads)
+            operators.platform.txn_faults.extend(txns)
+            calls = {}
+            for index, (edits, back) in enumerate(operations):
+                name = f"p{number}.{index}"
+                base = max(0, len(before) - 1 - back)
+                wanted = edited(before[base], edits)
+                asked[name] = before[base], wanted
+                calls[name] = operators.publish(wanted, base=base, name=name)
+            found = await asyncio.gather(*calls.values())
+            answers |= dict(zip(calls, found, strict=True))
+        records, after = await states(operators)
+        assert_serial(asked, answers, records, after)
+
+    asyncio.run(run())
+
+
+def overwritten(base, before, wanted):
+    """Returns what others had edited in another way meanwhile."""
+    both = difference(base, before).keys() & difference(base, wanted).keys()
+    theirs, ours = by_key(before), by_key(wanted)
+    return {key for key in both if theirs.get(key) != ours.get(key)}
+
+
+def assert_serial(asked, answers, records, after):
+    """Each answer is that of publishers that come one after another."""
+    names = [record.publication for record in records]
+    assert len(set(names)) == len(names)
+    for name, (base, wanted) in asked.items():
+        answer, edits = answers[name], difference(base, wanted)
+        if name in names:
+            generation = names.index(name) + 1
+            serial = apply_change(after[generation - 1], edits)
+            assert after[generation] == serial
+            assert not overwritten(base, after[generation - 1], wanted)
+        if isinstance(answer, Ok):
+            generation = answer.ok_value.published.generation
+            assert (
+                name in names
+                or not difference(
+                    after[generation], apply_change(after[generation], edits)
+                ).keys()
+            )
+        elif isinstance(answer.err_value, EditsConflict):
+            assert name not in names
+            others = {edit.object for edit in answer.err_value.edits}
+            assert others <= set(map(str, edits.keys()))
+            assert others
+        else:
+            assert isinstance(answer.err_value, PlatformError)
+            unknown = answer.err_value.failure is PlatformFailure.UNKNOWN
+            assert unknown or name not in names
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/memory_platform.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/memory_platform.py
@@ -34,12 +34,15 @@
       DOWN: it is not carried out, and the caller knows.
       LOST_REQUEST: it is not carried out, and the caller can't know.
       LOST_ANSWER: it is carried out, and the caller can't know.
+      LATE: a transaction is carried out after the next read, and its
+        caller can't know.
     """
 
     NONE = "none"
     DOWN = "down"
     LOST_REQUEST = "lost_request"
     LOST_ANSWER = "lost_answer"
+    LATE = "late"
 
 
 class MemoryPlatform:
@@ -60,6 +63,7 @@
         self.transactions = 0
         self._rows: dict[tuple[str, str], Row] = {}
         self._versions: dict[tuple[str, str], int] = {}
+        self._late: deque[tuple[Sequence[Check], Sequence[Write]]] = deque()
 
     async def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
@@ -69,18 +73,25 @@
         fault = self.txn_faults.popleft() if self.txn_faults else Fault.NONE
         if fault in (Fault.DOWN, Fault.LOST_REQUEST):
             return Err(_error(fault))
+        if fault is Fault.LATE:
+            self._late.append((checks, writes))
+            return Err(_error(fault))
+        answer = self._transact(checks, writes)
+        return Err(_error(fault)) if fault is Fault.LOST_ANSWER else answer
+
+    def _transact(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
         found = [self._row(check.table, check.key) for check in checks]
         wrong = [
             row
             for row, check in zip(found, checks, strict=True)
             if row.version != check.version
         ]
-        if not wrong:
-            versions = tuple(self._put(write) for write in writes)
-            self.transactions += 1
-        if fault is Fault.LOST_ANSWER:
-            return Err(_error(fault))
-        return Err(Conflict(tuple(wrong))) if wrong else Ok(versions)
+        if wrong:
+            return Err(Conflict(tuple(wrong)))
+        self.transactions += 1
+        return Ok(tuple(self._put(write) for write in writes))
 
     async def read(
         self, keys: Sequence[tuple[str, str]]
@@ -90,7 +101,10 @@
         fault = self.read_faults.popleft() if self.read_faults else Fault.NONE
         if fault is not Fault.NONE:
             return Err(_error(fault))
-        return Ok(tuple(self._row(table, key) for table, key in keys))
+        rows = tuple(self._row(table, key) for table, key in keys)
+        while self._late:
+            self._transact(*self._late.popleft())
+        return Ok(rows)
 
     async def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = 1000
