Tell doubt from refusal in pomelo, and refuse wrong arguments early

Cause: after a node's connection broke, a refusal by the next node was printed as if nothing could have been done; wrong URLs, numbers and header texts were told as unreachable nodes or as tracebacks. Change: once a call may have been carried out, only a success settles it; arguments have types of their own; an answer that is no JSON object is not taken for a node's. The operators' HTTP calls have tests for bad, oversized and repeated bodies.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/client.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/client.py
@@ -155,7 +155,12 @@
         """Notes an answer; returns whether no other node need be asked."""
         if isinstance(answer, Ok):
             reply = answer.ok_value
-            if reply.status not in _UNAVAILABLE:
+            if reply.ok and not isinstance(reply.body, Mapping):
+                self._in_doubt = True
+                self._note(f"{node}: the answer is not that of a node")
+                return False
+            # A refusal by one node does not undo what another may have done.
+            if reply.ok or not (self._doubtful or _unavailable(reply)):
                 return True
             self._last = reply
             self._in_doubt |= reply.field("outcome") != "not_run"
@@ -186,6 +191,10 @@
         self._reasons.append(reason)
 
 
+def _unavailable(reply: Reply) -> bool:
+    return reply.status in _UNAVAILABLE
+
+
 def _decoded(content: bytes) -> Any:
     try:
         return msgspec.json.decode(content)
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err
 
+from pomeloarch_cli.arguments import positive_number, whole_number
 from pomeloarch_cli.client import NodeClient
 from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
 from pomeloarch_cli.formats import (
@@ -65,9 +66,14 @@
 
 def _add_history(commands: argparse._SubParsersAction) -> None:
     parser = _parser(commands, "history", "Print the newest generations.")
-    parser.add_argument("--limit", type=int, default=20, help="how many")
     parser.add_argument(
-        "--upto", type=int, metavar="GENERATION", help="the newest to print"
+        "--limit", type=positive_number, default=20, help="how many"
+    )
+    parser.add_argument(
+        "--upto",
+        type=whole_number,
+        metavar="GENERATION",
+        help="the newest to print",
     )
     parser.set_defaults(run=_history)
 
@@ -86,10 +92,18 @@
         "--from",
     )
     parser.add_argument(
-        "--from", dest="old", type=int, metavar="GENERATION", help="the older"
+        "--from",
+        dest="old",
+        type=whole_number,
+        metavar="GENERATION",
+        help="the older",
     )
     parser.add_argument(
-        "--to", dest="new", type=int, metavar="GENERATION", help="the newer"
+        "--to",
+        dest="new",
+        type=whole_number,
+        metavar="GENERATION",
+        help="the newer",
     )
     parser.set_defaults(run=_diff)
 
@@ -106,7 +120,9 @@
         default="",
         help="print entries whose subject begins so, such as service/scorer",
     )
-    parser.add_argument("--limit", type=int, default=20, help="how many")
+    parser.add_argument(
+        "--limit", type=positive_number, default=20, help="how many"
+    )
     parser.set_defaults(run=_audit)
 
 
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
@@ -10,6 +10,13 @@
 
 from result import Err, Ok, Result
 
+from pomeloarch_cli.arguments import (
+    header_text,
+    job_id,
+    positive_number,
+    seconds,
+    subject,
+)
 from pomeloarch_cli.client import NoAnswer, NodeClient, Reply
 from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
 from pomeloarch_cli.formats import audit_lines, explain_lines, job_lines
@@ -49,15 +56,22 @@
 def _add_submit(commands: argparse._SubParsersAction) -> None:
     parser = _parser(commands, "submit", "Submit a job and print its id.")
     add = parser.add_argument
-    add("--organisation", required=True, help="whose job it is")
-    add("--caller", default="", help="who submits it")
+    add(
+        "--organisation",
+        type=header_text,
+        required=True,
+        help="whose job it is",
+    )
+    add("--caller", type=header_text, default="", help="who submits it")
     add("--job-class", required=True, metavar="CLASS", help="its class")
-    add("--members", type=int, default=1, help="tasks of its gang")
-    add("--accelerators", type=int, default=1, help="of each member")
+    add("--members", type=positive_number, default=1, help="tasks of its gang")
+    add(
+        "--accelerators", type=positive_number, default=1, help="of each member"
+    )
     add("--memory-gb", type=float, default=1.0, help="of each member, in GB")
     add(
         "--declared-run-s",
-        type=float,
+        type=seconds,
         default=60.0,
         help="the run time that is expected, in seconds",
     )
@@ -71,6 +85,7 @@
     add("--command", default="", help="what its tasks run")
     add(
         "--idempotency-key",
+        type=header_text,
         metavar="KEY",
         help="the key of an earlier try whose outcome is not known",
     )
@@ -80,7 +95,9 @@
 
 def _add_job(commands: argparse._SubParsersAction) -> None:
     parser = _parser(commands, "job", "Print, await or cancel a job.")
-    parser.add_argument("job_id", help="the id that submit printed")
+    parser.add_argument(
+        "job_id", type=job_id, help="the id that submit printed"
+    )
     parser.add_argument(
         "--cancel", action="store_true", help="ask for the job's end"
     )
@@ -94,7 +111,7 @@
     )
     parser.add_argument(
         "--wait-s",
-        type=float,
+        type=seconds,
         default=float("inf"),
         metavar="SECONDS",
         help="how long to wait at most (default: without limit)",
@@ -107,7 +124,9 @@
         "explain",
         "Print why a job stands where it does, or who changed an object.",
     )
-    parser.add_argument("subject", help="a job's id, or an object as kind/name")
+    parser.add_argument(
+        "subject", type=subject, help="a job's id, or an object as kind/name"
+    )
     parser.set_defaults(run=_explain)
 
 
@@ -161,8 +180,8 @@
 ) -> ExitCode:
     """Prints a job, once it has ended if that was asked for."""
     if isinstance(answer, Ok) and answer.ok_value.ok and args.wait:
-        job_id = str(answer.ok_value.field("job_id"))
-        answer = await _wait(client, out, job_id, args.wait_s)
+        waited = str(answer.ok_value.field("job_id"))
+        answer = await _wait(client, out, waited, args.wait_s)
     if isinstance(answer, Err):
         retry = f"--idempotency-key {key}" if key else ""
         return out.no_answer(answer.err_value, retry)
@@ -174,20 +193,20 @@
 
 
 async def _wait(
-    client: NodeClient, out: Output, job_id: str, wait_s: float
+    client: NodeClient, out: Output, job: str, wait_s: float
 ) -> Result[Reply, NoAnswer]:
     """Polls a job until it has ended, and tells of each change."""
     give_up_at = time.monotonic() + wait_s
     shown = ""
     while True:
-        answer = await client.get(f"/v1/jobs/{job_id}")
+        answer = await client.get(f"/v1/jobs/{job}")
         if isinstance(answer, Ok):
             state = str(answer.ok_value.field("state"))
             if not answer.ok_value.ok or _final(state):
                 return answer
-            line = f"{job_id}: {state}"
+            line = f"{job}: {state}"
         else:
-            line = f"{job_id}: no node answers, trying on"
+            line = f"{job}: no node answers, trying on"
         if time.monotonic() >= give_up_at:
             return answer
         if line != shown:
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/main.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/main.py
@@ -48,11 +48,14 @@
     Returns:
       The exit code.
     """
-    args = build_parser().parse_args(argv)
+    parser = build_parser()
+    args = parser.parse_args(argv)
     logging.use_absl_handler()
     logging.set_verbosity(logging.DEBUG if args.verbose else logging.WARNING)
     try:
         return int(asyncio.run(args.run(args)))
+    except argparse.ArgumentTypeError as exc:
+        parser.error(f"environment: {exc}")
     except KeyboardInterrupt:
         print("pomelo: interrupted", file=sys.stderr)
         return _INTERRUPTED
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
@@ -12,6 +12,7 @@
 
 from result import Err
 
+from pomeloarch_cli.arguments import seconds, whole_number
 from pomeloarch_cli.client import NodeClient
 from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
 from pomeloarch_cli.formats import (
@@ -61,7 +62,9 @@
         parents=parents,
     )
     rollback.add_argument(
-        "generation", type=int, help="the generation whose objects to take"
+        "generation",
+        type=whole_number,
+        help="the generation whose objects to take",
     )
     rollback.set_defaults(run=_rollback)
 
@@ -77,7 +80,7 @@
     )
     parser.add_argument(
         "--base",
-        type=int,
+        type=whole_number,
         metavar="GENERATION",
         help="the generation that the edit started from: later edits of other "
         "objects are kept, and one of the same object is a conflict (default: "
@@ -90,7 +93,7 @@
     )
     parser.add_argument(
         "--wait-s",
-        type=float,
+        type=seconds,
         default=10.0,
         metavar="SECONDS",
         help="how long to wait until every known node has it in force "
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from pomeloarch_cli.arguments import node_url, timeout
 from pomeloarch_cli.client import NodeClient
 from pomeloarch_cli.output import Output
 
@@ -39,6 +40,7 @@
     parser.add_argument(
         "--node",
         action="append",
+        type=node_url,
         metavar="URL",
         help="a node's URL; may be given more than once, and the next one is "
         f"asked when one does not answer (default: ${NODES_VARIABLE}, with "
@@ -46,7 +48,7 @@
     )
     parser.add_argument(
         "--timeout-s",
-        type=float,
+        type=timeout,
         default=30.0,
         metavar="SECONDS",
         help="time that one node is given to answer (default: %(default)s)",
@@ -60,11 +62,16 @@
 
 
 def nodes_of(args: argparse.Namespace) -> list[str]:
-    """Returns the nodes to ask, in their order."""
+    """Returns the nodes to ask, in their order.
+
+    Raises:
+      argparse.ArgumentTypeError: the environment names something else.
+    """
     if args.node:
         return list(args.node)
     listed = os.environ.get(NODES_VARIABLE, "").split(",")
-    return [url.strip() for url in listed if url.strip()] or [DEFAULT_NODE]
+    urls = [node_url(url.strip()) for url in listed if url.strip()]
+    return urls or [DEFAULT_NODE]
 
 
 @contextlib.asynccontextmanager
--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_problems.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_problems.py
@@ -20,6 +20,11 @@
 )
 
 _RETRY_AFTER_S = 2.0
+_STATUS_OF_REASON = {
+    "generation_unknown": 404,
+    "publication_id_used": 409,
+    "too_many_changes": 422,
+}
 
 
 @functools.singledispatch
@@ -56,7 +61,8 @@
 
 @failure_response.register
 def _(failure: RequestRefused) -> Response:
-    return bad_request(failure.reason, failure.message)
+    status = _STATUS_OF_REASON.get(failure.reason, 400)
+    return bad_request(failure.reason, failure.message, status)
 
 
 @failure_response.register
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_publication_api.py
@@ -0,0 +1,176 @@
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import socket
+
+import aiohttp
+import pytest
+import uvicorn
+from starlette.applications import Starlette
+
+from pomeloarch_core.ids import NodeId
+from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.operators_api import MAX_BODY_BYTES, OperatorsApi
+from pomeloarch_node.operators_audit import audit_write
+from pomeloarch_node.operators_messages import AuditEntry
+from pomeloarch_standins.memory_platform import Fault, MemoryPlatform
+
+QASR = pathlib.Path(__file__).parents[3] / "examples" / "qasr"
+DOCUMENTS = [
+    {"path": path.name, "text": path.read_text()}
+    for path in sorted(QASR.glob("*.toml"))
+]
+GOOD = {"publication": "p1", "who": "asha", "why": "x", "documents": DOCUMENTS}
+
+
+@contextlib.asynccontextmanager
+async def serving(platform, holder):
+    api = OperatorsApi(
+        platform,
+        holder,
+        Metrics(),
+        NodeId("amman-a-1"),
+        random.Random(1),
+        wall_clock=lambda: 5_000_000.0,
+    )
+    config = uvicorn.Config(Starlette(routes=api.routes()), log_config=None)
+    server = uvicorn.Server(config)
+    sock = socket.create_server(("127.0.0.1", 0))
+    task = asyncio.create_task(server.serve(sockets=[sock]))
+    async with aiohttp.ClientSession() as session:
+        yield session, f"http://127.0.0.1:{sock.getsockname()[1]}"
+    server.should_exit = True
+    await task
+
+
+def ask(*calls, platform=None, holder=None):
+    """Makes calls of (method, path, body) and returns (status, answer)s."""
+
+    async def run():
+        answers = []
+        node = serving(
+            platform or MemoryPlatform(), holder or ConfigurationHolder()
+        )
+        async with node as (session, url):
+            for method, path, body in calls:
+                if not isinstance(body, bytes):
+                    body = json.dumps(body).encode()
+                async with session.request(
+                    method, url + path, data=body
+                ) as response:
+                    answers.append((response.status, await response.json()))
+        return answers
+
+    return asyncio.run(run())
+
+
+def post(body):
+    return "POST", "/v1/publications", body
+
+
+def get(path):
+    return "GET", path, b""
+
+
+@pytest.mark.parametrize(
+    ("body", "status", "reason"),
+    [
+        (b"", 400, "bad_request"),
+        (b"{", 400, "bad_request"),
+        (b"\xff\xfe", 400, "bad_request"),
+        (b"[" * 100_000, 400, "bad_request"),
+        (GOOD | {"who": ""}, 400, "bad_request"),
+        (GOOD | {"publication": "a/b"}, 400, "bad_request"),
+        (GOOD | {"base": -1}, 400, "bad_request"),
+        (GOOD | {"colour": 1}, 400, "bad_request"),
+        (GOOD | {"documents": None}, 400, "bad_request"),
+        (GOOD | {"rollback_to": 1}, 400, "bad_request"),
+        (GOOD | {"documents": [{"path": "f"}]}, 400, "bad_request"),
+        (GOOD | {"base": 9}, 400, "base_unknown"),
+        (GOOD | {"documents": DOCUMENTS[1:]}, 422, "findings"),
+        (b" " * (MAX_BODY_BYTES + 1), 413, "body_too_large"),
+    ],
+)
+def test_a_bad_publication_is_refused_and_the_node_goes_on(
+    body, status, reason
+):
+    platform = MemoryPlatform()
+    bad, good = ask(post(body), post(GOOD), platform=platform)
+    assert bad[0] == status
+    assert (bad[1]["reason"], bad[1]["outcome"]) == (reason, "not_run")
+    assert (good[0], good[1]["generation"]) == (200, 1)
+    assert platform.transactions == 1
+
+
+def test_a_publication_is_in_force_on_the_node_that_made_it():
+    holder = ConfigurationHolder()
+    ask(post(GOOD), holder=holder)
+    assert holder.generation == 1
+    assert holder.snapshot.objects.service[0].name == "scorer"
+
+
+def test_an_id_is_not_used_for_two_publications():
+    other = [
+        found | {"text": found["text"].replace("= 256", "= 512")}
+        for found in DOCUMENTS
+    ]
+    _, again, third = ask(
+        post(GOOD), post(GOOD), post(GOOD | {"documents": other})
+    )
+    assert (again[1]["generation"], again[1]["repeated"]) == (1, True)
+    assert (third[0], third[1]["reason"]) == (409, "publication_id_used")
+
+
+def test_too_many_changes_at_once_are_refused():
+    text = "".join(f"[[organisation]]\nname = 'o{i}'\n" for i in range(251))
+    documents = [{"path": "f", "text": text}]
+    [(status, problem)] = ask(post(GOOD | {"documents": documents}))
+    assert (status, problem["reason"]) == (422, "too_many_changes")
+
+
+def test_reads_answer_for_what_exists_and_refuse_the_rest():
+    answers = ask(
+        post(GOOD),
+        get("/v1/generations/0"),
+        get("/v1/generations/1"),
+        get("/v1/generations/2"),
+        get("/v1/generations/0/diff/1"),
+        get("/v1/generations/1/diff/7"),
+        get("/v1/generations?limit=x&upto=99999999999999"),
+        holder=ConfigurationHolder(),
+    )
+    statuses = [status for status, _ in answers]
+    assert statuses == [200, 200, 200, 404, 200, 404, 200]
+    assert answers[1][1]["objects"]["service"] == []
+    assert len(answers[4][1]["entries"]) == 18
+
+
+def test_the_audit_trail_holds_decisions_and_publications_newest_first():
+    platform = MemoryPlatform()
+
+    async def write_decisions():
+        for index, at in enumerate((1.0, 4_999_999.0)):
+            entry = AuditEntry(at, "role/scheduler", "amman-a-1", "expired")
+            await platform.transact([], [audit_write(entry, str(index))])
+
+    asyncio.run(write_decisions())
+    _, trail, roles = ask(
+        post(GOOD),
+        get("/v1/audit?limit=100"),
+        get("/v1/audit?subject=role/&limit=2"),
+        platform=platform,
+    )
+    times = [entry["at"] for entry in trail[1]["entries"]]
+    assert times == sorted(times, reverse=True)
+    assert len(times) == 20
+    assert [entry["at"] for entry in roles[1]["entries"]] == [4_999_999.0, 1.0]
+
+
+def test_a_platform_that_is_down_is_told_by_reads():
+    platform = MemoryPlatform()
+    platform.read_faults.extend([Fault.DOWN] * 100)
+    [(status, problem)] = ask(get("/v1/generations"), platform=platform)
+    assert (status, problem["outcome"]) == (503, "not_run")
