Publish edits of a few objects without the whole set

Ruled out: keeping decoded objects between publications on a node (each node sees few of them, and the upload of the whole set remains).

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/arguments.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/arguments.py
@@ -7,6 +7,8 @@
 import re
 import urllib.parse
 
+from pomeloarch_core.objects import Kind, ObjectKey
+
 _JOB_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,199}")
 
 
@@ -90,6 +92,21 @@
     return text
 
 
+def object_name(text: str) -> str:
+    """Returns an object as `kind/name`.
+
+    >>> object_name("service/scorer")
+    'service/scorer'
+    """
+    key = ObjectKey.from_text(text)
+    if not key.name or key.kind not in {kind.value for kind in Kind}:
+        kinds = ", ".join(kind.value for kind in Kind)
+        raise argparse.ArgumentTypeError(
+            f"{text!r} is not KIND/NAME with a kind of {kinds}"
+        )
+    return text
+
+
 def subject(text: str) -> str:
     """Returns a job's id, or an object as `kind/name`."""
     return text if "/" in text else job_id(text)
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
@@ -12,7 +12,7 @@
 
 from result import Err
 
-from pomeloarch_cli.arguments import seconds, whole_number
+from pomeloarch_cli.arguments import object_name, seconds, whole_number
 from pomeloarch_cli.client import NodeClient
 from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
 from pomeloarch_cli.formats import (
@@ -31,7 +31,7 @@
 )
 from pomeloarch_cli.sources import read_sources
 from pomeloarch_core.ids import Generation
-from pomeloarch_core.objects import SourceText, check_documents
+from pomeloarch_core.objects import SourceText, check_documents, parse_documents
 
 _POLL_S = 0.1
 
@@ -50,7 +50,19 @@
         formatter_class=argparse.RawDescriptionHelpFormatter,
         parents=parents,
     )
-    publish.add_argument("paths", nargs="+", metavar="PATH", help="as in check")
+    publish.add_argument("paths", nargs="*", metavar="PATH", help="as in check")
+    publish.add_argument(
+        "--edit",
+        action="store_true",
+        help="the files hold only the objects to change; all others stay",
+    )
+    publish.add_argument(
+        "--remove",
+        action="append",
+        type=object_name,
+        metavar="KIND/NAME",
+        help="with --edit: an object to remove; may be given more than once",
+    )
     publish.set_defaults(run=_publish)
     rollback = commands.add_parser(
         "rollback",
@@ -104,15 +116,23 @@
 
 async def _publish(args: argparse.Namespace) -> ExitCode:
     out = output_of(args)
+    if args.remove and not args.edit:
+        return out.usage("publish: --remove goes with --edit")
+    if not args.paths and not args.remove:
+        return out.usage("publish: give PATH..., or --edit with --remove")
     sources = read_sources(args.paths)
     if isinstance(sources, Err):
         return out.usage("; ".join(sources.err_value))
-    checked = check_documents(sources.ok_value)
+    # What edits would cross with the rest of the set, the node checks.
+    read = parse_documents if args.edit else check_documents
+    checked = read(sources.ok_value)
     if isinstance(checked, Err):
         findings = checked.err_value
         out.result(finding_lines(findings), {"findings": findings})
         return ExitCode.REFUSED
     body = _body(args, documents=_documents(sources.ok_value))
+    if args.edit:
+        body["removed"] = args.remove or []
     return await _send(args, out, body)
 
 
--- a/packages/pomeloarch-cli/tests/test_cli_nodes.py
+++ b/packages/pomeloarch-cli/tests/test_cli_nodes.py
@@ -163,6 +163,7 @@
         ["no-such-command"],
         ["check"],
         ["publish", "x"],
+        ["publish", "--why", "x", "--edit", "--remove", "organisation"],
         ["history", "--format", "xml"],
         ["rollback", "one", "--why", "x"],
         ["history", "--node", "ftp://127.0.0.1"],
--- a/packages/pomeloarch-cli/tests/test_cli_publishing.py
+++ b/packages/pomeloarch-cli/tests/test_cli_publishing.py
@@ -134,6 +134,24 @@
     assert "organisation/qasr: changed by" in printed.out
 
 
+def test_an_edit_changes_and_removes_only_what_it_names(run, tmp_path):
+    edit = tmp_path / "edit.toml"
+    edit.write_text('[[organisation]]\nname = "buyers"\nweight = 9.0\n')
+    first, second, third = run(
+        publish(QASR),
+        publish(edit, "--edit", "--remove", "guaranteed_shape/buyer-seat"),
+        publish(edit, "--edit", "--remove", "job_class/urgent"),
+    )
+    assert (first[0], second[0]) == (ExitCode.OK, ExitCode.OK)
+    assert second[1].out.splitlines()[:3] == [
+        "published generation 2",
+        "  set organisation/buyers",
+        "  remove guaranteed_shape/buyer-seat",
+    ]
+    assert third[0] == ExitCode.REFUSED
+    assert "service/scorer: refers to job_class/urgent" in third[1].out
+
+
 def test_findings_are_printed_with_their_places(run, tmp_path):
     broken = copy_with(tmp_path, 'job_class = "urgent"', 'job_class = "urgnt"')
     code, printed = run(publish(broken))[0]
--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
@@ -16,8 +16,10 @@
 
 from pomeloarch_core.ids import Generation, NodeId, PublicationId
 from pomeloarch_core.objects.check import check_documents
-from pomeloarch_core.objects.findings import Places, SourceText
+from pomeloarch_core.objects.findings import Finding, Places, SourceText
+from pomeloarch_core.objects.keys import ObjectKey
 from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_core.objects.parser import ParsedObjects, parse_documents
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.operators_audit import AuditTrail
@@ -138,11 +140,7 @@
             return Err(RequestRefused("bad_request", message))
         if body.rollback_to is not None:
             return await self._rollback(body, origin, body.rollback_to)
-        texts = [
-            SourceText(document.path, document.text.encode(errors="replace"))
-            for document in body.documents or ()
-        ]
-        parsed = await asyncio.to_thread(check_documents, texts)
+        parsed = await asyncio.to_thread(_parsed, body)
         if isinstance(parsed, Err):
             return Err(ObjectsRefused(tuple(parsed.err_value)))
         return Ok(
@@ -154,6 +152,7 @@
                 who=body.who,
                 why=body.why,
                 origin=origin,
+                removed=_keys(body.removed),
             )
         )
 
@@ -259,6 +258,21 @@
         return bad_request("bad_request", f"the body is not valid: {exc}")
 
 
+def _parsed(body: PublishBody) -> Result[ParsedObjects, list[Finding]]:
+    """Reads the documents; a whole set is checked at once."""
+    texts = [
+        SourceText(document.path, document.text.encode(errors="replace"))
+        for document in body.documents or ()
+    ]
+    if body.removed is None:
+        return check_documents(texts)
+    return parse_documents(texts)
+
+
+def _keys(names: tuple[str, ...] | None) -> tuple[ObjectKey, ...] | None:
+    return None if names is None else tuple(map(ObjectKey.from_text, names))
+
+
 def _origin(request: Request, claimed: str) -> str:
     address = request.client.host if request.client else "unknown"
     return f"{address} ({claimed})" if claimed else address
--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_messages.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_messages.py
@@ -19,6 +19,9 @@
 
 _Text = Annotated[str, msgspec.Meta(min_length=1, max_length=500)]
 _Id = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$")]
+ObjectName = Annotated[
+    str, msgspec.Meta(pattern=r"^[a-z_]{1,40}/[a-z0-9][a-z0-9-]{0,62}$")
+]
 _Number = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -39,7 +42,10 @@
       origin: the host that the operator works on.
       base: the generation that the documents were made from; None stands
         for the one in force.
-      documents: files that together are the whole set.
+      documents: files that together are the whole set, or the objects to
+        change when `removed` is given.
+      removed: objects to remove, as `kind/name`; with it, objects that are
+        in no document stay as they are.
       rollback_to: publish the objects of this generation again, in place
         of documents.
     """
@@ -50,6 +56,7 @@
     origin: Annotated[str, msgspec.Meta(max_length=200)] = ""
     base: _Number | None = None
     documents: tuple[Document, ...] | None = None
+    removed: tuple[ObjectName, ...] | None = None
     rollback_to: _Number | None = None
 
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/publication_attempt.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/publication_attempt.py
@@ -9,9 +9,9 @@
 
 from pomeloarch_core.ids import Generation
 from pomeloarch_core.objects.check import check
-from pomeloarch_core.objects.delta import Change, difference, select
+from pomeloarch_core.objects.delta import difference, select
 from pomeloarch_core.objects.findings import Finding, Places
-from pomeloarch_core.objects.keys import ObjectKey, by_key
+from pomeloarch_core.objects.keys import ObjectKey
 from pomeloarch_core.objects.model import ObjectSet, Snapshot
 from pomeloarch_core.objects.rebase import rebase
 from pomeloarch_node.platform import (
@@ -21,23 +21,19 @@
     PlatformError,
     PlatformFailure,
     Row,
-    Write,
 )
+from pomeloarch_node.publication_rows import rows_of
 from pomeloarch_node.publication_store import (
     PublicationStore,
     head_of,
-    record_key,
 )
 from pomeloarch_node.publications import (
     CONFIG_TABLE,
     HEAD_KEY,
     MAX_OBJECTS_PER_PUBLICATION,
-    OBJECTS_TABLE,
     PUBLICATION_IDS_TABLE,
-    PUBLICATIONS_TABLE,
     ConflictingEdit,
     EditsConflict,
-    Head,
     ObjectsRefused,
     PublicationIdRow,
     PublicationRecord,
@@ -162,7 +158,8 @@
         if isinstance(base, Err):
             return base
         base_generation, base_objects = base.ok_value
-        rebased = rebase(base_objects, self._request.objects, head.objects)
+        wanted = self._request.wanted(base_objects)
+        rebased = rebase(base_objects, wanted, head.objects)
         if isinstance(rebased, Err):
             return await self._conflict(
                 rebased.err_value, base_generation, head.generation
@@ -240,7 +237,7 @@
             after=change.changed,
         )
         answer = await self._platform.transact(
-            _checks(rows, record), self._writes(record, change)
+            _checks(rows), rows_of(record, change, self._request.content_hash())
         )
         if isinstance(answer, Err):
             return Err(self._not_written(answer.err_value))
@@ -256,42 +253,11 @@
             self.in_doubt = True
         return TryAgain(failure)
 
-    def _writes(self, record: PublicationRecord, change: Change) -> list[Write]:
-        id_row = PublicationIdRow(
-            record.generation, self._request.content_hash()
-        )
-        head = Head(record.generation, record.publication)
-        writes = [
-            Write(OBJECTS_TABLE, str(key), msgspec.to_builtins(item))
-            for key, item in by_key(change.changed).items()
-        ]
-        writes += [
-            Write(OBJECTS_TABLE, str(key), None) for key in change.removed
-        ]
-        return [
-            *writes,
-            Write(
-                PUBLICATIONS_TABLE,
-                record_key(record.generation),
-                msgspec.to_builtins(record),
-            ),
-            Write(
-                PUBLICATION_IDS_TABLE,
-                record.publication,
-                msgspec.to_builtins(id_row),
-            ),
-            Write(CONFIG_TABLE, HEAD_KEY, msgspec.to_builtins(head)),
-        ]
-
 
-def _checks(rows: _Rows, record: PublicationRecord) -> list[Check]:
+def _checks(rows: _Rows) -> list[Check]:
     return [
-        Check(CONFIG_TABLE, HEAD_KEY, rows.head.version),
-        Check(
-            PUBLICATION_IDS_TABLE,
-            record.publication,
-            rows.publication_id.version,
-        ),
+        Check(row.table, row.key, row.version)
+        for row in (rows.head, rows.publication_id)
     ]
 
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/publications.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/publications.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from pomeloarch_core.ids import Generation, NodeId, PublicationId
-from pomeloarch_core.objects.delta import Change, Delta
+from pomeloarch_core.objects.delta import Change, Delta, apply_change
 from pomeloarch_core.objects.findings import Finding, Places
 from pomeloarch_core.objects.keys import ObjectKey, by_key
 from pomeloarch_core.objects.model import ObjectSet
@@ -103,13 +103,14 @@
 
     Attributes:
       publication: the operator's id of it, the same in every retry.
-      objects: the whole set that is wanted.
+      objects: the whole set that is wanted, or the objects to change.
       places: where the objects stand in the operator's files.
       base: the generation that the operator's files started from; None
         stands for the one in force when the request arrives.
       who: the operator.
       why: the operator's reason.
       origin: the address that it came from.
+      removed: objects to remove; with None, `objects` is the whole set.
       rolled_back_to: the generation that a rollback goes back to.
     """
 
@@ -120,11 +121,18 @@
     who: str
     why: str
     origin: str
+    removed: tuple[ObjectKey, ...] | None = None
     rolled_back_to: Generation | None = None
 
+    def wanted(self, base: ObjectSet) -> ObjectSet:
+        """Returns the whole set that is wanted by one who started from base."""
+        if self.removed is None:
+            return self.objects
+        return apply_change(base, Change(self.objects, self.removed))
+
     def content_hash(self) -> str:
         """Returns a hash of what the request asks for."""
-        asked = msgspec.json.encode([self.objects, self.base])
+        asked = msgspec.json.encode([self.objects, self.removed, self.base])
         return hashlib.sha256(asked).hexdigest()
 
 
