Write intents before all other records; measure the job plane

Cause: a takeover of 7,280 running jobs rewrites each record, and an urgent start then waited behind them: 1,999 records of a state other than 'cancelled' before it, at 50 a second, kept it from being written within the second that the test allows (two of three cases failed first).

Change: three kinds of writes, each leaving tokens to those before it. Measured suite 'jobs': platform use, takeovers and heartbeats.

--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
@@ -2,18 +2,34 @@
 
 from __future__ import annotations
 
+import enum
+
+
+class WriteKind(enum.IntEnum):
+    """How long a write may wait; the lowest goes first."""
+
+    START = 0
+    CHANGE = 1
+    CLEAN_UP = 2
+
 
 class WriteBudget:
-    """A token bucket of which the last tokens are kept for urgent writes.
+    """A token bucket of which the last tokens are kept for hasty writes.
 
     Args:
       per_s: writes a second.
       burst: writes at once after a quiet time.
-      kept: writes of the burst that only urgent ones may take.
+      kept: for each kind the tokens that it leaves to those before it.
       now: the present time, in seconds.
     """
 
-    def __init__(self, per_s: float, burst: int, kept: int, now: float) -> None:
+    def __init__(
+        self,
+        per_s: float,
+        burst: int,
+        kept: dict[WriteKind, int],
+        now: float,
+    ) -> None:
         """Starts with a full bucket."""
         self._per_s = per_s
         self._burst = burst
@@ -21,11 +37,10 @@
         self._tokens = float(burst)
         self._at = now
 
-    def available(self, now: float, *, urgent: bool) -> int:
-        """Returns how many rows may be written right now."""
+    def available(self, kind: WriteKind, now: float) -> int:
+        """Returns how many rows of a kind may be written right now."""
         self._refill(now)
-        kept = 0 if urgent else self._kept
-        return max(0, int(self._tokens) - kept)
+        return max(0, int(self._tokens) - self._kept.get(kind, 0))
 
     def take(self, rows: int, now: float) -> None:
         """Counts rows that are written."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_records.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_records.py
@@ -25,7 +25,7 @@
     Row,
     Write,
 )
-from pomeloarch_node.scheduler_budget import WriteBudget
+from pomeloarch_node.scheduler_budget import WriteBudget, WriteKind
 from pomeloarch_node.scheduler_tenure import Tenure
 
 WINDOW_S = 0.02
@@ -33,10 +33,13 @@
 _BUDGET_PAUSE_S = 0.05
 _FIRST_PAUSE_S = 0.1
 _LONGEST_PAUSE_S = 2.0
-# Ends that nobody waits for; the rest are starts or free accelerators.
-_PATIENT_STATES = frozenset(
-    {JobState.CANCELLED, JobState.REFUSED, JobState.STOPPING}
-)
+# A start waits for its intent. An end that nobody waits for goes last.
+_KINDS = {
+    JobState.STARTING: WriteKind.START,
+    JobState.CANCELLED: WriteKind.CLEAN_UP,
+    JobState.REFUSED: WriteKind.CLEAN_UP,
+    JobState.STOPPING: WriteKind.CLEAN_UP,
+}
 
 Outcome = RecordWritten | RecordNotWritten
 
@@ -76,14 +79,15 @@
         self._emit = emit
         self._metrics = metrics
         self._versions: dict[JobId, int] = {}
-        self._urgent: deque[JobRecord] = deque()
-        self._patient: deque[JobRecord] = deque()
+        self._queues: dict[WriteKind, deque[JobRecord]] = {
+            kind: deque() for kind in WriteKind
+        }
         self._wake = asyncio.Event()
 
     @property
     def backlog(self) -> int:
         """Records that wait to be written without haste."""
-        return len(self._patient)
+        return len(self._queues[WriteKind.CLEAN_UP])
 
     def knows(self, job_id: JobId) -> bool:
         """Whether the version of a job's row is known."""
@@ -95,8 +99,7 @@
 
     def put(self, record: JobRecord) -> None:
         """Takes a record to write; its outcome is emitted later."""
-        patient = record.state in _PATIENT_STATES
-        (self._patient if patient else self._urgent).append(record)
+        self._queue_of(record).append(record)
         self._wake.set()
 
     async def run(self) -> None:
@@ -120,11 +123,10 @@
 
     def _next_batch(self, now: float) -> list[JobRecord]:
         batch: dict[JobId, JobRecord] = {}
-        room = self._budget.available(now, urgent=True)
-        _move(self._urgent, batch, min(MAX_BATCH, room))
-        room = self._budget.available(now, urgent=False)
-        _move(self._patient, batch, min(MAX_BATCH, room))
-        if not self._urgent and not self._patient:
+        for kind, queue in self._queues.items():
+            room = self._budget.available(kind, now)
+            _move(queue, batch, min(MAX_BATCH, room))
+        if not any(self._queues.values()):
             self._wake.clear()
         return list(batch.values())
 
@@ -180,13 +182,15 @@
             del self._versions[record.spec.job_id]
         self._emit(RecordWritten(record))
 
+    def _queue_of(self, record: JobRecord) -> deque[JobRecord]:
+        return self._queues[_KINDS.get(record.state, WriteKind.CHANGE)]
+
     def _version(self, record: JobRecord) -> int:
         return self._versions.get(record.spec.job_id, 0)
 
     def _put_back(self, batch: list[JobRecord]) -> None:
         for record in reversed(batch):
-            patient = record.state in _PATIENT_STATES
-            (self._patient if patient else self._urgent).appendleft(record)
+            self._queue_of(record).appendleft(record)
         if batch:
             self._wake.set()
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -26,7 +26,7 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Check, PlatformClient
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
-from pomeloarch_node.scheduler_budget import WriteBudget
+from pomeloarch_node.scheduler_budget import WriteBudget, WriteKind
 from pomeloarch_node.scheduler_cancels import CancelReader
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_inbox import JobInbox
@@ -38,7 +38,7 @@
 
 WRITES_PER_S = 80.0
 WRITES_BURST = 80
-WRITES_KEPT = 40
+WRITES_KEPT = {WriteKind.CHANGE: 20, WriteKind.CLEAN_UP: 40}
 _RETRY_PAUSE_S = 0.5
 _WORKERS_TIMEOUT_S = 10.0
 
--- a/packages/pomeloarch-node/tests/test_scheduler_records.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_records.py
@@ -13,7 +13,7 @@
 from pomeloarch_core.ids import Epoch
 from pomeloarch_node.job_records import decode_record, encode
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.scheduler_budget import WriteBudget
+from pomeloarch_node.scheduler_budget import WriteBudget, WriteKind
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_records import RecordWriter
 from pomeloarch_node.scheduler_tenure import Tenure
@@ -21,6 +21,8 @@
 from pomeloarch_standins.fake_platform import FakePlatform, Fault
 from pomeloarch_standins.job_fakes import FakeRole
 
+KEPT = {WriteKind.CHANGE: 10, WriteKind.CLEAN_UP: 20}
+
 
 def record(number=0, state=JobState.STARTING, epoch=1):
     spec = JobSpec(f"patan-{number:04d}", "desk", "scan", 1, 1)
@@ -30,12 +32,12 @@
 class Holder:
     """A holder of the role with its writer."""
 
-    def __init__(self, platform, epoch=1, per_s=1000.0, burst=100, kept=20):
+    def __init__(self, platform, epoch=1, per_s=1000.0, burst=100):
         self.platform = platform
         self.role = FakeRole()
         self.role.set(epoch)
         self.tenure = Tenure(self.role, Epoch(epoch))
-        self.budget = WriteBudget(per_s, burst, kept, 0.0)
+        self.budget = WriteBudget(per_s, burst, KEPT, 0.0)
         self.outcomes = []
 
     async def begin(self):
@@ -191,12 +193,15 @@
     assert run(main) == (0, [])
 
 
-def test_a_wave_of_ends_leaves_writes_for_starts_and_keeps_the_budget():
+@pytest.mark.parametrize(
+    "state", [JobState.CANCELLED, JobState.RUNNING, JobState.SUCCEEDED]
+)
+def test_a_wave_of_writes_leaves_room_for_starts_and_keeps_the_budget(state):
     async def main():
         platform = FakePlatform()
         holder = await Holder(platform, per_s=50.0).begin()
         for number in range(2000):
-            holder.writer.put(record(number, JobState.CANCELLED))
+            holder.writer.put(record(number, state))
         await asyncio.sleep(10.0)
         began = asyncio.get_running_loop().time()
         holder.writer.put(record(9000))
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_jobs.py
@@ -0,0 +1,306 @@
+"""Measures the job plane: platform use, takeovers and heartbeats.
+
+Platform use and takeovers run whole nodes on fakes in virtual time, so that
+their waits are the product's own; processor time is the real one. Heartbeats
+go over HTTP on the loopback interface.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+import time
+from collections.abc import Iterable, Iterator
+
+import aiohttp
+import msgspec
+import uvicorn
+from result import Ok
+
+from pomeloarch_core.gang import ZoneScheduler
+from pomeloarch_core.gang.messages import (
+    JobRecord,
+    JobSpec,
+    JobState,
+    Member,
+    OrderKind,
+    TaskReport,
+    TaskState,
+    WorkerOrder,
+)
+from pomeloarch_core.ids import (
+    AttemptId,
+    Epoch,
+    JobClassName,
+    JobId,
+    NodeId,
+    OrganisationName,
+    PoolName,
+    ZoneName,
+)
+from pomeloarch_core.objects.model import (
+    AvailabilityZone,
+    JobClass,
+    ObjectSet,
+    Organisation,
+    Snapshot,
+    Urgency,
+    WorkerPool,
+)
+from pomeloarch_node.job_records import encode
+from pomeloarch_node.worker_client import (
+    HttpWorkerClient,
+    OrdersAnswer,
+    OrdersRequest,
+)
+from pomeloarch_standins import virtual_time
+from pomeloarch_standins.job_bench import BenchNode, ZoneBench
+from pomeloarch_standins.measure import MeasureRow
+from pomeloarch_standins.worker_fleet import WorkerFleet, worker_hosts
+from pomeloarch_standins.workers import WorkersApp
+
+FLEETS = (24, 240, 1456)
+TASKS_A_WORKER = 5
+_HOSTS_PER_RACK = 8
+_JOBS = 60
+_IDLE_S = 60.0
+_HEARTBEATS = 2_000
+_WARM_UP = 200
+_TAKEOVER_TIMEOUT_S = 120.0
+_LEASE_S = 600.0
+_LOOK_S = 0.01
+
+
+def rows(seeds: Iterable[int]) -> Iterator[MeasureRow]:
+    """Yields the measurements of the job plane."""
+    for seed in seeds:
+        yield from _platform_use(seed)
+        yield from _takeovers(seed)
+        yield from _heartbeats(seed)
+
+
+def _row(
+    measure: str, case: str, seed: int, value: float, unit: str
+) -> MeasureRow:
+    return MeasureRow(measure, case, "product", seed, value, unit)
+
+
+def _snapshot(workers: int) -> Snapshot:
+    pool = WorkerPool(
+        name=PoolName("patan"),
+        availability_zone=ZoneName("patan"),
+        racks=workers // _HOSTS_PER_RACK,
+        hosts_per_rack=_HOSTS_PER_RACK,
+        accelerators_per_host=8,
+        cores_per_host=128,
+        memory_gb_per_host=512,
+    )
+    objects = ObjectSet(
+        availability_zone=(AvailabilityZone(ZoneName("patan"), "valley"),),
+        worker_pool=(pool,),
+        organisation=(Organisation(OrganisationName("desk")),),
+        job_class=(JobClass(JobClassName("scan"), Urgency.URGENT),),
+    )
+    return Snapshot(1, "p1", objects)  # type: ignore[arg-type]
+
+
+def _bench(workers: int) -> ZoneBench:
+    return ZoneBench(
+        _snapshot(workers),
+        ZoneScheduler.from_config,
+        racks=workers // _HOSTS_PER_RACK,
+        hosts_per_rack=_HOSTS_PER_RACK,
+    )
+
+
+# ---- platform use
+
+
+def _platform_use(seed: int) -> Iterator[MeasureRow]:
+    reads_per_s, writes_per_s, a_job, wait_s = virtual_time.run(_serve(seed))
+    case = f"24 workers, {_JOBS} jobs"
+    yield _row(
+        "platform reads, idle zone", "24 workers", seed, reads_per_s, "1/s"
+    )
+    yield _row(
+        "platform writes, idle zone", "24 workers", seed, writes_per_s, "1/s"
+    )
+    yield _row("platform writes a job", case, seed, a_job, "rows")
+    yield _row("accepted to running, p99", case, seed, wait_s, "s")
+
+
+async def _serve(seed: int) -> tuple[float, float, float, float]:
+    rng = random.Random(seed)
+    bench = _bench(24)
+    node = bench.node("n1", 1)
+    await asyncio.sleep(5.0)
+    reads, writes = bench.platform.reads, bench.platform.written
+    await asyncio.sleep(_IDLE_S)
+    idle_reads = (bench.platform.reads - reads) / _IDLE_S
+    idle_writes = (bench.platform.written - writes) / _IDLE_S
+    writes = bench.platform.written
+    waits_s = await asyncio.gather(
+        *(
+            _submit_and_wait(bench, node, rng.uniform(0.0, 30.0))
+            for _ in range(_JOBS)
+        )
+    )
+    await bench.until("succeeded")
+    a_job = (bench.platform.written - writes) / _JOBS
+    return idle_reads, idle_writes, a_job, sorted(waits_s)[-1]
+
+
+async def _submit_and_wait(
+    bench: ZoneBench, node: BenchNode, after_s: float
+) -> float:
+    await asyncio.sleep(after_s)
+    answer = await node.submit(
+        key=str(after_s), organisation="desk", job_class="scan"
+    )
+    job_id = answer.json()["job_id"]
+    return await bench.until("running", job_ids=[job_id], look_s=0.01)
+
+
+# ---- takeovers
+
+
+def _takeovers(seed: int) -> Iterator[MeasureRow]:
+    for workers in FLEETS:
+        took_s, cpu_s, reads, writes = virtual_time.run(_take_over(workers))
+        case = f"{workers} workers, {workers * TASKS_A_WORKER} jobs"
+        yield _row("takeover, waits", case, seed, took_s, "s")
+        yield _row("takeover, processor", case, seed, cpu_s, "s")
+        yield _row("takeover, platform reads", case, seed, reads, "calls")
+        yield _row("takeover, platform writes", case, seed, writes, "rows")
+
+
+async def _take_over(workers: int) -> tuple[float, float, int, int]:
+    bench = _bench(workers)
+    for worker_id in bench.fleet.workers:
+        _occupy(bench, worker_id)
+    jobs = workers * TASKS_A_WORKER
+    node = bench.node("n1")
+    await asyncio.sleep(1.0)
+    reads, writes = bench.platform.reads, bench.platform.written
+    began, began_cpu = bench.now(), time.process_time()
+    node.role.set(2)
+    running = 0
+    while running < jobs and bench.now() - began < _TAKEOVER_TIMEOUT_S:
+        await asyncio.sleep(0.1)
+        status = node.scheduler.status()
+        running = status.get("jobs", {}).get("running", 0)
+    return (
+        bench.now() - began,
+        time.process_time() - began_cpu,
+        bench.platform.reads - reads,
+        bench.platform.written - writes,
+    )
+
+
+def _occupy(bench: ZoneBench, worker_id: str) -> None:
+    """Puts running jobs of one accelerator each on a worker."""
+    worker = bench.fleet.workers[worker_id]
+    orders = []
+    for number in range(TASKS_A_WORKER):
+        job_id = JobId(f"patan-{worker_id}{number}")
+        attempt = AttemptId(f"{job_id}.1.1")
+        spec = JobSpec(
+            job_id,
+            OrganisationName("desk"),
+            JobClassName("scan"),
+            1,
+            1,
+            command="run_s=36000",
+        )
+        place = Member(worker.info.worker_id, (number,))
+        record = JobRecord(
+            spec, JobState.RUNNING, attempt, 1, Epoch(1), (place,)
+        )
+        bench.platform.put("jobs/patan", job_id, encode(record))
+        for kind in (OrderKind.RESERVE, OrderKind.START):
+            orders.append(
+                WorkerOrder(
+                    worker.info.worker_id,
+                    kind,
+                    Epoch(1),
+                    job_id,
+                    attempt,
+                    0,
+                    (number,),
+                    1.0,
+                    command=spec.command,
+                )
+            )
+    req = OrdersRequest(Epoch(1), NodeId("n0"), _LEASE_S, tuple(orders))
+    worker.handle(req, 0.0)
+
+
+# ---- heartbeats
+
+
+def _heartbeats(seed: int) -> Iterator[MeasureRow]:
+    case = f"{TASKS_A_WORKER} tasks a worker"
+    sent, received = _body_sizes()
+    yield _row("heartbeat body sent", case, seed, sent, "bytes")
+    yield _row("heartbeat body received", case, seed, received, "bytes")
+    cpu_us = asyncio.run(_heartbeat_cpu_us())
+    yield _row("heartbeat, processor of the node", case, seed, cpu_us, "us")
+
+
+def _body_sizes() -> tuple[int, int]:
+    req = OrdersRequest(Epoch(7), NodeId("patan-1"), 6.0)
+    task = TaskReport(
+        AttemptId("patan-018bcfe56be89cdd929c85e8d4411d2e.7.1"),
+        0,
+        TaskState.RUNNING,
+    )
+    answer = OrdersAnswer((), (task,) * TASKS_A_WORKER, Epoch(7))
+    return len(msgspec.json.encode(req)), len(msgspec.json.encode(answer))
+
+
+async def _heartbeat_cpu_us() -> float:
+    """Returns the processor time of one heartbeat, in microseconds.
+
+    The worker runs on a thread of its own, which is not counted.
+    """
+    fleet = WorkerFleet.from_hosts(
+        worker_hosts("127.0.0.1:1", ["patan"], hosts_per_rack=1)
+    )
+    server = uvicorn.Server(
+        uvicorn.Config(
+            WorkersApp(fleet).app(),
+            host="127.0.0.1",
+            port=0,
+            loop="asyncio",
+            log_level="warning",
+            access_log=False,
+        )
+    )
+    thread = threading.Thread(target=server.run, daemon=True)
+    thread.start()
+    await asyncio.to_thread(_wait_for, server)
+    port = server.servers[0].sockets[0].getsockname()[1]
+    address = f"127.0.0.1:{port}/patan-r1-w1"
+    try:
+        async with aiohttp.ClientSession() as session:
+            return await _time_heartbeats(HttpWorkerClient(session), address)
+    finally:
+        server.should_exit = True
+        thread.join()
+
+
+async def _time_heartbeats(client: HttpWorkerClient, address: str) -> float:
+    req = OrdersRequest(Epoch(7), NodeId("patan-1"), 6.0)
+    began = 0.0
+    for number in range(_WARM_UP + _HEARTBEATS):
+        if number == _WARM_UP:
+            began = time.thread_time()
+        answer = await client.post(address, req)
+        assert isinstance(answer, Ok), answer
+    return (time.thread_time() - began) / _HEARTBEATS * 1e6
+
+
+def _wait_for(server: uvicorn.Server) -> None:
+    while not server.started:
+        time.sleep(_LOOK_S)
