Show that an older holder begins no attempt during a takeover

Cause: with the fence raised only after the rows were read, all tests passed.

Change: a test in which only the older holder reaches the worker it would use, and writes its intent between the successor's read and its fence. With the order turned round it fails: the job, which may run once, was started under both epochs. With the fence first it passes.

--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -196,6 +196,37 @@
         assert state == "succeeded"
 
 
+def test_an_older_holder_begins_no_attempt_during_a_takeover():
+    async def main(bench):
+        old = bench.node("n1", 1)
+        new = bench.node("n2")
+        await asyncio.sleep(1.0)
+        # Only the older one reaches the worker on which it would start the
+        # job, and it hears of no newer epoch from the others.
+        new.client.faults["patan-r1-w1"] = FaultMode.STALL
+        for number in range(2, 9):
+            old.client.faults[f"patan-r1-w{number}"] = FaultMode.STALL
+        bench.platform.delay_s = 1.0
+        held_back_until_s = bench.now() + 3.0
+
+        def hold_back(checks, writes):
+            epochs = {(write.value or {}).get("epoch") for write in writes}
+            if 1 in epochs and bench.now() < held_back_until_s:
+                return Fault.REFUSE
+            return None
+
+        bench.platform.on_transact = hold_back
+        await submit(old, SCAN, idempotent=False, command="run_s=60")
+        await asyncio.sleep(held_back_until_s - 0.2 - bench.now())
+        new.role.set(2)
+        await bench.until("running", "unknown", timeout_s=60.0)
+        await asyncio.sleep(30.0)
+        check_promises(bench)
+        return bench.fleet.ledger.counts(bench.now()).starts
+
+    assert list(run(main).values()) == [1]
+
+
 # ---- the platform and the workers fail
 
 
