--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
@@ -23,6 +23,8 @@
 _SEEN_PER_PASS = 512
 _BLOCKED_KEYS = 10_000
 _PROBE_CANDIDATES = 64
+# Without any change, the queue is looked at again so often.
+_PASS_EVERY_S = 1.0
 
 
 class Dispatcher:
@@ -69,6 +71,7 @@
         self._tries = 0
         self._seen = 0
         self._skip = 0
+        self._last_state = (-1, -1, -1, -1)
         self.dirty = False
 
     def reset(self) -> None:
@@ -78,6 +81,14 @@
 
     def run(self, now: float) -> None:
         """Places what can be placed; `dirty` says whether to go on."""
+        state = (
+            self._fleet.version,
+            self._shares.version,
+            self._queue.version,
+            int(now / _PASS_EVERY_S),
+        )
+        if state == self._last_state and not self.dirty:
+            return
         self.dirty = False
         self._reservations.check(now)
         self._tries, self._seen = _TRIES_PER_PASS, _SEEN_PER_PASS
@@ -88,6 +99,12 @@
         else:
             self.dirty = self._tries <= 0
             self._skip += _SEEN_PER_PASS - max(0, self._seen)
+        self._last_state = (
+            self._fleet.version,
+            self._shares.version,
+            self._queue.version,
+            state[3],
+        )
 
     def _place_one(self, now: float) -> bool:
         for job in self._claimants():
@@ -124,7 +141,7 @@
 
     def _try_claim(self, job: Job, now: float) -> bool:
         key = ("claim", job.spec.organisation, *self._shape_key(job))
-        if self._is_blocked(key, job):
+        if self._is_blocked(key, job, now):
             return False
         if self._shares.team_quota_left(job) < job.size:
             job.waits_for = "its team's quota"
@@ -141,14 +158,15 @@
         if self._shares.quota_left(job) < job.size:
             job.waits_for = "its quota"
             return False
-        admitted = self._reservations.admits(job, now)
-        key = (admitted, job.spec.job_class, *self._shape_key(job))
+        admitting = self._reservations.admitting(job, now)
+        names = tuple(made.job.job_id for made in admitting)
+        key = (names, job.spec.job_class, *self._shape_key(job))
         wanted = self._reservations.wants(job, now)
-        if self._is_blocked(key, job) and not wanted:
+        if self._is_blocked(key, job, now) and not wanted:
             return False
         self._tries -= 1
-        with self._reservations.opened_for(job, now):
-            place = self._placer.place(job)
+        with self._reservations.opened(admitting):
+            place = self._placer.place(job, now)
         if place is None:
             place = self._compact(job, now)
         if place is None:
@@ -162,11 +180,11 @@
         """Reserves workers for a large gang, or makes it start earlier."""
         if self._reservations.wants(job, now):
             self._reservations.make(job, now)
-        current = self._reservations.current
-        if current is None or current.job is not job:
+        made = self._reservations.of(job)
+        if made is None:
             return None
-        job.expected_at = current.start_at
-        return self._placer.compact(job, current.start_at, now)
+        job.expected_at = made.start_at
+        return self._placer.compact(job, made.workers, made.start_at, now)
 
     def probe(self, worker: Worker, now: float) -> Job | None:
         """Places safe work on a quarantined worker: it may be lost.
@@ -200,15 +218,16 @@
             job.preemptible,
         )
 
-    def _is_blocked(self, key: object, job: Job) -> bool:
+    def _is_blocked(self, key: object, job: Job, now: float) -> bool:
         """Whether the same need failed since capacity last came up."""
         if job.failed_on:
             return False
         before = self._blocked.get(key)
         if before is None or before[0] != self._fleet.version:
             return False
-        if job.urgent or self._shares.below_floor(job.spec.job_class):
-            return before[1] == self._shares.version
+        if self._placer.may_evict_now(job, now):
+            # A class below its floor is tried in each pass.
+            return job.urgent and before[1] == self._shares.version
         return True
 
     def _block(self, key: object, job: Job) -> None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/fleet.py
@@ -38,6 +38,8 @@
         no guaranteed shape of theirs.
       reserved: accelerators that the witness assigns to guaranteed shapes.
       borrowed: accelerators of tenants that urgent work may preempt.
+      borrowed_urgent: accelerators of urgent tenants that may be preempted
+        for the floor of another class.
     """
 
     def __init__(self, info: WorkerInfo, *, listed: bool = True) -> None:
@@ -55,6 +57,7 @@
         self.fixed = 0
         self.reserved = 0
         self.borrowed = 0
+        self.borrowed_urgent = 0
 
     @property
     def worker_id(self) -> WorkerId:
@@ -112,6 +115,8 @@
             self.fixed += delta
         elif standing is Standing.BORROWED:
             self.borrowed += delta
+        elif standing is Standing.BORROWED_URGENT:
+            self.borrowed_urgent += delta
 
     def free_accelerators(self) -> Iterator[int]:
         """Yields the accelerators that nobody holds, lowest first."""
@@ -127,6 +132,8 @@
       room: accelerators to which a guaranteed shape could be assigned.
       evictable: free or held by work that urgent work may preempt.
       evictable_unclaimed: evictable ones outside the witness.
+      yielding: free or held by any work that may be preempted, also urgent.
+      yielding_unclaimed: yielding ones outside the witness.
     """
 
     def __init__(self) -> None:
@@ -136,6 +143,8 @@
         self.room = CapacityIndex()
         self.evictable = CapacityIndex()
         self.evictable_unclaimed = CapacityIndex()
+        self.yielding = CapacityIndex()
+        self.yielding_unclaimed = CapacityIndex()
 
     def update(self, worker: Worker) -> bool:
         """Takes a worker's values in; returns whether any of them grew."""
@@ -143,12 +152,16 @@
         free = worker.free if worker.usable else 0
         evictable = free + (worker.borrowed if worker.usable else 0)
         offered = 0 if worker.fenced else free
+        yielding = 0 if worker.fenced else evictable + worker.borrowed_urgent
+        yielding = yielding if worker.usable else 0
         values = (
             (self.free, offered),
             (self.unclaimed, min(offered, room)),
             (self.room, room if worker.trusted else 0),
             (self.evictable, evictable),
             (self.evictable_unclaimed, min(evictable, room)),
+            (self.yielding, yielding),
+            (self.yielding_unclaimed, min(yielding, room)),
         )
         key, rack = worker.worker_id, worker.info.rack
         grew = [index.set(key, rack, value) for index, value in values]
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
@@ -100,6 +100,8 @@
         workers = [member.worker_id for member in job.placement]
         self._fleet.restand(job.job_id, workers, job.standing, standing)
         job.standing = standing
+        if standing is Standing.LEAVING:
+            self._shares.leave(job)
 
     def reclassify(self, job: Job) -> None:
         """Books a job anew whose class has changed."""
@@ -136,6 +138,8 @@
         if not job.placement:
             return []
         self._shares.add(job, -1)
+        if job.standing is Standing.LEAVING:
+            self._shares.leave(job, -1)
         self._witness.uncover(job.spec.organisation, job.job_id)
         ready = []
         for worker_id, memory_gb in self._memory_by_worker(job).items():
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/placer.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/placer.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from pomeloarch_core.gang.cells import Cell, Instance
-from pomeloarch_core.gang.fleet import Fleet, PoolCapacity, Standing
+from pomeloarch_core.gang.fleet import Fleet, PoolCapacity, Standing, Worker
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.messages import Member
 from pomeloarch_core.gang.placement import (
@@ -23,12 +23,14 @@
     evictable_for_owner,
     plan_on_index,
     split_members,
+    take_all,
 )
 from pomeloarch_core.gang.shares import Shares
 from pomeloarch_core.gang.witness import Witness
 from pomeloarch_core.ids import JobId, WorkerId
-from pomeloarch_core.objects.model import Adjacency, Urgency
+from pomeloarch_core.objects.model import Adjacency
 
+FLOOR_PATIENCE_S = 10.0
 _MOVE_CANDIDATES = 4
 # A job that has just started, or was just moved, is left alone.
 _MOVE_AFTER_S = 10.0
@@ -74,7 +76,18 @@
         self._shares = shares
         self._jobs = jobs
 
-    def place(self, job: Job) -> Place | None:
+    def may_evict_now(self, job: Job, now: float) -> bool:
+        """Returns whether a job may have others evicted for it.
+
+        A class below its floor is first served from what comes free by
+        itself, since an eviction may stop a gang many times as large.
+        """
+        if job.urgent:
+            return True
+        waited = now - job.queued_at >= FLOOR_PATIENCE_S
+        return waited and self._shares.below_floor(job.spec.job_class)
+
+    def place(self, job: Job, now: float) -> Place | None:
         """Finds a place for a job outside of its owner's guarantees."""
         need = Need.from_spec(job.spec, job.job_class.adjacency)
         avoid = job.failed_on
@@ -84,7 +97,7 @@
             found = self._on_free(job, pool, need, avoid)
             if found is not None:
                 return found
-        if job.urgent or self._shares.below_floor(job.spec.job_class):
+        if self.may_evict_now(job, now):
             for pool in self._fleet.pools.values():
                 found = self._by_eviction(job, pool, need, avoid)
                 if found is not None:
@@ -157,7 +170,11 @@
         need: Need,
         avoid: Collection[WorkerId],
     ) -> Place | None:
-        index = pool.evictable if job.preemptible else pool.evictable_unclaimed
+        if job.urgent:
+            indices = (pool.evictable, pool.evictable_unclaimed)
+        else:
+            indices = (pool.yielding, pool.yielding_unclaimed)
+        index = indices[0] if job.preemptible else indices[1]
         make = self._evictions_for(job)
         plan = plan_on_index(make, self._fleet, index, need, avoid)
         if plan is None:
@@ -167,14 +184,12 @@
     def _evictions_for(self, job: Job) -> Callable[[], Evictions]:
         mine = job.spec.job_class
 
+        standings = {Standing.BORROWED}
+        if not job.urgent:
+            standings.add(Standing.BORROWED_URGENT)
+
         def may_evict(other: Job) -> bool:
-            return (
-                other.standing is Standing.BORROWED
-                and other.spec.job_class != mine
-                and (
-                    job.urgent or other.job_class.urgency is not Urgency.URGENT
-                )
-            )
+            return other.standing in standings and other.spec.job_class != mine
 
         return lambda: Evictions(
             self._fleet, self._jobs, may_evict, self._shares.above_floor
@@ -182,11 +197,14 @@
 
     # ---- compaction
 
-    def compact(self, job: Job, start_at: float, now: float) -> Place | None:
+    def compact(
+        self, job: Job, workers: list[Worker], start_at: float, now: float
+    ) -> Place | None:
         """Moves other jobs by checkpoint so that a gang starts earlier.
 
         Args:
           job: the gang.
+          workers: the workers that are reserved for it.
           start_at: when it would start by waiting, in seconds.
           now: the present time, in seconds.
 
@@ -206,27 +224,36 @@
                 and now - other.started_at >= _MOVE_AFTER_S
             )
 
-        for pool in self._fleet.pools.values():
-            index = (
-                pool.evictable if job.preemptible else pool.evictable_unclaimed
-            )
-            plan = plan_on_index(
-                lambda: Evictions(self._fleet, self._jobs, may_evict),
-                self._fleet,
-                index,
-                need,
-                job.failed_on,
-            )
-            if plan is None:
-                continue
-            victims = [self._jobs[victim] for victim in plan.victims]
-            gain_s = start_at - now
-            if _pays(job, victims, gain_s) and self._fit_elsewhere(
-                pool, plan.members, victims
-            ):
-                return Place(plan.members, job.borrowing, plan.victims)
+        evictions = Evictions(self._fleet, self._jobs, may_evict)
+        slots = self._offers(job, need, workers)
+        members = take_all(evictions, self._fleet, slots, need)
+        if members is None or len(members) < need.members:
+            return None
+        victims = [self._jobs[victim] for victim in evictions.victims]
+        pool = self._fleet.pools[workers[0].info.pool]
+        pays = _pays(job, victims, start_at - now)
+        if pays and self._fit_elsewhere(pool, members, victims):
+            return Place(members, job.borrowing, tuple(evictions.victims))
         return None
 
+    def _offers(
+        self, job: Job, need: Need, workers: list[Worker]
+    ) -> list[Slots]:
+        """Spreads a gang over workers by what could be evicted there."""
+        slots = []
+        missing = need.members
+        offers = {w.worker_id: w.free + w.borrowed for w in workers}
+        if not job.preemptible:
+            for worker in workers:
+                offer = min(offers[worker.worker_id], worker.room)
+                offers[worker.worker_id] = offer
+        for worker_id in sorted(offers, key=lambda w: -offers[w]):
+            count = min(missing, offers[worker_id] // need.size)
+            if count > 0:
+                slots.append(Slots(worker_id, count))
+                missing -= count
+        return slots
+
     def _fit_elsewhere(
         self,
         pool: PoolCapacity,
@@ -255,9 +282,17 @@
         if cells is None:
             return None
         for instance in dict.fromkeys(instance for instance, _ in cells):
-            self._witness.move_to_free(instance)
+            self._witness.move_to_cheapest(instance, self._cost_of)
         return self._in_cells(job, need, cells)
 
+    def _cost_of(self, worker: Worker, count: int) -> float | None:
+        """Returns what freeing accelerators for an owner costs others."""
+        if not worker.usable:
+            return None
+        evictions = Evictions(self._fleet, self._jobs, evictable_for_owner)
+        taken = evictions.take(worker, count, 0.0)
+        return None if taken is None else evictions.cost
+
     def _in_cells(
         self, job: Job, need: Need, cells: list[tuple[Instance, Cell]]
     ) -> Place | None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
@@ -20,6 +20,7 @@
 # starts within 1.9 s; a guarantee's owner waits for their whole grace.
 URGENT_GRACE_S = 1.2
 
+_SLOW_WEIGHT = 1.5
 _WORKER_CANDIDATES = 16
 _RACK_CANDIDATES = 4
 
@@ -62,13 +63,9 @@
         self.victims: dict[JobId, None] = {}
 
     @property
-    def cost(self) -> tuple[bool, int]:
-        """How bad the victims' loss is: long grace, accelerators."""
-        jobs = [self._jobs[victim] for victim in self.victims]
-        return (
-            any(job.job_class.grace_s > URGENT_GRACE_S for job in jobs),
-            sum(job.size for job in jobs),
-        )
+    def cost(self) -> float:
+        """How bad the victims' loss is: accelerators, by their grace."""
+        return sum(_loss(self._jobs[victim]) for victim in self.victims)
 
     def take(
         self, worker: Worker, count: int, memory_gb: float
@@ -109,13 +106,12 @@
                 for job in jobs
                 if job is not None and (job.leaving or self._may_evict(job))
             ),
-            key=self._loss,
+            key=self._order,
         )
 
-    def _loss(self, job: Job) -> tuple[bool, bool, int, float]:
+    def _order(self, job: Job) -> tuple[bool, float, float]:
         gone = job.leaving or job.job_id in self.victims
-        slow = job.job_class.grace_s > URGENT_GRACE_S
-        return (not gone, slow, job.size, -job.started_at)
+        return (not gone, _loss(job), -job.started_at)
 
     def _evict(self, job: Job) -> bool:
         if job.leaving or job.job_id in self.victims:
@@ -129,6 +125,12 @@
         return True
 
 
+def _loss(job: Job) -> float:
+    """Returns what a victim loses: a grace that may be cut weighs more."""
+    slow = job.job_class.grace_s > URGENT_GRACE_S
+    return job.size * (_SLOW_WEIGHT if slow else 1.0)
+
+
 def plan_on_index(
     make: Callable[[], Evictions],
     fleet: Fleet,
@@ -149,10 +151,10 @@
       The plan that costs others least among a bounded number of candidates.
     """
     best: Plan | None = None
-    best_cost = (True, 0)
+    best_cost = 0.0
     for slots in _candidates(fleet, index, need, avoid):
         evictions = make()
-        members = _take_all(evictions, fleet, slots, need)
+        members = take_all(evictions, fleet, slots, need)
         if members is None:
             continue
         if best is None or evictions.cost < best_cost:
@@ -219,9 +221,20 @@
     return []
 
 
-def _take_all(
+def take_all(
     evictions: Evictions, fleet: Fleet, slots: Sequence[Slots], need: Need
 ) -> tuple[Member, ...] | None:
+    """Takes accelerators for a gang on the workers chosen for it.
+
+    Args:
+      evictions: collects the victims.
+      fleet: the workers.
+      slots: how many members go to which worker.
+      need: what the gang needs.
+
+    Returns:
+      The place of each member, or None if some can't be had.
+    """
     members: list[Member] = []
     for slot in slots:
         taken = evictions.take(
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/queue.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/queue.py
@@ -28,6 +28,9 @@
 
     Args:
       shares: who holds how much.
+
+    Attributes:
+      version: grows whenever a job is added.
     """
 
     def __init__(self, shares: Shares) -> None:
@@ -36,6 +39,7 @@
         self._jobs: dict[JobClassName, _ByOrganisation] = {}
         self._classes: dict[JobClassName, JobClass] = {}
         self._count = 0
+        self.version = 0
 
     def __len__(self) -> int:
         """Returns how many jobs wait."""
@@ -58,6 +62,7 @@
         if job.job_id not in waiting:
             waiting[job.job_id] = job
             self._count += 1
+            self.version += 1
 
     def add_first(self, job: Job) -> None:
         """Adds a job before its caller's others: it had already started."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/reservations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/reservations.py
@@ -11,18 +11,22 @@
 from contextlib import contextmanager
 from itertools import islice
 
+import msgspec
+
 from pomeloarch_core.gang.estimates import RunTimes
 from pomeloarch_core.gang.fleet import Fleet, PoolCapacity, Standing, Worker
 from pomeloarch_core.gang.jobs import Job
 from pomeloarch_core.gang.placement import Need
-from pomeloarch_core.ids import JobId, RackId
+from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_core.objects.model import Adjacency
 
 RESERVE_AFTER_S = 3.0
-REPLAN_S = 30.0
+REPLAN_S = 60.0
 _RACK_CANDIDATES = 8
 _WORKER_CANDIDATES = 16
-_NEVER = float("inf")
+# At most so many gangs have one, and one for so many workers.
+_MOST = 4
+_WORKERS_EACH = 64
 
 
 class Reservation:
@@ -32,21 +36,28 @@
       job: the gang.
       workers: the workers.
       start_at: when it is expected to start, in seconds.
-      replan_at: when the choice is looked at again, in seconds.
+      replan_at: when the choice is made anew, in seconds.
     """
 
     def __init__(
-        self, job: Job, workers: list[Worker], start_at: float, now: float
+        self, job: Job, workers: list[Worker], start_at: float
     ) -> None:
         """Keeps the choice; the workers are fenced by `Reservations`."""
         self.job = job
         self.workers = workers
         self.start_at = start_at
-        self.replan_at = now + REPLAN_S
+        self.replan_at = start_at + REPLAN_S
+
+
+class _Choice(msgspec.Struct, frozen=True):
+    """Workers for a gang, and when they are expected to be free."""
+
+    at: float
+    workers: list[Worker]
 
 
 class Reservations:
-    """At most one reservation at a time in the zone.
+    """A few reservations at a time, for the gangs that come first.
 
     Args:
       fleet: the workers.
@@ -61,67 +72,67 @@
         self._fleet = fleet
         self._jobs = jobs
         self._run_times = run_times
-        self.current: Reservation | None = None
+        self._by_job: dict[JobId, Reservation] = {}
+
+    def of(self, job: Job) -> Reservation | None:
+        """Returns the reservation of a gang."""
+        return self._by_job.get(job.job_id)
 
     def wants(self, job: Job, now: float) -> bool:
         """Returns whether a job that did not fit should get a reservation."""
         large = job.spec.members > 1 or job.spec.accelerators > 1
-        waited = now - job.queued_at >= RESERVE_AFTER_S
-        return self.current is None and large and waited
+        if not large or now - job.queued_at < RESERVE_AFTER_S:
+            return False
+        if job.job_id in self._by_job:
+            return False
+        workers = len(self._fleet.workers)
+        return len(self._by_job) < min(_MOST, 1 + workers // _WORKERS_EACH)
 
     def make(self, job: Job, now: float) -> Reservation | None:
         """Reserves the workers where a gang can start first."""
         need = Need.from_spec(job.spec, job.job_class.adjacency)
-        best: tuple[float, list[Worker]] | None = None
+        best: _Choice | None = None
         for pool in self._fleet.pools.values():
             for workers in self._candidates(pool, need):
-                at = self._start_at(job, need, workers, now)
-                if at < _NEVER and (best is None or at < best[0]):
-                    best = (at, workers)
+                found = self._choose(need, workers, now)
+                if found and (best is None or found.at < best.at):
+                    best = found
         if best is None:
             return None
-        self.current = Reservation(job, best[1], best[0], now)
-        self._fence(best[1], fenced=True)
-        return self.current
-
-    def drop(self) -> None:
-        """Lets go of the reservation."""
-        if self.current is not None:
-            workers = self.current.workers
-            self.current = None
-            self._fence(workers, fenced=False)
+        made = Reservation(job, best.workers, best.at)
+        self._by_job[job.job_id] = made
+        self._fence(best.workers, fenced=True)
+        return made
 
     def check(self, now: float) -> None:
-        """Drops a reservation that is served, cancelled or stale."""
-        current = self.current
-        if current is None:
-            return
-        waits = not current.job.placement and not current.job.cancelled
-        sound = all(worker.usable for worker in current.workers)
-        if not waits or not sound or now >= current.replan_at:
-            self.drop()
-
-    def admits(self, job: Job, now: float) -> bool:
-        """Returns whether a job may use the reserved workers."""
-        current = self.current
-        if current is None:
-            return False
-        if current.job is job:
-            return True
-        return now + self._run_times.estimate(job.spec) <= current.start_at
+        """Drops reservations that are served, cancelled or stale."""
+        for made in list(self._by_job.values()):
+            waits = not made.job.placement and not made.job.cancelled
+            sound = all(worker.usable for worker in made.workers)
+            if not waits or not sound or now >= made.replan_at:
+                del self._by_job[made.job.job_id]
+                self._fence(made.workers, fenced=False)
+
+    def admitting(self, job: Job, now: float) -> list[Reservation]:
+        """Returns the reservations whose workers a job may use."""
+        if not self._by_job:
+            return []
+        end = now + self._run_times.estimate(job.spec)
+        return [
+            made
+            for made in self._by_job.values()
+            if made.job is job or end <= made.start_at
+        ]
 
     @contextmanager
-    def opened_for(self, job: Job, now: float) -> Iterator[None]:
-        """Offers the reserved workers to a job that may use them."""
-        current = self.current
-        if current is None or not self.admits(job, now):
-            yield
-            return
+    def opened(self, admitting: list[Reservation]) -> Iterator[None]:
+        """Offers reserved workers to a job that may use them."""
         version = self._fleet.version
-        self._fence(current.workers, fenced=False)
+        for made in admitting:
+            self._fence(made.workers, fenced=False)
         yield
-        if self.current is not None:
-            self._fence(current.workers, fenced=True)
+        for made in admitting:
+            self._fence(made.workers, fenced=True)
         self._fleet.version = version
 
     def _fence(self, workers: Iterable[Worker], *, fenced: bool) -> None:
@@ -134,51 +145,48 @@
     ) -> Iterator[list[Worker]]:
         """Yields sets of workers, those with most free capacity first."""
         if need.adjacency is Adjacency.HOST:
-            for worker_id in islice(pool.free.most_free(), _WORKER_CANDIDATES):
-                yield [self._fleet.workers[worker_id]]
+            ids = islice(pool.free.most_free(), _WORKER_CANDIDATES)
+            for worker in self._open(ids):
+                yield [worker]
             return
-        racks = pool.free.all_racks()
         together: list[Worker] = []
-        for number, rack in enumerate(racks):
-            workers = self._rack(pool, rack)
+        for number, rack in enumerate(pool.free.all_racks()):
+            workers = self._open(pool.free.rack_workers(rack))
             if number < _RACK_CANDIDATES:
                 yield workers
-            if need.adjacency is not Adjacency.ANY:
-                if number >= _RACK_CANDIDATES:
-                    return
-                continue
+            elif need.adjacency is not Adjacency.ANY:
+                return
             together = together + workers
             slots = sum(worker.total // need.size for worker in together)
-            if slots >= need.members:
+            if need.adjacency is Adjacency.ANY and slots >= need.members:
                 yield together
                 return
 
-    def _rack(self, pool: PoolCapacity, rack: RackId) -> list[Worker]:
-        ids = pool.free.rack_workers(rack)
+    def _open(self, ids: Iterable[WorkerId]) -> list[Worker]:
         found = (self._fleet.workers[worker_id] for worker_id in ids)
-        return [worker for worker in found if worker.usable]
+        return [w for w in found if w.usable and not w.fenced]
 
-    def _start_at(
-        self, job: Job, need: Need, workers: list[Worker], now: float
-    ) -> float:
-        """Returns when enough slots are expected on some workers."""
+    def _choose(
+        self, need: Need, workers: list[Worker], now: float
+    ) -> _Choice | None:
+        """Chooses the workers on which enough slots are expected first."""
         free = {worker.worker_id: worker.free for worker in workers}
-        ends: list[tuple[float, int, Worker]] = []
+        ends: list[tuple[float, WorkerId, int]] = [(now, WorkerId(""), 0)]
         for worker in workers:
             for job_id, accelerators in worker.tenants.items():
                 at = self._end_of(self._jobs.get(job_id), now)
-                ends.append((at, len(accelerators), worker))
+                ends.append((at, worker.worker_id, len(accelerators)))
         ends.sort(key=lambda end: end[0])
         slots = sum(count // need.size for count in free.values())
-        if slots >= need.members:
-            return now
-        for at, count, worker in ends:
-            before = free[worker.worker_id]
-            free[worker.worker_id] = before + count
-            slots += (before + count) // need.size - before // need.size
+        for at, worker_id, count in ends:
+            if count:
+                before = free[worker_id]
+                free[worker_id] = before + count
+                slots += (before + count) // need.size - before // need.size
             if slots >= need.members:
-                return max(at, now)
-        return _NEVER
+                chosen = _fewest(need, workers, free)
+                return _Choice(max(at, now), chosen)
+        return None
 
     def _end_of(self, job: Job | None, now: float) -> float:
         if job is None or job.standing is Standing.LEAVING:
@@ -189,3 +197,17 @@
         while estimate_s < passed_s:
             estimate_s = 2.0 * estimate_s + 1.0
         return job.started_at - job.ran_s + estimate_s
+
+
+def _fewest(
+    need: Need, workers: list[Worker], free: Mapping[WorkerId, int]
+) -> list[Worker]:
+    """Returns the fewest workers that hold a whole gang together."""
+    chosen = []
+    missing = need.members
+    for worker in sorted(workers, key=lambda w: -free[w.worker_id]):
+        if missing <= 0:
+            break
+        chosen.append(worker)
+        missing -= free[worker.worker_id] // need.size
+    return chosen
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -156,6 +156,7 @@
             return []
         self._on(event, now)
         self._settle(now)
+        self._probe(now)
         self._dispatcher.run(now)
         self._settle(now)
         self._update_alerts()
@@ -300,13 +301,14 @@
             else:
                 self._attempts.due(job, now)
 
+    # ---- after each event
+
+    def _probe(self, now: float) -> None:
         for worker in self._health.to_probe(now):
             job = self._dispatcher.probe(worker, now)
             if job is not None:
                 self._health.probing(worker.worker_id, job)
 
-    # ---- after each event
-
     def _settle(self, now: float) -> None:
         self._observe(now)
         self._lifecycle.settle(now)
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/shares.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/shares.py
@@ -41,6 +41,7 @@
         self._of_caller: Counter[_Caller] = Counter()
         self._of_class: Counter[JobClassName] = Counter()
         self._fixed: Counter[JobClassName] = Counter()
+        self._leaving: Counter[JobClassName] = Counter()
         self.version = 0
 
     def configure(self, objects: ObjectSet) -> None:
@@ -68,6 +69,11 @@
         if job.share_standing is Standing.FIXED:
             self._fixed[spec.job_class] += amount
 
+    def leave(self, job: Job, sign: int = 1) -> None:
+        """Counts a job among those on their way out, or with -1 not."""
+        self.version += 1
+        self._leaving[job.spec.job_class] += sign * job.size
+
     def organisation_load(self, organisation: OrganisationName) -> float:
         """Returns accelerators held outside of guarantees, over weight."""
         known = self._organisations.get(organisation)
@@ -105,11 +111,15 @@
 
     def below_floor(self, job_class: JobClassName) -> bool:
         """Returns whether a class holds less than its floor."""
-        return self._of_class[job_class] < self.floor(job_class)
+        return self.above_floor(job_class) < 0.0
 
     def above_floor(self, job_class: JobClassName) -> float:
-        """Returns what a class holds beyond its floor."""
-        return self._of_class[job_class] - self.floor(job_class)
+        """Returns what a class holds beyond its floor.
+
+        What is on its way out already is not held any more.
+        """
+        held = self._of_class[job_class] - self._leaving[job_class]
+        return held - self.floor(job_class)
 
     def fixed_allowed(self, job: Job) -> bool:
         """Returns whether the floors of others bear a job that can't yield.
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/witness.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/witness.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Callable, Collection, Iterable, Sequence
 from itertools import combinations, islice
 
 from pomeloarch_core.gang.capacity import CapacityIndex
@@ -24,6 +24,7 @@
 )
 from pomeloarch_core.objects.model import Adjacency, GuaranteedShape
 
+_RACK_CANDIDATES = 4
 _SEARCH_INSTANCES = 24
 _SEARCH_STEPS = 2_000
 _CHOICES_PER_RACK = 64
@@ -336,29 +337,40 @@
             if worker_id is not None:
                 self._assign(instance, [cell], [worker_id])
 
-    def move_to_free(self, instance: Instance) -> bool:
-        """Moves an idle instance to where no work has to make way for it."""
+    def move_to_cheapest(
+        self,
+        instance: Instance,
+        cost: Callable[[Worker, int], float | None],
+    ) -> None:
+        """Moves an idle instance to where least work has to make way.
+
+        Args:
+          instance: an instance that is placed.
+          cost: what freeing some accelerators of a worker costs others,
+            None if it can't be done.
+        """
         if instance.pinned or not instance.placed:
-            return False
-        before = [cell.worker_id for cell in instance.cells]
-        if all(
-            worker_id is not None
-            and self._fleet.workers[worker_id].free >= cell.size
-            for cell, worker_id in zip(instance.cells, before, strict=True)
-        ):
-            return True
+            return
+        before = list(instance.worker_ids)
         self._unplace(instance)
-        pool = self._fleet.pools[instance.shape.worker_pool]
+        index = self._index(instance)
+        assert index is not None
         size, count = instance.cells[0].size, len(instance.cells)
-        rack = next(pool.unclaimed.racks_with_hosts(size, count), None)
-        if rack is not None:
-            hosts = _hosts(pool.unclaimed, rack, size, ())
-            self._assign(instance, instance.cells, hosts)
-            return True
-        for cell, worker_id in zip(instance.cells, before, strict=True):
-            if worker_id is not None:
-                self._assign(instance, [cell], [worker_id])
-        return False
+        own = self._fleet.known(before[0]).info.rack
+        racks = islice(index.racks_with_hosts(size, count), _RACK_CANDIDATES)
+        best, best_cost = before, float("inf")
+        for rack in dict.fromkeys([own, *racks]):
+            costs = {
+                worker_id: found
+                for worker_id in _hosts(index, rack, size, ())
+                if (found := cost(self._fleet.known(worker_id), size))
+                is not None
+            }
+            chosen = sorted(costs, key=lambda w: costs[w])[:count]
+            total = sum(costs[worker_id] for worker_id in chosen)
+            if len(chosen) == count and total < best_cost:
+                best, best_cost = chosen, total
+        self._assign(instance, instance.cells, best)
 
     # ---- bookkeeping
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/naive_gang.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/naive_gang.py
@@ -7,13 +7,24 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable, Mapping, Sequence
 from itertools import combinations
 
 import msgspec
 
-from pomeloarch_core.ids import RackId, WorkerId
-from pomeloarch_core.objects.model import Adjacency
+from pomeloarch_core.gang.attempts import Attempts
+from pomeloarch_core.gang.fleet import Fleet, Worker
+from pomeloarch_core.gang.holdings import Holdings
+from pomeloarch_core.gang.jobs import Job, Phase
+from pomeloarch_core.gang.messages import ConfigurationChanged
+from pomeloarch_core.gang.placement import Need, Slots, free_members
+from pomeloarch_core.gang.placer import Place
+from pomeloarch_core.gang.queue import JobQueue
+from pomeloarch_core.gang.records import Records
+from pomeloarch_core.gang.scheduler import ZoneScheduler
+from pomeloarch_core.ids import Epoch, JobId, RackId, WorkerId, ZoneName
+from pomeloarch_core.objects.model import Adjacency, Snapshot
 
 
 class NaiveShape(msgspec.Struct, frozen=True):
@@ -90,3 +101,119 @@
     if adjacency is Adjacency.RACK:
         return any(count >= members for count in by_rack)
     return sum(by_rack) >= members
+
+
+class FifoDispatcher:
+    """Places waiting jobs first come, first served, on the first fit.
+
+    A job that does not fit is passed over, so that small jobs go on.
+
+    Args:
+      fleet: the workers.
+      jobs: all jobs by id, in the order of their arrival.
+      queue: the waiting jobs.
+      holdings: books places.
+      attempts: begins attempts.
+      records: whether a job's row is up to date.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        jobs: dict[JobId, Job],
+        queue: JobQueue,
+        holdings: Holdings,
+        attempts: Attempts,
+        records: Records,
+    ) -> None:
+        """Keeps the parts that a pass needs."""
+        self._fleet = fleet
+        self._jobs = jobs
+        self._queue = queue
+        self._holdings = holdings
+        self._attempts = attempts
+        self._records = records
+        self._seen: tuple[int, int] = (-1, -1)
+        self.dirty = False
+
+    def reset(self) -> None:
+        """Has every job tried again."""
+        self.dirty = True
+
+    def probe(self, worker: Worker, now: float) -> Job | None:
+        """Never probes."""
+        return None
+
+    def run(self, now: float) -> None:
+        """Tries every waiting job in the order of arrival."""
+        seen = (self._fleet.version, len(self._queue))
+        if seen == self._seen and not self.dirty:
+            return
+        self.dirty = False
+        failed: set[Need] = set()
+        for job in list(self._jobs.values()):
+            if job.phase is not Phase.QUEUED or job.not_before > now:
+                continue
+            need = Need.from_spec(job.spec, job.job_class.adjacency)
+            if need in failed or not self._records.settled(job):
+                continue
+            slots = self._first_fit(need)
+            if slots is None:
+                failed.add(need)
+                continue
+            members = free_members(self._fleet, slots, need.size)
+            self._queue.remove(job)
+            self._holdings.take(job, Place(members, job.borrowing))
+            self._attempts.begin(job, now)
+        self._seen = (self._fleet.version, len(self._queue))
+
+    def _first_fit(self, need: Need) -> list[Slots] | None:
+        racks: dict[RackId, list[Slots]] = {}
+        everywhere: list[Slots] = []
+        for worker in self._fleet.workers.values():
+            count = worker.free // need.size if worker.usable else 0
+            if not count:
+                continue
+            if need.adjacency is Adjacency.HOST:
+                if count >= need.members:
+                    return [Slots(worker.worker_id, need.members)]
+                continue
+            rack = racks.setdefault(worker.info.rack, [])
+            for found in (rack, everywhere):
+                missing = need.members - sum(s.count for s in found)
+                if missing:
+                    found.append(Slots(worker.worker_id, min(count, missing)))
+            if sum(s.count for s in rack) == need.members:
+                return rack
+        anywhere = need.adjacency is Adjacency.ANY
+        if anywhere and sum(s.count for s in everywhere) == need.members:
+            return everywhere
+        return None
+
+
+class FifoScheduler(ZoneScheduler):
+    """The product's protocol of attempts with a naive choice of places."""
+
+    @classmethod
+    def from_config(
+        cls,
+        snapshot: Snapshot,
+        availability_zone: ZoneName,
+        epoch: Epoch,
+        now: float,
+        rng: random.Random,
+    ) -> FifoScheduler:
+        """Makes a scheduler that knows no guarantees and no floors."""
+        objects = msgspec.structs.replace(snapshot.objects, guaranteed_shape=())
+        scheduler = cls(availability_zone, epoch, rng)
+        scheduler._dispatcher = FifoDispatcher(  # type: ignore[assignment]
+            scheduler._fleet,
+            scheduler._jobs,
+            scheduler._queue,
+            scheduler._holdings,
+            scheduler._attempts,
+            scheduler._records,
+        )
+        plain = msgspec.structs.replace(snapshot, objects=objects)
+        scheduler.handle(ConfigurationChanged(plain), now)
+        return scheduler
