--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/shape.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/shape.py
@@ -4,6 +4,7 @@
 
 import difflib
 import enum
+import functools
 import inspect
 import re
 import typing
@@ -66,13 +67,20 @@
     return inspect.isclass(expected) and issubclass(expected, msgspec.Struct)
 
 
+@functools.cache
+def _fields(
+    struct: type[msgspec.Struct],
+) -> dict[str, msgspec.structs.FieldInfo]:
+    return {field.name: field for field in msgspec.structs.fields(struct)}
+
+
 def _struct_faults(
     value: Any, struct: type[msgspec.Struct], path: FieldPath
 ) -> Iterator[ShapeFault]:
     if not isinstance(value, dict):
         yield path, f"must be a table, not {shown(value)}"
         return
-    fields = {field.name: field for field in msgspec.structs.fields(struct)}
+    fields = _fields(struct)
     for name in value:
         if name not in fields:
             hint = did_you_mean(name, fields)
