--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/choice.py
@@ -3,9 +3,10 @@
 Two candidates are drawn and the one with the lower cost is taken, after
 "The Power of Two Choices" (Mitzenmacher, 2001), Finagle's balancers and
 Prequal (NSDI 2024). The cost is the expected time there: the latency of its
-good answers, times what it has in progress from this node, from the others
-and by its own report, times a penalty for failures. Failures answered fast
-don't lower the latency, so that they don't attract work.
+good answers over the usual one of their classes, times what it has in
+progress from this node, from the others and by its own report, times a
+penalty for failures. Failures answered fast don't lower the latency, so that
+they don't attract work. While the best has few free slots, more are drawn.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
 from pomeloarch_core.routing.messages import TryResult, Upstream
 from pomeloarch_core.routing.zones import ZoneCosts
 
-_LATENCY_HALF_LIFE_S = 2.0
-_UNMEASURED_S = 0.001
+_SLOWNESS_HALF_LIFE_S = 2.0
+_LEAST_SLOWNESS = 0.25
 _FAILURE_PENALTY = 20.0
 _LOAD_HALF_LIFE_S = 0.5
 _REMOTE_HEADROOM = 1
@@ -43,9 +44,11 @@
     """
 
     __slots__ = (
-        "_latency",
+        "_others",
         "_reported",
+        "_slowness",
         "_told",
+        "_unit_cost",
         "health",
         "in_progress",
         "upstream",
@@ -58,7 +61,9 @@
         self.health = health
         self.in_progress = 0
         self.waiting_since = 0.0
-        self._latency = DecayingMean(_LATENCY_HALF_LIFE_S)
+        self._slowness = DecayingMean(_SLOWNESS_HALF_LIFE_S)
+        self._others = 0.0
+        self._unit_cost = 1.0
         self._told = DecayingMean(_LOAD_HALF_LIFE_S)
         self._reported = DecayingMean(_LOAD_HALF_LIFE_S)
 
@@ -69,21 +74,25 @@
         figures of an instant are old when they arrive, and nodes that all
         follow them crowd the same executor.
         """
-        return self.in_progress + max(self._told.value, self._reported.value)
+        return self.in_progress + self._others
 
     def free_slots(self) -> float:
         """Returns how many more requests it can run at once."""
-        return self.upstream.slots - self.load()
+        return self.upstream.slots - self.in_progress - self._others
 
     def cost(self) -> float:
-        """Returns the expected time of one more request, in seconds."""
-        latency = max(self._latency.value, _UNMEASURED_S)
-        failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
-        return latency * (self.load() + 1.0) * failing
+        """Returns the expected time of one more request, in usual times."""
+        return self._unit_cost * (self.in_progress + self._others + 1.0)
 
-    def record_latency(self, seconds: float, now: float) -> None:
-        """Takes the time of a good answer in, in seconds."""
-        self._latency.add(seconds, now)
+    def record_end(
+        self, result: TryResult, slowness: float, now: float
+    ) -> None:
+        """Takes the end of a try in, once its health has heard of it."""
+        if result is TryResult.ANSWERED:
+            self._slowness.add(slowness, now)
+        slow = max(self._slowness.value, _LEAST_SLOWNESS)
+        failing = 1.0 + _FAILURE_PENALTY * self.health.failure_share
+        self._unit_cost = slow * failing
 
     def record_report(self, load: int, now: float) -> None:
         """Takes in what the executor says of its own load.
@@ -91,10 +100,12 @@
         The request that carried the report has ended, so it isn't counted.
         """
         self._reported.add(max(0.0, load - 1.0 - self.in_progress), now)
+        self._others = max(self._told.value, self._reported.value)
 
     def record_elsewhere(self, requests: float, now: float) -> None:
         """Takes in what the other nodes say that they have there."""
         self._told.add(requests, now)
+        self._others = max(self._told.value, self._reported.value)
 
 
 class ExecutorPool:
@@ -113,6 +124,7 @@
         self._rng = rng
         self._states: dict[ExecutorId, ExecutorState] = {}
         self._by_zone: dict[ZoneName, list[ExecutorState]] = {}
+        self._zone_order: list[ZoneName] = []
 
     @property
     def states(self) -> Mapping[ExecutorId, ExecutorState]:
@@ -139,6 +151,11 @@
         for state in self._states.values():
             zone = state.upstream.availability_zone
             self._by_zone.setdefault(zone, []).append(state)
+        self.order_zones()
+
+    def order_zones(self) -> None:
+        """Puts the zones in the order of their present costs."""
+        self._zone_order = self.zones.ordered(self._by_zone)
 
     def take_elsewhere(
         self, counts: Mapping[ExecutorId, int], now: float
@@ -165,7 +182,7 @@
           exclude: executors that this request has been tried at.
         """
         fallback: ExecutorState | None = None
-        for zone in self.zones.ordered(self._by_zone):
+        for zone in self._zone_order:
             found = self._draw(zone, now, exclude)
             if found is None:
                 continue
@@ -204,7 +221,7 @@
         self,
         state: ExecutorState,
         result: TryResult,
-        seconds: float,
+        slowness: float,
         now: float,
     ) -> bool:
         """Takes a try's end in; returns whether its executor was ejected.
@@ -212,7 +229,7 @@
         Args:
           state: the executor.
           result: how the try ended.
-          seconds: how long it took, in seconds.
+          slowness: how long it took, over the usual time of its class.
           now: the present time in seconds of the clock.
         """
         state.in_progress -= 1
@@ -220,11 +237,11 @@
         if result is TryResult.ABANDONED:
             return False
         state.waiting_since = now
-        if result is TryResult.ANSWERED:
-            state.record_latency(seconds, now)
         if result is TryResult.REFUSED:
             return False
-        return self.ejector.record(executor_id, result, now)
+        ejected = self.ejector.record(executor_id, result, now)
+        state.record_end(result, slowness, now)
+        return ejected
 
     def _draw(
         self, zone: ZoneName, now: float, exclude: Collection[ExecutorId]
