Keep control traffic within its bytes at 48 and 200 nodes

Measured before: 6,321 B/s sent a node at 48 nodes and 15,515 at 200, as every node of a slow digest looked behind and was pushed to, rumours of a join were passed on 3 log n times, and probes carried 32 marks.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
@@ -37,8 +37,12 @@
 PULL_TIMEOUT_S = 1.0
 # The parts of a snapshot come as slowly as their sender's budget allows.
 CHUNK_TIMEOUT_S = 5.0
-# A node seen behind for this long is sent what it lacks unasked.
-PUSH_AFTER_S = 2.0
+# A node whose digest is behind what was in force this long ago is sent what
+# it lacks unasked; digests themselves lag by some seconds.
+PUSH_AFTER_S = 6.0
+_PUSH_PERIOD_S = 2.0
+# Ticks after a change in which one more node is told of it.
+_REMINDERS = 4
 TICK_S = 0.5
 CHUNK_BYTES = 8_000
 _MAX_CHUNKS = 4_000
@@ -89,7 +93,10 @@
         self._log = GenerationLog()
         self._live: Mapping[NodeId, ZoneName] = {}
         self._have: dict[NodeId, Generation] = {}
-        self._behind_since: dict[NodeId, float] = {}
+        self._due_by: list[tuple[float, Generation]] = []
+        self._expected = Generation(0)
+        self._push_due = 0.0
+        self._reminders = 0
         self._pull_until = 0.0
         self._chunks: dict[NodeId, dict[int, Chunk]] = {}
         self._packed: tuple[Generation, bytes] = (Generation(0), b"")
@@ -108,9 +115,9 @@
     def saw_nodes(self, live: Mapping[NodeId, ZoneName]) -> None:
         """Takes the nodes that live now."""
         self._live = live
-        for known in (self._have, self._behind_since, self._chunks):
-            for node in [node for node in known if node not in live]:
-                del known[node]
+        for node in [node for node in self._have if node not in live]:
+            del self._have[node]
+            self._chunks.pop(node, None)
 
     def offer(
         self, snapshot: Snapshot, steps: Sequence[Delta] = ()
@@ -132,6 +139,9 @@
         """Repairs what got lost; due every `TICK_S` seconds."""
         if now >= self._pull_until:
             self._pull_again(now)
+        if self._reminders > 0:
+            self._reminders -= 1
+            self._announce(1)
         self._push_to_those_behind(now)
         return self._take_effects()
 
@@ -174,8 +184,7 @@
             self._heard_from(sender, snapshot.generation)
             self._install(snapshot, steps)
             self._pull_until = now
-            if self.highest_heard > snapshot.generation:
-                self._pull(sender, now)
+            self._pull_again(now)
 
     @_handle.register
     def _(self, message: Chunk, sender: NodeId, now: float) -> None:
@@ -223,9 +232,10 @@
         self._snapshot = snapshot
         self._chunks.clear()
         self._effects.append(Install(snapshot))
-        self._announce()
+        self._reminders = _REMINDERS
+        self._announce(FANOUT)
 
-    def _announce(self) -> None:
+    def _announce(self, count: int) -> None:
         """Tells a few of the own zone and, from a bridge, of others."""
         near = [
             node
@@ -241,7 +251,7 @@
             far = []
         have = Have(self._snapshot.generation)
         for nodes in (near, far):
-            for node in self._rng.sample(nodes, min(FANOUT, len(nodes))):
+            for node in self._rng.sample(nodes, min(count, len(nodes))):
                 self._effects.append(SendTo(node, have))
 
     def _lags(self, node: NodeId) -> bool:
@@ -264,15 +274,19 @@
 
     def _push_to_those_behind(self, now: float) -> None:
         """Pushes to one node whose pulls seem not to arrive."""
-        late = []
-        for node, generation in self._have.items():
-            if generation >= self._snapshot.generation:
-                self._behind_since.pop(node, None)
-            elif now - self._behind_since.setdefault(node, now) > PUSH_AFTER_S:
-                late.append(node)
-        if late:
-            node = self._rng.choice(sorted(late))
-            self._behind_since[node] = now
+        generation = self._snapshot.generation
+        if not self._due_by or self._due_by[-1][1] < generation:
+            self._due_by.append((now + PUSH_AFTER_S, generation))
+        while self._due_by and self._due_by[0][0] <= now:
+            self._expected = max(self._expected, self._due_by.pop(0)[1])
+        late = sorted(
+            node
+            for node in self._have
+            if self._have[node] < self._expected and node in self._live
+        )
+        if late and now >= self._push_due:
+            self._push_due = now + _PUSH_PERIOD_S
+            node = self._rng.choice(late)
             self._send_from(node, self._have[node])
 
     def _send_from(self, node: NodeId, base: Generation) -> None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/members.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/members.py
@@ -17,7 +17,7 @@
 from pomeloarch_core.membership.messages import NodeState, Rumour
 
 BRIDGES_PER_ZONE = 2
-_RETRANSMIT_FACTOR = 3
+_EXTRA_SENDS = 1
 # Longer than a cut between regions, so that it heals without seeds.
 _FORGET_S = 21_600.0
 MAX_MEMBERS = 1_024
@@ -198,4 +198,4 @@
                 del self._members[rumour.node]
 
     def _retransmits(self) -> int:
-        return _RETRANSMIT_FACTOR * math.ceil(math.log2(len(self._members) + 2))
+        return _EXTRA_SENDS + math.ceil(math.log2(len(self._members) + 2))
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
@@ -40,6 +40,8 @@
 )
 from pomeloarch_core.membership.sizes import frame_bytes
 
+# Marks in a probe beside the own one while the byte budget is used up.
+_MARKS_WITHOUT_ROOM = 2
 # Addresses tried at once by a node that knows no live one.
 _LONELY_TRIES = 3
 # Leaving is told to this many; they pass it on.
@@ -58,6 +60,7 @@
       relays: how many others are asked to probe.
       bytes_per_s: what this node may send on the average.
       burst_bytes: what it may send at once.
+      message_reserve: the part of a burst that digests leave to messages.
       frame_room: most bytes of digests in one frame.
       max_marks: most marks in one probe.
       max_rumours: most rumours in one frame.
@@ -69,10 +72,11 @@
     suspicion_s: float = 2.0
     rejoin_s: float = 5.0
     relays: int = 2
-    bytes_per_s: float = 3_500.0
+    bytes_per_s: float = 3_000.0
     burst_bytes: float = 32_000.0
+    message_reserve: float = 16_000.0
     frame_room: int = 2_048
-    max_marks: int = 32
+    max_marks: int = 12
     max_rumours: int = 6
 
 
@@ -522,22 +526,24 @@
     # ---- frames
 
     def _send_probe(self, sequence: int, waiting: _Waiting, now: float) -> None:
-        body = Probe(sequence, waiting.target, self._marks())
+        body = Probe(sequence, waiting.target, self._marks(now))
         self._send(waiting.address, waiting.target, body, now)
 
-    def _marks(self) -> tuple[Mark, ...]:
+    def _marks(self, now: float) -> tuple[Mark, ...]:
         """Returns own marks and those of the next others in turn."""
         if not self._mark_ring:
             self._mark_ring = [rumour.node for rumour in self._members.live()]
             self._rng.shuffle(self._mark_ring)
         count = self._cfg.max_marks - 1
+        if self._room(now) == 0:
+            count = _MARKS_WITHOUT_ROOM
         nodes = self._mark_ring[:count]
         del self._mark_ring[:count]
         return tuple(map(self._digests.mark, [self._me.node, *nodes]))
 
     def _room(self, now: float) -> int:
-        available = int(self._bucket.available(now))
-        return max(0, min(self._cfg.frame_room, available))
+        available = self._bucket.available(now) - self._cfg.message_reserve
+        return max(0, min(self._cfg.frame_room, int(available)))
 
     def _send(self, address: str, node: NodeId, body: Body, now: float) -> None:
         self._effects.append(self._frame(address, node, body, now))
--- /dev/null
+++ b/packages/pomeloarch-core/tests/test_membership_protocol.py
@@ -0,0 +1,197 @@
+"""Single rules of the membership protocol."""
+
+import random
+
+import pytest
+
+from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.membership import (
+    MembershipProtocol,
+    NodeState,
+    Rumour,
+    TokenBucket,
+)
+from pomeloarch_core.membership.digests import DigestStore
+from pomeloarch_core.membership.members import MAX_MEMBERS, MemberTable
+from pomeloarch_core.membership.messages import (
+    Ack,
+    Frame,
+    Mark,
+    Probe,
+    ProbeRequest,
+    RumoursOnly,
+    SendFrame,
+)
+
+
+def rumour(node, zone="a", state=NodeState.ALIVE, incarnation=1):
+    return Rumour(
+        NodeId(node), ZoneName(zone), f"host-{node}", state, incarnation
+    )
+
+
+def frame(sender, body, rumours=(), incarnation=1, zone="a"):
+    return Frame(
+        NodeId(sender),
+        ZoneName(zone),
+        f"host-{sender}",
+        incarnation,
+        body,
+        rumours,
+    )
+
+
+def node(name="me", seeds=()):
+    return MembershipProtocol(rumour(name), seeds, random.Random(1))
+
+
+def sent(effects, kind):
+    return [
+        effect
+        for effect in effects
+        if isinstance(effect, SendFrame) and isinstance(effect.frame.body, kind)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("first", "second", "left"),
+    [
+        ((NodeState.ALIVE, 1), (NodeState.SUSPECT, 1), NodeState.SUSPECT),
+        ((NodeState.SUSPECT, 1), (NodeState.ALIVE, 1), NodeState.SUSPECT),
+        ((NodeState.SUSPECT, 1), (NodeState.ALIVE, 2), NodeState.ALIVE),
+        ((NodeState.ALIVE, 2), (NodeState.DEAD, 1), NodeState.ALIVE),
+        ((NodeState.ALIVE, 1), (NodeState.DEAD, 1), NodeState.DEAD),
+        ((NodeState.ALIVE, 1), (NodeState.LEFT, 1), NodeState.LEFT),
+    ],
+)
+def test_the_higher_incarnation_wins_then_the_worse_state(first, second, left):
+    table = MemberTable(NodeId("me"), ZoneName("a"))
+    table.apply(rumour("n"), 0.0)
+    for state, incarnation in (first, second):
+        table.apply(rumour("n", "a", state, incarnation), 0.0)
+    assert table.get(NodeId("n")).rumour.state is left
+
+
+def test_a_silent_node_is_asked_by_others_then_suspected_then_dead():
+    me = node()
+    for name in ("quiet", "relay"):
+        me.receive(frame(name, RumoursOnly()), 0.0)
+    seen = []
+    now = 0.0
+    while now < 6.0:
+        effects = me.tick(now)
+        seen += sent(effects, ProbeRequest)
+        for probe in sent(effects, Probe):
+            if probe.node == "relay":
+                ack = Ack(probe.frame.body.sequence, NodeId("relay"))
+                me.receive(frame("relay", ack), now)
+        now += 0.1
+    assert {order.node for order in seen} == {"relay"}
+    assert set(me.live_nodes()) == {"me", "relay"}
+
+
+def test_an_answer_by_way_of_another_node_clears_the_suspicion():
+    me = node()
+    for name in ("cut", "relay"):
+        me.receive(frame(name, RumoursOnly()), 0.0)
+    now = 0.0
+    while now < 10.0:
+        effects = me.tick(now)
+        for order in sent(effects, ProbeRequest):
+            body = order.frame.body
+            me.receive(frame("relay", Ack(body.sequence, body.target)), now)
+        for probe in sent(effects, Probe):
+            if probe.node == "relay":
+                ack = Ack(probe.frame.body.sequence, NodeId("relay"))
+                me.receive(frame("relay", ack), now)
+        now += 0.1
+    assert "cut" in me.live_nodes()
+
+
+def test_a_suspicion_of_oneself_is_refuted_by_a_higher_incarnation():
+    me = node()
+    bad = rumour("me", state=NodeState.DEAD, incarnation=4)
+    me.receive(frame("other", RumoursOnly(), (bad,)), 0.0)
+    assert me.me.incarnation == 5
+
+
+def test_a_node_that_was_paused_blames_nobody():
+    me = node()
+    for name in ("n1", "n2"):
+        me.receive(frame(name, RumoursOnly()), 0.0)
+    me.tick(0.0)
+    me.tick(60.0)
+    assert set(me.live_nodes()) == {"me", "n1", "n2"}
+
+
+def test_a_probe_for_the_former_owner_of_an_address_is_not_answered():
+    me = node()
+    effects = me.receive(frame("n1", Probe(1, NodeId("old"))), 0.0)
+    assert sent(effects, Ack) == []
+
+
+def test_of_another_zone_only_two_nodes_are_kept():
+    me = node()
+    for number in range(50):
+        me.receive(frame(f"b{number}", RumoursOnly(), zone="b"), 0.0)
+        me.receive(frame(f"a{number}", RumoursOnly(), zone="a"), 0.0)
+    zones = list(me.live_nodes().values())
+    assert (zones.count("a"), zones.count("b")) == (51, 2)
+
+
+def test_the_table_is_bounded_and_makes_room_by_the_longest_dead():
+    table = MemberTable(NodeId("me"), ZoneName("a"))
+    for number in range(2 * MAX_MEMBERS):
+        table.apply(rumour(f"n{number}"), float(number))
+    assert len(table) == MAX_MEMBERS
+    table.apply(rumour("n7", state=NodeState.DEAD), 1e6)
+    assert table.apply(rumour("late"), 1e6)
+    assert table.get(NodeId("n7")) is None
+
+
+def test_digests_are_taken_in_their_order_and_none_is_skipped():
+    writer = DigestStore(NodeId("w"), 1)
+    writer.set_own("x", b"1")
+    writer.set_own("y", b"1")
+    writer.set_own("x", b"2")
+    reader = DigestStore(NodeId("r"), 1)
+    late = writer.newer(Mark(NodeId("w"), 1, 2), 10_000)
+    assert not reader.apply(late[0])
+    for entry in writer.newer(reader.mark(NodeId("w")), 10_000):
+        assert reader.apply(entry)
+        assert not reader.apply(entry)
+    found = {e.topic: e.payload for t in "xy" for e in reader.topic(t)}
+    assert found == {"x": b"2", "y": b"1"}
+
+
+def test_a_digest_of_a_former_life_is_not_taken():
+    old, new = DigestStore(NodeId("w"), 1), DigestStore(NodeId("w"), 2)
+    old.set_own("x", b"old")
+    new.set_own("x", b"new")
+    reader = DigestStore(NodeId("r"), 1)
+    nothing = Mark(NodeId("w"), 0, 0)
+    assert reader.apply(new.newer(nothing, 1_000)[0])
+    assert not reader.apply(old.newer(nothing, 1_000)[0])
+
+
+def test_a_digest_above_the_limit_is_refused_at_its_source():
+    with pytest.raises(ValueError, match="more than"):
+        node().set_digest("x", b"x" * 1_025)
+
+
+def test_messages_stop_when_the_byte_budget_is_used_up_but_probes_go_on():
+    me = node()
+    me.receive(frame("n1", RumoursOnly()), 0.0)
+    count = 0
+    while me.message(NodeId("n1"), "bulk", b"x" * 8_000, 0.0):
+        count += 1
+    assert count <= 5
+    assert sent(me.tick(0.0), Probe)
+
+
+def test_a_token_bucket_tells_how_long_to_wait():
+    bucket = TokenBucket(rate=8.0, depth=4.0)
+    bucket.charge(8.0, now=0.0)
+    assert bucket.wait_s(2.0, now=0.0) == 0.75
+    assert not bucket.take(2.0, now=0.5)
+    assert bucket.take(2.0, now=0.75)
--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_gentle.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_gentle.py
@@ -29,6 +29,8 @@
 from pomeloarch_node.platform_breaker import CircuitBreaker, RetryBudget
 from pomeloarch_node.platform_reads import ReadBatcher, SharedCalls
 
+_SHORTEST_WAIT_S = 0.001
+
 T = TypeVar("T")
 E = TypeVar("E")
 
@@ -181,6 +183,7 @@
         deadline = self._clock() + self._cfg.longest_wait_s
         while bucket.available(self._clock()) < amount + reserve:
             wait_s = bucket.wait_s(amount + reserve, self._clock())
+            wait_s = max(wait_s, _SHORTEST_WAIT_S)
             if self._clock() + wait_s > deadline:
                 self._metrics.count("platform_held_back")
                 return False
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership_fleet.py
@@ -0,0 +1,237 @@
+"""Nodes' membership and generations in one process, in virtual time.
+
+Frames are encoded and decoded as on the wire; there are no sockets.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+import time
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from pomeloarch_core.ids import (
+    Generation,
+    NodeId,
+    OrganisationName,
+    PublicationId,
+    ZoneName,
+)
+from pomeloarch_core.membership import (
+    MembershipProtocol,
+    NodeState,
+    Rumour,
+)
+from pomeloarch_core.membership.generation_exchange import (
+    TICK_S,
+    ExchangeEffect,
+    GenerationExchange,
+    Install,
+    SendTo,
+)
+from pomeloarch_core.membership.generation_messages import (
+    Have,
+    decode_message,
+    encode_message,
+)
+from pomeloarch_core.membership.messages import (
+    Deliver,
+    Effect,
+    Frame,
+    RumoursOnly,
+    SendFrame,
+)
+from pomeloarch_core.objects.model import ObjectSet, Organisation, Snapshot
+from pomeloarch_node.peer_codec import (
+    LENGTH_BYTES,
+    decode_frame,
+    encode_frame,
+)
+
+IN_ZONE_S = 0.000_5
+BETWEEN_ZONES_S = 0.003_5
+DIGEST_BYTES = 300
+DIGEST_PERIOD_S = 1.0
+_OBJECTS = 200
+_TOPIC = "generation"
+
+
+class FleetNode:
+    """One node's machines and what it sent and received."""
+
+    def __init__(self, name: str, zone: str, rng: random.Random) -> None:
+        """Builds the machines."""
+        address = f"10.0.{zlib.crc32(name.encode()) % 65536 >> 8}.1:7000"
+        self.name = NodeId(name)
+        self.zone = ZoneName(zone)
+        me = Rumour(self.name, self.zone, address, NodeState.ALIVE, 1)
+        self.me = me
+        self.protocol = MembershipProtocol(me, (), rng)
+        self.exchange = GenerationExchange(self.name, self.zone, rng)
+        self.bytes_sent = 0
+        self.frames_sent = 0
+
+
+class MeasuredFleet:
+    """A fleet that has just found itself, with a small network between.
+
+    Args:
+      zones: how many zones.
+      nodes_per_zone: how many nodes each has.
+      seed: for all chance.
+    """
+
+    def __init__(self, zones: int, nodes_per_zone: int, seed: int) -> None:
+        """Builds the nodes and introduces them to each other."""
+        self.now = 0.0
+        self.cpu_s = 0.0
+        self._rng = random.Random(seed)
+        self._events: list[tuple[float, int, Callable[..., None], Any]] = []
+        self._order = itertools.count()
+        self.nodes = {
+            node.name: node
+            for node in (
+                FleetNode(f"n{zone}-{index}", f"zone-{zone}", self._rng)
+                for zone in range(zones)
+                for index in range(nodes_per_zone)
+            )
+        }
+        self._introduce()
+        self._objects = [
+            Organisation(name=OrganisationName(f"organisation-{number}"))
+            for number in range(_OBJECTS)
+        ]
+        self.generation = 0
+        self.publish()
+
+    def run(self, seconds: float) -> None:
+        """Runs the fleet, counting the processor time of its machines."""
+        end = self.now + seconds
+        begin = time.process_time()
+        while self._events and self._events[0][0] <= end:
+            self.now, _, function, args = heapq.heappop(self._events)
+            function(*args)
+        self.now = end
+        self.cpu_s += time.process_time() - begin
+
+    def reset_counts(self) -> None:
+        """Starts counting anew."""
+        self.cpu_s = 0.0
+        for node in self.nodes.values():
+            node.bytes_sent = node.frames_sent = 0
+
+    def publish(self) -> None:
+        """One node has a new generation with one object changed."""
+        self.generation += 1
+        place = self.generation % _OBJECTS
+        self._objects[place] = Organisation(
+            name=OrganisationName(f"organisation-{place}"),
+            quota_accelerators=self.generation,
+        )
+        snapshot = Snapshot(
+            Generation(self.generation),
+            PublicationId(f"publication-{self.generation}"),
+            ObjectSet(organisation=tuple(self._objects)),
+        )
+        node = self.nodes[self._rng.choice(sorted(self.nodes))]
+        node.exchange.saw_nodes(node.protocol.live_nodes())
+        self._exchange(node, node.exchange.offer(snapshot))
+
+    def behind(self) -> int:
+        """Returns how many nodes don't have the highest generation."""
+        return sum(
+            node.exchange.snapshot.generation < self.generation
+            for node in self.nodes.values()
+        )
+
+    def kill(self, name: NodeId) -> None:
+        """Stops a node without a word."""
+        del self.nodes[name]
+
+    # ---- the machines
+
+    def _introduce(self) -> None:
+        for node in self.nodes.values():
+            for other in self.nodes.values():
+                node.protocol.receive(_hello(other), 0.0)
+            self._at(self._rng.random(), self._tick, node)
+            self._at(self._rng.random(), self._tick_exchange, node)
+            self._at(self._rng.random(), self._set_load, node)
+
+    def _at(
+        self, delay_s: float, function: Callable[..., None], *args: Any
+    ) -> None:
+        event = self.now + delay_s, next(self._order), function, args
+        heapq.heappush(self._events, event)
+
+    def _tick(self, node: FleetNode) -> None:
+        if node.name not in self.nodes:
+            return
+        self._do(node, node.protocol.tick(self.now))
+        wait_s = max(0.001, node.protocol.due() - self.now)
+        self._at(wait_s, self._tick, node)
+
+    def _tick_exchange(self, node: FleetNode) -> None:
+        node.exchange.saw_nodes(node.protocol.live_nodes())
+        self._exchange(node, node.exchange.tick(self.now))
+        self._at(TICK_S, self._tick_exchange, node)
+
+    def _set_load(self, node: FleetNode) -> None:
+        node.protocol.set_digest("load", self._rng.randbytes(DIGEST_BYTES))
+        self._at(DIGEST_PERIOD_S, self._set_load, node)
+
+    def _receive(self, name: NodeId, encoded: bytes) -> None:
+        node = self.nodes.get(name)
+        if node is None:
+            return
+        frame = decode_frame(encoded[LENGTH_BYTES:]).unwrap()
+        self._do(node, node.protocol.receive(frame, self.now))
+
+    def _do(self, node: FleetNode, effects: Iterable[Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, SendFrame):
+                self._transmit(node, effect)
+            elif isinstance(effect, Deliver) and effect.topic == _TOPIC:
+                message = decode_message(effect.payload).unwrap()
+                self._exchange(
+                    node,
+                    node.exchange.receive(effect.sender, message, self.now),
+                )
+
+    def _exchange(
+        self, node: FleetNode, effects: Iterable[ExchangeEffect]
+    ) -> None:
+        for effect in effects:
+            if isinstance(effect, Install):
+                have = encode_message(Have(effect.snapshot.generation))
+                node.protocol.set_digest(_TOPIC, have)
+                continue
+            messages = (
+                [effect.message]
+                if isinstance(effect, SendTo)
+                else effect.chunks
+            )
+            for message in messages:
+                order = node.protocol.message(
+                    effect.node, _TOPIC, encode_message(message), self.now
+                )
+                if order is not None:
+                    self._transmit(node, order)
+
+    def _transmit(self, node: FleetNode, order: SendFrame) -> None:
+        encoded = encode_frame(order.frame)
+        node.bytes_sent += len(encoded)
+        node.frames_sent += 1
+        target = self.nodes.get(order.node)
+        if target is None:
+            return
+        near = target.zone == node.zone
+        delay_s = IN_ZONE_S if near else BETWEEN_ZONES_S
+        self._at(delay_s, self._receive, order.node, encoded)
+
+
+def _hello(node: FleetNode) -> Frame:
+    return Frame(node.name, node.zone, node.me.address, 1, RumoursOnly(), ())
