Limit submissions by node; let workers forget what has ended

Cause: a flood of submissions could use up the platform's writes for all; and workers reported each ended task for an hour, since nothing released it.

Change: each node writes its even part of a fixed rate, leaves rows to more urgent classes and, of each kind's last rows, to callers below their even part; the rest are refused as not run. A scheduler releases ended tasks whose end is in the record. Schedulers share a fixed rate of writes by the number of zones.

--- a/packages/pomeloarch-node/src/pomeloarch_node/job_problems.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/job_problems.py
@@ -22,6 +22,12 @@
     outcome=RequestOutcome.NOT_RUN,
     reason="no_configuration",
 )
+TOO_MANY = Problem(
+    title="the job was not accepted: too many are being submitted",
+    status=503,
+    outcome=RequestOutcome.NOT_RUN,
+    reason="too_many_submissions",
+)
 NOT_FOUND = Problem(
     title="there is no such job",
     status=404,
--- a/packages/pomeloarch-node/src/pomeloarch_node/jobs_api.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/jobs_api.py
@@ -16,8 +16,9 @@
 
 from pomeloarch_core.gang.messages import JobRecord
 from pomeloarch_core.ids import JobId, ZoneName
-from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_core.objects.model import Snapshot, Urgency
 from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.job_admission import SubmissionLimit
 from pomeloarch_node.job_cancels import CancelGatherer
 from pomeloarch_node.job_checks import check_request, find_class
 from pomeloarch_node.job_explain import Explainer, JobExplanations
@@ -25,6 +26,7 @@
     NO_CONFIGURATION,
     NOT_FOUND,
     TOO_LARGE,
+    TOO_MANY,
     cancel_problem,
     findings_problem,
     malformed_problem,
@@ -88,6 +90,7 @@
         self._store = JobStore(platform)
         self._cancels = CancelGatherer(platform, rng, wall_clock)
         self._explanations = JobExplanations(peers, explainer)
+        self._limit: SubmissionLimit | None = None
 
     def routes(self) -> list[BaseRoute]:
         """Returns the HTTP routes that the part answers."""
@@ -152,15 +155,26 @@
         if isinstance(placed, Err):
             # A job that was accepted under an earlier generation stands.
             return await self._earlier(claim_key, fingerprint, placed.err_value)
+        zone, urgency = placed.ok_value
+        if not self._admit(req, urgency):
+            return await self._earlier(claim_key, fingerprint, TOO_MANY)
         now = self._wall_clock()
-        job_id = new_job_id(placed.ok_value, now, self._rng)
+        job_id = new_job_id(zone, now, self._rng)
         record = JobRecord(req.to_spec(job_id, now), reason="accepted")
         submitted = await self._store.submit(record, claim_key, fingerprint)
         return submitted.map_err(submit_problem)
 
+    def _admit(self, req: JobRequest, urgency: Urgency) -> bool:
+        now = asyncio.get_running_loop().time()
+        if self._limit is None:
+            self._limit = SubmissionLimit(now)
+        caller = f"{req.organisation}/{req.caller}"
+        nodes = len(self._peers.live_nodes())
+        return self._limit.admit(urgency, caller, nodes, now)
+
     def _place(
         self, req: JobRequest, snapshot: Snapshot
-    ) -> Result[ZoneName, Problem]:
+    ) -> Result[tuple[ZoneName, Urgency], Problem]:
         findings = check_request(req, snapshot.objects)
         job_class = find_class(req, snapshot.objects)
         if findings or job_class is None:
@@ -170,7 +184,7 @@
         zone = choose_zone(req, job_class, snapshot.objects, loads, self._zone)
         if zone is None:
             return Err(findings_problem(findings, status=422))
-        return Ok(zone)
+        return Ok((zone, job_class.urgency))
 
     async def _earlier(
         self, claim_key: str | None, fingerprint: str, problem: Problem
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
@@ -4,6 +4,10 @@
 
 import enum
 
+# The platform takes several hundred rows a second for everything.
+SCHEDULERS_ROWS_PER_S = 150.0
+SUBMISSIONS_ROWS_PER_S = 120.0
+
 
 class WriteKind(enum.IntEnum):
     """How long a write may wait; the lowest goes first."""
@@ -37,6 +41,11 @@
         self._tokens = float(burst)
         self._at = now
 
+    def set_rate(self, per_s: float, now: float) -> None:
+        """Changes how many writes a second there are."""
+        self._refill(now)
+        self._per_s = per_s
+
     def available(self, kind: WriteKind, now: float) -> int:
         """Returns how many rows of a kind may be written right now."""
         self._refill(now)
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_loop.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_loop.py
@@ -15,16 +15,19 @@
     Decision,
     Event,
     Explanation,
+    JobSubmitted,
     RaiseAlert,
     RecordWritten,
     Tick,
     WorkerOrder,
+    WorkerReported,
     WriteRecord,
 )
 from pomeloarch_core.ids import Epoch, JobId, ZoneName
 from pomeloarch_core.objects.model import Snapshot
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
+from pomeloarch_node.scheduler_cleanup import EndedTasks
 from pomeloarch_node.scheduler_records import RecordWriter
 from pomeloarch_node.scheduler_tenure import Tenure
 from pomeloarch_node.worker_links import WorkerLinks
@@ -86,6 +89,7 @@
         self._alerts = alerts
         self._explanations = explanations
         self._ended = ended
+        self._ended_tasks = EndedTasks(tenure.epoch)
         self._metrics = metrics
 
     async def run(self, events: asyncio.Queue[Event]) -> None:
@@ -109,8 +113,7 @@
         """Hands one event on and has the decisions carried out."""
         if not self._tenure.held():
             return
-        if isinstance(event, RecordWritten) and event.record.state.final:
-            self._ended(event.record.spec.job_id)
+        self._note(event)
         began = time.perf_counter()
         decisions = self.scheduler.handle(event, now)
         self._metrics.observe(
@@ -121,6 +124,25 @@
         for decision in decisions:
             self._carry_out(decision)
 
+    @functools.singledispatchmethod
+    def _note(self, event: Event) -> None:
+        """Notes what concerns the node itself; most events don't."""
+
+    @_note.register
+    def _note_submitted(self, event: JobSubmitted) -> None:
+        self._ended_tasks.note(event.record)
+
+    @_note.register
+    def _note_written(self, event: RecordWritten) -> None:
+        self._ended_tasks.note(event.record)
+        if event.record.state.final:
+            self._ended(event.record.spec.job_id)
+
+    @_note.register
+    def _note_reported(self, event: WorkerReported) -> None:
+        for order in self._ended_tasks.release(event):
+            self._links.give(order)
+
     def _next_tick(self, now: float) -> float:
         wakeup = self.scheduler.next_wakeup(now)
         latest = now + TICK_S
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -26,7 +26,11 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Check, PlatformClient
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
-from pomeloarch_node.scheduler_budget import WriteBudget, WriteKind
+from pomeloarch_node.scheduler_budget import (
+    SCHEDULERS_ROWS_PER_S,
+    WriteBudget,
+    WriteKind,
+)
 from pomeloarch_node.scheduler_cancels import CancelReader
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_inbox import JobInbox
@@ -36,9 +40,8 @@
 from pomeloarch_node.worker_gate import WorkerGate
 from pomeloarch_node.worker_links import WorkerLinks
 
-WRITES_PER_S = 80.0
-WRITES_BURST = 80
-WRITES_KEPT = {WriteKind.CHANGE: 20, WriteKind.CLEAN_UP: 40}
+WRITES_BURST = 60
+WRITES_KEPT = {WriteKind.CHANGE: 15, WriteKind.CLEAN_UP: 30}
 _RETRY_PAUSE_S = 0.5
 _WORKERS_TIMEOUT_S = 10.0
 
@@ -158,7 +161,7 @@
         snapshot = await self._newest_snapshot()
         await self._wait_for_workers()
         await self._load()
-        writer = self._make_writer(fence)
+        writer = self._make_writer(fence, snapshot)
         cancels = CancelReader(
             self._platform,
             self._zone,
@@ -182,14 +185,17 @@
             group.create_task(self._follow_configuration())
             group.create_task(decisions.run(self._events))
 
-    def _make_writer(self, fence: Check) -> RecordWriter:
+    def _make_writer(self, fence: Check, snapshot: Snapshot) -> RecordWriter:
         now = asyncio.get_running_loop().time()
+        self._budget = WriteBudget(
+            _rows_per_s(snapshot), WRITES_BURST, WRITES_KEPT, now
+        )
         return RecordWriter(
             self._platform,
             self._zone,
             self._tenure,
             fence,
-            WriteBudget(WRITES_PER_S, WRITES_BURST, WRITES_KEPT, now),
+            self._budget,
             self._events.put_nowait,
             self._metrics,
         )
@@ -257,6 +263,8 @@
     async def _follow_configuration(self) -> None:
         while True:
             snapshot = await self._newest_snapshot()
+            now = asyncio.get_running_loop().time()
+            self._budget.set_rate(_rows_per_s(snapshot), now)
             self._events.put_nowait(ConfigurationChanged(snapshot))
 
     def _found(self, record: JobRecord, version: int) -> None:
@@ -273,3 +281,9 @@
         self._inbox.ended(job_id)
         if self._cancels is not None:
             self._cancels.ended(job_id)
+
+
+def _rows_per_s(snapshot: Snapshot) -> float:
+    """Returns one zone's part of what all schedulers may write."""
+    zones = len(snapshot.objects.availability_zone)
+    return SCHEDULERS_ROWS_PER_S / max(1, zones)
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -17,6 +17,7 @@
     WorkerPool,
 )
 from pomeloarch_node.job_records import CancelBatch, encode
+from pomeloarch_node.worker_client import OrdersRequest
 from pomeloarch_standins import virtual_time
 from pomeloarch_standins.fake_platform import Fault
 from pomeloarch_standins.job_bench import WALL_CLOCK_S, ZoneBench
@@ -102,6 +103,25 @@
     assert run(main) < URGENT_START_S
 
 
+def test_reports_do_not_grow_with_the_jobs_that_ended():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        for _ in range(30):
+            await submit(node, GANG, command="run_s=0.2")
+            await asyncio.sleep(1.0)
+        await bench.until("succeeded")
+        await asyncio.sleep(5.0)
+        check_promises(bench)
+        heartbeat = OrdersRequest(1, "n1", 0.0)
+        return [
+            len(worker.handle(heartbeat, bench.now()).tasks)
+            for worker in bench.fleet.workers.values()
+        ]
+
+    assert run(main) == [0] * 8
+
+
 # ---- the holder dies or pauses at each step of an attempt
 
 
@@ -381,6 +401,43 @@
     assert left == {}
 
 
+def test_a_flood_of_submissions_leaves_room_for_urgent_and_small_callers():
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        batch = {"organisation": "archive", "job_class": "match"}
+        answers = []
+
+        async def flood():
+            for _ in range(6 * 300):
+                answers.append(await node.submit(**batch, caller="large"))
+                await asyncio.sleep(1 / 300)
+
+        flooding = asyncio.create_task(flood())
+        small, waits_s = [], []
+        for _ in range(6):
+            await asyncio.sleep(0.9)
+            small.append(await node.submit(**batch, caller="small"))
+            job_id = await submit(node, SCAN, command="run_s=1")
+            waits_s.append(
+                await bench.until("running", "succeeded", job_ids=[job_id])
+            )
+        await flooding
+        return answers, small, waits_s, bench.platform.most_written
+
+    answers, small, waits_s, most_written = run(main, writes_per_s=400)
+    refused = [answer.json() for answer in answers if answer.status != 202]
+    accepted = len(answers) - len(refused)
+    assert {problem["outcome"] for problem in refused} == {"not_run"}
+    assert {problem["reason"] for problem in refused} == {
+        "too_many_submissions"
+    }
+    assert 300 < accepted < 500
+    assert [answer.status for answer in small] == [202] * 6
+    assert max(waits_s) < URGENT_START_S
+    assert most_written <= 400
+
+
 def test_a_planned_stop_hands_over_without_ending_a_task():
     async def main(bench):
         holder = bench.node("n1", 1)
