--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -27,7 +27,9 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.operators_api import OperatorsApi
 from pomeloarch_node.peer_plane import TcpPeerPlane
-from pomeloarch_node.platform import HttpPlatformClient, PlatformClient
+from pomeloarch_node.platform import HttpPlatformClient
+from pomeloarch_node.platform_gentle import GentleConfig, GentlePlatform
+from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.requests import RequestPlane
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_task import SchedulerTask
@@ -37,6 +39,10 @@
 _MILLISECONDS = 1000
 _KEEPALIVE_S = 30
 
+# Six hosts at this rate stay near the platform's several hundred a second;
+# what each part writes is bounded below it.
+_WRITES_PER_S = 70.0
+
 
 class Node:
     """The parts of one node, wired together.
@@ -61,8 +67,12 @@
         self._holder = ConfigurationHolder()
         self._directory = HostDirectory()
         self._health = Health(self._holder)
-        self._platform: PlatformClient = HttpPlatformClient(
-            session, settings.platform_url
+        self._platform = GentlePlatform(
+            HttpPlatformClient(session, settings.platform_url),
+            time.monotonic,
+            self._metrics,
+            self._rng,
+            GentleConfig(writes_per_s=_WRITES_PER_S),
         )
         self._peers = TcpPeerPlane.from_settings(
             settings,
@@ -74,7 +84,7 @@
         self._role = LeasedRole(
             f"scheduler/{settings.availability_zone}",
             settings.node_id,
-            self._platform,
+            self._platform.for_role("role", urgent=True),
             time.monotonic,
             self._metrics,
             self._rng,
@@ -82,15 +92,14 @@
         self.components = self._build_components()
 
     def _build_components(self) -> dict[str, Component]:
-        operators = self._operators()
-        spreader = self._spreader(operators)
+        spreader = self._spreader()
         hosts = self._host_watch()
         scheduler = self._scheduler()
         return {
             "requests": self._requests(),
             "scheduler": scheduler,
             "jobs": self._jobs(scheduler),
-            "operators": operators,
+            "operators": self._operators(),
             "role": BackgroundPart(self._role.run),
             "generation_spread": BackgroundPart(spreader.run),
             "hosts": BackgroundPart(hosts.run),
@@ -103,7 +112,7 @@
             self._holder,
             self._directory,
             self._peers,
-            self._platform,
+            self._platform.for_role("requests"),
             self._metrics,
             time.monotonic,
             self._rng,
@@ -111,17 +120,21 @@
 
     def _operators(self) -> OperatorsApi:
         return OperatorsApi(
-            self._platform,
+            self._platform.for_role("operators"),
             self._holder,
             self._metrics,
             self._settings.node_id,
             self._rng,
         )
 
-    def _spreader(self, operators: OperatorsApi) -> GenerationSpreader:
+    def _spreader(self) -> GenerationSpreader:
+        store = PublicationStore(
+            self._platform.for_role("generations"),
+            lambda: self._holder.snapshot,
+        )
         return GenerationSpreader(
             self._holder,
-            TableSnapshotSource(operators.store),
+            TableSnapshotSource(store),
             self._peers,
             self._settings.node_id,
             self._settings.availability_zone,
@@ -133,7 +146,7 @@
     def _host_watch(self) -> HostDirectoryTask:
         return HostDirectoryTask(
             self._directory,
-            self._platform,
+            self._platform.for_role("hosts"),
             self._peers,
             time.monotonic,
             self._metrics,
@@ -144,7 +157,7 @@
         return SchedulerTask(
             self._settings.availability_zone,
             self._settings.node_id,
-            self._platform,
+            self._platform.for_role("scheduler"),
             self._role,
             self._holder,
             self._directory,
@@ -158,7 +171,7 @@
     def _jobs(self, scheduler: SchedulerTask) -> JobsApi:
         return JobsApi(
             self._settings.availability_zone,
-            self._platform,
+            self._platform.for_role("jobs"),
             self._holder,
             self._peers,
             scheduler,
