--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/latency.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/latency.py
@@ -4,6 +4,9 @@
 
 import math
 
+# Samples within this part of a half-life count as of one time.
+_STEP_SHARE = 0.01
+
 
 class DecayingMean:
     """A mean whose samples fade with time.
@@ -18,11 +21,12 @@
     3.33
     """
 
-    __slots__ = ("_rate", "_sum", "_time", "_weight")
+    __slots__ = ("_rate", "_step_s", "_sum", "_time", "_weight")
 
     def __init__(self, half_life_s: float) -> None:
         """Starts without samples."""
         self._rate = math.log(2.0) / half_life_s
+        self._step_s = _STEP_SHARE * half_life_s
         self._sum = 0.0
         self._weight = 0.0
         self._time = 0.0
@@ -40,7 +44,7 @@
     def add(self, sample: float, now: float) -> None:
         """Takes one sample in."""
         elapsed = now - self._time
-        if elapsed > 0.0:
+        if elapsed > self._step_s:
             kept = math.exp(-self._rate * elapsed)
             self._sum *= kept
             self._weight *= kept
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/limits.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/limits.py
@@ -55,23 +55,23 @@
 
     Args:
       share: this node's part of the service's slots.
+
+    Attributes:
+      value: the limit in requests, at least one.
     """
 
     def __init__(self, share: float) -> None:
         """Starts at the whole share."""
         self._share = share
         self._factor = 1.0
+        self.value = self._requests()
         self._ratio = DecayingMean(_LATENCY_HALF_LIFE_S)
         self._stepped_at = 0.0
 
-    @property
-    def value(self) -> int:
-        """The limit in requests, at least one."""
-        return max(1, int(self._share * self._factor + 0.5))
-
     def set_share(self, share: float) -> None:
         """Takes this node's present part of the service's slots."""
         self._share = share
+        self.value = self._requests()
 
     def record(self, ratio: float, now: float) -> None:
         """Takes one answer's latency over its class's usual latency in."""
@@ -85,3 +85,7 @@
             self._factor = max(_LEAST_SHARE, self._factor * cut)
         else:
             self._factor = min(1.0, self._factor + _RISE)
+        self.value = self._requests()
+
+    def _requests(self) -> int:
+        return max(1, int(self._share * self._factor + 0.5))
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/shared_budget.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/shared_budget.py
@@ -30,6 +30,7 @@
         self._taken: dict[ServiceName, int] = {}
         self._total = 0
         self._floors: dict[ServiceName, int] = {}
+        self._unreserved = whole
 
     @property
     def taken(self) -> int:
@@ -42,13 +43,15 @@
             service: int(share * self._whole)
             for service, share in shares.items()
         }
+        self._unreserved = self._whole - sum(self._floors.values())
 
     def try_take(self, service: ServiceName, amount: int) -> bool:
         """Takes an amount for a service, if that leaves others theirs."""
         own = self._taken.get(service, 0)
         if self._total + amount > self._whole:
             return False
-        if own + amount > self._floors.get(service, 0):
+        above_floor = own + amount > self._floors.get(service, 0)
+        if above_floor and self._total + amount > self._unreserved:
             reserved = sum(
                 max(0, floor - self._taken.get(other, 0))
                 for other, floor in self._floors.items()
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
@@ -47,7 +47,6 @@
     Attributes:
       in_progress: requests that have no answer yet.
       draining: whether callers' connections are closed after each answer.
-      idle: set while no request is in progress.
     """
 
     def __init__(
@@ -64,8 +63,7 @@
         """Keeps what it works with."""
         self.in_progress = 0
         self.draining = False
-        self.idle = asyncio.Event()
-        self.idle.set()
+        self._idle: asyncio.Event | None = None
         self._catalogue = catalogue
         self._dispatcher = dispatcher
         self._memory = memory
@@ -81,13 +79,19 @@
     ) -> None:
         """Answers one request."""
         self.in_progress += 1
-        self.idle.clear()
         try:
             await self._handle(scope, receive, send)
         finally:
             self.in_progress -= 1
-            if self.in_progress == 0:
-                self.idle.set()
+            if self._idle is not None and self.in_progress == 0:
+                self._idle.set()
+
+    async def drain(self) -> None:
+        """Closes connections after answers; waits until none is owed."""
+        self.draining = True
+        self._idle = asyncio.Event()
+        if self.in_progress:
+            await self._idle.wait()
 
     async def _handle(self, scope: Scope, receive: Receive, send: Send) -> None:
         head = read_head(scope)
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_head.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_head.py
@@ -25,6 +25,9 @@
 _LONGEST_NAME = 128
 _DIGITS = re.compile(rb"[0-9]{1,9}")
 
+_TEXTS = (b"pomelo-organisation", b"pomelo-caller", b"idempotency-key")
+_NUMBERS = (b"pomelo-deadline-ms", b"content-length")
+
 # Headers that hold for one connection alone or that this node sets anew.
 _NOT_FORWARDED = frozenset(
     {
@@ -133,16 +136,15 @@
 
 
 def _check(known: Mapping[bytes, bytes]) -> HeadError | None:
-    for name in (b"pomelo-organisation", b"pomelo-caller", b"idempotency-key"):
+    for name in _TEXTS:
         value = known.get(name, b"")
         if len(value) > _LONGEST_NAME or not value.isascii():
             return HeadError(
                 f"{name.decode()} has to be ASCII, at most "
                 f"{_LONGEST_NAME} characters"
             )
-    for name in (b"pomelo-deadline-ms", b"content-length"):
-        value = known.get(name, b"0")
-        if not _DIGITS.fullmatch(value):
+    for name in _NUMBERS:
+        if name in known and not _DIGITS.fullmatch(known[name]):
             return HeadError(f"{name.decode()} has to be a whole number")
     if known.get(b"pomelo-non-idempotent", b"0") not in (b"0", b"1"):
         return HeadError("Pomelo-Non-Idempotent has to be 0 or 1")
--- a/packages/pomeloarch-node/src/pomeloarch_node/requests.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/requests.py
@@ -120,8 +120,7 @@
 
     async def drain(self) -> None:
         """Waits until every request in progress has its answer."""
-        self._handler.draining = True
-        await self._handler.idle.wait()
+        await self._handler.drain()
         await self._claims.drain()
 
     def status(self) -> dict[str, Any]:
