Reach the platform through a peer's node when cut off from it

A zone cut off from the platform refused every claim and job although other zones reached it. A call that is certainly not done is now made by a node of another zone; a write in doubt is never made again.

--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -29,6 +29,7 @@
 from pomeloarch_node.peer_plane import TcpPeerPlane
 from pomeloarch_node.platform import HttpPlatformClient
 from pomeloarch_node.platform_gentle import GentleConfig, GentlePlatform
+from pomeloarch_node.platform_relay import PlatformRelay
 from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.requests import RequestPlane
 from pomeloarch_node.role_lease import LeasedRole
@@ -67,19 +68,28 @@
         self._holder = ConfigurationHolder()
         self._directory = HostDirectory()
         self._health = Health(self._holder)
-        self._platform = GentlePlatform(
+        self._peers = TcpPeerPlane.from_settings(
+            settings,
+            int(time.time() * _MILLISECONDS),
+            self._metrics,
+            time.monotonic,
+            self._rng,
+        )
+        self._relay = PlatformRelay(
             HttpPlatformClient(session, settings.platform_url),
+            self._peers,
+            settings.node_id,
+            settings.availability_zone,
             time.monotonic,
             self._metrics,
             self._rng,
-            GentleConfig(writes_per_s=_WRITES_PER_S),
         )
-        self._peers = TcpPeerPlane.from_settings(
-            settings,
-            int(time.time() * _MILLISECONDS),
-            self._metrics,
+        self._platform = GentlePlatform(
+            self._relay,
             time.monotonic,
+            self._metrics,
             self._rng,
+            GentleConfig(writes_per_s=_WRITES_PER_S),
         )
         self._role = LeasedRole(
             f"scheduler/{settings.availability_zone}",
@@ -103,6 +113,10 @@
             "role": BackgroundPart(self._role.run),
             "generation_spread": BackgroundPart(spreader.run),
             "hosts": BackgroundPart(hosts.run),
+            "platform": BackgroundPart(
+                self._relay.run,
+                status=lambda: {"cut_off": self._relay.cut_off},
+            ),
             "peers": BackgroundPart(self._peers.run, self._peers.drain),
         }
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/platform.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform.py
@@ -74,10 +74,17 @@
 
 
 class PlatformError(msgspec.Struct, frozen=True):
-    """A call that failed, and whether it may have taken effect."""
+    """A call that failed.
+
+    Attributes:
+      failure: whether it may have taken effect.
+      message: why, for people.
+      reached: whether the platform itself answered.
+    """
 
     failure: PlatformFailure
     message: str
+    reached: bool = False
 
 
 class Conflict(msgspec.Struct, frozen=True):
@@ -243,4 +250,5 @@
     failure = PlatformFailure.UNKNOWN
     if status in _REFUSAL_STATUSES:
         failure = PlatformFailure.NOT_DONE
-    return PlatformError(failure, f"the platform answered {status}")
+    message = f"the platform answered {status}"
+    return PlatformError(failure, message, reached=True)
