--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
@@ -42,7 +42,7 @@
 PUSH_AFTER_S = 6.0
 _PUSH_PERIOD_S = 2.0
 # Ticks after a change in which one more node is told of it.
-_REMINDERS = 4
+_REMINDERS = 3
 TICK_S = 0.5
 CHUNK_BYTES = 8_000
 _MAX_CHUNKS = 4_000
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/messages.py
@@ -147,11 +147,20 @@
 
 
 class SendFrame(msgspec.Struct, frozen=True):
-    """Send a frame to an address; node is empty where it is not known."""
+    """Send a frame to an address.
+
+    Attributes:
+      address: where to.
+      node: who is there, empty where that is not known.
+      frame: what to send.
+      charged_bytes: what the byte budget was charged; the sender tells the
+        protocol what it really took.
+    """
 
     address: str
     node: NodeId
     frame: Frame
+    charged_bytes: int
 
 
 class ResetLink(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
@@ -42,6 +42,8 @@
 
 # Marks in a probe beside the own one while the byte budget is used up.
 _MARKS_WITHOUT_ROOM = 2
+# Headers of the packet that carries a frame: Ethernet, IP, TCP.
+PACKET_BYTES = 66
 # Addresses tried at once by a node that knows no live one.
 _LONELY_TRIES = 3
 # Leaving is told to this many; they pass it on.
@@ -72,9 +74,9 @@
     suspicion_s: float = 2.0
     rejoin_s: float = 5.0
     relays: int = 2
-    bytes_per_s: float = 3_000.0
-    burst_bytes: float = 32_000.0
-    message_reserve: float = 16_000.0
+    bytes_per_s: float = 3_400.0
+    burst_bytes: float = 10_000.0
+    message_reserve: float = 5_000.0
     frame_room: int = 2_048
     max_marks: int = 12
     max_rumours: int = 6
@@ -189,6 +191,10 @@
             member.rumour.address, node, TopicMessage(topic, payload), now
         )
 
+    def encoded(self, order: SendFrame, size: int, now: float) -> None:
+        """Takes note of the bytes that a frame really took."""
+        self._bucket.charge(size + PACKET_BYTES - order.charged_bytes, now)
+
     # ---- driven by time and frames
 
     def due(self) -> float:
@@ -559,8 +565,9 @@
             body,
             self._rumours_for(node),
         )
-        self._bucket.charge(frame_bytes(frame), now)
-        return SendFrame(address, node, frame)
+        charged = frame_bytes(frame) + PACKET_BYTES
+        self._bucket.charge(charged, now)
+        return SendFrame(address, node, frame, charged)
 
     def _rumours_for(self, node: NodeId) -> tuple[Rumour, ...]:
         """Returns own leaving, the receiver's own bad news, then the rest."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
@@ -48,6 +48,7 @@
       clock: monotonic time, in seconds.
       rng: for targets of probes.
       cfg: times and bounds of the protocol.
+      open_link: makes the outgoing link to an address.
     """
 
     def __init__(
@@ -58,11 +59,13 @@
         clock: Callable[[], float],
         rng: random.Random,
         cfg: MembershipConfig | None = None,
+        open_link: Callable[[str], PeerLink] = PeerLink,
     ) -> None:
         """Starts with no other node known and no socket."""
         self._protocol = MembershipProtocol(me, seeds, rng, cfg)
         self._metrics = metrics
         self._clock = clock
+        self._open_link = open_link
         self._listener = PeerListener(metrics, self._take)
         self._inbox: asyncio.Queue[Frame] = asyncio.Queue(_MAX_INBOX)
         self._links: dict[str, PeerLink] = {}
@@ -227,6 +230,7 @@
 
     async def _write(self, order: SendFrame) -> bool:
         encoded = encode_frame(order.frame)
+        self._protocol.encoded(order, len(encoded), self._clock())
         sent = await self._link(order.address).send(encoded)
         if sent:
             self._metrics.count("peer_sent_bytes", len(encoded))
@@ -237,7 +241,7 @@
         """Returns the link to an address; the one unused longest goes."""
         link = self._links.pop(address, None)
         if link is None:
-            link = PeerLink(address)
+            link = self._open_link(address)
             if len(self._links) >= _MAX_LINKS:
                 oldest = next(iter(self._links))
                 self._links.pop(oldest).close()
