--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership_fleet.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership_fleet.py
@@ -73,6 +73,7 @@
         self.protocol = MembershipProtocol(me, (), rng)
         self.exchange = GenerationExchange(self.name, self.zone, rng)
         self.bytes_sent = 0
+        self.bytes_received = 0
         self.frames_sent = 0
 
 
@@ -83,13 +84,17 @@
       zones: how many zones.
       nodes_per_zone: how many nodes each has.
       seed: for all chance.
+      topics: how many digests of `DIGEST_BYTES` each node sets a second.
     """
 
-    def __init__(self, zones: int, nodes_per_zone: int, seed: int) -> None:
+    def __init__(
+        self, zones: int, nodes_per_zone: int, seed: int, topics: int = 1
+    ) -> None:
         """Builds the nodes and introduces them to each other."""
         self.now = 0.0
         self.cpu_s = 0.0
         self._rng = random.Random(seed)
+        self._topics = topics
         self._events: list[tuple[float, int, Callable[..., None], Any]] = []
         self._order = itertools.count()
         self.nodes = {
@@ -122,7 +127,7 @@
         """Starts counting anew."""
         self.cpu_s = 0.0
         for node in self.nodes.values():
-            node.bytes_sent = node.frames_sent = 0
+            node.bytes_sent = node.bytes_received = node.frames_sent = 0
 
     def publish(self) -> None:
         """One node has a new generation with one object changed."""
@@ -180,13 +185,16 @@
         self._at(TICK_S, self._tick_exchange, node)
 
     def _set_load(self, node: FleetNode) -> None:
-        node.protocol.set_digest("load", self._rng.randbytes(DIGEST_BYTES))
+        for number in range(self._topics):
+            digest = self._rng.randbytes(DIGEST_BYTES)
+            node.protocol.set_digest(f"load-{number}", digest)
         self._at(DIGEST_PERIOD_S, self._set_load, node)
 
     def _receive(self, name: NodeId, encoded: bytes) -> None:
         node = self.nodes.get(name)
         if node is None:
             return
+        node.bytes_received += len(encoded) + PACKET_BYTES
         frame = decode_frame(encoded[LENGTH_BYTES:]).unwrap()
         self._do(node, node.protocol.receive(frame, self.now))
 
