--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
@@ -0,0 +1,62 @@
+"""A scheduler's part of the platform's writes, with a share for starts."""
+
+from __future__ import annotations
+
+import enum
+
+# The platform takes several hundred rows a second for everything.
+SCHEDULERS_ROWS_PER_S = 150.0
+SUBMISSIONS_ROWS_PER_S = 120.0
+
+
+class WriteKind(enum.IntEnum):
+    """How long a write may wait; the lowest goes first."""
+
+    START = 0
+    CHANGE = 1
+    CLEAN_UP = 2
+
+
+class WriteBudget:
+    """A token bucket of which the last tokens are kept for hasty writes.
+
+    Args:
+      per_s: writes a second.
+      burst: writes at once after a quiet time.
+      kept: for each kind the tokens that it leaves to those before it.
+      now: the present time, in seconds.
+    """
+
+    def __init__(
+        self,
+        per_s: float,
+        burst: int,
+        kept: dict[WriteKind, int],
+        now: float,
+    ) -> None:
+        """Starts with a full bucket."""
+        self._per_s = per_s
+        self._burst = burst
+        self._kept = kept
+        self._tokens = float(burst)
+        self._at = now
+
+    def set_rate(self, per_s: float, now: float) -> None:
+        """Changes how many writes a second there are."""
+        self._refill(now)
+        self._per_s = per_s
+
+    def available(self, kind: WriteKind, now: float) -> int:
+        """Returns how many rows of a kind may be written right now."""
+        self._refill(now)
+        return max(0, int(self._tokens) - self._kept.get(kind, 0))
+
+    def take(self, rows: int, now: float) -> None:
+        """Counts rows that are written."""
+        self._refill(now)
+        self._tokens -= rows
+
+    def _refill(self, now: float) -> None:
+        gained = max(0.0, now - self._at) * self._per_s
+        self._tokens = min(float(self._burst), self._tokens + gained)
+        self._at = now
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -0,0 +1,289 @@
+"""One tenure of a zone's scheduler, from the takeover to its end."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from absl import logging
+from result import Ok
+
+from pomeloarch_core.gang.messages import (
+    ConfigurationChanged,
+    Event,
+    FleetChanged,
+    JobCancelled,
+    JobRecord,
+    JobSubmitted,
+)
+from pomeloarch_core.ids import JobId, ZoneName
+from pomeloarch_core.objects.model import Snapshot
+from pomeloarch_node.configuration import ConfigurationHolder
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import Check, PlatformClient
+from pomeloarch_node.scheduler_alerts import Alerts, Explanations
+from pomeloarch_node.scheduler_budget import (
+    SCHEDULERS_ROWS_PER_S,
+    WriteBudget,
+    WriteKind,
+)
+from pomeloarch_node.scheduler_cancels import CancelReader
+from pomeloarch_node.scheduler_fence import raise_fence
+from pomeloarch_node.scheduler_inbox import JobInbox
+from pomeloarch_node.scheduler_loop import MakeScheduler, SchedulerLoop
+from pomeloarch_node.scheduler_records import RecordWriter
+from pomeloarch_node.scheduler_tenure import Tenure
+from pomeloarch_node.worker_gate import WorkerGate
+from pomeloarch_node.worker_links import WorkerLinks
+
+WRITES_BURST = 60
+WRITES_KEPT = {WriteKind.CHANGE: 15, WriteKind.CLEAN_UP: 30}
+_RETRY_PAUSE_S = 0.5
+_WORKERS_TIMEOUT_S = 10.0
+
+
+class SchedulerSession:
+    """Schedules a zone for as long as a tenure lasts.
+
+    Args:
+      zone: the zone.
+      tenure: the right to act.
+      platform: the platform.
+      configuration: the generation in force.
+      links: the zone's workers.
+      gate: what their links share.
+      metrics: the node's metrics.
+      rng: the chance in decisions.
+      make_scheduler: makes the core's scheduler.
+      wall_clock: seconds of the wall clock.
+    """
+
+    def __init__(
+        self,
+        zone: ZoneName,
+        tenure: Tenure,
+        platform: PlatformClient,
+        configuration: ConfigurationHolder,
+        links: WorkerLinks,
+        gate: WorkerGate,
+        metrics: Metrics,
+        rng: random.Random,
+        make_scheduler: MakeScheduler,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Keeps what it works with."""
+        self._zone = zone
+        self._tenure = tenure
+        self._platform = platform
+        self._snapshots = configuration.subscribe()
+        self._links = links
+        self._gate = gate
+        self._metrics = metrics
+        self._rng = rng
+        self._make_scheduler = make_scheduler
+        self._events: asyncio.Queue[Event] = asyncio.Queue()
+        self._inbox = JobInbox(platform, zone, self._found, wall_clock)
+        self._writer: RecordWriter | None = None
+        self._cancels: CancelReader | None = None
+        self._loop: SchedulerLoop | None = None
+        self._loaded: list[tuple[JobRecord, int]] = []
+        self._sizes: dict[JobId, int] = {}
+        self._poked: set[JobId] = set()
+        self._poke = asyncio.Event()
+        self._explanations = Explanations()
+        self._alerts = Alerts(metrics)
+        self._rebuilt_s: float | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether all jobs were read and decisions are made."""
+        return self._rebuilt_s is not None
+
+    @property
+    def wanted_accelerators(self) -> int:
+        """What the zone's unfinished jobs hold or wait for."""
+        return sum(self._sizes.values())
+
+    async def run(self) -> None:
+        """Takes over and schedules until the tenure is lost."""
+        self._gate.begin(self._tenure, self._events.put_nowait)
+        self._links.begin(self._tenure.epoch)
+        working = asyncio.create_task(self._work())
+        lost = asyncio.create_task(self._tenure.lost())
+        try:
+            await asyncio.wait(
+                {working, lost}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if working.done():
+                working.result()
+        finally:
+            self._gate.end()
+            working.cancel()
+            lost.cancel()
+            await asyncio.gather(working, lost, return_exceptions=True)
+            self._alerts.clear_all()
+
+    def poke(self, job_id: JobId) -> None:
+        """Reads a job at once that another node says is new."""
+        self._poked.add(job_id)
+        self._poke.set()
+
+    def explain(self, job_id: JobId) -> list[str]:
+        """Returns why a job is where it is, the newest reason last."""
+        reasons = self._explanations.of(job_id)
+        present = self._loop.scheduler.explain(job_id) if self._loop else ""
+        if present and present not in reasons:
+            reasons.append(present)
+        return reasons
+
+    def status(self) -> dict[str, Any]:
+        """Returns what an operator wants to know."""
+        core = self._loop.scheduler.status() if self._loop else {}
+        return {
+            **msgspec.to_builtins(core),
+            "ready": self.ready,
+            "rebuilt_s": self._rebuilt_s,
+            "unfinished_jobs": len(self._sizes),
+            "cancellations_waiting": (
+                self._cancels.waiting if self._cancels else 0
+            ),
+            "alerts": msgspec.to_builtins(self._alerts.views()),
+        }
+
+    async def _work(self) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        fence = await raise_fence(self._platform, self._zone, self._tenure)
+        snapshot = await self._newest_snapshot()
+        await self._wait_for_workers()
+        await self._load()
+        writer = self._make_writer(fence, snapshot)
+        cancels = CancelReader(
+            self._platform,
+            self._zone,
+            self._tenure,
+            fence,
+            self._inbox,
+            writer,
+            lambda job_id: self._events.put_nowait(JobCancelled(job_id)),
+        )
+        self._writer = writer
+        self._cancels = cancels
+        decisions = self._rebuild(snapshot, writer)
+        self._rebuilt_s = loop.time() - began
+        self._metrics.observe("scheduler_rebuild", self._rebuilt_s)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(writer.run())
+            group.create_task(cancels.run())
+            group.create_task(self._inbox.run())
+            group.create_task(self._follow_pokes())
+            group.create_task(self._follow_workers())
+            group.create_task(self._follow_configuration())
+            group.create_task(decisions.run(self._events))
+
+    def _make_writer(self, fence: Check, snapshot: Snapshot) -> RecordWriter:
+        now = asyncio.get_running_loop().time()
+        self._budget = WriteBudget(
+            _rows_per_s(snapshot), WRITES_BURST, WRITES_KEPT, now
+        )
+        return RecordWriter(
+            self._platform,
+            self._zone,
+            self._tenure,
+            fence,
+            self._budget,
+            self._events.put_nowait,
+            self._metrics,
+        )
+
+    def _rebuild(
+        self, snapshot: Snapshot, writer: RecordWriter
+    ) -> SchedulerLoop:
+        """Makes the core's scheduler and tells it what was found."""
+        now = asyncio.get_running_loop().time()
+        scheduler = self._make_scheduler(
+            snapshot, self._zone, self._tenure.epoch, now, self._rng
+        )
+        self._loop = SchedulerLoop(
+            scheduler,
+            self._tenure,
+            writer,
+            self._links,
+            self._alerts,
+            self._explanations,
+            self._note_end,
+            self._metrics,
+        )
+        self._loop.handle(FleetChanged(self._links.workers), now)
+        for record, version in self._loaded:
+            writer.learn(record.spec.job_id, version)
+            self._loop.handle(JobSubmitted(record), now)
+        self._loaded = []
+        return self._loop
+
+    async def _newest_snapshot(self) -> Snapshot:
+        snapshot = await self._snapshots.get()
+        while not self._snapshots.empty():
+            snapshot = self._snapshots.get_nowait()
+        return snapshot
+
+    async def _wait_for_workers(self) -> None:
+        if self._links.workers:
+            return
+        try:
+            async with asyncio.timeout(_WORKERS_TIMEOUT_S):
+                await self._links.changed()
+        except TimeoutError:
+            logging.warning("zone %s has no worker yet", self._zone)
+
+    async def _load(self) -> None:
+        while True:
+            answer = await self._inbox.load()
+            if isinstance(answer, Ok):
+                return
+            logging.warning("jobs: %s", answer.err_value.message)
+            await asyncio.sleep(_RETRY_PAUSE_S)
+
+    async def _follow_pokes(self) -> None:
+        while True:
+            await self._poke.wait()
+            self._poke.clear()
+            poked, self._poked = self._poked, set()
+            await self._inbox.read(poked)
+
+    async def _follow_workers(self) -> None:
+        while True:
+            workers = await self._links.changed()
+            self._events.put_nowait(FleetChanged(workers))
+
+    async def _follow_configuration(self) -> None:
+        while True:
+            snapshot = await self._newest_snapshot()
+            now = asyncio.get_running_loop().time()
+            self._budget.set_rate(_rows_per_s(snapshot), now)
+            self._events.put_nowait(ConfigurationChanged(snapshot))
+
+    def _found(self, record: JobRecord, version: int) -> None:
+        spec = record.spec
+        self._sizes[spec.job_id] = spec.members * spec.accelerators
+        if self._writer is None:
+            self._loaded.append((record, version))
+            return
+        self._writer.learn(spec.job_id, version)
+        self._events.put_nowait(JobSubmitted(record))
+
+    def _note_end(self, job_id: JobId) -> None:
+        self._sizes.pop(job_id, None)
+        self._inbox.ended(job_id)
+        if self._cancels is not None:
+            self._cancels.ended(job_id)
+
+
+def _rows_per_s(snapshot: Snapshot) -> float:
+    """Returns one zone's part of what all schedulers may write."""
+    zones = len(snapshot.objects.availability_zone)
+    return SCHEDULERS_ROWS_PER_S / max(1, zones)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
@@ -27,6 +27,11 @@
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None and self._settle_s == 0.0:
+            ready = super().select(0)
+            if not ready:
+                raise RuntimeError("all tasks wait and no timer is set")
+            return ready
         if timeout is None or timeout <= 0:
             return super().select(timeout)
         events = super().select(min(timeout, self._settle_s))
@@ -59,7 +64,16 @@
     Args:
       coroutine: what to run; its clock is `loop.time`.
       sockets: whether it uses sockets of this machine.
+
+    >>> async def wait():
+    ...     await asyncio.sleep(3600.0)
+    ...     return asyncio.get_running_loop().time()
+    >>> run_virtual(wait())
+    3600.0
     """
     loop = VirtualLoop(_SETTLE_S if sockets else 0.0)
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
         return runner.run(coroutine)
+
+
+run = run_virtual
