--- a/packages/pomeloarch-node/src/pomeloarch_node/generation_spreader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/generation_spreader.py
@@ -123,7 +123,6 @@
 
     async def _read_platform(self) -> bool:
         """Reads the platform's highest; returns whether it answered."""
-        self._metrics.count("platform_reads", role="generation")
         head = await self._source.load_head()
         if isinstance(head, Err):
             return False
@@ -137,7 +136,6 @@
         return await self._read_snapshot()
 
     async def _read_deltas(self) -> bool:
-        self._metrics.count("platform_reads", role="generation")
         base = self._exchange.snapshot
         steps = await self._source.load_deltas(base.generation)
         if isinstance(steps, Err):
@@ -154,7 +152,6 @@
         return True
 
     async def _read_snapshot(self) -> bool:
-        self._metrics.count("platform_reads", role="generation")
         found = await self._source.load_snapshot()
         if isinstance(found, Err):
             return False
--- a/packages/pomeloarch-node/src/pomeloarch_node/host_watch.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/host_watch.py
@@ -91,7 +91,6 @@
 
     async def _poll(self) -> None:
         while True:
-            self._metrics.count("platform_reads", role="hosts")
             answer = await self._platform.membership()
             if not isinstance(answer, Err):
                 self._take(answer.ok_value, 0.0)
--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -27,7 +27,8 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.operators_api import OperatorsApi
 from pomeloarch_node.peer_plane import TcpPeerPlane
-from pomeloarch_node.platform import HttpPlatformClient, PlatformClient
+from pomeloarch_node.platform import HttpPlatformClient
+from pomeloarch_node.platform_gentle import GentlePlatform
 from pomeloarch_node.requests import RequestPlane
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_task import SchedulerTask
@@ -61,8 +62,11 @@
         self._holder = ConfigurationHolder()
         self._directory = HostDirectory()
         self._health = Health(self._holder)
-        self._platform: PlatformClient = HttpPlatformClient(
-            session, settings.platform_url
+        self._platform = GentlePlatform(
+            HttpPlatformClient(session, settings.platform_url),
+            time.monotonic,
+            self._metrics,
+            self._rng,
         )
         self._peers = TcpPeerPlane.from_settings(
             settings,
@@ -74,7 +78,7 @@
         self._role = LeasedRole(
             f"scheduler/{settings.availability_zone}",
             settings.node_id,
-            self._platform,
+            self._platform.for_role("role", urgent=True),
             time.monotonic,
             self._metrics,
             self._rng,
@@ -103,7 +107,7 @@
             self._holder,
             self._directory,
             self._peers,
-            self._platform,
+            self._platform.for_role("requests"),
             self._metrics,
             time.monotonic,
             self._rng,
@@ -111,7 +115,7 @@
 
     def _operators(self) -> OperatorsApi:
         return OperatorsApi(
-            self._platform,
+            self._platform.for_role("publications"),
             self._holder,
             self._metrics,
             self._settings.node_id,
@@ -133,7 +137,7 @@
     def _host_watch(self) -> HostDirectoryTask:
         return HostDirectoryTask(
             self._directory,
-            self._platform,
+            self._platform.for_role("hosts"),
             self._peers,
             time.monotonic,
             self._metrics,
@@ -144,7 +148,7 @@
         return SchedulerTask(
             self._settings.availability_zone,
             self._settings.node_id,
-            self._platform,
+            self._platform.for_role("scheduler"),
             self._role,
             self._holder,
             self._directory,
@@ -158,7 +162,7 @@
     def _jobs(self, scheduler: SchedulerTask) -> JobsApi:
         return JobsApi(
             self._settings.availability_zone,
-            self._platform,
+            self._platform.for_role("jobs"),
             self._holder,
             self._peers,
             scheduler,
--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_gentle.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_gentle.py
@@ -52,8 +52,8 @@
     timeout_s: float = 2.0
     tries: int = 3
     backoff_s: float = 0.1
-    reads_per_s: float = 60.0
-    writes_per_s: float = 30.0
+    reads_per_s: float = 200.0
+    writes_per_s: float = 60.0
     burst_s: float = 4.0
     reserve: float = 0.2
     longest_wait_s: float = 2.0
@@ -136,13 +136,13 @@
     async def scan(
         self, role: str, table: str, prefix: str, after: str, limit: int
     ) -> Result[tuple[Row, ...], PlatformError]:
-        """Reads rows in the order of keys; same calls share an answer."""
-        return await self._shared.call(
-            ("scan", table, prefix, after, limit),
-            lambda: self._read_call(
-                role,
-                lambda: self._inner.scan(table, prefix, after, limit),
-            ),
+        """Reads rows in the order of keys.
+
+        It shares no answer: one that was asked for before a write of the
+        caller would not show it.
+        """
+        return await self._read_call(
+            role, lambda: self._inner.scan(table, prefix, after, limit)
         )
 
     async def membership(
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -127,7 +127,6 @@
             return
 
     async def _read(self) -> None:
-        self._metrics.count("platform_reads", role=self._name)
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 answer = await self._platform.read([(ROLES_TABLE, self._name)])
@@ -140,7 +139,6 @@
         return self._machine.observed(row.version, _lease_row(row), now)
 
     async def _write(self, action: WriteRow) -> None:
-        self._metrics.count("platform_writes", role=self._name)
         check = Check(ROLES_TABLE, self._name, action.version)
         value = msgspec.to_builtins(action.value)
         write = Write(ROLES_TABLE, self._name, value)
