Split the gang modules and mend what the state machine found

Bursts of larger jobs made the state machine find more: - a successor pinned a guarantee to a leaving worker, because a covered job still ran there; such a job is now booked outside of the guarantee; - a worker that left the list was forgotten while cells stood on it, so that it came back with 2 accelerators of room too many.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/dispatcher.py
@@ -6,7 +6,8 @@
 from itertools import islice
 
 from pomeloarch_core.gang.attempts import Attempts
-from pomeloarch_core.gang.fleet import Fleet, Standing, Worker
+from pomeloarch_core.gang.compaction import Compaction
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.holdings import Holdings
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.placement import Slots, free_members
@@ -17,6 +18,7 @@
 from pomeloarch_core.gang.reservations import Reservations
 from pomeloarch_core.gang.shares import Shares
 from pomeloarch_core.gang.witness import Witness
+from pomeloarch_core.gang.workers import Standing, Worker
 from pomeloarch_core.ids import JobId
 
 _TRIES_PER_PASS = 24
@@ -62,6 +64,7 @@
         self._shares = shares
         self._queue = queue
         self._placer = placer
+        self._compaction = Compaction(fleet, shares, jobs)
         self._holdings = holdings
         self._attempts = attempts
         self._records = records
@@ -184,7 +187,7 @@
         if made is None:
             return None
         job.expected_at = made.start_at
-        return self._placer.compact(job, made.workers, made.start_at, now)
+        return self._compaction.plan(job, made.workers, made.start_at, now)
 
     def probe(self, worker: Worker, now: float) -> Job | None:
         """Places safe work on a quarantined worker: it may be lost.
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/health.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/health.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
-from pomeloarch_core.gang.fleet import Fleet, Worker
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.jobs import Job
+from pomeloarch_core.gang.workers import Worker
 from pomeloarch_core.ids import (
     JobClassName,
     JobId,
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
@@ -6,11 +6,12 @@
 from collections.abc import Mapping
 
 from pomeloarch_core.gang.cells import Cell, Instance
-from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.placer import Place
 from pomeloarch_core.gang.shares import Shares
 from pomeloarch_core.gang.witness import Witness
+from pomeloarch_core.gang.workers import Standing
 from pomeloarch_core.ids import JobId, WorkerId
 
 _KEPT_STANDINGS = frozenset({Standing.COVERED, Standing.LEAVING})
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
@@ -4,13 +4,13 @@
 
 import enum
 
-from pomeloarch_core.gang.fleet import Standing
 from pomeloarch_core.gang.messages import (
     JobRecord,
     JobSpec,
     Member,
     TaskState,
 )
+from pomeloarch_core.gang.workers import Standing
 from pomeloarch_core.ids import AttemptId, JobId, WorkerId
 from pomeloarch_core.objects.model import JobClass, Urgency
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/placement.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/placement.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from pomeloarch_core.gang.capacity import CapacityIndex
-from pomeloarch_core.gang.fleet import Fleet, Worker
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.messages import JobSpec, Member
+from pomeloarch_core.gang.workers import Worker
 from pomeloarch_core.ids import RackId, WorkerId
 from pomeloarch_core.objects.model import Adjacency
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
@@ -9,10 +9,11 @@
 import msgspec
 
 from pomeloarch_core.gang.capacity import CapacityIndex
-from pomeloarch_core.gang.fleet import Fleet, Standing, Worker
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.messages import Member
 from pomeloarch_core.gang.placement import Need, Slots
+from pomeloarch_core.gang.workers import Standing, Worker
 from pomeloarch_core.ids import JobClassName, JobId, RackId, WorkerId
 from pomeloarch_core.objects.model import Adjacency
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/reservations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/reservations.py
@@ -14,9 +14,10 @@
 import msgspec
 
 from pomeloarch_core.gang.estimates import RunTimes
-from pomeloarch_core.gang.fleet import Fleet, PoolCapacity, Standing, Worker
+from pomeloarch_core.gang.fleet import Fleet, PoolCapacity
 from pomeloarch_core.gang.jobs import Job
 from pomeloarch_core.gang.placement import Need
+from pomeloarch_core.gang.workers import Standing, Worker
 from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_core.objects.model import Adjacency
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -215,6 +215,7 @@
             else:
                 self._orphans.forget(worker.worker_id)
                 self._gone[worker.worker_id] = now + GONE_WORKER_QUIET_S
+                self._fleet.drop_if_idle(worker)
         self._holdings.uncovered()
         early, self._early = self._early or [], None
         for record in early:
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/shares.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/shares.py
@@ -4,8 +4,9 @@
 
 from collections import Counter
 
-from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.jobs import Job
+from pomeloarch_core.gang.workers import Standing
 from pomeloarch_core.ids import (
     CallerName,
     JobClassName,
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/witness.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/witness.py
@@ -9,25 +9,22 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Iterable, Sequence
-from itertools import combinations, islice
+from itertools import islice
 
-from pomeloarch_core.gang.capacity import CapacityIndex
+from pomeloarch_core.gang.assignment import Assignment, hosts_in_rack
 from pomeloarch_core.gang.cells import Cell, Instance
-from pomeloarch_core.gang.fleet import Fleet, Worker
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.placement import Need
+from pomeloarch_core.gang.workers import Worker
 from pomeloarch_core.ids import (
     JobId,
     OrganisationName,
-    RackId,
     ShapeName,
     WorkerId,
 )
 from pomeloarch_core.objects.model import Adjacency, GuaranteedShape
 
 _RACK_CANDIDATES = 4
-_SEARCH_INSTANCES = 24
-_SEARCH_STEPS = 2_000
-_CHOICES_PER_RACK = 64
 
 
 class Witness:
@@ -41,7 +38,7 @@
         """Makes a witness of no shapes."""
         self._fleet = fleet
         self._instances: dict[tuple[ShapeName, int], Instance] = {}
-        self._on_worker: dict[WorkerId, dict[Instance, None]] = {}
+        self._cells = Assignment(fleet)
         self._of_owner: dict[OrganisationName, list[Instance]] = {}
         self._short: dict[Instance, int] = {}
         self.uncovered: list[JobId] = []
@@ -80,7 +77,7 @@
                 del wanted[key]
                 continue
             self._unpin(instance)
-            self._unplace(instance)
+            self._cells.unplace(instance)
             self._short.pop(instance, None)
             del self._instances[key]
         for key, shape in wanted.items():
@@ -94,7 +91,7 @@
 
     def worker_lost(self, worker: Worker) -> None:
         """Moves the cells off a worker that can't be trusted any more."""
-        for instance in list(self._on_worker.get(worker.worker_id, ())):
+        for instance in self._cells.on_worker(worker.worker_id):
             self._replace_instance(instance, worker)
         self.repair()
 
@@ -103,7 +100,9 @@
         for instance in list(self._short):
             if self._short[instance] == self._fleet.version:
                 continue
-            if self._place(instance) or self._search(instance):
+            if self._cells.place(instance) or self._cells.search(
+                instance, self._instances.values()
+            ):
                 del self._short[instance]
             else:
                 self._short[instance] = self._fleet.version
@@ -113,83 +112,22 @@
         """Moves one instance that had a cell on a lost worker."""
         lost = [c for c in instance.cells if c.worker_id == worker.worker_id]
         kept = [c for c in instance.cells if c not in lost]
-        self._unplace(instance, lost)
+        self._cells.unplace(instance, lost)
         rack = worker.info.rack
         if kept and not any(cell.used for cell in lost):
             taken = {cell.worker_id for cell in kept}
-            index = self._index(instance)
-            hosts = _hosts(index, rack, lost[0].size, taken) if index else []
+            index = self._cells.index(instance)
+            hosts = (
+                hosts_in_rack(index, rack, lost[0].size, taken) if index else []
+            )
             if len(hosts) >= len(lost):
-                self._assign(instance, lost, hosts)
+                self._cells.assign(instance, lost, hosts)
                 return
         self._unpin(instance)
-        self._unplace(instance)
-        if not self._place(instance):
+        self._cells.unplace(instance)
+        if not self._cells.place(instance):
             self._short[instance] = -1
 
-    def _place(self, instance: Instance) -> bool:
-        """Places an unplaced instance in the tightest rack that takes it."""
-        index = self._index(instance)
-        if index is None:
-            return False
-        size, count = instance.cells[0].size, len(instance.cells)
-        rack = next(index.racks_with_hosts(size, count), None)
-        if rack is None:
-            return False
-        self._assign(instance, instance.cells, _hosts(index, rack, size, ()))
-        return True
-
-    def _search(self, instance: Instance) -> bool:
-        """Moves idle instances of the pool about to make an instance fit.
-
-        A depth-first search, largest instance first, within a bound of
-        steps. It leaves everything as it was if it finds nothing.
-        """
-        pool = instance.shape.worker_pool
-        idle = (
-            other
-            for other in self._instances.values()
-            if other.shape.worker_pool == pool
-            and other.placed
-            and not other.pinned
-        )
-        movable = list(islice(idle, _SEARCH_INSTANCES))
-        before = [(i, [c.worker_id for c in i.cells]) for i in movable]
-        for other in movable:
-            self._unplace(other)
-        order = sorted(
-            [instance, *movable],
-            key=lambda i: (-len(i.cells), -i.cells[0].size),
-        )
-        if self._descend(order, 0, [_SEARCH_STEPS]):
-            return True
-        for other, workers in before:
-            for cell, worker_id in zip(other.cells, workers, strict=True):
-                if worker_id is not None:
-                    self._assign(other, [cell], [worker_id])
-        return False
-
-    def _descend(
-        self, order: list[Instance], depth: int, steps: list[int]
-    ) -> bool:
-        if depth == len(order):
-            return True
-        instance = order[depth]
-        index = self._index(instance)
-        if index is None:
-            return False
-        size, count = instance.cells[0].size, len(instance.cells)
-        for rack in list(index.racks_with_hosts(size, count)):
-            for hosts in _choices(index, rack, size, count):
-                steps[0] -= 1
-                if steps[0] < 0:
-                    return False
-                self._assign(instance, instance.cells, hosts)
-                if self._descend(order, depth + 1, steps):
-                    return True
-                self._unplace(instance)
-        return False
-
     # ---- covered jobs
 
     def claim(
@@ -266,24 +204,28 @@
         """
         if cell.worker_id == worker.worker_id:
             return True
-        if instance.pinned or worker.info.pool != instance.shape.worker_pool:
+        if instance.pinned or not worker.trusted:
             return False
-        self._unplace(instance)
+        if worker.info.pool != instance.shape.worker_pool:
+            return False
+        self._cells.unplace(instance)
         self._short.pop(instance, None)
         others = [c for c in instance.cells if c is not cell]
-        self._assign(instance, [cell], [worker.worker_id])
-        index = self._index(instance)
+        self._cells.assign(instance, [cell], [worker.worker_id])
+        index = self._cells.index(instance)
         taken = {worker.worker_id}
         hosts = (
-            _hosts(index, worker.info.rack, cell.size, taken) if index else []
+            hosts_in_rack(index, worker.info.rack, cell.size, taken)
+            if index
+            else []
         )
         if worker.room < 0:
             self.settle(worker, keep=instance)
         if worker.room >= 0 and len(hosts) >= len(others):
-            self._assign(instance, others, hosts)
+            self._cells.assign(instance, others, hosts)
             return True
-        self._unplace(instance)
-        if not self._place(instance):
+        self._cells.unplace(instance)
+        if not self._cells.place(instance):
             self._short[instance] = -1
         return False
 
@@ -291,19 +233,19 @@
 
     def settle(self, worker: Worker, keep: Instance | None = None) -> None:
         """Moves cells off a worker that work in progress overcommits."""
-        for instance in list(self._on_worker.get(worker.worker_id, ())):
+        for instance in self._cells.on_worker(worker.worker_id):
             if worker.room >= 0:
                 return
             if instance is not keep and not instance.pinned:
-                self._unplace(instance)
-                if not self._place(instance):
+                self._cells.unplace(instance)
+                if not self._cells.place(instance):
                     self._short[instance] = -1
-        for instance in list(self._on_worker.get(worker.worker_id, ())):
+        for instance in self._cells.on_worker(worker.worker_id):
             if worker.room >= 0:
                 return
             if instance is not keep:
                 self._unpin(instance)
-                self._unplace(instance)
+                self._cells.unplace(instance)
                 self._short[instance] = -1
 
     def make_way(self, worker: Worker, count: int) -> bool:
@@ -318,7 +260,7 @@
         """
         worker.fixed += count
         self._fleet.touch(worker)
-        for instance in list(self._on_worker.get(worker.worker_id, ())):
+        for instance in self._cells.on_worker(worker.worker_id):
             if worker.room >= 0:
                 break
             if not instance.pinned:
@@ -330,12 +272,14 @@
 
     def _move(self, instance: Instance) -> None:
         before = [cell.worker_id for cell in instance.cells]
-        self._unplace(instance)
-        if self._place(instance) or self._search(instance):
+        self._cells.unplace(instance)
+        if self._cells.place(instance) or self._cells.search(
+            instance, self._instances.values()
+        ):
             return
         for cell, worker_id in zip(instance.cells, before, strict=True):
             if worker_id is not None:
-                self._assign(instance, [cell], [worker_id])
+                self._cells.assign(instance, [cell], [worker_id])
 
     def move_to_cheapest(
         self,
@@ -352,8 +296,8 @@
         if instance.pinned or not instance.placed:
             return
         before = list(instance.worker_ids)
-        self._unplace(instance)
-        index = self._index(instance)
+        self._cells.unplace(instance)
+        index = self._cells.index(instance)
         assert index is not None
         size, count = instance.cells[0].size, len(instance.cells)
         own = self._fleet.known(before[0]).info.rack
@@ -362,7 +306,7 @@
         for rack in dict.fromkeys([own, *racks]):
             costs = {
                 worker_id: found
-                for worker_id in _hosts(index, rack, size, ())
+                for worker_id in hosts_in_rack(index, rack, size, ())
                 if (found := cost(self._fleet.known(worker_id), size))
                 is not None
             }
@@ -370,39 +314,10 @@
             total = sum(costs[worker_id] for worker_id in chosen)
             if len(chosen) == count and total < best_cost:
                 best, best_cost = chosen, total
-        self._assign(instance, instance.cells, best)
+        self._cells.assign(instance, instance.cells, best)
 
     # ---- bookkeeping
 
-    def _index(self, instance: Instance) -> CapacityIndex | None:
-        pool = self._fleet.pools.get(instance.shape.worker_pool)
-        return pool.room if pool else None
-
-    def _assign(
-        self,
-        instance: Instance,
-        cells: Sequence[Cell],
-        hosts: Sequence[WorkerId],
-    ) -> None:
-        for cell, worker_id in zip(cells, hosts, strict=False):
-            worker = self._fleet.known(worker_id)
-            cell.worker_id = worker_id
-            worker.reserved += cell.size
-            self._on_worker.setdefault(worker_id, {})[instance] = None
-            self._fleet.touch(worker)
-
-    def _unplace(
-        self, instance: Instance, cells: Sequence[Cell] | None = None
-    ) -> None:
-        for cell in instance.cells if cells is None else cells:
-            if cell.worker_id is None:
-                continue
-            worker = self._fleet.known(cell.worker_id)
-            worker.reserved -= cell.size
-            self._on_worker[cell.worker_id].pop(instance, None)
-            cell.worker_id = None
-            self._fleet.touch(worker)
-
     def _unpin(self, instance: Instance) -> None:
         """Lets go of the jobs that stood in an instance."""
         for cell in instance.cells:
@@ -411,11 +326,13 @@
 
     def _why_short(self, instance: Instance) -> str:
         shape = instance.shape
-        index = self._index(instance)
+        index = self._cells.index(instance)
         best = 0
         if index is not None:
             for rack in index.racks_with_hosts(shape.accelerators_per_host, 1):
-                hosts = _hosts(index, rack, shape.accelerators_per_host, ())
+                hosts = hosts_in_rack(
+                    index, rack, shape.accelerators_per_host, ()
+                )
                 best = max(best, len(hosts))
         return (
             f"guarantee {shape.name} of {shape.organisation} needs "
@@ -433,23 +350,3 @@
         and one.hosts == other.hosts
         and one.accelerators_per_host == other.accelerators_per_host
     )
-
-
-def _hosts(
-    index: CapacityIndex,
-    rack: RackId,
-    size: int,
-    taken: Iterable[WorkerId | None],
-) -> list[WorkerId]:
-    """Returns a rack's workers with room for a cell, tightest first."""
-    values = index.rack_workers(rack)
-    hosts = [w for w, v in values.items() if v >= size and w not in taken]
-    return sorted(hosts, key=lambda w: values[w])
-
-
-def _choices(
-    index: CapacityIndex, rack: RackId, size: int, count: int
-) -> list[tuple[WorkerId, ...]]:
-    """Returns ways to choose a rack's workers, tightest first."""
-    ways = combinations(_hosts(index, rack, size, ()), count)
-    return list(islice(ways, _CHOICES_PER_RACK))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/gang_load.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/gang_load.py
@@ -140,6 +140,7 @@
         JobClass(
             name=JobClassName("certificate"),
             urgency=Urgency.STANDARD,
+            floor_share=0.05,
             preemptible=False,
             max_gang=2,
         ),
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/naive_gang.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/naive_gang.py
@@ -14,7 +14,7 @@
 import msgspec
 
 from pomeloarch_core.gang.attempts import Attempts
-from pomeloarch_core.gang.fleet import Fleet, Worker
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.holdings import Holdings
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.messages import ConfigurationChanged
@@ -23,6 +23,7 @@
 from pomeloarch_core.gang.queue import JobQueue
 from pomeloarch_core.gang.records import Records
 from pomeloarch_core.gang.scheduler import ZoneScheduler
+from pomeloarch_core.gang.workers import Worker
 from pomeloarch_core.ids import Epoch, JobId, RackId, WorkerId, ZoneName
 from pomeloarch_core.objects.model import Adjacency, Snapshot
 
