Keep takeovers and alerts in the audit trail

Cause: operators ask afterwards who scheduled a zone and when a guarantee was short; the gauge and the status only say what is so now.

--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_alerts.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_alerts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -56,15 +57,21 @@
 
     Args:
       metrics: the node's metrics.
+      note: told of the subject and reason of each change.
     """
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(
+        self, metrics: Metrics, note: Callable[[str, str], None]
+    ) -> None:
         """Starts with no alert."""
         self._metrics = metrics
+        self._note = note
         self._alerts: dict[tuple[AlertKind, str], RaiseAlert] = {}
 
     def raise_alert(self, alert: RaiseAlert) -> None:
         """Shows an alert."""
+        if (alert.kind, alert.subject) not in self._alerts:
+            self._note(f"{alert.kind.value}/{alert.subject}", alert.reason)
         self._alerts[alert.kind, alert.subject] = alert
         self._set(alert.kind, alert.subject, 1)
 
@@ -72,11 +79,13 @@
         """Takes an alert away."""
         if self._alerts.pop((alert.kind, alert.subject), None) is not None:
             self._set(alert.kind, alert.subject, 0)
+            self._note(f"{alert.kind.value}/{alert.subject}", "cleared")
 
     def clear_all(self) -> None:
         """Takes all alerts away, as they are a new holder's to tell."""
-        for kind, subject in list(self._alerts):
-            self.clear(ClearAlert(kind, subject))
+        for kind, subject in self._alerts:
+            self._set(kind, subject, 0)
+        self._alerts.clear()
 
     def views(self) -> list[AlertView]:
         """Returns the alerts in the order in which they were raised."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
@@ -4,6 +4,8 @@
 
 import enum
 
+from pomeloarch_core.objects.model import ObjectSet
+
 # The platform takes several hundred rows a second for everything.
 SCHEDULERS_ROWS_PER_S = 150.0
 SUBMISSIONS_ROWS_PER_S = 120.0
@@ -60,3 +62,8 @@
         gained = max(0.0, now - self._at) * self._per_s
         self._tokens = min(float(self._burst), self._tokens + gained)
         self._at = now
+
+
+def rows_per_s(objects: ObjectSet) -> float:
+    """Returns one zone's part of what all schedulers may write a second."""
+    return SCHEDULERS_ROWS_PER_S / max(1, len(objects.availability_zone))
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -26,10 +26,11 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Check, PlatformClient
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
+from pomeloarch_node.scheduler_audit import SchedulerAudit
 from pomeloarch_node.scheduler_budget import (
-    SCHEDULERS_ROWS_PER_S,
     WriteBudget,
     WriteKind,
+    rows_per_s,
 )
 from pomeloarch_node.scheduler_cancels import CancelReader
 from pomeloarch_node.scheduler_fence import raise_fence
@@ -95,7 +96,10 @@
         self._poked: set[JobId] = set()
         self._poke = asyncio.Event()
         self._explanations = Explanations()
-        self._alerts = Alerts(metrics)
+        self._audit = SchedulerAudit(
+            platform, tenure, gate.holder, metrics, rng, wall_clock
+        )
+        self._alerts = Alerts(metrics, self._audit.note)
         self._rebuilt_s: float | None = None
 
     @property
@@ -176,9 +180,17 @@
         decisions = self._rebuild(snapshot, writer)
         self._rebuilt_s = loop.time() - began
         self._metrics.observe("scheduler_rebuild", self._rebuilt_s)
+        self._audit.note(
+            f"scheduler/{self._zone}",
+            f"took over under epoch {self._tenure.epoch}: "
+            f"{len(self._sizes)} unfinished jobs, "
+            f"{len(self._links.workers)} workers, "
+            f"after {self._rebuilt_s:.1f} s",
+        )
         async with asyncio.TaskGroup() as group:
             group.create_task(writer.run())
             group.create_task(cancels.run())
+            group.create_task(self._audit.run())
             group.create_task(self._inbox.run())
             group.create_task(self._follow_pokes())
             group.create_task(self._follow_workers())
@@ -188,7 +200,7 @@
     def _make_writer(self, fence: Check, snapshot: Snapshot) -> RecordWriter:
         now = asyncio.get_running_loop().time()
         self._budget = WriteBudget(
-            _rows_per_s(snapshot), WRITES_BURST, WRITES_KEPT, now
+            rows_per_s(snapshot.objects), WRITES_BURST, WRITES_KEPT, now
         )
         return RecordWriter(
             self._platform,
@@ -264,7 +276,7 @@
         while True:
             snapshot = await self._newest_snapshot()
             now = asyncio.get_running_loop().time()
-            self._budget.set_rate(_rows_per_s(snapshot), now)
+            self._budget.set_rate(rows_per_s(snapshot.objects), now)
             self._events.put_nowait(ConfigurationChanged(snapshot))
 
     def _found(self, record: JobRecord, version: int) -> None:
@@ -281,9 +293,3 @@
         self._inbox.ended(job_id)
         if self._cancels is not None:
             self._cancels.ended(job_id)
-
-
-def _rows_per_s(snapshot: Snapshot) -> float:
-    """Returns one zone's part of what all schedulers may write."""
-    zones = len(snapshot.objects.availability_zone)
-    return SCHEDULERS_ROWS_PER_S / max(1, zones)
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -515,12 +515,18 @@
         reasons = node.scheduler.explain(job_id)
         node.client.faults.clear()
         await asyncio.sleep(5.0)
-        return status, shown, reasons, node.metrics.render()
+        trail = list(bench.platform.table("audit").values())
+        return status, shown, reasons, node.metrics.render(), trail
 
-    status, shown, reasons, later = run(main)
+    status, shown, reasons, later, trail = run(main)
     alert = 'scheduler_alert{kind="guarantee_short",subject="g/0"}'
     assert [a["subject"] for a in status["alerts"]] == ["g/0"]
     assert f"{alert} 1" in shown
     assert f"{alert} 0" in later
     assert reasons
     assert msgspec.json.encode(status)
+    noted = [(entry["subject"], entry["why"]) for entry in trail]
+    assert noted[0][0] == "scheduler/patan"
+    assert "epoch 1" in noted[0][1]
+    assert noted[1] == ("guarantee_short/g/0", status["alerts"][0]["reason"])
+    assert noted[-1] == ("guarantee_short/g/0", "cleared")
