--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
@@ -12,13 +12,11 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Sequence
-from functools import singledispatch
 from typing import TypeVar
 
 from result import Err, Ok, Result
 
 from pomeloarch_core.ids import NodeId, ZoneName
-from pomeloarch_core.membership import TokenBucket
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.peers import PeerMessage, PeerPlane
 from pomeloarch_node.platform import (
@@ -31,6 +29,7 @@
     Row,
     Write,
 )
+from pomeloarch_node.platform_helper import PlatformHelper
 from pomeloarch_node.platform_relay_messages import (
     Failed,
     ReadCall,
@@ -51,9 +50,6 @@
 _PROBE_S = 1.0
 _ANSWER_TIMEOUT_S = 3.0
 _HELPERS_TRIED = 2
-_HELPED_CALLS_PER_S = 30.0
-_HELPED_BURST = 60.0
-_MAX_ANSWER_BYTES = 24_000
 
 T = TypeVar("T")
 
@@ -93,7 +89,7 @@
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[RelayedAnswer]] = {}
         self._helping: set[asyncio.Task[None]] = set()
-        self._allowance = TokenBucket(_HELPED_CALLS_PER_S, _HELPED_BURST)
+        self._helper = PlatformHelper(direct, clock, metrics)
         self._messages = peers.subscribe(TOPIC)
 
     @property
@@ -247,19 +243,9 @@
             fut.set_result(content)
 
     async def _help(self, peer: NodeId, call: RelayedCall) -> None:
-        answer = await self._answer(call)
+        answer = await self._helper.answer(call, may_help=not self.cut_off)
         await self._peers.send(peer, TOPIC, encode_message(answer))
 
-    async def _answer(self, call: RelayedCall) -> RelayedAnswer:
-        """Makes a peer's call by this node's own client alone."""
-        if self.cut_off or not self._allowance.take(1.0, self._clock()):
-            return _not_done(call, "this node can't help at present")
-        self._metrics.count("platform_calls_for_peers")
-        answer = await _make(call, self._direct)
-        if len(encode_message(answer)) <= _MAX_ANSWER_BYTES:
-            return answer
-        return _not_done(call, "the answer is too large to be passed on")
-
     async def _probe(self) -> None:
         """Finds out when the platform is within reach again."""
         while True:
@@ -268,55 +254,6 @@
                 self._note(await self._direct.read([("config", "head")]))
 
 
-@singledispatch
-async def _make(call: RelayedCall, direct: PlatformClient) -> RelayedAnswer:
-    raise TypeError(f"not a call: {call!r}")
-
-
-@_make.register
-async def _(call: TransactCall, direct: PlatformClient) -> RelayedAnswer:
-    answer = await direct.transact(call.checks, call.writes)
-    return _transacted(call, answer)
-
-
-@_make.register
-async def _(call: ReadCall, direct: PlatformClient) -> RelayedAnswer:
-    return _rows_read(call, await direct.read(call.keys))
-
-
-@_make.register
-async def _(call: ScanCall, direct: PlatformClient) -> RelayedAnswer:
-    rows = await direct.scan(call.table, call.prefix, call.after, call.limit)
-    return _rows_read(call, rows)
-
-
-def _transacted(
-    call: RelayedCall, answer: Result[tuple[int, ...], Conflict | PlatformError]
-) -> RelayedAnswer:
-    if isinstance(answer, Ok):
-        return Transacted(call.number, answer.ok_value)
-    error = answer.err_value
-    if isinstance(error, Conflict):
-        return Transacted(call.number, conflicts=error.rows)
-    return _failed(call, error)
-
-
-def _rows_read(
-    call: RelayedCall, answer: Result[tuple[Row, ...], PlatformError]
-) -> RelayedAnswer:
-    if isinstance(answer, Ok):
-        return RowsRead(call.number, answer.ok_value)
-    return _failed(call, answer.err_value)
-
-
-def _failed(call: RelayedCall, error: PlatformError) -> Failed:
-    return Failed(call.number, error.failure, error.message, error.reached)
-
-
-def _not_done(call: RelayedCall, message: str) -> Failed:
-    return Failed(call.number, PlatformFailure.NOT_DONE, message)
-
-
 def _helper_did_nothing(answer: RelayedAnswer) -> bool:
     return (
         isinstance(answer, Failed)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
 import pathlib
@@ -31,7 +30,7 @@
 from pomeloarch_standins.demo_flood import OFF_FILE, ON_FILE, results_path
 from pomeloarch_standins.demo_hosts import DemoHosts
 from pomeloarch_standins.demo_jobs import JobCallers
-from pomeloarch_standins.demo_layout import FLOODERS, Layout, add_arguments
+from pomeloarch_standins.demo_layout import FLOODERS, Layout
 from pomeloarch_standins.demo_load import (
     count_answered,
     describe_endings,
@@ -41,6 +40,7 @@
     steady_load,
 )
 from pomeloarch_standins.demo_promises import Promises
+from pomeloarch_standins.demo_run import run_driver
 from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
 
 _START_TIMEOUT_S = 20.0
@@ -288,29 +288,9 @@
             await asyncio.sleep(0.05)
 
 
-async def _run(layout: Layout, work: pathlib.Path) -> int:
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        demo = Demo(layout, work, session)
-        await demo.run()
-    for line in demo.promises.broken:
-        print(f"BROKEN: {line}")
-    if demo.promises.broken:
-        return 1
-    print("all promises kept")
-    return 0
-
-
 def main(argv: list[str] | None = None) -> int:
-    """Runs the demo and returns its exit code."""
-    parser = argparse.ArgumentParser(
-        prog="demo", description="Drive the demo's processes."
-    )
-    add_arguments(parser)
-    parser.add_argument("--work", type=pathlib.Path, required=True)
-    args = parser.parse_args(argv)
-    layout = Layout.from_name(args.example, args.block)
-    return asyncio.run(_run(layout, args.work))
+    """Runs the driver and returns its exit code."""
+    return run_driver(Demo, "demo", "Drive the demo's processes.", argv)
 
 
 if __name__ == "__main__":
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import pathlib
 import shutil
@@ -28,9 +27,10 @@
 from pomeloarch_standins.demo_control import DemoControl
 from pomeloarch_standins.demo_hosts import DemoHosts
 from pomeloarch_standins.demo_jobs import JobAsk, JobCallers
-from pomeloarch_standins.demo_layout import Layout, NodePlace, add_arguments
+from pomeloarch_standins.demo_layout import Layout, NodePlace
 from pomeloarch_standins.demo_load import describe_endings, say, steady_load
 from pomeloarch_standins.demo_promises import Promises
+from pomeloarch_standins.demo_run import run_driver
 from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut
@@ -312,29 +312,11 @@
         say(f"platform used: {await self._control.platform_counts()}")
 
 
-async def _run(layout: Layout, work: pathlib.Path) -> int:
-    connector = aiohttp.TCPConnector(limit=0)
-    async with aiohttp.ClientSession(connector=connector) as session:
-        drill = Drill(layout, work, session)
-        await drill.run()
-    for line in drill.promises.broken:
-        print(f"BROKEN: {line}")
-    if drill.promises.broken:
-        return 1
-    print("all promises kept")
-    return 0
-
-
 def main(argv: list[str] | None = None) -> int:
-    """Runs all failures and returns the exit code."""
-    parser = argparse.ArgumentParser(
-        prog="drill", description="Bring failures about on the processes."
+    """Runs the driver and returns its exit code."""
+    return run_driver(
+        Drill, "drill", "Bring failures about on the processes.", argv
     )
-    add_arguments(parser)
-    parser.add_argument("--work", type=pathlib.Path, required=True)
-    args = parser.parse_args(argv)
-    layout = Layout.from_name(args.example, args.block)
-    return asyncio.run(_run(layout, args.work))
 
 
 if __name__ == "__main__":
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -28,7 +28,7 @@
     "$bin/pomelod" --config "$work/$name.toml" --log-format json \
       2>>"$work/$name.log" &
     echo $! >"$work/$name.pid"
-    wait $!
+    { wait $!; } 2>/dev/null
     echo $? >>"$work/$name.exits"
     sleep 1
   done
