Take an executor's wrong number of slots as the usual one

A list with a number of slots that isn't one ended the request plane's task, and with it the node's part: the new test failed with ValueError and TypeError. It is logged now, and eight slots are assumed.

--- a/packages/pomeloarch-node/src/pomeloarch_node/request_catalogue.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_catalogue.py
@@ -5,6 +5,8 @@
 import random
 from collections.abc import Iterable, Mapping
 
+from absl import logging
+
 from pomeloarch_core.ids import (
     ExecutorId,
     JobClassName,
@@ -89,6 +91,14 @@
         executor_id=ExecutorId(host.id),
         availability_zone=ZoneName(host.availability_zone),
         address=host.address,
-        slots=int(host.attributes.get("slots", _DEFAULT_SLOTS)),
+        slots=_slots(host),
         leaving=host.state is HostState.LEAVING,
     )
+
+
+def _slots(host: Host) -> int:
+    slots = host.attributes.get("slots", _DEFAULT_SLOTS)
+    if isinstance(slots, int) and slots > 0:
+        return slots
+    logging.warning("the list gives %s %r slots", host.id, slots)
+    return _DEFAULT_SLOTS
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_request_catalogue.py
@@ -0,0 +1,48 @@
+"""What the request plane makes of the platform's list."""
+
+import random
+
+import pytest
+
+from pomeloarch_core.ids import Generation, PublicationId, ZoneName
+from pomeloarch_core.objects.model import (
+    JobClass,
+    ObjectSet,
+    Route,
+    Service,
+    Snapshot,
+    Urgency,
+)
+from pomeloarch_node.platform import Host, HostKind
+from pomeloarch_node.request_catalogue import Catalogue
+
+
+@pytest.mark.parametrize(
+    ("given", "taken"), [(4, 4), (0, 8), ("many", 8), (None, 8)]
+)
+def test_a_wrong_number_of_slots_does_not_end_the_node(given, taken):
+    catalogue = Catalogue(ZoneName("patan"), random.Random(1))
+    catalogue.take_snapshot(
+        Snapshot(
+            Generation(1),
+            PublicationId("first"),
+            ObjectSet(
+                job_class=(JobClass("dye-check", Urgency.URGENT),),
+                service=(Service("desk", (), (Route("/", "dye-check"),)),),
+            ),
+        )
+    )
+    attributes = {"service": "desk", "slots": given}
+    host = Host("e-1", HostKind.EXECUTOR, "patan", "10.0.0.1:80")
+    catalogue.take_hosts(
+        [
+            Host(
+                host.id,
+                host.kind,
+                host.availability_zone,
+                host.address,
+                attributes=attributes,
+            )
+        ]
+    )
+    assert catalogue.routers["desk"].pool.slots() == taken
