Bound the time of a publication's body and how many run at once

Cause: bodies of 8 MB from several operators, or ones that never arrive, could hold a node's memory. Change: four publications at once, a body within 30 s; a full node answers not_run so that pomelo goes on to the next. Ruled out: refusing the fifth at once (a race of operators on one node would fail, though each takes milliseconds).

--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_api.py
@@ -15,14 +15,17 @@
 from starlette.routing import BaseRoute, Route
 
 from pomeloarch_core.ids import Generation, NodeId, PublicationId
-from pomeloarch_core.objects.check import check_documents
-from pomeloarch_core.objects.findings import Finding, Places, SourceText
+from pomeloarch_core.objects.findings import Places
 from pomeloarch_core.objects.keys import ObjectKey
 from pomeloarch_core.objects.model import Snapshot
-from pomeloarch_core.objects.parser import ParsedObjects, parse_documents
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.operators_audit import AuditTrail
+from pomeloarch_node.operators_body import (
+    BODY_TIMEOUT_S,
+    parse_body,
+    read_body,
+)
 from pomeloarch_node.operators_messages import (
     AuditAnswer,
     DiffAnswer,
@@ -33,9 +36,9 @@
     PublishBody,
 )
 from pomeloarch_node.operators_problems import (
-    bad_request,
     failure_response,
     platform_unavailable,
+    publishing_busy,
 )
 from pomeloarch_node.platform import PlatformClient, PlatformError
 from pomeloarch_node.publication_store import PublicationStore
@@ -47,9 +50,11 @@
     RequestRefused,
 )
 
-MAX_BODY_BYTES = 8_000_000
 MAX_LISTED = 1000
 _DEFAULT_LISTED = 20
+# Bounds the memory for bodies and for sets that are being checked.
+_PUBLICATIONS_AT_ONCE = 4
+_SLOT_TIMEOUT_S = 10.0
 
 
 class OperatorsApi:
@@ -63,6 +68,7 @@
       rng: spreads the retries of racing publishers.
       wall_clock: returns the present time in seconds of the wall clock.
       sleep: waits for a number of seconds.
+      body_timeout_s: time that a publication's body may take, in seconds.
     """
 
     def __init__(
@@ -75,11 +81,14 @@
         *,
         wall_clock: Callable[[], float] = time.time,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        body_timeout_s: float = BODY_TIMEOUT_S,
     ) -> None:
         """Keeps what it answers from."""
         self._holder = holder
         self._metrics = metrics
         self._wall_clock = wall_clock
+        self._body_timeout_s = body_timeout_s
+        self._slots = asyncio.Semaphore(_PUBLICATIONS_AT_ONCE)
         self.store = PublicationStore(platform, lambda: holder.snapshot)
         self._writer = PublicationWriter(
             platform,
@@ -113,9 +122,21 @@
         return {"generation": self._holder.generation}
 
     async def _publish(self, request: Request) -> Response:
-        body = await _publish_body(request)
-        if isinstance(body, Response):
-            return body
+        try:
+            async with asyncio.timeout(_SLOT_TIMEOUT_S):
+                await self._slots.acquire()
+        except TimeoutError:
+            return publishing_busy(_PUBLICATIONS_AT_ONCE)
+        try:
+            return await self._publish_now(request)
+        finally:
+            self._slots.release()
+
+    async def _publish_now(self, request: Request) -> Response:
+        read = await read_body(request, self._body_timeout_s)
+        if isinstance(read, Err):
+            return self._failed(read.err_value)
+        body = read.ok_value
         asked = await self._request(body, _origin(request, body.origin))
         if isinstance(asked, Err):
             return self._failed(asked.err_value)
@@ -140,7 +161,7 @@
             return Err(RequestRefused("bad_request", message))
         if body.rollback_to is not None:
             return await self._rollback(body, origin, body.rollback_to)
-        parsed = await asyncio.to_thread(_parsed, body)
+        parsed = await asyncio.to_thread(parse_body, body)
         if isinstance(parsed, Err):
             return Err(ObjectsRefused(tuple(parsed.err_value)))
         return Ok(
@@ -244,31 +265,6 @@
         return _json(AuditAnswer(entries.ok_value))
 
 
-async def _publish_body(request: Request) -> PublishBody | Response:
-    """Reads a bounded body; returns a problem when it is too large or bad."""
-    content = bytearray()
-    async for chunk in request.stream():
-        content += chunk
-        if len(content) > MAX_BODY_BYTES:
-            message = f"the body is above {MAX_BODY_BYTES:,} bytes"
-            return bad_request("body_too_large", message, 413)
-    try:
-        return msgspec.json.decode(bytes(content), type=PublishBody)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
-        return bad_request("bad_request", f"the body is not valid: {exc}")
-
-
-def _parsed(body: PublishBody) -> Result[ParsedObjects, list[Finding]]:
-    """Reads the documents; a whole set is checked at once."""
-    texts = [
-        SourceText(document.path, document.text.encode(errors="replace"))
-        for document in body.documents or ()
-    ]
-    if body.removed is None:
-        return check_documents(texts)
-    return parse_documents(texts)
-
-
 def _keys(names: tuple[str, ...] | None) -> tuple[ObjectKey, ...] | None:
     return None if names is None else tuple(map(ObjectKey.from_text, names))
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/operators_problems.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/operators_problems.py
@@ -21,6 +21,8 @@
 
 _RETRY_AFTER_S = 2.0
 _STATUS_OF_REASON = {
+    "body_too_large": 413,
+    "body_too_slow": 408,
     "generation_unknown": 404,
     "publication_id_used": 409,
     "too_many_changes": 422,
@@ -62,7 +64,13 @@
 @failure_response.register
 def _(failure: RequestRefused) -> Response:
     status = _STATUS_OF_REASON.get(failure.reason, 400)
-    return bad_request(failure.reason, failure.message, status)
+    problem = Problem(
+        title=failure.message,
+        status=status,
+        outcome=RequestOutcome.NOT_RUN,
+        reason=failure.reason,
+    )
+    return problem_response(problem)
 
 
 @failure_response.register
@@ -91,12 +99,12 @@
     return problem_response(problem, _RETRY_AFTER_S)
 
 
-def bad_request(reason: str, message: str, status: int = 400) -> Response:
-    """Returns the answer to a request that can't be met as it stands."""
+def publishing_busy(at_once: int) -> Response:
+    """Returns the answer when a node has publications enough to do."""
     problem = Problem(
-        title=message,
-        status=status,
+        title=f"This node is busy with {at_once} publications.",
+        status=503,
         outcome=RequestOutcome.NOT_RUN,
-        reason=reason,
+        reason="publishing_busy",
     )
-    return problem_response(problem)
+    return problem_response(problem, _RETRY_AFTER_S)
--- a/packages/pomeloarch-node/tests/test_publication_api.py
+++ b/packages/pomeloarch-node/tests/test_publication_api.py
@@ -13,8 +13,9 @@
 from pomeloarch_core.ids import NodeId
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.operators_api import MAX_BODY_BYTES, OperatorsApi
+from pomeloarch_node.operators_api import OperatorsApi
 from pomeloarch_node.operators_audit import audit_write
+from pomeloarch_node.operators_body import MAX_BODY_BYTES
 from pomeloarch_node.operators_messages import AuditEntry
 from pomeloarch_standins.memory_platform import Fault, MemoryPlatform
 
@@ -27,7 +28,7 @@
 
 
 @contextlib.asynccontextmanager
-async def serving(platform, holder):
+async def serving(platform, holder, **options):
     api = OperatorsApi(
         platform,
         holder,
@@ -35,6 +36,7 @@
         NodeId("amman-a-1"),
         random.Random(1),
         wall_clock=lambda: 5_000_000.0,
+        **options,
     )
     config = uvicorn.Config(Starlette(routes=api.routes()), log_config=None)
     server = uvicorn.Server(config)
@@ -174,3 +176,50 @@
     platform.read_faults.extend([Fault.DOWN] * 100)
     [(status, problem)] = ask(get("/v1/generations"), platform=platform)
     assert (status, problem["outcome"]) == (503, "not_run")
+
+
+async def send_head_only(url):
+    """Sends a request without its body, and returns the status."""
+    host, port = url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"POST /v1/publications HTTP/1.1\r\n"
+        b"Host: node\r\nContent-Length: 10\r\n\r\n"
+    )
+    line = await reader.readline()
+    writer.close()
+    return int(line.split()[1])
+
+
+def test_a_body_that_does_not_come_is_refused_and_gives_its_place_back():
+    async def run():
+        node = serving(
+            MemoryPlatform(), ConfigurationHolder(), body_timeout_s=0.05
+        )
+        async with node as (session, url):
+            refused = await asyncio.gather(
+                *(send_head_only(url) for _ in range(9))
+            )
+            async with session.post(
+                f"{url}/v1/publications", data=json.dumps(GOOD).encode()
+            ) as response:
+                return set(refused), response.status
+
+    assert asyncio.run(run()) == ({408}, 200)
+
+
+def test_the_same_publication_many_times_at_once_makes_one_generation():
+    async def run():
+        node = serving(MemoryPlatform(), ConfigurationHolder())
+        async with node as (session, url):
+
+            async def one():
+                body = json.dumps(GOOD).encode()
+                async with session.post(
+                    f"{url}/v1/publications", data=body
+                ) as response:
+                    return (await response.json())["generation"]
+
+            return await asyncio.gather(*(one() for _ in range(8)))
+
+    assert asyncio.run(run()) == [1] * 8
