--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/holdings.py
@@ -6,11 +6,12 @@
 from collections.abc import Mapping
 
 from pomeloarch_core.gang.cells import Cell, Instance
-from pomeloarch_core.gang.fleet import Fleet, Standing
+from pomeloarch_core.gang.fleet import Fleet
 from pomeloarch_core.gang.jobs import Job, Phase
 from pomeloarch_core.gang.placer import Place
 from pomeloarch_core.gang.shares import Shares
 from pomeloarch_core.gang.witness import Witness
+from pomeloarch_core.gang.workers import Standing
 from pomeloarch_core.ids import JobId, WorkerId
 
 _KEPT_STANDINGS = frozenset({Standing.COVERED, Standing.LEAVING})
@@ -100,6 +101,8 @@
         workers = [member.worker_id for member in job.placement]
         self._fleet.restand(job.job_id, workers, job.standing, standing)
         job.standing = standing
+        if standing is Standing.LEAVING:
+            self._shares.leave(job)
 
     def reclassify(self, job: Job) -> None:
         """Books a job anew whose class has changed."""
@@ -136,6 +139,8 @@
         if not job.placement:
             return []
         self._shares.add(job, -1)
+        if job.standing is Standing.LEAVING:
+            self._shares.leave(job, -1)
         self._witness.uncover(job.spec.organisation, job.job_id)
         ready = []
         for worker_id, memory_gb in self._memory_by_worker(job).items():
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_budget.py
@@ -4,6 +4,12 @@
 
 import enum
 
+from pomeloarch_core.objects.model import ObjectSet
+
+# The platform takes several hundred rows a second for everything.
+SCHEDULERS_ROWS_PER_S = 150.0
+SUBMISSIONS_ROWS_PER_S = 120.0
+
 
 class WriteKind(enum.IntEnum):
     """How long a write may wait; the lowest goes first."""
@@ -37,6 +43,11 @@
         self._tokens = float(burst)
         self._at = now
 
+    def set_rate(self, per_s: float, now: float) -> None:
+        """Changes how many writes a second there are."""
+        self._refill(now)
+        self._per_s = per_s
+
     def available(self, kind: WriteKind, now: float) -> int:
         """Returns how many rows of a kind may be written right now."""
         self._refill(now)
@@ -51,3 +62,8 @@
         gained = max(0.0, now - self._at) * self._per_s
         self._tokens = min(float(self._burst), self._tokens + gained)
         self._at = now
+
+
+def rows_per_s(objects: ObjectSet) -> float:
+    """Returns one zone's part of what all schedulers may write a second."""
+    return SCHEDULERS_ROWS_PER_S / max(1, len(objects.availability_zone))
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -26,7 +26,12 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Check, PlatformClient
 from pomeloarch_node.scheduler_alerts import Alerts, Explanations
-from pomeloarch_node.scheduler_budget import WriteBudget, WriteKind
+from pomeloarch_node.scheduler_audit import SchedulerAudit
+from pomeloarch_node.scheduler_budget import (
+    WriteBudget,
+    WriteKind,
+    rows_per_s,
+)
 from pomeloarch_node.scheduler_cancels import CancelReader
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_inbox import JobInbox
@@ -36,9 +41,8 @@
 from pomeloarch_node.worker_gate import WorkerGate
 from pomeloarch_node.worker_links import WorkerLinks
 
-WRITES_PER_S = 80.0
-WRITES_BURST = 80
-WRITES_KEPT = {WriteKind.CHANGE: 20, WriteKind.CLEAN_UP: 40}
+WRITES_BURST = 60
+WRITES_KEPT = {WriteKind.CHANGE: 15, WriteKind.CLEAN_UP: 30}
 _RETRY_PAUSE_S = 0.5
 _WORKERS_TIMEOUT_S = 10.0
 
@@ -92,7 +96,10 @@
         self._poked: set[JobId] = set()
         self._poke = asyncio.Event()
         self._explanations = Explanations()
-        self._alerts = Alerts(metrics)
+        self._audit = SchedulerAudit(
+            platform, tenure, gate.holder, metrics, rng, wall_clock
+        )
+        self._alerts = Alerts(metrics, self._audit.note)
         self._rebuilt_s: float | None = None
 
     @property
@@ -158,7 +165,7 @@
         snapshot = await self._newest_snapshot()
         await self._wait_for_workers()
         await self._load()
-        writer = self._make_writer(fence)
+        writer = self._make_writer(fence, snapshot)
         cancels = CancelReader(
             self._platform,
             self._zone,
@@ -173,23 +180,34 @@
         decisions = self._rebuild(snapshot, writer)
         self._rebuilt_s = loop.time() - began
         self._metrics.observe("scheduler_rebuild", self._rebuilt_s)
+        self._audit.note(
+            f"scheduler/{self._zone}",
+            f"took over under epoch {self._tenure.epoch}: "
+            f"{len(self._sizes)} unfinished jobs, "
+            f"{len(self._links.workers)} workers, "
+            f"after {self._rebuilt_s:.1f} s",
+        )
         async with asyncio.TaskGroup() as group:
             group.create_task(writer.run())
             group.create_task(cancels.run())
+            group.create_task(self._audit.run())
             group.create_task(self._inbox.run())
             group.create_task(self._follow_pokes())
             group.create_task(self._follow_workers())
             group.create_task(self._follow_configuration())
             group.create_task(decisions.run(self._events))
 
-    def _make_writer(self, fence: Check) -> RecordWriter:
+    def _make_writer(self, fence: Check, snapshot: Snapshot) -> RecordWriter:
         now = asyncio.get_running_loop().time()
+        self._budget = WriteBudget(
+            rows_per_s(snapshot.objects), WRITES_BURST, WRITES_KEPT, now
+        )
         return RecordWriter(
             self._platform,
             self._zone,
             self._tenure,
             fence,
-            WriteBudget(WRITES_PER_S, WRITES_BURST, WRITES_KEPT, now),
+            self._budget,
             self._events.put_nowait,
             self._metrics,
         )
@@ -257,6 +275,8 @@
     async def _follow_configuration(self) -> None:
         while True:
             snapshot = await self._newest_snapshot()
+            now = asyncio.get_running_loop().time()
+            self._budget.set_rate(rows_per_s(snapshot.objects), now)
             self._events.put_nowait(ConfigurationChanged(snapshot))
 
     def _found(self, record: JobRecord, version: int) -> None:
