--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_control.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_control.py
@@ -11,6 +11,7 @@
     EXECUTORS_CONTROL_PORT,
     Layout,
 )
+from pomeloarch_standins.executor_faults import Fault, FaultOrder
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut, LinkState
 
@@ -48,6 +49,16 @@
                 url = f"{self._layout.relay_url}/links/{node.name}"
                 await self._post(url, LinkState(cut=cut))
 
+    async def executor_fault(
+        self, zone: int, number: int, fault: Fault
+    ) -> None:
+        """Lets an executor show a fault, or end it."""
+        address = self._layout.executor_address(zone)
+        await self._post(
+            f"http://{address}:{EXECUTORS_CONTROL_PORT}/faults",
+            FaultOrder(executor=number, fault=fault),
+        )
+
     async def runs(self) -> dict[str, int]:
         """Returns how often each request ran, over all executors."""
         totals: dict[str, int] = {}
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -28,10 +28,16 @@
 from pomeloarch_standins.demo_hosts import DemoHosts
 from pomeloarch_standins.demo_jobs import JobAsk, JobCallers
 from pomeloarch_standins.demo_layout import Layout, NodePlace
-from pomeloarch_standins.demo_load import describe_endings, say, steady_load
+from pomeloarch_standins.demo_load import (
+    count_answered,
+    describe_endings,
+    say,
+    steady_load,
+)
 from pomeloarch_standins.demo_promises import Promises
 from pomeloarch_standins.demo_run import run_driver
 from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
+from pomeloarch_standins.executor_faults import Fault
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut
 
@@ -39,6 +45,16 @@
 _OUTAGE_S = 5.0
 _LEAVING_GRACE_S = 2.0
 _LIST_LAG_S = 2.0
+_FIND_SILENT_S = 6.0
+_FAULT_S = 3.0
+_EXECUTOR_FAULTS = (
+    Fault.SILENT,
+    Fault.RESET,
+    Fault.TRUNCATE,
+    Fault.STALL,
+    Fault.DEAD,
+    Fault.FAST_FAIL,
+)
 _FINAL = {"succeeded", "failed", "cancelled", "refused", "unknown"}
 
 
@@ -81,6 +97,8 @@
             self._platform_loses_answers,
             self._platform_down,
             self._zone_cut_from_platform,
+            self._platform_connections_go_silent,
+            self._executors_go_bad,
             self._executor_leaves,
             self._scheduler_killed,
             self._nodes_replaced_in_turn,
@@ -199,6 +217,41 @@
         )
         say(f"published during the cut, in force everywhere in {took:.1f} s")
 
+    async def _platform_connections_go_silent(self) -> None:
+        """Open connections go silent for good while new ones work."""
+        zones = self._layout.example.zones
+        for zone in zones:
+            await self._control.cut_platform(zone, Cut.SILENT_OLD)
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(_FIND_SILENT_S)
+        self._take(results, "connections to the platform went silent")
+        async with steady_load(self._callers, self._scenario) as later:
+            await asyncio.sleep(2.0)
+        self._take(later, f"{_FIND_SILENT_S:.0f} s later")
+        self.promises.expect(
+            all(each.ending is Ending.ANSWERED for each in later),
+            f"silent connections are still in use: {describe_endings(later)}",
+        )
+        for zone in zones:
+            await self._control.cut_platform(zone, Cut.OPEN)
+
+    async def _executors_go_bad(self) -> None:
+        """One executor shows one fault after another, under load."""
+        for fault in _EXECUTOR_FAULTS:
+            async with steady_load(self._callers, self._scenario) as results:
+                await asyncio.sleep(0.5)
+                await self._control.executor_fault(0, 2, fault)
+                await asyncio.sleep(_FAULT_S)
+                await self._control.executor_fault(0, 2, Fault.NONE)
+            self._take(results, f"an executor shows '{fault.value}'")
+            plain = [each for each in results if not each.call.non_idempotent]
+            answered = count_answered(plain)
+            self.promises.expect(
+                answered == len(plain),
+                f"'{fault.value}' on one executor of 24 failed idempotent "
+                f"requests: {describe_endings(plain)}",
+            )
+
     async def _executor_leaves(self) -> None:
         """No new work after the list's lag and two seconds."""
         zone = self._layout.example.zones[1]
