--- a/packages/pomeloarch-core/src/pomeloarch_core/objects/parser.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/objects/parser.py
@@ -245,9 +245,12 @@
     except RecursionError:
         message = "tables and lists are nested too deeply"
         return Finding(path, block.line, str(key), message)
-    except (ValueError, KeyError) as exc:
+    except (tomllib.TOMLDecodeError, KeyError) as exc:
         line, message = _located(str(exc), block)
         return Finding(path, line, str(key), message)
+    except ValueError:
+        message = "a number has too many digits"
+        return Finding(path, block.line, str(key), message)
     table = found[0] if isinstance(found, list) else found
     return dict(table)
 
--- a/packages/pomeloarch-core/tests/test_objects_parser.py
+++ b/packages/pomeloarch-core/tests/test_objects_parser.py
@@ -76,6 +76,9 @@
             "f.toml:3: organisation/a: weight is a very large int: "
             "Number out of range",
         ]),
+        (ORGANISATION + "weight = " + "9" * 5_000, [
+            "f.toml:1: organisation/a: a number has too many digits",
+        ]),
         (ORGANISATION + "weight = " + "[" * 9_000, [
             "f.toml:1: organisation/a: tables and lists are nested too deeply",
         ]),
--- a/packages/pomeloarch-node/tests/test_publication_api.py
+++ b/packages/pomeloarch-node/tests/test_publication_api.py
@@ -209,8 +209,10 @@
 
 
 def test_the_same_publication_many_times_at_once_makes_one_generation():
+    platform = MemoryPlatform()
+
     async def run():
-        node = serving(MemoryPlatform(), ConfigurationHolder())
+        node = serving(platform, ConfigurationHolder())
         async with node as (session, url):
 
             async def one():
@@ -223,3 +225,4 @@
             return await asyncio.gather(*(one() for _ in range(8)))
 
     assert asyncio.run(run()) == [1] * 8
+    assert platform.transactions == 1
