Build the parsers of pomelo's commands in one place

Cause: three modules built them alike, and long descriptions ran over the terminal's width; explain of an object listed others whose names begin alike. Change: add_command wraps texts and adds the exit codes; explain keeps the exact subject.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/check_command.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/check_command.py
@@ -6,24 +6,22 @@
 
 from result import Err
 
-from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
+from pomeloarch_cli.exit_codes import ExitCode
 from pomeloarch_cli.formats import finding_lines
-from pomeloarch_cli.session import output_of, output_options
+from pomeloarch_cli.session import add_command, output_of, output_options
 from pomeloarch_cli.sources import read_sources
 from pomeloarch_core.objects import check_documents
 
 
 def add_to(commands: argparse._SubParsersAction) -> None:
     """Adds the command to a parser."""
-    parser = commands.add_parser(
+    parser = add_command(
+        commands,
         "check",
-        help="print every finding on files of objects",
-        description="Checks files that together are the whole set of objects "
-        "and prints every finding, one a line, as `path:line: kind/name: "
+        "Print every finding on files of objects. The files together are the "
+        "whole set. Findings are printed one a line as `path:line: kind/name: "
         "message`. No node is asked.",
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        parents=[output_options()],
+        [output_options()],
     )
     parser.add_argument(
         "paths",
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
@@ -11,7 +11,7 @@
 
 from pomeloarch_cli.arguments import positive_number, whole_number
 from pomeloarch_cli.client import NodeClient
-from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
+from pomeloarch_cli.exit_codes import ExitCode
 from pomeloarch_cli.formats import (
     audit_lines,
     diff_lines,
@@ -21,6 +21,7 @@
 )
 from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import (
+    add_command,
     connect,
     node_options,
     output_of,
@@ -48,15 +49,8 @@
 def _parser(
     commands: argparse._SubParsersAction, name: str, text: str
 ) -> argparse.ArgumentParser:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        name,
-        help=text[0].lower() + text[1:].rstrip("."),
-        description=text,
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        parents=[node_options(), output_options()],
-    )
-    return parser
+    parents = [node_options(), output_options()]
+    return add_command(commands, name, text, parents)
 
 
 def _add_status(commands: argparse._SubParsersAction) -> None:
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
@@ -18,10 +18,11 @@
     subject,
 )
 from pomeloarch_cli.client import NoAnswer, NodeClient, Reply
-from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
+from pomeloarch_cli.exit_codes import ExitCode
 from pomeloarch_cli.formats import audit_lines, explain_lines, job_lines
 from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import (
+    add_command,
     connect,
     node_options,
     output_of,
@@ -42,15 +43,8 @@
 def _parser(
     commands: argparse._SubParsersAction, name: str, text: str
 ) -> argparse.ArgumentParser:
-    parser: argparse.ArgumentParser = commands.add_parser(
-        name,
-        help=text[0].lower() + text[1:].rstrip("."),
-        description=text,
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        parents=[node_options(), output_options()],
-    )
-    return parser
+    parents = [node_options(), output_options()]
+    return add_command(commands, name, text, parents)
 
 
 def _add_submit(commands: argparse._SubParsersAction) -> None:
@@ -241,6 +235,14 @@
     reply = answer.ok_value
     if not reply.ok:
         return out.refused(reply)
-    lines = audit_lines if about_object else explain_lines
-    out.result(lines(reply.body), reply.body)
+    if not about_object:
+        out.result(explain_lines(reply.body), reply.body)
+        return ExitCode.OK
+    # The trail is searched by the beginnings of subjects.
+    entries = [
+        entry
+        for entry in reply.field("entries", ())
+        if entry.get("subject") == args.subject
+    ]
+    out.result(audit_lines({"entries": entries}), {"entries": entries})
     return ExitCode.OK
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/publish_commands.py
@@ -14,7 +14,7 @@
 
 from pomeloarch_cli.arguments import object_name, seconds, whole_number
 from pomeloarch_cli.client import NodeClient
-from pomeloarch_cli.exit_codes import EXIT_CODES_HELP, ExitCode
+from pomeloarch_cli.exit_codes import ExitCode
 from pomeloarch_cli.formats import (
     ZoneProgress,
     finding_lines,
@@ -24,6 +24,7 @@
 )
 from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import (
+    add_command,
     connect,
     node_options,
     output_of,
@@ -39,16 +40,14 @@
 def add_to(commands: argparse._SubParsersAction) -> None:
     """Adds the commands to a parser."""
     parents = [_publication_options(), node_options(), output_options()]
-    publish = commands.add_parser(
+    publish = add_command(
+        commands,
         "publish",
-        help="check files of objects and put them in force",
-        description="Checks files that together are the whole set of objects, "
-        "publishes them as one new generation and tells how many nodes of "
-        "each availability zone have it in force. An object that is in force "
-        "but not in the files is removed.",
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        parents=parents,
+        "Check files of objects and put them in force. The files together are "
+        "the whole set: an object that is in force but in no file is removed. "
+        "They become one new generation. The command tells how many nodes of "
+        "each availability zone have it in force.",
+        parents,
     )
     publish.add_argument("paths", nargs="*", metavar="PATH", help="as in check")
     publish.add_argument(
@@ -64,14 +63,12 @@
         help="with --edit: an object to remove; may be given more than once",
     )
     publish.set_defaults(run=_publish)
-    rollback = commands.add_parser(
+    rollback = add_command(
+        commands,
         "rollback",
-        help="publish the objects of an earlier generation again",
-        description="Publishes the objects of an earlier generation as a new "
-        "one; generations never go back.",
-        epilog=EXIT_CODES_HELP,
-        formatter_class=argparse.RawDescriptionHelpFormatter,
-        parents=parents,
+        "Publish the objects of an earlier generation again. They become a "
+        "new one; generations never go back.",
+        parents,
     )
     rollback.add_argument(
         "generation",
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
@@ -5,16 +5,45 @@
 import argparse
 import contextlib
 import os
+import textwrap
 from collections.abc import AsyncIterator
 
 import aiohttp
 
 from pomeloarch_cli.arguments import node_url, timeout
 from pomeloarch_cli.client import NodeClient
+from pomeloarch_cli.exit_codes import EXIT_CODES_HELP
 from pomeloarch_cli.output import Output
 
 NODES_VARIABLE = "POMELO_NODES"
 DEFAULT_NODE = "http://127.0.0.1:8080"
+_HELP_WIDTH = 78
+
+
+def add_command(
+    commands: argparse._SubParsersAction,
+    name: str,
+    text: str,
+    parents: list[argparse.ArgumentParser],
+) -> argparse.ArgumentParser:
+    """Adds a command whose help ends with the exit codes.
+
+    Args:
+      commands: where to add it.
+      name: what is typed.
+      text: what it does; its first sentence is the summary.
+      parents: parsers with the options that it shares with others.
+    """
+    summary = text.partition(". ")[0].rstrip(".")
+    parser: argparse.ArgumentParser = commands.add_parser(
+        name,
+        help=summary[0].lower() + summary[1:],
+        description=textwrap.fill(text, _HELP_WIDTH),
+        epilog=EXIT_CODES_HELP,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+        parents=parents,
+    )
+    return parser
 
 
 def output_options() -> argparse.ArgumentParser:
--- a/packages/pomeloarch-cli/tests/test_cli_publishing.py
+++ b/packages/pomeloarch-cli/tests/test_cli_publishing.py
@@ -108,8 +108,9 @@
         ["rollback", "1", "--why", "worse", "--node", "URL"],
         ["history", "--node", "URL", "--format", "json"],
         ["explain", "organisation/qasr", "--node", "URL"],
+        ["explain", "organisation/qas", "--node", "URL"],
     )
-    assert [code for code, _ in answers] == [ExitCode.OK] * 8
+    assert [code for code, _ in answers] == [ExitCode.OK] * 9
     assert answers[2][1].out.splitlines()[:3] == [
         "~ organisation/qasr",
         "  - weight = 2.0",
@@ -122,6 +123,7 @@
     assert [line["generation"] for line in history] == [3, 2, 1]
     assert history[0]["rolled_back_to"] == 1
     assert answers[7][1].out.count("organisation/qasr") == 3
+    assert "no such entry" in answers[8][1].out
 
 
 def test_racing_edits_of_one_object_are_refused_with_names(run, tmp_path):
