--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/__init__.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/__init__.py
@@ -1,6 +1,7 @@
 """Liveness of nodes, digests between them, leased roles and generations."""
 
 from pomeloarch_core.membership.budget import TokenBucket
+from pomeloarch_core.membership.config import MembershipConfig
 from pomeloarch_core.membership.lease import (
     LeaseConfig,
     LeaseMachine,
@@ -15,10 +16,7 @@
     NodeState,
     Rumour,
 )
-from pomeloarch_core.membership.protocol import (
-    MembershipConfig,
-    MembershipProtocol,
-)
+from pomeloarch_core.membership.protocol import MembershipProtocol
 
 __all__ = [
     "MAX_DIGEST_BYTES",
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
@@ -17,6 +17,10 @@
 from result import Err
 
 from pomeloarch_core.ids import Generation, NodeId, PublicationId, ZoneName
+from pomeloarch_core.membership.generation_chunks import (
+    SnapshotAssembler,
+    SnapshotCutter,
+)
 from pomeloarch_core.membership.generation_log import GenerationLog
 from pomeloarch_core.membership.generation_messages import (
     MAX_PACKED_BYTES,
@@ -26,8 +30,6 @@
     Have,
     Pull,
     encode_message,
-    pack_snapshot,
-    unpack_snapshot,
 )
 from pomeloarch_core.membership.members import bridges
 from pomeloarch_core.objects.delta import Delta, apply, delta
@@ -44,8 +46,6 @@
 # Ticks after a change in which one more node is told of it.
 _REMINDERS = 3
 TICK_S = 0.5
-CHUNK_BYTES = 8_000
-_MAX_CHUNKS = 4_000
 
 NOTHING = Snapshot(Generation(0), PublicationId(""), ObjectSet())
 
@@ -98,8 +98,8 @@
         self._push_due = 0.0
         self._reminders = 0
         self._pull_until = 0.0
-        self._chunks: dict[NodeId, dict[int, Chunk]] = {}
-        self._packed: tuple[Generation, bytes] = (Generation(0), b"")
+        self._assembler = SnapshotAssembler()
+        self._cutter = SnapshotCutter()
         self._effects: list[ExchangeEffect] = []
 
     @property
@@ -117,7 +117,7 @@
         self._live = live
         for node in [node for node in self._have if node not in live]:
             del self._have[node]
-            self._chunks.pop(node, None)
+            self._assembler.forget(node)
 
     def offer(
         self, snapshot: Snapshot, steps: Sequence[Delta] = ()
@@ -188,33 +188,13 @@
 
     @_handle.register
     def _(self, message: Chunk, sender: NodeId, now: float) -> None:
-        if (
-            message.generation <= self._snapshot.generation
-            or not 0 <= message.index < message.count <= _MAX_CHUNKS
-            or len(message.data) > CHUNK_BYTES
-        ):
+        if message.generation <= self._snapshot.generation:
             return
         self._pull_until = now + CHUNK_TIMEOUT_S
-        parts = self._chunks.setdefault(sender, {})
-        if any(
-            (part.generation, part.count) != (message.generation, message.count)
-            for part in parts.values()
-        ):
-            parts.clear()
-        parts[message.index] = message
-        if len(parts) == message.count:
-            del self._chunks[sender]
-            self._assemble(sender, parts, now)
-
-    def _assemble(
-        self, sender: NodeId, parts: dict[int, Chunk], now: float
-    ) -> None:
-        packed = b"".join(parts[index].data for index in sorted(parts))
-        found = unpack_snapshot(packed)
-        self._pull_until = now
-        if isinstance(found, Err):
+        snapshot = self._assembler.add(sender, message)
+        if snapshot is None:
             return
-        snapshot = found.ok_value
+        self._pull_until = now
         if snapshot.generation > self._snapshot.generation:
             self._heard_from(sender, snapshot.generation)
             self._install(snapshot, ())
@@ -230,7 +210,7 @@
         for step in steps:
             self._log.add(step)
         self._snapshot = snapshot
-        self._chunks.clear()
+        self._assembler.clear()
         self._effects.append(Install(snapshot))
         self._reminders = _REMINDERS
         self._announce(FANOUT)
@@ -298,23 +278,9 @@
         if fitting is not None:
             self._effects.append(SendTo(node, fitting))
         else:
-            self._effects.append(Transfer(node, self._chunks_of_snapshot()))
-
-    def _chunks_of_snapshot(self) -> tuple[Chunk, ...]:
-        generation = self._snapshot.generation
-        if self._packed[0] != generation:
-            self._packed = generation, pack_snapshot(self._snapshot)
-        data = self._packed[1]
-        starts = range(0, len(data), CHUNK_BYTES)
-        return tuple(
-            Chunk(
-                generation,
-                index,
-                len(starts),
-                data[start : start + CHUNK_BYTES],
+            self._effects.append(
+                Transfer(node, self._cutter.cut(self._snapshot))
             )
-            for index, start in enumerate(starts)
-        )
 
     def _heard_from(self, node: NodeId, generation: Generation) -> None:
         known = self._have.get(node, Generation(0))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership.py
@@ -12,19 +12,22 @@
 import tracemalloc
 from collections.abc import Iterable, Iterator
 
-from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.ids import (
+    NodeId,
+    ZoneName,
+)
 from pomeloarch_core.membership.messages import Entries, Entry, Frame
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.peer_codec import encode_frame
 from pomeloarch_node.peer_plane import TcpPeerPlane
-from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.settings import Settings
 from pomeloarch_standins.measure import MeasureRow
-from pomeloarch_standins.measure_membership_fleet import (
+from pomeloarch_standins.membership_fleet import (
     DIGEST_BYTES,
     MeasuredFleet,
 )
-from pomeloarch_standins.memory_platform import MemoryPlatform
+from pomeloarch_standins.membership_generations import apply_rows
+from pomeloarch_standins.membership_roles import platform_rows, takeover_rows
 from pomeloarch_standins.virtual_time import run_virtual
 
 # Zones and nodes of each: 6, 48 and 200 nodes.
@@ -35,7 +38,6 @@
 _WINDOW_S = 10.0
 _LONGEST_SPREAD_S = 30.0
 _STEP_S = 0.005
-_TAKEOVERS = 10
 _SOCKET_NODES = 6
 _SOCKET_WINDOW_S = 20.0
 
@@ -48,7 +50,9 @@
     for seed in (first, *others):
         for zones, per_zone in SIZES[:-1]:
             yield from _control_rows(zones, per_zone, seed)
-        yield from _takeover_rows(seed)
+        yield from takeover_rows(seed)
+        yield from apply_rows(seed)
+        yield from platform_rows(seed)
     yield from _memory_rows(first)
     yield from _socket_rows(first)
 
@@ -113,60 +117,6 @@
     return float(len(encode_frame(frame)) * (count - 1))
 
 
-def _takeover_rows(seed: int) -> Iterator[MeasureRow]:
-    """Measures how long a role has no holder, three candidates, 5 ms calls."""
-    for case, planned in (("death", False), ("planned stop", True)):
-        gaps = run_virtual(_takeovers(seed, planned))
-        for measure, value in (
-            ("role_takeover_mean", sum(gaps) / len(gaps)),
-            ("role_takeover_worst", max(gaps)),
-        ):
-            yield MeasureRow(measure, case, "product", seed, value, "s")
-
-
-async def _takeovers(seed: int, planned: bool) -> list[float]:
-    rng = random.Random(seed)
-    platform = MemoryPlatform()
-    clock = asyncio.get_running_loop().time
-    running: dict[str, tuple[LeasedRole, asyncio.Task[None]]] = {}
-
-    def start(name: str) -> None:
-        role = LeasedRole(
-            "scheduler/patan",
-            NodeId(name),
-            platform,
-            clock,
-            Metrics(),
-            random.Random(f"{seed} {name} {clock()}"),
-        )
-        running[name] = role, asyncio.create_task(role.run())
-
-    def holder() -> str | None:
-        held = [name for name, (role, _) in running.items() if role.epoch()]
-        return held[0] if held else None
-
-    for name in ("n0", "n1", "n2"):
-        start(name)
-    gaps = []
-    for _ in range(_TAKEOVERS):
-        await asyncio.sleep(5.0 + rng.random())
-        last = holder()
-        if last is None:
-            raise RuntimeError("nobody holds the role long after a takeover")
-        role, task = running.pop(last)
-        begin = clock()
-        if planned:
-            await role.release()
-        task.cancel()
-        while holder() is None:  # noqa: ASYNC110
-            await asyncio.sleep(0.005)
-        gaps.append(clock() - begin)
-        start(last)
-    for _, task in running.values():
-        task.cancel()
-    return gaps
-
-
 def _memory_rows(seed: int) -> Iterator[MeasureRow]:
     """Measures the memory of the machines, with a set of 200 objects."""
     for zones, per_zone in SIZES[:2]:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_membership_fleet.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/membership_fleet.py
@@ -25,6 +25,7 @@
     NodeState,
     Rumour,
 )
+from pomeloarch_core.membership.framing import PACKET_BYTES
 from pomeloarch_core.membership.generation_exchange import (
     TICK_S,
     ExchangeEffect,
@@ -44,7 +45,6 @@
     RumoursOnly,
     SendFrame,
 )
-from pomeloarch_core.membership.protocol import PACKET_BYTES
 from pomeloarch_core.objects.model import ObjectSet, Organisation, Snapshot
 from pomeloarch_node.peer_codec import (
     LENGTH_BYTES,
--- a/packages/pomeloarch-standins/tests/test_membership_budget.py
+++ b/packages/pomeloarch-standins/tests/test_membership_budget.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from pomeloarch_standins.measure_membership_fleet import MeasuredFleet
+from pomeloarch_standins.membership_fleet import MeasuredFleet
 
 # 8 KB a second both ways together, packet headers included.
 BOTH_WAYS_BYTES_PER_S = 8_000
