Tell a node that it is believed dead as soon as it speaks

The state machine, run with all of this area's tests, found a node that a restarted one outside the bridges kept for dead: it answered an introduction, but was never told, so that it did not refute. Now any frame of a node believed dead is answered with that rumour.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
@@ -44,6 +44,8 @@
 from pomeloarch_core.membership.reconcile import DigestExchange
 from pomeloarch_core.membership.rejoin import Rejoiner
 
+# Whoever listens at an address.
+_UNKNOWN = NodeId("")
 # Leaving is told to this many; they pass it on.
 _FAREWELLS = 16
 
@@ -185,6 +187,7 @@
         )
         self._frames.note_sender(sender)
         self._hear(sender, now)
+        self._tell_if_believed_dead(sender, now)
         for rumour in frame.rumours:
             self._hear(rumour, now)
         self._handle(frame.body, frame, now)
@@ -270,12 +273,19 @@
         for node in rounds.take(live, 1):
             self._send_probe(self._probes.begin(node, live[node], now), now)
 
-    def _introduce(self, address: str, now: float) -> None:
+    def _introduce(
+        self, address: str, now: float, node: NodeId = _UNKNOWN
+    ) -> None:
         """Probes whoever listens at an address, without a suspicion."""
-        body = Probe(
-            self._probes.number(), NodeId(""), self._digests.marks(now)
-        )
-        self._send(address, NodeId(""), body, now)
+        marks = self._digests.marks(now)
+        body = Probe(self._probes.number(), _UNKNOWN, marks)
+        self._send(address, node, body, now)
+
+    def _tell_if_believed_dead(self, sender: Rumour, now: float) -> None:
+        """Lets a node refute that it is dead, as it has just spoken."""
+        member = self._members.get(sender.node)
+        if member is not None and member.rumour.state is NodeState.DEAD:
+            self._send(sender.address, sender.node, RumoursOnly(), now)
 
     # ---- the parts of a receipt
 
@@ -342,7 +352,7 @@
         if not self._members.apply(rumour, now):
             address = self._rejoiner.address_to_check(rumour, now)
             if address is not None:
-                self._introduce(address, now)
+                self._introduce(address, now, rumour.node)
             return
         self._effects.append(NodeChanged(rumour))
         if rumour.state >= NodeState.DEAD:
--- a/packages/pomeloarch-core/tests/test_membership_protocol.py
+++ b/packages/pomeloarch-core/tests/test_membership_protocol.py
@@ -115,6 +115,20 @@
     assert me.me.incarnation == 5
 
 
+def test_a_node_believed_dead_that_speaks_is_told_so_that_it_refutes():
+    me, other = node(), node("other")
+    me.receive(frame("other", RumoursOnly()), 0.0)
+    dead = rumour("other", state=NodeState.DEAD)
+    me.receive(frame("third", RumoursOnly(), (dead,)), 0.0)
+    assert "other" not in me.live_nodes()
+    for order in me.receive(frame("other", Ack(1, NodeId("other"))), 0.0):
+        if isinstance(order, SendFrame) and order.node == "other":
+            other.receive(order.frame, 0.0)
+    back = frame("other", RumoursOnly(), incarnation=other.me.incarnation)
+    me.receive(back, 0.0)
+    assert "other" in me.live_nodes()
+
+
 def test_a_node_that_was_paused_blames_nobody():
     me = node()
     for name in ("n1", "n2"):
