--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -156,6 +156,7 @@
             return []
         self._on(event, now)
         self._settle(now)
+        self._probe(now)
         self._dispatcher.run(now)
         self._settle(now)
         self._update_alerts()
@@ -214,6 +215,7 @@
             else:
                 self._orphans.forget(worker.worker_id)
                 self._gone[worker.worker_id] = now + GONE_WORKER_QUIET_S
+                self._fleet.drop_if_idle(worker)
         self._holdings.uncovered()
         early, self._early = self._early or [], None
         for record in early:
@@ -300,13 +302,14 @@
             else:
                 self._attempts.due(job, now)
 
+    # ---- after each event
+
+    def _probe(self, now: float) -> None:
         for worker in self._health.to_probe(now):
             job = self._dispatcher.probe(worker, now)
             if job is not None:
                 self._health.probing(worker.worker_id, job)
 
-    # ---- after each event
-
     def _settle(self, now: float) -> None:
         self._observe(now)
         self._lifecycle.settle(now)
--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -27,7 +27,10 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.operators_api import OperatorsApi
 from pomeloarch_node.peer_plane import TcpPeerPlane
-from pomeloarch_node.platform import HttpPlatformClient, PlatformClient
+from pomeloarch_node.platform import HttpPlatformClient
+from pomeloarch_node.platform_gentle import GentleConfig, GentlePlatform
+from pomeloarch_node.platform_relay import PlatformRelay
+from pomeloarch_node.publication_store import PublicationStore
 from pomeloarch_node.requests import RequestPlane
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_task import SchedulerTask
@@ -37,6 +40,10 @@
 _MILLISECONDS = 1000
 _KEEPALIVE_S = 30
 
+# Six hosts at this rate stay near the platform's several hundred a second;
+# what each part writes is bounded below it.
+_WRITES_PER_S = 70.0
+
 
 class Node:
     """The parts of one node, wired together.
@@ -61,9 +68,6 @@
         self._holder = ConfigurationHolder()
         self._directory = HostDirectory()
         self._health = Health(self._holder)
-        self._platform: PlatformClient = HttpPlatformClient(
-            session, settings.platform_url
-        )
         self._peers = TcpPeerPlane.from_settings(
             settings,
             int(time.time() * _MILLISECONDS),
@@ -71,10 +75,26 @@
             time.monotonic,
             self._rng,
         )
+        self._relay = PlatformRelay(
+            HttpPlatformClient(session, settings.platform_url),
+            self._peers,
+            settings.node_id,
+            settings.availability_zone,
+            time.monotonic,
+            self._metrics,
+            self._rng,
+        )
+        self._platform = GentlePlatform(
+            self._relay,
+            time.monotonic,
+            self._metrics,
+            self._rng,
+            GentleConfig(writes_per_s=_WRITES_PER_S),
+        )
         self._role = LeasedRole(
             f"scheduler/{settings.availability_zone}",
             settings.node_id,
-            self._platform,
+            self._platform.for_role("role", urgent=True),
             time.monotonic,
             self._metrics,
             self._rng,
@@ -82,18 +102,21 @@
         self.components = self._build_components()
 
     def _build_components(self) -> dict[str, Component]:
-        operators = self._operators()
-        spreader = self._spreader(operators)
+        spreader = self._spreader()
         hosts = self._host_watch()
         scheduler = self._scheduler()
         return {
             "requests": self._requests(),
             "scheduler": scheduler,
             "jobs": self._jobs(scheduler),
-            "operators": operators,
+            "operators": self._operators(),
             "role": BackgroundPart(self._role.run),
             "generation_spread": BackgroundPart(spreader.run),
             "hosts": BackgroundPart(hosts.run),
+            "platform": BackgroundPart(
+                self._relay.run,
+                status=lambda: {"cut_off": self._relay.cut_off},
+            ),
             "peers": BackgroundPart(self._peers.run, self._peers.drain),
         }
 
@@ -103,7 +126,7 @@
             self._holder,
             self._directory,
             self._peers,
-            self._platform,
+            self._platform.for_role("requests"),
             self._metrics,
             time.monotonic,
             self._rng,
@@ -111,17 +134,21 @@
 
     def _operators(self) -> OperatorsApi:
         return OperatorsApi(
-            self._platform,
+            self._platform.for_role("operators"),
             self._holder,
             self._metrics,
             self._settings.node_id,
             self._rng,
         )
 
-    def _spreader(self, operators: OperatorsApi) -> GenerationSpreader:
+    def _spreader(self) -> GenerationSpreader:
+        store = PublicationStore(
+            self._platform.for_role("generations"),
+            lambda: self._holder.snapshot,
+        )
         return GenerationSpreader(
             self._holder,
-            TableSnapshotSource(operators.store),
+            TableSnapshotSource(store),
             self._peers,
             self._settings.node_id,
             self._settings.availability_zone,
@@ -133,7 +160,7 @@
     def _host_watch(self) -> HostDirectoryTask:
         return HostDirectoryTask(
             self._directory,
-            self._platform,
+            self._platform.for_role("hosts"),
             self._peers,
             time.monotonic,
             self._metrics,
@@ -144,7 +171,7 @@
         return SchedulerTask(
             self._settings.availability_zone,
             self._settings.node_id,
-            self._platform,
+            self._platform.for_role("scheduler"),
             self._role,
             self._holder,
             self._directory,
@@ -158,7 +185,7 @@
     def _jobs(self, scheduler: SchedulerTask) -> JobsApi:
         return JobsApi(
             self._settings.availability_zone,
-            self._platform,
+            self._platform.for_role("jobs"),
             self._holder,
             self._peers,
             scheduler,
@@ -189,6 +216,7 @@
             access_log=False,
             log_config=None,
             server_header=False,
+            proxy_headers=False,
             timeout_keep_alive=_KEEPALIVE_S,
         )
         return NodeServer(config)
