--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/admission.py
@@ -2,7 +2,9 @@
 
 A request is let through at once while the limit has room and nobody waits.
 Else it waits in the fair queue, if it can be served before its deadline and
-within the longest wait, or is refused at once.
+within the longest wait, or is refused at once. The longest wait binds a queue
+that has been standing for a while; a burst may use its own deadlines, since
+it ends (after adaptive queue limits for bursts: CoDel, ACM Queue 2012).
 """
 
 from __future__ import annotations
@@ -23,6 +25,8 @@
 from pomeloarch_core.routing.refusal import refuse
 
 LONGEST_WAIT_S = 2.0
+# A queue that has been there for longer is no burst's.
+BURST_S = 2.0
 _UNMEASURED_S = 1.0
 _LEAST_COST_S = 0.0005
 
@@ -50,6 +54,7 @@
         self._baselines: dict[JobClassName, LatencyBaseline] = {}
         self._rng = rng
         self.in_progress = 0
+        self._waiting_since: float | None = None
 
     @property
     def limit(self) -> int:
@@ -112,6 +117,8 @@
             self._admit(ticket, now)
             return None
         ticket.cost = self.expected_s(ticket.flow.job_class)
+        if not len(self._queue):
+            self._waiting_since = now
         self._queue.push(ticket)
         return None
 
@@ -131,12 +138,19 @@
             return None
         expected = self.expected_s(flow.job_class)
         wait = self._queue.wait_s(flow, expected, self._limit.value)
-        if wait > LONGEST_WAIT_S:
+        if wait > LONGEST_WAIT_S and self._standing(now):
             return refuse(RefusalReason.OVERLOADED, wait, self._rng)
         if now + wait + expected > deadline:
             return refuse(RefusalReason.DEADLINE, wait, self._rng)
         return None
 
+    def _standing(self, now: float) -> bool:
+        """Whether the queue has been there for longer than a burst takes."""
+        since = self._waiting_since
+        return (
+            len(self._queue) > 0 and since is not None and now - since > BURST_S
+        )
+
     def release(
         self, ticket: Ticket, now: float, *, answered: bool = True
     ) -> None:
