Take an answer with too few results for a doubt

Cause: a worker that answered fewer results than it was sent orders ended its link for good, and its tasks with their leases; the test failed first.

Change: such an answer is a doubt, and the orders go again.

--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_link.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_link.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 
 import msgspec
-from result import Ok
+from result import Err, Ok, Result
 
 from pomeloarch_core.gang.messages import (
     OrderAnswered,
@@ -124,7 +124,7 @@
             lease_s=lease_s,
             orders=tuple(pending.order for pending in batch),
         )
-        answer = await self._gate.client.post(self.address, req)
+        answer = await self._call(req)
         now = asyncio.get_running_loop().time()
         if epoch != self._epoch:
             return True
@@ -134,6 +134,17 @@
         self._fail(batch, answer.err_value, now)
         return False
 
+    async def _call(
+        self, req: OrdersRequest
+    ) -> Result[OrdersAnswer, WorkerError]:
+        answer = await self._gate.client.post(self.address, req)
+        if isinstance(answer, Ok):
+            results = len(answer.ok_value.results)
+            if results != len(req.orders):
+                message = f"{results} results for {len(req.orders)} orders"
+                return Err(WorkerError(WorkerFailure.UNKNOWN, message))
+        return answer
+
     def _hear(
         self, batch: Sequence[_Pending], answer: OrdersAnswer, now: float
     ) -> None:
--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from pomeloarch_core.gang.messages import (
@@ -247,3 +248,25 @@
     gate.size(workers)
     assert gate.heartbeat_s == heartbeat_s
     assert gate.lease_s == 6 * heartbeat_s
+
+
+def test_an_answer_to_fewer_orders_is_a_doubt_and_the_link_goes_on():
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        whole = holder.client.post
+
+        async def post(address, req):
+            answer = await whole(address, req)
+            return answer.map(lambda a: msgspec.structs.replace(a, results=()))
+
+        holder.client.post = post
+        holder.start()
+        await asyncio.sleep(5.0)
+        holder.client.post = whole
+        holder.order(OrderKind.STOP)
+        await asyncio.sleep(5.0)
+        return holder.outcomes()
+
+    doubt = [OrderOutcome.UNKNOWN] * 2
+    assert run(main) == [*doubt, OrderOutcome.DONE]
