--- a/packages/pomeloarch-node/src/pomeloarch_node/app.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/app.py
@@ -164,6 +164,12 @@
         self._app = app
         self._mounts = [(f"{mount.path}/", mount.app) for mount in mounts]
 
+    @classmethod
+    def from_routes(cls, routes: Sequence[BaseRoute]) -> DirectMounts:
+        """Returns the application of all routes."""
+        mounts = [route for route in routes if isinstance(route, Mount)]
+        return cls(Starlette(routes=list(routes)), mounts)
+
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
@@ -181,5 +187,4 @@
     routes = pages.routes()
     for component in components:
         routes += component.routes()
-    mounts = [route for route in routes if isinstance(route, Mount)]
-    return DirectMounts(Starlette(routes=routes), mounts)
+    return DirectMounts.from_routes(routes)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_harness.py
@@ -11,7 +11,6 @@
 
 import aiohttp
 import uvicorn
-from starlette.applications import Starlette
 
 from pomeloarch_core.ids import (
     Generation,
@@ -30,8 +29,10 @@
     UpstreamGroup,
     Urgency,
 )
+from pomeloarch_node.app import DirectMounts
 from pomeloarch_node.configuration import ConfigurationHolder
 from pomeloarch_node.hosts import HostDirectory
+from pomeloarch_node.http_limits import protocol_with_limits
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Host, HostKind, HostState
 from pomeloarch_node.requests import RequestPlane
@@ -41,6 +42,7 @@
 
 _ZONE = "patan"
 _SERVICE = "appraisal-desk"
+_MAX_CONNECTIONS = 10_000
 
 
 class ExecutorHarness:
@@ -113,7 +115,10 @@
         sock = socket.create_server(("127.0.0.1", 0))
         self.port = sock.getsockname()[1]
         cfg = uvicorn.Config(
-            Starlette(routes=self.plane.routes()),
+            DirectMounts.from_routes(self.plane.routes()),
+            http=protocol_with_limits(_MAX_CONNECTIONS),
+            proxy_headers=False,
+            server_header=False,
             log_level="error",
             lifespan="off",
             access_log=False,
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure.py
@@ -1,6 +1,6 @@
 """Prints the measurements: `make measure`, with `ARGS=--json` for machines.
 
-Each suite is a module `measure_*` of this package with a function
+Each suite is a module `measure_{suite}` of this package with a function
 `rows(seeds)` that yields `MeasureRow`s. A suite runs alone with `--suite`.
 """
 
@@ -8,17 +8,14 @@
 
 import argparse
 import importlib
-import pkgutil
 import sys
 from collections.abc import Iterable, Iterator
 from typing import Literal
 
 import msgspec
 
-import pomeloarch_standins
-
 SEEDS = (1, 2, 3)
-_PREFIX = "measure_"
+SUITES = ("gang", "jobs", "membership", "objects", "requests")
 
 
 class MeasureRow(msgspec.Struct, frozen=True):
@@ -41,19 +38,9 @@
     unit: str
 
 
-def suites() -> list[str]:
-    """Returns the names of all suites, in alphabetical order."""
-    modules = pkgutil.iter_modules(pomeloarch_standins.__path__)
-    return sorted(
-        module.name.removeprefix(_PREFIX)
-        for module in modules
-        if module.name.startswith(_PREFIX)
-    )
-
-
 def run_suite(name: str, seeds: Iterable[int]) -> Iterator[MeasureRow]:
     """Runs one suite and yields its rows."""
-    module = importlib.import_module(f"{__package__}.{_PREFIX}{name}")
+    module = importlib.import_module(f"{__package__}.measure_{name}")
     yield from module.rows(seeds)
 
 
@@ -67,12 +54,12 @@
     )
     parser.add_argument(
         "--suite",
-        choices=suites(),
+        choices=SUITES,
         action="append",
         help="run only this suite; may be given more than once",
     )
     args = parser.parse_args(argv)
-    for name in args.suite or suites():
+    for name in args.suite or SUITES:
         for row in run_suite(name, SEEDS):
             print(_line(row, as_json=args.json), flush=True)
     return 0
