--- a/packages/pomeloarch-core/tests/test_gang_scheduler.py
+++ b/packages/pomeloarch-core/tests/test_gang_scheduler.py
@@ -204,7 +204,9 @@
 
 
 def test_an_owner_reclaims_its_shape_from_borrowers():
+    """The borrowers never finish their checkpoints."""
     world = _world(_SHAPE)
+    world.checkpoint_s = 60.0
     for number in range(4):
         world.submit(
             _spec(f"b{number}", "batch", 1, 3, organisation="auction"), 90.0
@@ -251,6 +253,8 @@
 
 
 def test_an_urgent_job_starts_within_its_bound_by_preempting(world):
+    """The victims never finish their checkpoints."""
+    world.checkpoint_s = 60.0
     for number in range(4):
         organisation = ("auction", "shrestha")[number % 2]
         world.submit(
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -216,7 +216,8 @@
         assert state == "succeeded"
 
 
-def test_an_older_holder_begins_no_attempt_during_a_takeover():
+@pytest.mark.parametrize("written_after_s", [0.2, 2.5, 4.0])
+def test_an_older_holder_begins_no_attempt_during_a_takeover(written_after_s):
     async def main(bench):
         old = bench.node("n1", 1)
         new = bench.node("n2")
@@ -227,7 +228,8 @@
         for number in range(2, 9):
             old.client.faults[f"patan-r1-w{number}"] = FaultMode.STALL
         bench.platform.delay_s = 1.0
-        held_back_until_s = bench.now() + 3.0
+        takeover_s = bench.now() + 2.8
+        held_back_until_s = takeover_s + written_after_s
 
         def hold_back(checks, writes):
             epochs = {(write.value or {}).get("epoch") for write in writes}
@@ -237,7 +239,7 @@
 
         bench.platform.on_transact = hold_back
         await submit(old, SCAN, idempotent=False, command="run_s=60")
-        await asyncio.sleep(held_back_until_s - 0.2 - bench.now())
+        await asyncio.sleep(takeover_s - bench.now())
         new.role.set(2)
         await bench.until("running", "unknown", timeout_s=60.0)
         await asyncio.sleep(30.0)
@@ -515,12 +517,18 @@
         reasons = node.scheduler.explain(job_id)
         node.client.faults.clear()
         await asyncio.sleep(5.0)
-        return status, shown, reasons, node.metrics.render()
+        trail = list(bench.platform.table("audit").values())
+        return status, shown, reasons, node.metrics.render(), trail
 
-    status, shown, reasons, later = run(main)
+    status, shown, reasons, later, trail = run(main)
     alert = 'scheduler_alert{kind="guarantee_short",subject="g/0"}'
     assert [a["subject"] for a in status["alerts"]] == ["g/0"]
     assert f"{alert} 1" in shown
     assert f"{alert} 0" in later
     assert reasons
     assert msgspec.json.encode(status)
+    noted = [(entry["subject"], entry["why"]) for entry in trail]
+    assert noted[0][0] == "scheduler/patan"
+    assert "epoch 1" in noted[0][1]
+    assert noted[1] == ("guarantee_short/g/0", status["alerts"][0]["reason"])
+    assert noted[-1] == ("guarantee_short/g/0", "cleared")
