--- a/packages/pomeloarch-core/tests/test_gang_policy.py
+++ b/packages/pomeloarch-core/tests/test_gang_policy.py
@@ -194,17 +194,21 @@
     assert set(ends) <= {JobState.SUCCEEDED, JobState.RUNNING}
 
 
-def test_jobs_that_fail_everywhere_end_and_quarantine_nobody():
+@pytest.mark.parametrize("others", [12, 0])
+def test_jobs_that_fail_everywhere_end_and_quarantine_nobody(others):
     world = _world()
     for number in range(12):
         _submit(world, f"j{number}", "standard", 1.0, fails=True)
-        _submit(world, f"g{number}", "batch", 1.0, organisation="o1")
+        if number < others:
+            _submit(world, f"g{number}", "batch", 1.0, organisation="o1")
         world.advance(0.5)
+        assert not world.alerts
     world.advance(60.0)
     assert not world.alerts
     for number in range(12):
         assert world.table[f"j{number}"].state is JobState.FAILED
         assert world.starts[f"j{number}"] == 3
+    for number in range(others):
         assert world.table[f"g{number}"].state is JobState.SUCCEEDED
 
 
