--- a/packages/pomeloarch-node/tests/test_job_api.py
+++ b/packages/pomeloarch-node/tests/test_job_api.py
@@ -23,9 +23,9 @@
 from pomeloarch_node.jobs_api import JobsApi
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.scheduler_digest import ZoneDigest, encode_digest
-from pomeloarch_standins import virtual_time
 from pomeloarch_standins.fake_platform import FakePlatform, Fault
 from pomeloarch_standins.job_fakes import FakeNetwork, FakePeers, asgi_call
+from pomeloarch_standins.virtual_time import run_virtual
 
 ZONES = ("boudha", "patan")
 OBJECTS = ObjectSet(
@@ -100,7 +100,7 @@
         seen = await Node(platform, name="n2").get(job_id)
         return answer, seen, all_jobs(platform)
 
-    answer, seen, rows = virtual_time.run(main())
+    answer, seen, rows = run_virtual(main())
     assert answer.status == 202
     assert rows == [answer.json()["job_id"]]
     assert seen.json() == answer.json()
@@ -137,7 +137,7 @@
         platform = FakePlatform()
         return await Node(platform).post(job), platform.written
 
-    answer, written = virtual_time.run(main())
+    answer, written = run_virtual(main())
     assert answer.status == status
     assert answer.json()["outcome"] == "not_run"
     assert all(word in answer.json()["detail"] for word in wrong)
@@ -153,7 +153,7 @@
         }
         return await Node(FakePlatform()).post({"job_class": "scan"}, **headers)
 
-    job = virtual_time.run(main()).json()
+    job = run_virtual(main()).json()
     assert (job["organisation"], job["caller"]) == ("desk", "widow")
     assert not job["idempotent"]
 
@@ -182,7 +182,7 @@
         await asyncio.sleep(60.0)
         return answer, all_jobs(platform)
 
-    answer, rows = virtual_time.run(main())
+    answer, rows = run_virtual(main())
     assert (answer.status, len(rows)) == (status, jobs)
     if outcome is not None:
         assert answer.json()["outcome"] == outcome
@@ -204,7 +204,7 @@
         second = await Node(platform, network, "n2").post(JOB, "k")
         return first, second, all_jobs(platform)
 
-    first, second, rows = virtual_time.run(main())
+    first, second, rows = run_virtual(main())
     assert second.status == 200
     assert rows == [second.json()["job_id"]]
     if first.status == 202:
@@ -221,7 +221,7 @@
         answers = await asyncio.gather(*(node.post(JOB, "k") for node in nodes))
         return answers, all_jobs(platform)
 
-    answers, rows = virtual_time.run(main())
+    answers, rows = run_virtual(main())
     assert {answer.json()["job_id"] for answer in answers} == set(rows)
     assert len(rows) == 1
 
@@ -234,7 +234,7 @@
         foreign = await node.post({**JOB, "organisation": "archive"}, "k")
         return other, foreign
 
-    other, foreign = virtual_time.run(main())
+    other, foreign = run_virtual(main())
     assert (other.status, other.json()["outcome"]) == (422, "not_run")
     assert other.json()["reason"] == "idempotency_key_reused"
     assert foreign.status == 202
@@ -269,7 +269,7 @@
             peer.set_digest("scheduler", encode_digest(digest))
         return await Node(FakePlatform(), network).post(job)
 
-    assert virtual_time.run(main()).json()["availability_zone"] == zone
+    assert run_virtual(main()).json()["availability_zone"] == zone
 
 
 def test_an_unknown_job_is_not_found():
@@ -284,7 +284,7 @@
         running.cancel()
         return answers
 
-    assert {answer.status for answer in virtual_time.run(main())} == {404}
+    assert {answer.status for answer in run_virtual(main())} == {404}
 
 
 def test_a_wave_of_cancellations_costs_few_writes():
@@ -303,7 +303,7 @@
         asked = {job for batch in kept for job in batch["job_ids"]}
         return answers, platform, before, asked == set(ids)
 
-    answers, platform, before, all_kept = virtual_time.run(main())
+    answers, platform, before, all_kept = run_virtual(main())
     assert {answer.status for answer in answers} == {202}
     assert answers[0].json()["cancel_requested"]
     assert all_kept
@@ -332,7 +332,7 @@
         running.cancel()
         return answer, platform.table("job_cancels/patan")
 
-    answer, kept = virtual_time.run(main())
+    answer, kept = run_virtual(main())
     assert answer.status == status
     assert len(kept) == (1 if status == 202 else 0)
     assert answer.json().get("outcome") == outcome
@@ -356,7 +356,7 @@
             task.cancel()
         return job_id, unheld, remote, alone
 
-    job_id, unheld, remote, alone = virtual_time.run(main())
+    job_id, unheld, remote, alone = run_virtual(main())
     assert remote.json()["reasons"] == [f"{job_id} waits"]
     assert unheld.json()["reasons"] == alone.json()["reasons"] == ["accepted"]
 
@@ -377,7 +377,7 @@
         running.cancel()
         return [(a.status, a.json()["outcome"]) for a in answers]
 
-    assert virtual_time.run(main()) == [
+    assert run_virtual(main()) == [
         (503, "not_run"),
         (503, "unknown"),
         (503, "not_run"),
--- a/packages/pomeloarch-node/tests/test_scheduler_records.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_records.py
@@ -17,9 +17,9 @@
 from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_records import RecordWriter
 from pomeloarch_node.scheduler_tenure import Tenure
-from pomeloarch_standins import virtual_time
 from pomeloarch_standins.fake_platform import FakePlatform, Fault
 from pomeloarch_standins.job_fakes import FakeRole
+from pomeloarch_standins.virtual_time import run_virtual
 
 KEPT = {WriteKind.CHANGE: 10, WriteKind.CLEAN_UP: 20}
 
@@ -61,7 +61,7 @@
 
 
 def run(main):
-    return virtual_time.run(main())
+    return run_virtual(main())
 
 
 @pytest.mark.parametrize(
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -18,9 +18,9 @@
 )
 from pomeloarch_node.job_records import CancelBatch, encode
 from pomeloarch_node.worker_client import OrdersRequest
-from pomeloarch_standins import virtual_time
 from pomeloarch_standins.fake_platform import Fault
 from pomeloarch_standins.job_bench import WALL_CLOCK_S, ZoneBench
+from pomeloarch_standins.virtual_time import run_virtual
 from pomeloarch_standins.workers import FaultMode
 
 OBJECTS = ObjectSet(
@@ -50,7 +50,7 @@
         bench = ZoneBench(SNAPSHOT, ZoneScheduler.from_config, **options)
         return await main(bench)
 
-    return virtual_time.run(with_bench())
+    return run_virtual(with_bench())
 
 
 async def submit(node, job, **fields):
--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -17,8 +17,8 @@
 from pomeloarch_node.scheduler_tenure import Tenure
 from pomeloarch_node.worker_gate import WorkerGate
 from pomeloarch_node.worker_links import WorkerLinks
-from pomeloarch_standins import virtual_time
 from pomeloarch_standins.job_fakes import FakeRole, FakeWorkerClient
+from pomeloarch_standins.virtual_time import run_virtual
 from pomeloarch_standins.worker_fleet import WorkerFleet, worker_hosts
 from pomeloarch_standins.workers import FaultMode
 
@@ -85,7 +85,7 @@
         fleet = WorkerFleet.from_hosts(hosts)
         return await main(fleet, hosts)
 
-    return virtual_time.run(with_fleet())
+    return run_virtual(with_fleet())
 
 
 def state(fleet):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/fake_platform.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/fake_platform.py
@@ -4,13 +4,11 @@
 
 import asyncio
 import enum
-from collections import defaultdict, deque
+from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
 
-import msgspec
 from result import Err, Ok, Result
-from sortedcontainers import SortedDict
 
 from pomeloarch_node.platform import (
     Check,
@@ -21,6 +19,7 @@
     Row,
     Write,
 )
+from pomeloarch_standins.table_store import TableStore
 
 TIMEOUT_S = 2.0
 
@@ -79,7 +78,7 @@
             Callable[[Sequence[Check], Sequence[Write]], Fault | None] | None
         ) = None
         self._faults: deque[Fault] = deque()
-        self._tables: dict[str, SortedDict] = defaultdict(SortedDict)
+        self._store = TableStore()
         self._second = (0, 0)
 
     def inject(self, *faults: Fault) -> None:
@@ -88,18 +87,15 @@
 
     def table(self, name: str) -> dict[str, Any]:
         """Returns the values of a table's rows by their keys."""
-        return {
-            key: msgspec.json.decode(body)
-            for key, (_, body) in self._tables[name].items()
-        }
+        return self._store.values(name)
 
     def value(self, table: str, key: str) -> Any:
         """Returns the value of one row, None for an absent one."""
-        return self._row(table, key).value
+        return self._store.read(table, key).value
 
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row, past all faults and counts."""
-        self._write(Write(table, key, value))
+        self._store.write(Write(table, key, value))
 
     async def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
@@ -127,7 +123,7 @@
         self.reads += 1
         if not await self._arrives():
             return Err(_LOST if self.silent else _REFUSED)
-        return Ok(tuple(self._row(table, key) for table, key in keys))
+        return Ok(tuple(self._store.read(*key) for key in keys))
 
     async def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = 1000
@@ -136,14 +132,7 @@
         self.reads += 1
         if not await self._arrives():
             return Err(_LOST if self.silent else _REFUSED)
-        start = max(prefix, after)
-        rows: list[Row] = []
-        for key in self._tables[table].irange(minimum=start):
-            if len(rows) >= limit or not key.startswith(prefix):
-                break
-            if key > after:
-                rows.append(self._row(table, key))
-        return Ok(tuple(rows))
+        return Ok(self._store.scan(table, prefix, after, limit))
 
     async def membership(self) -> Result[tuple[Host, ...], PlatformError]:
         """Reads the lagging list of hosts."""
@@ -170,17 +159,12 @@
     def _apply(
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> Result[tuple[int, ...], Conflict | PlatformError]:
-        found = [self._row(check.table, check.key) for check in checks]
-        conflicts = tuple(
-            row
-            for row, check in zip(found, checks, strict=True)
-            if row.version != check.version
-        )
-        if conflicts:
-            return Err(Conflict(conflicts))
+        conflicts = self._store.transact(checks, ())
+        if conflicts.is_err():
+            return conflicts
         if not self._within_budget(len(writes)):
             return Err(_OVER_BUDGET)
-        return Ok(tuple(self._write(write) for write in writes))
+        return self._store.transact((), writes)
 
     def _within_budget(self, rows: int) -> bool:
         second = int(asyncio.get_running_loop().time())
@@ -191,16 +175,3 @@
         self.most_written = max(self.most_written, used + rows)
         self.written += rows
         return True
-
-    def _write(self, write: Write) -> int:
-        table = self._tables[write.table]
-        version, _ = table.get(write.key, (0, b""))
-        if write.value is None:
-            table.pop(write.key, None)
-            return 0
-        table[write.key] = (version + 1, msgspec.json.encode(write.value))
-        return version + 1
-
-    def _row(self, table: str, key: str) -> Row:
-        version, body = self._tables[table].get(key, (0, b"null"))
-        return Row(table, key, version, msgspec.json.decode(body))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure_jobs.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure_jobs.py
@@ -51,9 +51,9 @@
     HttpWorkerClient,
     OrdersRequest,
 )
-from pomeloarch_standins import virtual_time
 from pomeloarch_standins.job_bench import BenchNode, ZoneBench
 from pomeloarch_standins.measure import MeasureRow
+from pomeloarch_standins.virtual_time import run_virtual
 from pomeloarch_standins.worker_fleet import WorkerFleet, worker_hosts
 from pomeloarch_standins.workers import WorkersApp
 
@@ -118,7 +118,7 @@
 
 
 def _platform_use(seed: int) -> Iterator[MeasureRow]:
-    reads_per_s, writes_per_s, a_job, wait_s = virtual_time.run(_serve(seed))
+    reads_per_s, writes_per_s, a_job, wait_s = run_virtual(_serve(seed))
     case = f"24 workers, {_JOBS} jobs"
     yield _row(
         "platform reads, idle zone", "24 workers", seed, reads_per_s, "1/s"
@@ -167,7 +167,7 @@
 
 def _takeovers(seed: int) -> Iterator[MeasureRow]:
     for workers in FLEETS:
-        took_s, cpu_s, reads, writes = virtual_time.run(_take_over(workers))
+        took_s, cpu_s, reads, writes = run_virtual(_take_over(workers))
         case = f"{workers} workers, {workers * TASKS_A_WORKER} jobs"
         yield _row("takeover, waits", case, seed, took_s, "s")
         yield _row("takeover, processor", case, seed, cpu_s, "s")
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/memory_platform.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/memory_platform.py
@@ -6,13 +6,10 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 import enum
 from collections import deque
 from collections.abc import Sequence
-from typing import Any
 
-import msgspec
 from result import Err, Ok, Result
 
 from pomeloarch_node.platform import (
@@ -24,6 +21,7 @@
     Row,
     Write,
 )
+from pomeloarch_standins.table_store import TableStore
 
 
 class Fault(enum.Enum):
@@ -61,8 +59,7 @@
         self.txn_faults: deque[Fault] = deque()
         self.rows_written = 0
         self.transactions = 0
-        self._rows: dict[tuple[str, str], Row] = {}
-        self._versions: dict[tuple[str, str], int] = {}
+        self._store = TableStore()
         self._late: deque[tuple[Sequence[Check], Sequence[Write]]] = deque()
 
     async def transact(
@@ -82,16 +79,11 @@
     def _transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> Result[tuple[int, ...], Conflict | PlatformError]:
-        found = [self._row(check.table, check.key) for check in checks]
-        wrong = [
-            row
-            for row, check in zip(found, checks, strict=True)
-            if row.version != check.version
-        ]
-        if wrong:
-            return Err(Conflict(tuple(wrong)))
-        self.transactions += 1
-        return Ok(tuple(self._put(write) for write in writes))
+        answer = self._store.transact(checks, writes)
+        if answer.is_ok():
+            self.transactions += 1
+            self.rows_written += len(writes)
+        return answer
 
     async def read(
         self, keys: Sequence[tuple[str, str]]
@@ -101,7 +93,7 @@
         fault = self.read_faults.popleft() if self.read_faults else Fault.NONE
         if fault is not Fault.NONE:
             return Err(_error(fault))
-        rows = tuple(self._row(table, key) for table, key in keys)
+        rows = tuple(self._store.read(*key) for key in keys)
         while self._late:
             self._transact(*self._late.popleft())
         return Ok(rows)
@@ -111,33 +103,12 @@
     ) -> Result[tuple[Row, ...], PlatformError]:
         """Reads rows above `after` in the order of keys."""
         await asyncio.sleep(0)
-        keys = sorted(key for name, key in self._rows if name == table)
-        start = bisect.bisect_right(keys, after)
-        kept = [key for key in keys[start:] if key.startswith(prefix)]
-        return Ok(tuple(self._row(table, key) for key in kept[:limit]))
+        return Ok(self._store.scan(table, prefix, after, limit))
 
     async def membership(self) -> Result[tuple[Host, ...], PlatformError]:
         """Reads the list of hosts, which is empty."""
         return Ok(())
 
-    def _row(self, table: str, key: str) -> Row:
-        return self._rows.get((table, key), Row(table, key, 0))
-
-    def _put(self, write: Write) -> int:
-        place = write.table, write.key
-        self.rows_written += 1
-        if write.value is None:
-            self._rows.pop(place, None)
-            return 0
-        version = self._versions.get(place, 0) + 1
-        self._versions[place] = version
-        self._rows[place] = Row(*place, version, _copy(write.value))
-        return version
-
-
-def _copy(value: Any) -> Any:
-    return msgspec.json.decode(msgspec.json.encode(value))
-
 
 def _error(fault: Fault) -> PlatformError:
     if fault is Fault.DOWN:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/table_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/table_store.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-import bisect
 from collections import defaultdict
 from collections.abc import Sequence
+from typing import Any
 
+import msgspec
 from result import Err, Ok, Result
+from sortedcontainers import SortedDict
 
 from pomeloarch_node.platform import Check, Conflict, Row, Write
 
@@ -14,6 +16,9 @@
 class TableStore:
     """Versioned rows and transactions that are all or nothing.
 
+    A row's version goes on growing when it is deleted and written again, so
+    that an old version never fits a newer row.
+
     >>> store = TableStore()
     >>> write = Write("jobs", "a", {"x": 1})
     >>> store.transact([Check("jobs", "a", 0)], [write]).unwrap()
@@ -24,8 +29,8 @@
 
     def __init__(self) -> None:
         """Starts without rows."""
-        self._tables: dict[str, dict[str, Row]] = defaultdict(dict)
-        self._last_version = 0
+        self._tables: dict[str, SortedDict] = defaultdict(SortedDict)
+        self._versions: dict[tuple[str, str], int] = {}
 
     def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
@@ -39,27 +44,42 @@
         )
         if conflicts:
             return Err(Conflict(rows=conflicts))
-        return Ok(tuple(self._write(write) for write in writes))
+        return Ok(tuple(self.write(write) for write in writes))
 
     def read(self, table: str, key: str) -> Row:
         """Returns a row, with version 0 when it is absent."""
-        return self._tables[table].get(key) or Row(table, key, 0)
+        body = self._tables[table].get(key)
+        if body is None:
+            return Row(table, key, 0)
+        value = msgspec.json.decode(body)
+        return Row(table, key, self._versions[table, key], value)
 
     def scan(
-        self, table: str, prefix: str, after: str, limit: int
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
     ) -> tuple[Row, ...]:
         """Returns up to `limit` rows above `after` in the order of keys."""
-        rows = self._tables[table]
-        keys = sorted(key for key in rows if key.startswith(prefix))
-        start = bisect.bisect_right(keys, after) if after else 0
-        return tuple(rows[key] for key in keys[start : start + limit])
+        rows: list[Row] = []
+        for key in self._tables[table].irange(minimum=max(prefix, after)):
+            if len(rows) >= limit or not key.startswith(prefix):
+                break
+            if key > after:
+                rows.append(self.read(table, key))
+        return tuple(rows)
+
+    def values(self, table: str) -> dict[str, Any]:
+        """Returns the values of a table's rows by their keys."""
+        return {
+            key: msgspec.json.decode(body)
+            for key, body in self._tables[table].items()
+        }
 
-    def _write(self, write: Write) -> int:
-        self._last_version += 1
+    def write(self, write: Write) -> int:
+        """Writes a row whatever its version; returns the new one."""
+        place = write.table, write.key
         if write.value is None:
             self._tables[write.table].pop(write.key, None)
-            return self._last_version
-        self._tables[write.table][write.key] = Row(
-            write.table, write.key, self._last_version, write.value
-        )
-        return self._last_version
+            return 0
+        self._versions[place] = self._versions.get(place, 0) + 1
+        body = msgspec.json.encode(write.value)
+        self._tables[write.table][write.key] = body
+        return self._versions[place]
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/virtual_time.py
@@ -74,6 +74,3 @@
     loop = VirtualLoop(_SETTLE_S if sockets else 0.0)
     with asyncio.Runner(loop_factory=lambda: loop) as runner:
         return runner.run(coroutine)
-
-
-run = run_virtual
