--- a/packages/pomeloarch-standins/src/pomeloarch_standins/measure.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/measure.py
@@ -8,6 +8,7 @@
 
 import argparse
 import importlib
+import pathlib
 import sys
 from collections.abc import Iterable, Iterator
 from typing import Literal
@@ -58,20 +59,61 @@
         action="append",
         help="run only this suite; may be given more than once",
     )
+    parser.add_argument(
+        "--read",
+        type=pathlib.Path,
+        nargs="+",
+        metavar="FILE",
+        help="print the tables of rows that --json wrote earlier",
+    )
     args = parser.parse_args(argv)
+    if args.read:
+        for title, rows in read_rows(args.read).items():
+            print(table(title, rows))
+        return 0
     for name in args.suite or SUITES:
-        for row in run_suite(name, SEEDS):
-            print(_line(row, as_json=args.json), flush=True)
+        if args.json:
+            for row in run_suite(name, SEEDS):
+                print(msgspec.json.encode(row).decode(), flush=True)
+        else:
+            print(table(name, run_suite(name, SEEDS)), flush=True)
     return 0
 
 
-def _line(row: MeasureRow, *, as_json: bool) -> str:
-    if as_json:
-        return msgspec.json.encode(row).decode()
-    return (
-        f"{row.measure:32} {row.case:36} {row.variant:8} "
-        f"{row.seed:4d} {row.value:14.4f} {row.unit}"
-    )
+def read_rows(paths: Iterable[pathlib.Path]) -> dict[str, list[MeasureRow]]:
+    """Reads files that `--json` made; returns their rows by file name."""
+    return {
+        path.stem: [
+            msgspec.json.decode(line, type=MeasureRow)
+            for line in path.read_bytes().splitlines()
+        ]
+        for path in paths
+    }
+
+
+def table(title: str, rows: Iterable[MeasureRow]) -> str:
+    """Returns a suite's rows as a table, the seeds of a case side by side.
+
+    >>> row = MeasureRow("wait", "flood", "product", 1, 0.5, "s")
+    >>> print(table("demo", [row]).splitlines()[-1])
+    | wait | flood | 0.5 |  | s |
+    """
+    cells: dict[tuple[str, str, str], dict[str, list[str]]] = {}
+    for row in rows:
+        key = row.measure, row.case, row.unit
+        variants = cells.setdefault(key, {"product": [], "naive": []})
+        variants[row.variant].append(f"{row.value:.4g}")
+    lines = [
+        f"## {title}",
+        "",
+        "| measure | case | product | naive | unit |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for (measure, case, unit), variants in cells.items():
+        product = ", ".join(variants["product"])
+        naive = ", ".join(variants["naive"])
+        lines.append(f"| {measure} | {case} | {product} | {naive} | {unit} |")
+    return "\n".join([*lines, ""])
 
 
 if __name__ == "__main__":
