Give relayed calls bytes of their own, and refuse answers that can't pass

Relayed calls shared the 3.4 KB/s that a node sends for control; a few claims a second use that up, and generations then wait. They now have 64 KB/s beside it, in the core's framing, so that both stay bounded.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/config.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/config.py
@@ -16,6 +16,7 @@
       rejoin_s: time between tries of a seed or a dead node, in seconds.
       relays: how many others are asked to probe.
       bytes_per_s: what this node may send on the average.
+      data_bytes_per_s: what it may send for callers beside that.
       burst_bytes: what it may send at once.
       message_reserve: the part of a burst that digests leave to messages.
       frame_room: most bytes of digests in one frame.
@@ -30,6 +31,7 @@
     rejoin_s: float = 5.0
     relays: int = 2
     bytes_per_s: float = 3_400.0
+    data_bytes_per_s: float = 65_536.0
     burst_bytes: float = 10_000.0
     message_reserve: float = 5_000.0
     frame_room: int = 2_048
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/framing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/framing.py
@@ -28,7 +28,8 @@
 
     Args:
       members: the other nodes and the rumours about them.
-      bucket: the byte budget of all that this node sends.
+      bucket: the byte budget of what this node sends on its own account.
+      data: the byte budget of what it sends for callers.
       cfg: bounds.
       rng: for the nodes told of in each frame.
     """
@@ -37,18 +38,27 @@
         self,
         members: MemberTable,
         bucket: TokenBucket,
+        data: TokenBucket,
         cfg: MembershipConfig,
         rng: random.Random,
     ) -> None:
         """Starts with no node known to be outdated."""
         self._members = members
         self._bucket = bucket
+        self._data = data
         self._cfg = cfg
         self._rng = rng
         self._outdated: set[NodeId] = set()
 
     def build(
-        self, me: Rumour, address: str, node: NodeId, body: Body, now: float
+        self,
+        me: Rumour,
+        address: str,
+        node: NodeId,
+        body: Body,
+        now: float,
+        *,
+        data: bool = False,
     ) -> SendFrame:
         """Returns the frame to send, with rumours, and charges its bytes."""
         frame = Frame(
@@ -60,12 +70,20 @@
             self._rumours_for(me, node),
         )
         charged = frame_bytes(frame) + PACKET_BYTES
-        self._bucket.charge(charged, now)
-        return SendFrame(address, node, frame, charged)
+        self._bucket_of(data).charge(charged, now)
+        return SendFrame(address, node, frame, charged, data)
 
     def encoded(self, order: SendFrame, size: int, now: float) -> None:
         """Takes note of the bytes that a frame really took."""
-        self._bucket.charge(size + PACKET_BYTES - order.charged_bytes, now)
+        real = size + PACKET_BYTES
+        self._bucket_of(order.data).charge(real - order.charged_bytes, now)
+
+    def may_send(self, data: bool, now: float) -> bool:
+        """Returns whether the budget of messages isn't used up."""
+        return self._bucket_of(data).available(now) > 0
+
+    def _bucket_of(self, data: bool) -> TokenBucket:
+        return self._data if data else self._bucket
 
     def note_sender(self, sender: Rumour) -> None:
         """Notes a restarted node that has to take a higher incarnation."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/messages.py
@@ -155,12 +155,14 @@
       frame: what to send.
       charged_bytes: what the byte budget was charged; the sender tells the
         protocol what it really took.
+      data: whether it is sent for callers, beside the budget of control.
     """
 
     address: str
     node: NodeId
     frame: Frame
     charged_bytes: int
+    data: bool = False
 
 
 class ResetLink(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/protocol.py
@@ -73,8 +73,9 @@
         self._rng = rng
         self._members = MemberTable(me.node, me.availability_zone)
         bucket = TokenBucket(self._cfg.bytes_per_s, self._cfg.burst_bytes)
-        self._bucket = bucket
-        self._frames = FrameBuilder(self._members, bucket, self._cfg, rng)
+        rate = self._cfg.data_bytes_per_s
+        data = TokenBucket(rate, rate)
+        self._frames = FrameBuilder(self._members, bucket, data, self._cfg, rng)
         self._digests = DigestExchange(
             me, self._members, bucket, self._cfg, rng
         )
@@ -125,19 +126,33 @@
         self._rejoiner.set_listed(addresses)
 
     def message(
-        self, node: NodeId, topic: str, payload: bytes, now: float
+        self,
+        node: NodeId,
+        topic: str,
+        payload: bytes,
+        now: float,
+        *,
+        data: bool = False,
     ) -> SendFrame | None:
-        """Returns a message's frame, None if it can't be sent now."""
+        """Returns a message's frame, None if it can't be sent now.
+
+        Args:
+          node: whom it is for.
+          topic: which part of the node it is for.
+          payload: its bytes.
+          now: the present time, in seconds of the clock.
+          data: whether it is sent for callers, beside the budget of control.
+        """
         member = self._members.get(node)
         if member is None or not member.live:
             return None
         if len(payload) > MAX_MESSAGE_BYTES:
             return None
-        if self._bucket.available(now) <= 0:
+        if not self._frames.may_send(data, now):
             return None
         body = TopicMessage(topic, payload)
         return self._frames.build(
-            self._me, member.rumour.address, node, body, now
+            self._me, member.rumour.address, node, body, now, data=data
         )
 
     def encoded(self, order: SendFrame, size: int, now: float) -> None:
--- a/packages/pomeloarch-core/tests/test_membership_protocol.py
+++ b/packages/pomeloarch-core/tests/test_membership_protocol.py
@@ -209,3 +209,20 @@
     assert bucket.wait_s(2.0, now=0.0) == 0.75
     assert not bucket.take(2.0, now=0.5)
     assert bucket.take(2.0, now=0.75)
+
+
+def test_messages_for_callers_leave_the_budget_of_control_alone():
+    me = node()
+    me.receive(frame("other", RumoursOnly()), 0.0)
+    payload = b"x" * 10_000
+
+    def send_all(data):
+        count = 0
+        while me.message("other", "t", payload, 0.0, data=data) is not None:
+            count += 1
+            assert count < 100
+        return count
+
+    assert send_all(data=True) > 0
+    assert send_all(data=False) > 0
+    assert me.message("other", "t", b"", 0.0, data=True) is None
--- a/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peer_plane.py
@@ -126,10 +126,12 @@
         """Takes peer addresses from the platform's list."""
         self._protocol.set_listed(addresses)
 
-    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
+    async def send(
+        self, node: NodeId, topic: str, payload: bytes, *, data: bool = False
+    ) -> bool:
         """Sends one message; returns whether it was handed to a socket."""
         now = self._clock()
-        order = self._protocol.message(node, topic, payload, now)
+        order = self._protocol.message(node, topic, payload, now, data=data)
         if order is None:
             self._metrics.count("peer_messages_refused", topic=topic)
             return False
--- a/packages/pomeloarch-node/src/pomeloarch_node/peers.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/peers.py
@@ -38,8 +38,17 @@
     def live_nodes(self) -> dict[NodeId, ZoneName]:
         """Returns the nodes believed to live, this one included."""
 
-    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
-        """Sends one message; returns whether it was handed to a socket."""
+    async def send(
+        self, node: NodeId, topic: str, payload: bytes, *, data: bool = False
+    ) -> bool:
+        """Sends one message; returns whether it was handed to a socket.
+
+        Args:
+          node: whom it is for.
+          topic: which part of the node it is for.
+          payload: its bytes.
+          data: whether it is sent for callers, beside the budget of control.
+        """
 
     def subscribe(self, topic: str) -> asyncio.Queue[PeerMessage]:
         """Returns a queue of the messages and digests of a topic."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_helper.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_helper.py
@@ -7,7 +7,7 @@
 
 from result import Ok, Result
 
-from pomeloarch_core.membership import TokenBucket
+from pomeloarch_core.membership import MAX_MESSAGE_BYTES, TokenBucket
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import (
     Conflict,
@@ -30,7 +30,6 @@
 
 CALLS_PER_S = 30.0
 _BURST_CALLS = 60.0
-_MAX_ANSWER_BYTES = 24_000
 
 
 class PlatformHelper:
@@ -67,7 +66,7 @@
             return _not_done(call, "this node can't help at present")
         self._metrics.count("platform_calls_for_peers")
         answer = await _make(call, self._direct)
-        if len(encode_message(answer)) <= _MAX_ANSWER_BYTES:
+        if len(encode_message(answer)) <= MAX_MESSAGE_BYTES:
             return answer
         return _too_large(call)
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
@@ -193,7 +193,7 @@
         fut = asyncio.get_running_loop().create_future()
         self._waiting[call.number] = fut
         try:
-            if not await self._peers.send(helper, TOPIC, encode_message(call)):
+            if not await self._send(helper, call):
                 return None
             self._metrics.count("platform_calls_relayed")
             async with asyncio.timeout(_ANSWER_TIMEOUT_S):
@@ -244,7 +244,13 @@
 
     async def _help(self, peer: NodeId, call: RelayedCall) -> None:
         answer = await self._helper.answer(call, may_help=not self.cut_off)
-        await self._peers.send(peer, TOPIC, encode_message(answer))
+        await self._send(peer, answer)
+
+    async def _send(
+        self, peer: NodeId, message: RelayedCall | RelayedAnswer
+    ) -> bool:
+        payload = encode_message(message)
+        return await self._peers.send(peer, TOPIC, payload, data=True)
 
     async def _probe(self) -> None:
         """Finds out when the platform is within reach again."""
--- a/packages/pomeloarch-node/tests/test_platform_relay.py
+++ b/packages/pomeloarch-node/tests/test_platform_relay.py
@@ -172,13 +172,16 @@
     assert not cut_off
 
 
-def test_an_answer_too_large_to_pass_on_is_refused():
+@pytest.mark.parametrize("size", [16_384, 20_000, 100_000])
+def test_an_answer_too_large_to_pass_on_is_refused(size):
     async def scenario(pair):
         await pair.cut(UNREACHABLE)
-        pair.platform.put("t", "k", "v" * 100_000)
+        pair.platform.put("t", "k", "v" * size)
         return await pair.relays[0].read([("t", "k")])
 
-    assert _run(scenario).unwrap_err().failure is PlatformFailure.NOT_DONE
+    error = _run(scenario).unwrap_err()
+    assert error.failure is PlatformFailure.NOT_DONE
+    assert "too large" in error.message
 
 
 def test_garbage_from_a_peer_is_passed_over():
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/executor_fakes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/executor_fakes.py
@@ -54,7 +54,9 @@
         """Returns this node alone."""
         return {NodeId("node-1"): ZoneName(_ZONE)}
 
-    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
+    async def send(
+        self, node: NodeId, topic: str, payload: bytes, *, data: bool = False
+    ) -> bool:
         """Sends nothing."""
         return False
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
@@ -12,6 +12,7 @@
 from starlette.types import ASGIApp
 
 from pomeloarch_core.ids import Epoch, NodeId, ZoneName
+from pomeloarch_core.membership import MAX_MESSAGE_BYTES
 from pomeloarch_node.peers import PeerMessage
 from pomeloarch_node.worker_client import (
     OrdersAnswer,
@@ -105,10 +106,12 @@
         """Returns the nodes believed to live, this one included."""
         return {node: plane.zone for node, plane in self._heard().items()}
 
-    async def send(self, node: NodeId, topic: str, payload: bytes) -> bool:
+    async def send(
+        self, node: NodeId, topic: str, payload: bytes, *, data: bool = False
+    ) -> bool:
         """Sends one message; returns whether it was handed to a socket."""
         plane = self._heard().get(node)
-        if plane is None:
+        if plane is None or len(payload) > MAX_MESSAGE_BYTES:
             return False
         for queue in plane._queues[topic]:
             queue.put_nowait(PeerMessage(self.node, self.zone, topic, payload))
