--- a/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_exchange.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+
 from pomeloarch_core.ids import ExecutorId
 from pomeloarch_core.routing import (
     ServiceRouter,
@@ -229,7 +231,8 @@
         self._results.append(answer.result)
         self._learn(ended, answer, self._clock())
         if answer.result is TryResult.ANSWERED:
-            return answer
+            zone = ended.state.upstream.availability_zone
+            return msgspec.structs.replace(answer, availability_zone=zone)
         self._detail = answer.detail
         if answer.result is TryResult.FAILED:
             self._failure = answer
--- a/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/request_handler.py
@@ -193,6 +193,7 @@
             now - started,
             service=req.head.service,
             job_class=req.job_class,
+            availability_zone=ended.availability_zone,
         )
         await send_answer(send, ended, req.request_id, closing=self.draining)
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/upstream_client.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/upstream_client.py
@@ -48,6 +48,7 @@
       body: the whole body.
       load: the load that the executor reported, None if it didn't.
       draining: whether the executor said that it is leaving.
+      availability_zone: the executor's zone; empty for a stored answer.
     """
 
     result: TryResult
@@ -57,6 +58,7 @@
     body: bytes = b""
     load: int | None = None
     draining: bool = False
+    availability_zone: str = ""
 
 
 class IncompleteAnswerError(Exception):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo.py
@@ -8,10 +8,9 @@
 
 import asyncio
 import contextlib
-import pathlib
 import sys
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any
 
 import aiohttp
@@ -19,18 +18,14 @@
 
 from pomeloarch_cli.main import main as pomelo
 from pomeloarch_standins.demo_client import (
-    Balancer,
     Call,
-    Callers,
     CallResult,
     Ending,
     wait_until_alive,
 )
-from pomeloarch_standins.demo_control import DemoControl
+from pomeloarch_standins.demo_driver import DemoDriver
 from pomeloarch_standins.demo_flood import OFF_FILE, ON_FILE, results_path
-from pomeloarch_standins.demo_hosts import DemoHosts
-from pomeloarch_standins.demo_jobs import JobCallers
-from pomeloarch_standins.demo_layout import FLOODERS, Layout
+from pomeloarch_standins.demo_layout import FLOODERS
 from pomeloarch_standins.demo_load import (
     count_answered,
     describe_endings,
@@ -39,9 +34,7 @@
     say,
     steady_load,
 )
-from pomeloarch_standins.demo_promises import Promises
 from pomeloarch_standins.demo_run import run_driver
-from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
 
 _START_TIMEOUT_S = 20.0
 _FIRST_REQUESTS = 200
@@ -54,34 +47,8 @@
 _URGENT_START_S = 1.9
 
 
-class Demo:
-    """One run of the demo against processes that are already started.
-
-    Args:
-      layout: where everything listens.
-      work: the folder with the files of the run.
-      session: the HTTP session of callers and operators.
-    """
-
-    def __init__(
-        self,
-        layout: Layout,
-        work: pathlib.Path,
-        session: aiohttp.ClientSession,
-    ) -> None:
-        """Prepares callers; nothing is sent yet."""
-        self._layout = layout
-        self._session = session
-        self._scenario: Scenario = SCENARIOS[layout.example.name]
-        self._work = work
-        self._hosts = DemoHosts(work)
-        self._nodes = layout.nodes()
-        self._balancer = Balancer(self._nodes, session)
-        self._callers = Callers(self._balancer, session, layout.example.service)
-        self._jobs = JobCallers(self._balancer, session)
-        self._control = DemoControl(layout, session)
-        self._results: list[CallResult] = []
-        self.promises = Promises()
+class Demo(DemoDriver):
+    """One run of the demo against processes that are already started."""
 
     async def run(self) -> None:
         """Does everything in order."""
@@ -269,17 +236,6 @@
                     found[node.availability_zone] = scheduler["fragmentation"]
         return found
 
-    async def _check_runs(self) -> None:
-        runs = await self._control.runs()
-        self.promises.check_runs(self._results, runs)
-        self.promises.check_workers(await self._control.worker_counts())
-
-    def _take(self, results: Iterable[CallResult], phase: str) -> None:
-        results = list(results)
-        self._results += results
-        self.promises.check_answers(results)
-        say(f"{phase}: {describe_endings(results)}")
-
     async def _until(
         self, reached: Callable[[], bool], timeout_s: float
     ) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -14,29 +14,22 @@
 import time
 from collections.abc import Awaitable, Callable
 
-import aiohttp
-
 from pomeloarch_cli.main import main as pomelo
 from pomeloarch_standins.demo_client import (
-    Balancer,
-    Callers,
     CallResult,
     Ending,
     wait_until_alive,
 )
-from pomeloarch_standins.demo_control import DemoControl
-from pomeloarch_standins.demo_hosts import DemoHosts
-from pomeloarch_standins.demo_jobs import JobAsk, JobCallers
-from pomeloarch_standins.demo_layout import Layout, NodePlace
+from pomeloarch_standins.demo_driver import DemoDriver
+from pomeloarch_standins.demo_jobs import JobAsk
+from pomeloarch_standins.demo_layout import NodePlace
 from pomeloarch_standins.demo_load import (
     count_answered,
     describe_endings,
     say,
     steady_load,
 )
-from pomeloarch_standins.demo_promises import Promises
 from pomeloarch_standins.demo_run import run_driver
-from pomeloarch_standins.demo_scenario import SCENARIOS, Scenario
 from pomeloarch_standins.executor_faults import Fault
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut
@@ -45,6 +38,7 @@
 _OUTAGE_S = 5.0
 _LEAVING_GRACE_S = 2.0
 _LIST_LAG_S = 2.0
+_SLOW_S = 0.8
 _FIND_SILENT_S = 6.0
 _FAULT_S = 3.0
 _EXECUTOR_FAULTS = (
@@ -58,35 +52,8 @@
 _FINAL = {"succeeded", "failed", "cancelled", "refused", "unknown"}
 
 
-class Drill:
-    """One run of all failures.
-
-    Args:
-      layout: where everything listens.
-      work: the folder with the files of the run.
-      session: the HTTP session of callers and operators.
-    """
-
-    def __init__(
-        self,
-        layout: Layout,
-        work: pathlib.Path,
-        session: aiohttp.ClientSession,
-    ) -> None:
-        """Prepares callers; nothing is sent yet."""
-        self._layout = layout
-        self._work = work
-        self._session = session
-        self._scenario: Scenario = SCENARIOS[layout.example.name]
-        self._hosts = DemoHosts(work)
-        self._nodes = layout.nodes()
-        self._balancer = Balancer(self._nodes, session)
-        self._callers = Callers(self._balancer, session, layout.example.service)
-        self._jobs = JobCallers(self._balancer, session)
-        self._control = DemoControl(layout, session)
-        self._results: list[CallResult] = []
-        self._once_jobs: list[str] = []
-        self.promises = Promises()
+class Drill(DemoDriver):
+    """One run of all failures."""
 
     async def run(self) -> None:
         """Brings all failures about, one after another."""
@@ -96,7 +63,9 @@
             self._operators_race,
             self._platform_loses_answers,
             self._platform_down,
+            self._platform_slow,
             self._zone_cut_from_platform,
+            self._one_way_cuts,
             self._platform_connections_go_silent,
             self._executors_go_bad,
             self._executor_leaves,
@@ -106,7 +75,8 @@
         ]
         for failure in failures:
             await failure()
-        await self._check_all()
+        await self._check_runs()
+        say(f"platform used: {await self._control.platform_counts()}")
         prober.cancel()
 
     async def _publish(self) -> None:
@@ -197,6 +167,30 @@
         )
         say(f"gang that ran over the outage: {state}")
 
+    async def _platform_slow(self) -> None:
+        await self._control.platform_faults(Faults(slow_s=_SLOW_S))
+        async with steady_load(self._callers, self._scenario) as results:
+            await asyncio.sleep(_OUTAGE_S)
+        await self._control.platform_faults(Faults())
+        self._take(results, f"platform slow by {_SLOW_S} s a call")
+        self.promises.check_uncut(results, "a slow platform")
+
+    async def _one_way_cuts(self) -> None:
+        """Only one direction between a zone and the platform is cut."""
+        zone = self._layout.example.zones[1]
+        for cut in (Cut.FORWARD, Cut.BACK):
+            await self._control.cut_platform(zone, cut)
+            async with steady_load(self._callers, self._scenario) as results:
+                await asyncio.sleep(_OUTAGE_S)
+            await self._control.cut_platform(zone, Cut.OPEN)
+            self._take(results, f"{zone} and the platform cut {cut.value}")
+            plain = [each for each in results if not each.call.non_idempotent]
+            self.promises.expect(
+                count_answered(plain) == len(plain),
+                f"idempotent requests failed in a one-way cut: "
+                f"{describe_endings(plain)}",
+            )
+
     async def _zone_cut_from_platform(self) -> None:
         """A generation published meanwhile reaches the zone by its peers."""
         zone = self._layout.example.zones[0]
@@ -353,17 +347,6 @@
                 return
             await asyncio.sleep(0.05)
 
-    def _take(self, results: list[CallResult], phase: str) -> None:
-        self._results += results
-        self.promises.check_answers(results)
-        say(f"{phase}: {describe_endings(results)}")
-
-    async def _check_all(self) -> None:
-        self.promises.check_runs(self._results, await self._control.runs())
-        counts = await self._control.worker_counts()
-        self.promises.check_workers(counts, self._once_jobs)
-        say(f"platform used: {await self._control.platform_counts()}")
-
 
 def main(argv: list[str] | None = None) -> int:
     """Runs the driver and returns its exit code."""
