Take no answer that was meant for a node's former process

Cause: relayed calls were numbered from 1 in each process, so that a late answer to a call of the former process fitted one of the new process: a write that was in doubt would be taken for done. The new test failed so before. Numbers now begin at a chance value of 48 bits. Ruled out: an id of the process in each message, which says no more and costs bytes in every call.

--- a/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform_relay.py
@@ -50,6 +50,7 @@
 _PROBE_S = 1.0
 _ANSWER_TIMEOUT_S = 3.0
 _HELPERS_TRIED = 2
+_NUMBER_BITS = 48
 
 T = TypeVar("T")
 
@@ -86,7 +87,8 @@
         self._metrics = metrics
         self._rng = rng
         self._failures = 0
-        self._numbers = itertools.count(1)
+        # An answer to this node's former process must fit no call of this one.
+        self._numbers = itertools.count(rng.getrandbits(_NUMBER_BITS))
         self._waiting: dict[int, asyncio.Future[RelayedAnswer]] = {}
         self._helping: set[asyncio.Task[None]] = set()
         self._helper = PlatformHelper(direct, clock, metrics)
--- a/packages/pomeloarch-node/tests/test_platform_relay.py
+++ b/packages/pomeloarch-node/tests/test_platform_relay.py
@@ -17,6 +17,10 @@
     Write,
 )
 from pomeloarch_node.platform_relay import TOPIC, PlatformRelay
+from pomeloarch_node.platform_relay_messages import (
+    Transacted,
+    encode_message,
+)
 from pomeloarch_standins.fake_platform import FakePlatform
 from pomeloarch_standins.job_fakes import FakeNetwork, FakePeers
 from pomeloarch_standins.virtual_time import run_virtual
@@ -147,6 +151,20 @@
     assert read.unwrap_err().failure is PlatformFailure.NOT_DONE
 
 
+def test_an_answer_to_a_former_process_of_the_node_fits_no_call():
+    async def scenario(pair):
+        await pair.cut(UNREACHABLE)
+        pair.tasks[1].cancel()
+        writing = asyncio.create_task(pair.relays[0].transact(NEW, WRITE))
+        await asyncio.sleep(0.1)
+        for number in range(1, 50):
+            late = encode_message(Transacted(number, (1,)))
+            await pair.peers[1].send(NodeId("patan-1"), TOPIC, late)
+        return await writing
+
+    assert _run(scenario).unwrap_err().failure is PlatformFailure.UNKNOWN
+
+
 def test_all_cut_off_is_certainly_not_done():
     async def scenario(pair):
         await pair.cut(UNREACHABLE)
