Drop what nothing calls; build commands that ask a node in one place

Unused: is_waiting, highest_heard, weight_at, LeavingSign, ServiceKey. Two modules of the command line had the same function for their parsers.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/history_commands.py
@@ -21,11 +21,9 @@
 )
 from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import (
-    add_command,
+    add_node_command,
     connect,
-    node_options,
     output_of,
-    output_options,
 )
 from pomeloarch_cli.sources import read_sources
 from pomeloarch_core.objects import (
@@ -46,20 +44,15 @@
     _add_audit(commands)
 
 
-def _parser(
-    commands: argparse._SubParsersAction, name: str, text: str
-) -> argparse.ArgumentParser:
-    parents = [node_options(), output_options()]
-    return add_command(commands, name, text, parents)
-
-
 def _add_status(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(commands, "status", "Print the status of a node.")
+    parser = add_node_command(commands, "status", "Print the status of a node.")
     parser.set_defaults(run=_status)
 
 
 def _add_history(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(commands, "history", "Print the newest generations.")
+    parser = add_node_command(
+        commands, "history", "Print the newest generations."
+    )
     parser.add_argument(
         "--limit", type=positive_number, default=20, help="how many"
     )
@@ -73,7 +66,7 @@
 
 
 def _add_diff(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(
+    parser = add_node_command(
         commands,
         "diff",
         "Print what differs between files or generations.",
@@ -103,7 +96,7 @@
 
 
 def _add_audit(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(
+    parser = add_node_command(
         commands,
         "audit",
         "Print who changed what, when, why and from where.",
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/job_commands.py
@@ -22,11 +22,9 @@
 from pomeloarch_cli.formats import audit_lines, explain_lines, job_lines
 from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import (
-    add_command,
+    add_node_command,
     connect,
-    node_options,
     output_of,
-    output_options,
 )
 from pomeloarch_core.gang.messages import JobState
 
@@ -40,15 +38,10 @@
     _add_explain(commands)
 
 
-def _parser(
-    commands: argparse._SubParsersAction, name: str, text: str
-) -> argparse.ArgumentParser:
-    parents = [node_options(), output_options()]
-    return add_command(commands, name, text, parents)
-
-
 def _add_submit(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(commands, "submit", "Submit a job and print its id.")
+    parser = add_node_command(
+        commands, "submit", "Submit a job and print its id."
+    )
     add = parser.add_argument
     add(
         "--organisation",
@@ -88,7 +81,7 @@
 
 
 def _add_job(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(commands, "job", "Print, await or cancel a job.")
+    parser = add_node_command(commands, "job", "Print, await or cancel a job.")
     parser.add_argument(
         "job_id", type=job_id, help="the id that submit printed"
     )
@@ -113,7 +106,7 @@
 
 
 def _add_explain(commands: argparse._SubParsersAction) -> None:
-    parser = _parser(
+    parser = add_node_command(
         commands,
         "explain",
         "Print why a job stands where it does, or who changed an object.",
--- a/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/session.py
@@ -108,3 +108,10 @@
     """Opens a client for the nodes of a command line."""
     async with aiohttp.ClientSession() as session:
         yield NodeClient(session, nodes_of(args), args.timeout_s)
+
+
+def add_node_command(
+    commands: argparse._SubParsersAction, name: str, text: str
+) -> argparse.ArgumentParser:
+    """Adds a command that asks a node; see `add_command`."""
+    return add_command(commands, name, text, [node_options(), output_options()])
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/preemption.py
@@ -10,7 +10,7 @@
 
 from pomeloarch_core.gang.capacity import CapacityIndex
 from pomeloarch_core.gang.fleet import Fleet
-from pomeloarch_core.gang.jobs import Job, Phase
+from pomeloarch_core.gang.jobs import Job
 from pomeloarch_core.gang.messages import Member
 from pomeloarch_core.gang.placement import Need, Slots
 from pomeloarch_core.gang.workers import Standing, Worker
@@ -262,8 +262,3 @@
 def evictable_for_owner(job: Job) -> bool:
     """Returns whether a guarantee's owner may evict a job."""
     return job.standing in (Standing.BORROWED, Standing.BORROWED_URGENT)
-
-
-def is_waiting(job: Job) -> bool:
-    """Returns whether a job only waits for accelerators of others."""
-    return job.phase is Phase.WAITING_FOR_VICTIMS
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/generation_exchange.py
@@ -107,11 +107,6 @@
         """The highest snapshot known; generation 0 is the empty one."""
         return self._snapshot
 
-    @property
-    def highest_heard(self) -> Generation:
-        """The highest generation that any node has told of."""
-        return max([self._snapshot.generation, *self._have.values()])
-
     def saw_nodes(self, live: Mapping[NodeId, ZoneName]) -> None:
         """Takes the nodes that live now."""
         self._live = live
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/latency.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/latency.py
@@ -51,8 +51,3 @@
             self._time = now
         self._sum += sample
         self._weight += 1.0
-
-    def weight_at(self, now: float) -> float:
-        """Returns how many samples it is still worth."""
-        elapsed = max(0.0, now - self._time)
-        return self._weight * math.exp(-self._rate * elapsed)
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/leaving.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/leaving.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Iterable
 
 from pomeloarch_core.ids import ExecutorId
@@ -10,15 +9,6 @@
 HOLD_S = 300.0
 
 
-class LeavingSign(enum.Enum):
-    """Who said that an executor is leaving."""
-
-    LIST = "list"
-    REFUSAL = "refusal"
-    RESPONSE = "response"
-    PEER = "peer"
-
-
 class LeavingExecutors:
     """Remembers which executors are leaving.
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/routing/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/routing/messages.py
@@ -12,7 +12,6 @@
     ExecutorId,
     JobClassName,
     OrganisationName,
-    ServiceName,
     ZoneName,
 )
 
@@ -142,10 +141,3 @@
     NOT_SENT = "not_sent"
     BROKEN = "broken"
     ABANDONED = "abandoned"
-
-
-class ServiceKey(NamedTuple):
-    """A service and a zone, where figures are kept by both."""
-
-    service: ServiceName
-    availability_zone: ZoneName
