--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 ARGS ?=
 
 .PHONY: demo drill test measure fuzz format lint types unit clean
 
 # The stamp is rebuilt when a version or a package's metadata changes.
-$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt --no-build-isolation $(addprefix --editable ,$(PACKAGES))
@@ -24,12 +24,12 @@
 test: lint types unit
 
 lint: $(VENV)/.installed
-	$(BIN)/ruff format --check packages conftest.py
-	$(BIN)/ruff check packages conftest.py
+	$(BIN)/ruff format --check packages platform conftest.py
+	$(BIN)/ruff check packages platform conftest.py
 	$(BIN)/lint-imports --no-cache
 
 types: $(VENV)/.installed
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/pomeloarch_platform
 
 unit: $(VENV)/.installed
 	PYTHONHASHSEED=0 $(BIN)/python -m pytest -n 4 $(ARGS)
@@ -41,8 +41,8 @@
 	POMELOARCH_FUZZ=1 $(BIN)/python -m pytest -n 4 packages -k "machine or fuzz" $(ARGS)
 
 format: $(VENV)/.installed
-	$(BIN)/ruff format packages conftest.py
-	$(BIN)/ruff check --fix packages conftest.py
+	$(BIN)/ruff format packages platform conftest.py
+	$(BIN)/ruff check --fix packages platform conftest.py
 
 clean:
 	rm -rf $(VENV) .ruff_cache .mypy_cache .pytest_cache .hypothesis
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -0,0 +1,157 @@
+"""The workers that batch jobs run on, and what stands on each."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+from pomeloarch_core.batch.messages import (
+    Incarnation,
+    RunNumber,
+    TaskId,
+    WorkerInfo,
+)
+from pomeloarch_core.batch.model import NOTHING, Need
+from pomeloarch_core.ids import ServiceName, WorkerId
+
+if TYPE_CHECKING:
+    from pomeloarch_core.batch.groups import Group
+
+
+class Worker:
+    """One worker: what it has, what stands on it and how it is doing.
+
+    Attributes:
+      info: what the platform's list says.
+      listed: whether it is on the list.
+      reported: whether it has answered under this scheduler's fence.
+      silent: whether it doesn't answer now.
+      lapses_at: while silent, when its runs have been killed at the latest.
+      incarnation: the life of it that answered last.
+      groups: groups with a task here, and how many.
+      strangers: runs here that no group accounts for.
+      pending_ends: numbers of ends whose job's row isn't durable yet.
+      last_end: the highest number of an end taken in.
+      suspended_until: until when it is given no task after failures.
+      failures: failed runs in a row.
+    """
+
+    def __init__(self, info: WorkerInfo) -> None:
+        """Starts as a worker that hasn't answered yet."""
+        self.info = info
+        self.listed = True
+        self.reported = False
+        self.silent = False
+        self.lapses_at = 0.0
+        self.incarnation = Incarnation(0)
+        self.groups: dict[Group, int] = {}
+        self.strangers: dict[tuple[TaskId, RunNumber], float] = {}
+        self.pending_ends: set[int] = set()
+        self.last_end = 0
+        self.suspended_until = 0.0
+        self.failures = 0
+        self._used = NOTHING
+        self._claimed = NOTHING
+
+    @property
+    def worker_id(self) -> WorkerId:
+        """The worker's id."""
+        return self.info.worker_id
+
+    @property
+    def free(self) -> Need:
+        """Room that nothing has or is promised."""
+        return self.info.capacity - self._used - self._claimed
+
+    @property
+    def unused(self) -> Need:
+        """Room that no run has, promised or not."""
+        return self.info.capacity - self._used
+
+    def usable(self, now: float) -> bool:
+        """Whether it may be given a task."""
+        return (
+            self.listed
+            and self.reported
+            and not self.silent
+            and not self.info.draining
+            and self.suspended_until <= now
+        )
+
+    def hold(self, group: Group, need: Need, claimed: bool) -> None:
+        """Takes room for a task of a group."""
+        self.groups[group] = self.groups.get(group, 0) + 1
+        if claimed:
+            self._claimed += need
+        else:
+            self._used += need
+
+    def confirm(self, need: Need) -> None:
+        """Turns room that was promised into room that is used."""
+        self._claimed -= need
+        self._used += need
+
+    def release(self, group: Group, need: Need, claimed: bool) -> None:
+        """Gives back the room of a task."""
+        self.groups[group] -= 1
+        if not self.groups[group]:
+            del self.groups[group]
+        if claimed:
+            self._claimed -= need
+        else:
+            self._used -= need
+
+    def acknowledged(self) -> int:
+        """Returns the highest end up to which all is durable."""
+        return min(self.pending_ends, default=self.last_end + 1) - 1
+
+
+class Fleet:
+    """All workers, by id."""
+
+    def __init__(self) -> None:
+        """Starts without workers."""
+        self._workers: dict[WorkerId, Worker] = {}
+
+    def __iter__(self) -> Iterator[Worker]:
+        """Iterates over the workers in the order of their first listing."""
+        return iter(self._workers.values())
+
+    def get(self, worker_id: WorkerId) -> Worker | None:
+        """Returns a worker, None when it isn't known."""
+        return self._workers.get(worker_id)
+
+    def listed(self, info: WorkerInfo) -> Worker:
+        """Takes an entry of the platform's list."""
+        worker = self._workers.get(info.worker_id)
+        if worker is None:
+            worker = self._workers[info.worker_id] = Worker(info)
+        worker.info = info
+        worker.listed = True
+        return worker
+
+    def forget(self, worker_id: WorkerId) -> None:
+        """Drops a worker that is gone."""
+        self._workers.pop(worker_id, None)
+
+    def usable(self, service: ServiceName, now: float) -> list[Worker]:
+        """Returns the workers of a service that may be given tasks."""
+        return [
+            each
+            for each in self._workers.values()
+            if each.info.service == service and each.usable(now)
+        ]
+
+    def share_in_use(self, service: ServiceName) -> float:
+        """Returns the largest used share of a resource, from 0 to 1."""
+        total, free = NOTHING, NOTHING
+        for each in self._workers.values():
+            if each.info.service == service and each.listed:
+                total += each.info.capacity
+                free += each.free
+        pairs = (
+            (total.cpu_millis, free.cpu_millis),
+            (total.memory_mb, free.memory_mb),
+            (total.accelerators, free.accelerators),
+        )
+        return max((1 - left / all_ for all_, left in pairs if all_), default=1)
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -0,0 +1,184 @@
+"""Groups of tasks, the unit that is placed, and the jobs that they are of."""
+
+from __future__ import annotations
+
+import enum
+
+from pomeloarch_core.batch.catalogue import Queue
+from pomeloarch_core.batch.messages import RunNumber, TaskId
+from pomeloarch_core.batch.model import BatchJob, Step
+from pomeloarch_core.batch.rows import JobRow
+from pomeloarch_core.ids import WorkerId
+
+
+class GroupState(enum.Enum):
+    """Where a group stands.
+
+    WAITING: an earlier step or its time is not there yet.
+    READY: to be placed.
+    CLAIMED: it has a place that others have to leave first.
+    STARTED: its tasks were ordered to start, or run.
+    STOPPING: its run is being taken down.
+    OVER: it has ended for good.
+    """
+
+    WAITING = "waiting"
+    READY = "ready"
+    CLAIMED = "claimed"
+    STARTED = "started"
+    STOPPING = "stopping"
+    OVER = "over"
+
+
+class Member:
+    """One task of a group in its current run.
+
+    Attributes:
+      worker_id: where it was placed.
+      started_at: when its start was confirmed, None before.
+      stopped_at: when its stop was confirmed, None before.
+      seen: whether its worker has reported it.
+      percent: the share of its work that was reported last.
+    """
+
+    def __init__(self, worker_id: WorkerId) -> None:
+        """Starts as a task that has been given a place."""
+        self.worker_id = worker_id
+        self.started_at: float | None = None
+        self.stopped_at: float | None = None
+        self.seen = False
+        self.percent = 0.0
+
+
+class Group:
+    """Tasks that are placed together: a gang, or one task.
+
+    Attributes:
+      job: the job that it is of.
+      occurrence: which occurrence of the job's steps.
+      number: the number of its step.
+      indices: its tasks within the step.
+      state: where it stands.
+      run: its current or last run.
+      members: tasks of the current run that may still be on a worker.
+      checkpoint: what the next run resumes from.
+      failures: runs that ended as failed.
+      failed_on: workers on which it failed.
+      not_before: earliest time of the next placement.
+      ready_at: when it became ready.
+      started_at: when its current run was ordered.
+      advanced_at: when a member last reported progress.
+    """
+
+    def __init__(
+        self,
+        job: JobEntry,
+        occurrence: int,
+        number: int,
+        indices: tuple[int, ...],
+    ) -> None:
+        """Starts as a group that waits for its turn."""
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.indices = indices
+        self.step: Step = job.job.steps[number]
+        self.state = GroupState.WAITING
+        self.run = RunNumber(0)
+        self.members: dict[int, Member] = {}
+        self.checkpoint = ""
+        self.failures = 0
+        self.failed_on: set[WorkerId] = set()
+        self.not_before = 0.0
+        self.ready_at = 0.0
+        self.started_at = 0.0
+        self.advanced_at = 0.0
+        self.uncertain = False
+
+    @property
+    def name(self) -> str:
+        """The group's first task, for logs."""
+        return str(self.task(self.indices[0]))
+
+    def task(self, index: int) -> TaskId:
+        """Returns the id of one of its tasks."""
+        return TaskId(self.job.job.job_id, self.occurrence, self.number, index)
+
+    @property
+    def running(self) -> bool:
+        """Whether all tasks of its run were confirmed."""
+        return self.state is GroupState.STARTED and all(
+            each.started_at is not None for each in self.members.values()
+        )
+
+    @property
+    def percent(self) -> float:
+        """The least share of work done that a member reported."""
+        return min((m.percent for m in self.members.values()), default=0.0)
+
+
+class JobEntry:
+    """A job and its groups.
+
+    Attributes:
+      job: the job as it was accepted.
+      row: its durable state as decided; it may not be written yet.
+      change: counts the changes of the row.
+      written: the change up to which the row is durable.
+      groups: its groups, by occurrence and step.
+      cancelled: whether its end was asked for.
+      older: whether an earlier scheduler may have started tasks of it.
+    """
+
+    def __init__(
+        self, job: BatchJob, row: JobRow, queue: Queue, older: bool
+    ) -> None:
+        """Makes the job's groups; what its row says to be done is over."""
+        self.job = job
+        self.row = row
+        self.queue = queue
+        self.older = older
+        self.cancelled = False
+        self.change = 0
+        self.written = 0
+        self.urgent = False
+        self.dirty_since: float | None = None
+        self.groups: dict[tuple[int, int], list[Group]] = {}
+        for occurrence in range(job.rounds):
+            for number in range(len(job.steps)):
+                key = occurrence, number
+                self.groups[key] = self._make_groups(occurrence, number)
+
+    def _make_groups(self, occurrence: int, number: int) -> list[Group]:
+        step = self.job.steps[number]
+        indices = range(step.count)
+        parts = [tuple(indices)] if step.gang else [(i,) for i in indices]
+        settled = self.row.steps.get(f"{occurrence}.{number}")
+        groups = []
+        for part in parts:
+            group = Group(self, occurrence, number, part)
+            group.uncertain = self.older
+            if settled is not None:
+                first = str(part[0])
+                group.failures = settled.failures.get(first, 0)
+                group.checkpoint = settled.checkpoints.get(first, "")
+                if settled.is_done(part[0]):
+                    group.state = GroupState.OVER
+            groups.append(group)
+        return groups
+
+    def all_groups(self) -> list[Group]:
+        """Returns the groups of all steps."""
+        return [each for part in self.groups.values() for each in part]
+
+    def step_over(self, occurrence: int, number: int) -> bool:
+        """Whether all tasks of a step have ended well."""
+        return all(
+            each.state is GroupState.OVER
+            for each in self.groups[occurrence, number]
+        )
+
+    @property
+    def over(self) -> bool:
+        """Whether every task has ended well."""
+        return all(self.step_over(*key) for key in self.groups)
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -0,0 +1,124 @@
+"""Chooses whose tasks have to leave for a group that goes first.
+
+A victim is a whole group, since a gang doesn't work in part. Among the racks
+that could be cleared, the one is taken where the least work is lost.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from pomeloarch_core.batch.fleet import Worker
+from pomeloarch_core.batch.groups import Group, GroupState
+from pomeloarch_core.batch.model import NOTHING, Need
+from pomeloarch_core.batch.placing import Places, by_rack, fill, find_places
+
+# An accelerator's share of lost work, in cores; the usual weight of one
+# accelerator against processors in what organisations are charged.
+CORES_PER_ACCELERATOR = 8
+_MILLIS = 1000
+
+MayPreempt = Callable[[Group], bool]
+
+
+def lost_work(group: Group, now: float) -> float:
+    """Returns the core-seconds that stopping a group throws away."""
+    if group.state is not GroupState.STARTED:
+        return 0.0
+    need = group.step.need
+    cores = need.cpu_millis / _MILLIS
+    cores += need.accelerators * CORES_PER_ACCELERATOR
+    ran_s = max(0.0, now - group.started_at)
+    if group.step.checkpointing and group.checkpoint:
+        ran_s = min(ran_s, 1.0)
+    return cores * ran_s * len(group.indices)
+
+
+class Eviction:
+    """Places for a group, and the groups that have to leave for it."""
+
+    def __init__(
+        self, places: Places, victims: list[Group], cost: float
+    ) -> None:
+        """Keeps what was found and what it costs, in core-seconds."""
+        self.places = places
+        self.victims = victims
+        self.cost = cost
+
+
+def find_eviction(
+    group: Group,
+    workers: Sequence[Worker],
+    may_preempt: MayPreempt,
+    now: float,
+) -> Eviction | None:
+    """Returns the cheapest way to make room, None when there is none.
+
+    Args:
+      group: the group that goes first.
+      workers: the workers that it may use.
+      may_preempt: whether a group has to give way to it.
+      now: the present time, in seconds.
+    """
+    preemptible = {each: _preemptible(each, may_preempt) for each in workers}
+
+    def room(worker: Worker) -> Need:
+        return worker.free + preemptible[worker]
+
+    sets = [list(workers)]
+    racks = by_rack(workers)
+    if group.step.data_rack in racks:
+        sets.insert(0, racks[group.step.data_rack])
+    elif group.step.same_rack:
+        sets = [*racks.values(), *sets]
+    found: list[Eviction] = []
+    for candidates in sets:
+        if candidates is sets[-1] and found:
+            break
+        places = fill(group, candidates, room)
+        if places is not None:
+            found.append(_evict(group, places, may_preempt, now))
+    return min(found, key=lambda each: each.cost, default=None)
+
+
+def _preemptible(worker: Worker, may_preempt: MayPreempt) -> Need:
+    total = NOTHING
+    for each, count in worker.groups.items():
+        if each.state is GroupState.STARTED and may_preempt(each):
+            total += each.step.reserved * count
+    return total
+
+
+def _evict(
+    group: Group, places: Places, may_preempt: MayPreempt, now: float
+) -> Eviction:
+    """Chooses victims on each worker until the group's tasks fit there."""
+    victims: dict[Group, None] = {}
+    tasks_on: dict[Worker, int] = {}
+    for worker in places.values():
+        tasks_on[worker] = tasks_on.get(worker, 0) + 1
+    for worker, count in tasks_on.items():
+        wanted = group.step.reserved * count
+        room = worker.free
+        for each in victims:
+            room += each.step.reserved * worker.groups.get(each, 0)
+        candidates = sorted(
+            (
+                each
+                for each in worker.groups
+                if each.state is GroupState.STARTED
+                and each not in victims
+                and may_preempt(each)
+            ),
+            key=lambda each: lost_work(each, now),
+        )
+        for victim in candidates:
+            if wanted.fits(room):
+                break
+            victims[victim] = None
+            room += victim.step.reserved * worker.groups[victim]
+    cost = sum(lost_work(each, now) for each in victims)
+    return Eviction(places, list(victims), cost)
+
+
+__all__ = ["Eviction", "find_eviction", "find_places", "lost_work"]
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -0,0 +1,240 @@
+"""Runs of groups: starting them, taking them down, and how they end."""
+
+from __future__ import annotations
+
+from pomeloarch_core.batch import health
+from pomeloarch_core.batch.fleet import Fleet, Worker
+from pomeloarch_core.batch.groups import Group, GroupState, JobEntry, Member
+from pomeloarch_core.batch.messages import (
+    Decision,
+    EndedTask,
+    Note,
+    RunEnd,
+    RunNumber,
+    StartTask,
+    StopTask,
+    WriteRow,
+)
+from pomeloarch_core.batch.placing import Places
+from pomeloarch_core.batch.rows import JobStatus
+from pomeloarch_core.ids import Epoch
+
+# Runs of a group within one epoch; a run's number is above those of all
+# earlier epochs without anything being written before a start.
+RUNS_PER_EPOCH = 4096
+# Pause after a start that a worker refused, in seconds; its next report,
+# which shows why, is there by then.
+REFUSED_PAUSE_S = 0.25
+# Pause before the run after a failed one, in seconds.
+FAILED_PAUSE_S = 0.05
+
+
+class Runs:
+    """Carries groups from one state to the next.
+
+    Args:
+      epoch: the epoch of this scheduler.
+      fleet: the workers.
+      out: where decisions are put.
+    """
+
+    def __init__(self, epoch: Epoch, fleet: Fleet, out: list[Decision]) -> None:
+        """Starts without any run."""
+        self._epoch = epoch
+        self._fleet = fleet
+        self._out = out
+
+    # ---- starting
+
+    def claim(self, group: Group, places: Places, now: float) -> None:
+        """Promises a group its places."""
+        group.state = GroupState.CLAIMED
+        group.started_at = now
+        for index, worker in places.items():
+            group.members[index] = Member(worker.worker_id)
+            worker.hold(group, group.step.reserved, claimed=True)
+
+    def room_is_free(self, group: Group) -> bool:
+        """Whether all places that were promised to a group are empty."""
+        for worker_id in {m.worker_id for m in group.members.values()}:
+            worker = self._fleet.get(worker_id)
+            if worker is None:
+                return False
+            wanted = group.step.reserved * worker.groups[group]
+            if not wanted.fits(worker.unused):
+                return False
+        return True
+
+    def start(self, group: Group, now: float) -> None:
+        """Orders the tasks of a group to start where they were promised."""
+        first = RunNumber(self._epoch * RUNS_PER_EPOCH + 1)
+        group.run = max(RunNumber(group.run + 1), first)
+        group.state = GroupState.STARTED
+        group.started_at = group.advanced_at = now
+        for index, member in group.members.items():
+            worker = self._fleet.get(member.worker_id)
+            assert worker is not None
+            worker.confirm(group.step.reserved)
+            self._out.append(
+                StartTask(
+                    member.worker_id,
+                    group.task(index),
+                    group.run,
+                    group.job.job.payload,
+                    group.checkpoint,
+                )
+            )
+        self.note(
+            "group started",
+            group,
+            run=group.run,
+            workers=sorted({m.worker_id for m in group.members.values()}),
+            waited_s=round(now - group.ready_at, 3),
+            resumed=bool(group.checkpoint),
+        )
+
+    def adopt(
+        self,
+        group: Group,
+        index: int,
+        worker: Worker,
+        run: RunNumber,
+        now: float,
+    ) -> None:
+        """Takes in a run that an earlier scheduler started."""
+        group.run = run
+        if group.state is not GroupState.STARTED:
+            group.state = GroupState.STARTED
+            group.started_at = group.advanced_at = now
+        member = group.members[index] = Member(worker.worker_id)
+        member.started_at = now
+        worker.hold(group, group.step.reserved, claimed=False)
+        self._mark_started(group)
+
+    def confirmed(self, group: Group, index: int, now: float) -> None:
+        """A worker has the task."""
+        member = group.members[index]
+        if member.started_at is None:
+            member.started_at = now
+            group.advanced_at = now
+            self._mark_started(group)
+
+    def _mark_started(self, group: Group) -> None:
+        row = group.job.row
+        if row.status is JobStatus.QUEUED:
+            row.status = JobStatus.RUNNING
+        if not row.started:
+            row.started = True
+            self.changed(group.job, urgent=False)
+
+    # ---- taking down
+
+    def take_down(self, group: Group, reason: str, now: float) -> None:
+        """Stops what a group runs; it is over when it was over before."""
+        if group.state is GroupState.CLAIMED:
+            self._unclaim(group)
+            return
+        over = group.state is GroupState.OVER
+        if not over:
+            group.state = GroupState.STOPPING
+            self.note("group stopped", group, run=group.run, reason=reason)
+        for index, member in group.members.items():
+            self._out.append(
+                StopTask(member.worker_id, group.task(index), group.run)
+            )
+        self._settle(group, now)
+
+    def _unclaim(self, group: Group) -> None:
+        for member in group.members.values():
+            worker = self._fleet.get(member.worker_id)
+            if worker is not None:
+                worker.release(group, group.step.reserved, claimed=True)
+        group.members.clear()
+        group.state = GroupState.READY
+
+    def member_gone(self, group: Group, index: int, now: float) -> None:
+        """A task of the current run is certainly not on its worker."""
+        member = group.members.pop(index)
+        worker = self._fleet.get(member.worker_id)
+        if worker is not None:
+            worker.release(group, group.step.reserved, claimed=False)
+        if group.state is GroupState.STARTED:
+            self.take_down(group, "a task is gone from its worker", now)
+        else:
+            self._settle(group, now)
+
+    def _settle(self, group: Group, now: float) -> None:
+        if group.state is GroupState.STOPPING and not group.members:
+            group.state = GroupState.READY
+            group.not_before = max(group.not_before, now)
+
+    # ---- ends
+
+    def ended(
+        self, group: Group, worker: Worker, end: EndedTask, now: float
+    ) -> None:
+        """Takes in how a task of the current run ended."""
+        assert end.task is not None
+        if end.checkpoint and group.state is not GroupState.OVER:
+            group.checkpoint = end.checkpoint
+            self._save_checkpoint(group)
+        if end.how is RunEnd.DONE:
+            self._done(group, worker, now)
+        elif end.how is RunEnd.FAILED and group.state is not GroupState.OVER:
+            self._failed(group, worker, end, now)
+        if end.task.index in group.members:
+            self.member_gone(group, end.task.index, now)
+
+    def _save_checkpoint(self, group: Group) -> None:
+        step_row = group.job.row.step(group.occurrence, group.number)
+        step_row.checkpoints[str(group.indices[0])] = group.checkpoint
+
+    def _done(self, group: Group, worker: Worker, now: float) -> None:
+        health.run_succeeded(worker)
+        if group.state is GroupState.OVER or group.step.long_running:
+            return
+        group.state = GroupState.OVER
+        step_row = group.job.row.step(group.occurrence, group.number)
+        step_row.mark_done(list(group.indices))
+        step_row.checkpoints.pop(str(group.indices[0]), None)
+        self.changed(group.job, urgent=group.job.over)
+        self.note(
+            "group done",
+            group,
+            run=group.run,
+            worker=worker.worker_id,
+            ran_s=round(now - group.started_at, 3),
+        )
+
+    def _failed(
+        self, group: Group, worker: Worker, end: EndedTask, now: float
+    ) -> None:
+        suspended = health.run_failed(worker, now)
+        group.failed_on.add(worker.worker_id)
+        group.not_before = now + FAILED_PAUSE_S
+        if not group.step.long_running:
+            group.failures += 1
+            step_row = group.job.row.step(group.occurrence, group.number)
+            step_row.failures[str(group.indices[0])] = group.failures
+        self.changed(group.job, urgent=False)
+        self.note(
+            "run failed",
+            group,
+            run=end.run,
+            worker=worker.worker_id,
+            failures=group.failures,
+            suspended=suspended,
+        )
+
+    # ---- rows and log
+
+    def changed(self, entry: JobEntry, urgent: bool) -> None:
+        """Has a job's row written."""
+        entry.change += 1
+        self._out.append(
+            WriteRow(entry.job.job_id, entry.row, entry.change, urgent)
+        )
+
+    def note(self, event: str, group: Group, **fields: object) -> None:
+        """Writes a decision about a group to the log."""
+        self._out.append(Note(event, {"task": group.name, **fields}))
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -0,0 +1,683 @@
+"""The scheduler of batch jobs: events in, decisions out.
+
+What it believes can be rebuilt from the rows of jobs and from what workers
+report: a successor under a higher epoch adopts what runs, and starts nothing
+that may still run on a worker that it hasn't heard of.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from functools import singledispatchmethod
+
+from pomeloarch_core.batch.catalogue import Catalogue, Queue
+from pomeloarch_core.batch.fleet import Fleet, Worker
+from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.messages import (
+    CancelRequested,
+    CatalogueChanged,
+    Decision,
+    EndedTask,
+    Event,
+    JobAccepted,
+    Note,
+    RowWritten,
+    RunEnd,
+    RunningTask,
+    RunNumber,
+    StartAnswered,
+    StartOutcome,
+    StopAnswered,
+    StopTask,
+    TaskId,
+    Tick,
+    WorkerReported,
+    WorkerSilent,
+    WorkersListed,
+)
+from pomeloarch_core.batch.model import QueueName
+from pomeloarch_core.batch.placing import (
+    Places,
+    find_places,
+    free_room,
+    suitable,
+    whole_room,
+)
+from pomeloarch_core.batch.preempting import find_eviction
+from pomeloarch_core.batch.rows import JobStatus
+from pomeloarch_core.batch.runs import REFUSED_PAUSE_S, Runs
+from pomeloarch_core.ids import (
+    Epoch,
+    JobId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+)
+
+# A group that has waited this long, in seconds, has workers kept for it; a
+# wide gang would otherwise never find enough of them free at once.
+RESERVE_AFTER_S = 2.0
+# Below this share in use, a task runs far from its data rather than wait.
+IDLE_SHARE = 0.5
+FAR_WHEN_IDLE_S = 0.5
+# Multiples of its estimate that a task waits for a place near its data.
+FAR_WAIT_RUNS = 2.0
+FAR_WAIT_LEAST_S = 2.0
+# How long a worker that has left the list keeps its place here, in seconds.
+UNLISTED_KEPT_S = 30.0
+
+
+class BatchScheduler:
+    """Decides for all services under one epoch.
+
+    Args:
+      epoch: the epoch of the role's holder; part of each run's number.
+      catalogue: the configuration in force.
+      wall_offset: wall clock less the clock of `now`, in seconds.
+    """
+
+    def __init__(
+        self, epoch: Epoch, catalogue: Catalogue, wall_offset: float
+    ) -> None:
+        """Makes a scheduler that knows neither jobs nor workers."""
+        self._catalogue = catalogue
+        self._wall_offset = wall_offset
+        self._out: list[Decision] = []
+        self._fleet = Fleet()
+        self._runs = Runs(epoch, self._fleet, self._out)
+        self._jobs: dict[JobId, JobEntry] = {}
+        self._early_cancels: set[JobId] = set()
+        self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
+        self._certain = False
+        self._listed_once = False
+        self._dirty = True
+
+    def handle(self, event: Event, now: float) -> list[Decision]:
+        """Takes an event in and returns what has to be done, in order."""
+        self._on(event, now)
+        if not self._certain:
+            self._update_certainty(now)
+        self._schedule(now)
+        decisions = list(self._out)
+        self._out.clear()
+        return decisions
+
+    def acknowledged(self, worker_id: WorkerId) -> int:
+        """Returns up to which end a worker may forget its ends."""
+        worker = self._fleet.get(worker_id)
+        return 0 if worker is None else worker.acknowledged()
+
+    def occupied(self, worker_id: WorkerId) -> bool:
+        """Whether a worker has to be asked: it may run or report something."""
+        worker = self._fleet.get(worker_id)
+        return worker is not None and bool(
+            not worker.reported
+            or worker.silent
+            or worker.groups
+            or worker.strangers
+            or worker.pending_ends
+        )
+
+    def wants(self, task: TaskId, run: int) -> bool:
+        """Whether a start that has no answer yet is still wanted."""
+        group = self._group_of(task)
+        return (
+            group is not None
+            and group.run == run
+            and group.state is GroupState.STARTED
+            and task.index in group.members
+        )
+
+    # ---- events
+
+    @singledispatchmethod
+    def _on(self, event: object, now: float) -> None:
+        raise TypeError(f"unknown event {type(event).__name__}")
+
+    @_on.register
+    def _on_accepted(self, event: JobAccepted, now: float) -> None:
+        job = event.job
+        if job.job_id in self._jobs or event.row.status.final:
+            return
+        queue = self._catalogue.queues.get(job.queue) or Queue(
+            QueueName(job.queue), ServiceName("")
+        )
+        entry = JobEntry(job, event.row, queue, event.older)
+        self._jobs[job.job_id] = entry
+        self._dirty = True
+        if job.job_id in self._early_cancels:
+            self._cancel(entry, now)
+
+    @_on.register
+    def _on_cancel(self, event: CancelRequested, now: float) -> None:
+        entry = self._jobs.get(event.job_id)
+        if entry is None:
+            self._early_cancels.add(event.job_id)
+        elif not entry.row.status.final:
+            self._cancel(entry, now)
+
+    def _cancel(self, entry: JobEntry, now: float) -> None:
+        entry.cancelled = True
+        self._finish(entry, JobStatus.CANCELLED, "a caller asked for it", now)
+
+    @_on.register
+    def _on_catalogue(self, event: CatalogueChanged, now: float) -> None:
+        self._catalogue = event.catalogue
+        for entry in self._jobs.values():
+            queue = event.catalogue.queues.get(entry.job.queue)
+            if queue is not None:
+                entry.queue = queue
+        self._dirty = True
+
+    @_on.register
+    def _on_listed(self, event: WorkersListed, now: float) -> None:
+        self._listed_once = True
+        listed = {each.worker_id for each in event.workers}
+        for info in event.workers:
+            self._fleet.listed(info)
+        for worker in list(self._fleet):
+            if worker.worker_id not in listed:
+                worker.listed = False
+                self._forget_if_empty(worker)
+        self._dirty = True
+
+    @_on.register
+    def _on_reported(self, event: WorkerReported, now: float) -> None:
+        worker = self._fleet.get(event.worker_id)
+        if worker is None:
+            return
+        if worker.incarnation not in (0, event.incarnation):
+            self._lose(worker, now)
+            worker.last_end = 0
+            worker.pending_ends.clear()
+        worker.incarnation = event.incarnation
+        worker.reported = True
+        worker.silent = False
+        running = {(each.task, each.run): each for each in event.running}
+        self._take_ends(worker, event.ended, now)
+        self._take_running(worker, running, now)
+        self._find_missing(worker, running, event.asked_at, now)
+        self._dirty = True
+
+    def _take_ends(
+        self, worker: Worker, ended: tuple[EndedTask, ...], now: float
+    ) -> None:
+        for end in ended:
+            if end.number <= worker.last_end:
+                continue
+            worker.last_end = end.number
+            group = self._group_of(end.task)
+            if end.task is not None:
+                worker.strangers.pop((end.task, end.run), None)
+            if group is None or end.task is None:
+                continue
+            if self._counts(group, worker, end):
+                change = group.job.change
+                self._runs.ended(group, worker, end, now)
+                self._after_end(group.job, worker, end, change, now)
+
+    def _counts(self, group: Group, worker: Worker, end: EndedTask) -> bool:
+        """Whether an end is of the group's current run, or of one unknown."""
+        assert end.task is not None
+        member = group.members.get(end.task.index)
+        if member is not None:
+            return member.worker_id == worker.worker_id and group.run == end.run
+        if group.state in (GroupState.WAITING, GroupState.READY):
+            # An earlier scheduler started it and didn't see its end.
+            return end.run >= group.run
+        return end.how is RunEnd.DONE and group.run == end.run
+
+    def _after_end(
+        self,
+        entry: JobEntry,
+        worker: Worker,
+        end: EndedTask,
+        change: int,
+        now: float,
+    ) -> None:
+        if entry.change > change:
+            worker.pending_ends.add(end.number)
+            acks = self._acks.setdefault(entry.job.job_id, [])
+            acks.append((worker, end.number, entry.change))
+        if entry.row.status.final:
+            return
+        group = self._group_of(end.task)
+        assert group is not None
+        if (
+            group.failures >= entry.queue.max_attempts
+            and group.state is not GroupState.OVER
+        ):
+            self._finish(entry, JobStatus.FAILED, "attempts used up", now)
+        elif entry.over:
+            self._finish(entry, JobStatus.COMPLETED, "all tasks done", now)
+
+    def _take_running(
+        self,
+        worker: Worker,
+        running: dict[tuple[TaskId, RunNumber], RunningTask],
+        now: float,
+    ) -> None:
+        for (task, run), each in running.items():
+            group = self._group_of(task)
+            if group is None or group.state is GroupState.OVER:
+                self._stop_stranger(worker, each, now)
+                continue
+            member = group.members.get(task.index)
+            if member is None or group.run != run:
+                self._take_unknown(group, worker, each, now)
+                continue
+            if member.worker_id != worker.worker_id:
+                self._stop_stranger(worker, each, now)
+                continue
+            self._progress(group, worker, each, now)
+
+    def _progress(
+        self, group: Group, worker: Worker, each: RunningTask, now: float
+    ) -> None:
+        member = group.members[each.task.index]
+        member.seen = True
+        if group.state is GroupState.STARTED:
+            self._runs.confirmed(group, each.task.index, now)
+        if each.checkpoint:
+            group.checkpoint = each.checkpoint
+        if each.percent != member.percent:
+            member.percent = each.percent
+            group.advanced_at = now
+
+    def _take_unknown(
+        self, group: Group, worker: Worker, each: RunningTask, now: float
+    ) -> None:
+        adoptable = group.uncertain and (
+            group.state in (GroupState.WAITING, GroupState.READY)
+            or (group.state is GroupState.STARTED and group.run == each.run)
+        )
+        if adoptable and each.run >= group.run:
+            self._runs.adopt(group, each.task.index, worker, each.run, now)
+            self._progress(group, worker, each, now)
+        else:
+            self._stop_stranger(worker, each, now)
+
+    def _stop_stranger(
+        self, worker: Worker, each: RunningTask, now: float
+    ) -> None:
+        key = each.task, each.run
+        if key not in worker.strangers:
+            worker.strangers[key] = now
+            self._out.append(
+                Note(
+                    "unaccounted run stopped",
+                    {
+                        "task": str(each.task),
+                        "run": each.run,
+                        "worker": worker.worker_id,
+                    },
+                )
+            )
+            self._out.append(StopTask(worker.worker_id, each.task, each.run))
+
+    def _find_missing(
+        self,
+        worker: Worker,
+        running: dict[tuple[TaskId, RunNumber], RunningTask],
+        asked_at: float,
+        now: float,
+    ) -> None:
+        """Frees the room of tasks that a worker no longer has."""
+        for key in [k for k in worker.strangers if k not in running]:
+            if worker.strangers[key] < asked_at:
+                del worker.strangers[key]
+        for group in list(worker.groups):
+            if group.state is GroupState.CLAIMED:
+                continue
+            for index, member in list(group.members.items()):
+                if member.worker_id != worker.worker_id:
+                    continue
+                if (group.task(index), group.run) in running:
+                    continue
+                settled = (
+                    member.stopped_at
+                    if member.started_at is None
+                    else member.started_at
+                )
+                if settled is not None and settled < asked_at:
+                    self._runs.member_gone(group, index, now)
+
+    @_on.register
+    def _on_silent(self, event: WorkerSilent, now: float) -> None:
+        worker = self._fleet.get(event.worker_id)
+        if worker is None:
+            return
+        worker.silent = True
+        worker.lapses_at = event.lapses_at
+        self._out.append(
+            Note(
+                "worker silent",
+                {
+                    "worker": worker.worker_id,
+                    "lapses_in_s": round(event.lapses_at - now, 3),
+                    "gone": event.gone,
+                },
+            )
+        )
+        for group in list(worker.groups):
+            if group.state is GroupState.CLAIMED:
+                self._runs.take_down(group, "its worker is silent", now)
+        if event.gone:
+            self._lose(worker, now)
+            self._forget_if_empty(worker)
+        self._dirty = True
+
+    def _lose(self, worker: Worker, now: float) -> None:
+        """Nothing of what a worker ran is there any more."""
+        worker.strangers.clear()
+        for group in list(worker.groups):
+            if group.state is GroupState.CLAIMED:
+                self._runs.take_down(group, "its worker is gone", now)
+                continue
+            for index, member in list(group.members.items()):
+                if member.worker_id == worker.worker_id:
+                    self._runs.member_gone(group, index, now)
+
+    def _forget_if_empty(self, worker: Worker) -> None:
+        if not worker.listed and not worker.groups and not worker.strangers:
+            self._fleet.forget(worker.worker_id)
+
+    @_on.register
+    def _on_start_answered(self, event: StartAnswered, now: float) -> None:
+        group = self._group_of(event.task)
+        if group is None or group.run != event.run:
+            return
+        member = group.members.get(event.task.index)
+        if member is None or member.worker_id != event.worker_id:
+            return
+        if event.outcome is StartOutcome.STARTED:
+            self._runs.confirmed(group, event.task.index, now)
+            return
+        self._out.append(
+            Note(
+                "start refused",
+                {
+                    "task": str(event.task),
+                    "run": event.run,
+                    "worker": event.worker_id,
+                    "outcome": event.outcome.value,
+                },
+            )
+        )
+        group.not_before = now + REFUSED_PAUSE_S
+        if event.outcome is StartOutcome.NO_ANSWER:
+            group.failed_on.add(event.worker_id)
+            if group.state is GroupState.STARTED:
+                self._runs.take_down(group, "a start has no answer", now)
+            return
+        if event.outcome is StartOutcome.UNHEALTHY:
+            worker = self._fleet.get(event.worker_id)
+            if worker is not None:
+                worker.suspended_until = now + 1.0
+        self._runs.member_gone(group, event.task.index, now)
+        self._dirty = True
+
+    @_on.register
+    def _on_stop_answered(self, event: StopAnswered, now: float) -> None:
+        group = self._group_of(event.task)
+        if group is None or group.run != event.run:
+            return
+        member = group.members.get(event.task.index)
+        if member is not None and member.worker_id == event.worker_id:
+            member.stopped_at = member.stopped_at or now
+
+    @_on.register
+    def _on_written(self, event: RowWritten, now: float) -> None:
+        left = []
+        for worker, number, change in self._acks.pop(event.job_id, []):
+            if change <= event.change:
+                worker.pending_ends.discard(number)
+            else:
+                left.append((worker, number, change))
+        if left:
+            self._acks[event.job_id] = left
+        entry = self._jobs.get(event.job_id)
+        if entry is not None:
+            entry.written = event.change
+            self._drop_if_over(entry)
+
+    @_on.register
+    def _on_tick(self, event: Tick, now: float) -> None:
+        self._wall_offset = event.wall - now
+        for worker in list(self._fleet):
+            if worker.silent and worker.lapses_at <= now:
+                self._lose(worker, now)
+                self._forget_if_empty(worker)
+        for entry in list(self._jobs.values()):
+            self._drop_if_over(entry)
+        self._dirty = True
+
+    # ---- jobs
+
+    def _group_of(self, task: TaskId | None) -> Group | None:
+        entry = None if task is None else self._jobs.get(task.job_id)
+        if entry is None or task is None:
+            return None
+        for group in entry.groups.get((task.occurrence, task.step), ()):
+            if task.index in group.indices:
+                return group
+        return None
+
+    def _finish(
+        self, entry: JobEntry, status: JobStatus, reason: str, now: float
+    ) -> None:
+        entry.row.status = status
+        entry.row.finished_at = now + self._wall_offset
+        if status is JobStatus.COMPLETED:
+            entry.row.started = True
+        for group in entry.all_groups():
+            if group.members:
+                self._runs.take_down(group, f"its job is {status.value}", now)
+            group.state = GroupState.OVER
+        self._runs.changed(entry, urgent=True)
+        self._out.append(
+            Note(
+                "job finished",
+                {
+                    "job": entry.job.job_id,
+                    "status": status.value,
+                    "reason": reason,
+                    "age_s": round(
+                        now + self._wall_offset - entry.job.accepted_at, 3
+                    ),
+                },
+            )
+        )
+        self._dirty = True
+
+    def _drop_if_over(self, entry: JobEntry) -> None:
+        """Forgets a job that has ended and has nothing left on a worker."""
+        if (
+            entry.row.status.final
+            and entry.written >= entry.change
+            and not any(group.members for group in entry.all_groups())
+            and entry.job.job_id not in self._acks
+        ):
+            del self._jobs[entry.job.job_id]
+
+    # ---- certainty after a takeover
+
+    def _update_certainty(self, now: float) -> None:
+        """Decides whether all that earlier schedulers started is known."""
+        if not self._listed_once:
+            return
+        for worker in self._fleet:
+            lapsed = worker.silent and worker.lapses_at <= now
+            if not worker.reported and not lapsed:
+                return
+        self._certain = True
+        for entry in self._jobs.values():
+            for group in entry.all_groups():
+                group.uncertain = False
+                if group.state is GroupState.STARTED and len(
+                    group.members
+                ) < len(group.indices):
+                    self._runs.take_down(group, "part of it is missing", now)
+
+    # ---- placing
+
+    def _schedule(self, now: float) -> None:
+        if not self._dirty:
+            return
+        self._dirty = False
+        self._start_claimed(now)
+        waiting = self._ready_groups(now)
+        reserved: dict[ServiceName, set[WorkerId]] = defaultdict(set)
+        usable: dict[ServiceName, list[Worker]] = {}
+        for group in waiting:
+            service = group.job.queue.service
+            if service not in usable:
+                usable[service] = self._fleet.usable(service, now)
+            open_to_it = [
+                each
+                for each in usable[service]
+                if each.worker_id not in reserved[service]
+            ]
+            if self._place(group, open_to_it, now):
+                continue
+            if not reserved[service] and self._starves(group, now):
+                reserved[service] = self._reserve(group, open_to_it)
+
+    def _start_claimed(self, now: float) -> None:
+        for entry in self._jobs.values():
+            for group in entry.all_groups():
+                if (
+                    group.state is GroupState.CLAIMED
+                    and self._runs.room_is_free(group)
+                ):
+                    self._runs.start(group, now)
+
+    def _ready_groups(self, now: float) -> list[Group]:
+        """Returns the groups to place, those that go first in front."""
+        ready: list[Group] = []
+        for entry in self._jobs.values():
+            if entry.row.status.final:
+                continue
+            for (occurrence, _), groups in entry.groups.items():
+                due = entry.job.due_at(occurrence)
+                if due > now + self._wall_offset:
+                    continue
+                ready += self._ready_of(entry, occurrence, groups, now)
+        guaranteed = self._guaranteed_jobs()
+        ready.sort(
+            key=lambda group: (
+                group.job.queue.priority,
+                group.job.job.job_id not in guaranteed,
+                group.job.job.accepted_at,
+            )
+        )
+        return ready
+
+    def _ready_of(
+        self, entry: JobEntry, occurrence: int, groups: list[Group], now: float
+    ) -> list[Group]:
+        ready = []
+        for group in groups:
+            if group.state is GroupState.WAITING and all(
+                entry.step_over(occurrence, each) for each in group.step.after
+            ):
+                group.state = GroupState.READY
+                group.ready_at = now
+            if (
+                group.state is GroupState.READY
+                and not group.uncertain
+                and group.not_before <= now
+            ):
+                ready.append(group)
+        return ready
+
+    def _place(self, group: Group, workers: list[Worker], now: float) -> bool:
+        siblings = self._siblings(group)
+        candidates = suitable(group, workers, siblings)
+        if not candidates and group.failed_on:
+            group.failed_on.clear()
+            candidates = suitable(group, workers, siblings)
+        far = self._allow_far(group, candidates, now)
+        places = find_places(group, candidates, free_room, far)
+        if places is not None:
+            self._runs.claim(group, places, now)
+            self._runs.start(group, now)
+            return True
+        return group.job.queue.priority == 0 and self._preempt(
+            group, candidates, now
+        )
+
+    def _preempt(self, group: Group, workers: list[Worker], now: float) -> bool:
+        priority = group.job.queue.priority
+        eviction = find_eviction(
+            group,
+            workers,
+            lambda other: other.job.queue.priority > priority,
+            now,
+        )
+        if eviction is None:
+            return False
+        self._runs.claim(group, eviction.places, now)
+        for victim in eviction.victims:
+            self._runs.take_down(victim, f"it gives way to {group.name}", now)
+        if self._runs.room_is_free(group):
+            self._runs.start(group, now)
+        return True
+
+    def _siblings(self, group: Group) -> dict[Worker, int]:
+        """Returns how many tasks of a group's step each worker has."""
+        if not group.step.max_per_worker:
+            return {}
+        counts: dict[Worker, int] = defaultdict(int)
+        for other in group.job.groups[group.occurrence, group.number]:
+            for member in other.members.values():
+                worker = self._fleet.get(member.worker_id)
+                if worker is not None:
+                    counts[worker] += 1
+        return counts
+
+    def _allow_far(
+        self, group: Group, candidates: list[Worker], now: float
+    ) -> bool:
+        """Whether a group may run away from its data or spread over racks."""
+        step = group.step
+        if not step.data_rack and not step.same_rack:
+            return True
+        if find_places(group, candidates, whole_room, False) is None:
+            return True
+        waited = now - group.ready_at
+        if self._fleet.share_in_use(group.job.queue.service) < IDLE_SHARE:
+            return waited > FAR_WHEN_IDLE_S
+        return waited > max(FAR_WAIT_LEAST_S, FAR_WAIT_RUNS * step.estimate_s)
+
+    def _starves(self, group: Group, now: float) -> bool:
+        return now - group.ready_at > RESERVE_AFTER_S
+
+    def _reserve(self, group: Group, workers: list[Worker]) -> set[WorkerId]:
+        """Chooses the workers that are kept free for a starving group."""
+        candidates = suitable(group, workers, self._siblings(group))
+        candidates.sort(key=lambda each: -each.free.accelerators)
+        places: Places | None = find_places(
+            group, candidates, whole_room, group.step.same_rack is False
+        )
+        if places is None:
+            places = find_places(group, candidates, whole_room, True)
+        return {each.worker_id for each in (places or {}).values()}
+
+    def _guaranteed_jobs(self) -> set[JobId]:
+        """Returns jobs of priority 0 that their guarantees cover."""
+        covered: set[JobId] = set()
+        needed: dict[OrganisationName, int] = defaultdict(int)
+        for entry in self._jobs.values():
+            if entry.queue.priority != 0 or entry.row.status.final:
+                continue
+            tenant = self._catalogue.tenants.get(entry.job.organisation)
+            if tenant is None:
+                continue
+            wanted = max(
+                step.count * step.need.accelerators for step in entry.job.steps
+            )
+            if needed[tenant.name] + wanted <= tenant.guaranteed_accelerators:
+                needed[tenant.name] += wanted
+                covered.add(entry.job.job_id)
+        return covered
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -0,0 +1,192 @@
+"""Takes jobs in, cancels them and answers for their state, on every node.
+
+A job is accepted with one conditional write. A write without an answer is
+settled by sending it again: the condition tells whether it had taken effect.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok, Result
+
+from pomeloarch_core.batch.model import BatchJob, QueueName
+from pomeloarch_core.batch.rows import JobRow, JobStatus
+from pomeloarch_core.ids import JobId, OrganisationName
+from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.ports import FeedStore, TableChanges
+from pomeloarch_node.batch.records import (
+    JOBS_TABLE,
+    SPECS_TABLE,
+    cancel_key,
+    cancelled_job,
+    decode_row,
+    encode,
+)
+from pomeloarch_node.platform import (
+    Check,
+    Conflict,
+    PlatformError,
+    PlatformFailure,
+    Write,
+)
+
+# Pause before a write without an answer is sent again, in seconds.
+SETTLE_PAUSE_S = 0.15
+
+
+class Outcome(enum.Enum):
+    """What became of a call.
+
+    DONE: it took effect, now or by an earlier call.
+    NOT_DONE: it certainly had no effect.
+    UNKNOWN: it may have taken effect.
+    NO_JOB: there is no such job.
+    """
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+    NO_JOB = "no_job"
+
+
+class KnownJob(msgspec.Struct, frozen=True):
+    """What this node knows of a job."""
+
+    status: JobStatus
+    organisation: OrganisationName
+    queue: QueueName
+
+
+class Intake:
+    """The calls of callers about jobs.
+
+    Args:
+      store: the store.
+      jobs: the mirror of the jobs' table.
+      clock: monotonic time, in seconds.
+    """
+
+    def __init__(
+        self, store: FeedStore, jobs: TableMirror, clock: Callable[[], float]
+    ) -> None:
+        """Follows the mirror."""
+        self._store = store
+        self._jobs = jobs
+        self._clock = clock
+        self._waiting: dict[QueueName, set[str]] = {}
+        jobs.subscribe(self._on_changes)
+
+    # ---- writes
+
+    async def accept(self, job: BatchJob, give_up_at: float) -> Outcome:
+        """Accepts a job durably; a job that is there already is accepted."""
+        row = JobRow.from_job(job)
+        checks = [Check(JOBS_TABLE, job.job_id, 0)]
+        writes = [
+            Write(JOBS_TABLE, job.job_id, encode(row)),
+            Write(SPECS_TABLE, job.job_id, encode(job)),
+        ]
+        return await self._write_once(checks, writes, give_up_at)
+
+    async def cancel(self, job_id: JobId, give_up_at: float) -> Outcome:
+        """Marks a job as to be ended, durably."""
+        key = cancel_key(job_id)
+        if key in self._jobs.rows:
+            return Outcome.DONE
+        known = await self.known(job_id)
+        if isinstance(known, Err):
+            return Outcome.NOT_DONE
+        if known.ok_value is None:
+            return Outcome.NO_JOB
+        if known.ok_value.status.final:
+            return Outcome.DONE
+        return await self._write_once(
+            [Check(JOBS_TABLE, key, 0)],
+            [Write(JOBS_TABLE, key, {"at": self._clock()})],
+            give_up_at,
+        )
+
+    async def _write_once(
+        self, checks: list[Check], writes: list[Write], give_up_at: float
+    ) -> Outcome:
+        in_doubt = False
+        while True:
+            left_s = give_up_at - self._clock()
+            if left_s <= 0:
+                return Outcome.UNKNOWN if in_doubt else Outcome.NOT_DONE
+            try:
+                async with asyncio.timeout(left_s):
+                    answer = await self._store.transact(checks, writes)
+            except TimeoutError:
+                return Outcome.UNKNOWN
+            if isinstance(answer, Ok):
+                return Outcome.DONE
+            error = answer.err_value
+            if isinstance(error, Conflict):
+                return Outcome.DONE
+            if error.failure is PlatformFailure.NOT_DONE and not in_doubt:
+                return Outcome.NOT_DONE
+            in_doubt = in_doubt or error.failure is PlatformFailure.UNKNOWN
+            await asyncio.sleep(SETTLE_PAUSE_S)
+
+    # ---- reads
+
+    async def known(
+        self, job_id: JobId
+    ) -> Result[KnownJob | None, PlatformError]:
+        """Returns what is known of a job; asks the store about a new one."""
+        found = self._from_mirror(job_id)
+        if found is not None:
+            return Ok(found)
+        answer = await self._store.read(
+            [(JOBS_TABLE, job_id), (JOBS_TABLE, cancel_key(job_id))]
+        )
+        if isinstance(answer, Err):
+            return answer
+        row, mark = answer.ok_value
+        if row.value is None:
+            return Ok(None)
+        return Ok(_known(decode_row(row.value), mark.value is not None))
+
+    def _from_mirror(self, job_id: JobId) -> KnownJob | None:
+        value = self._jobs.rows.get(job_id)
+        if value is None:
+            return None
+        return _known(decode_row(value), cancel_key(job_id) in self._jobs.rows)
+
+    def waiting(self, queue: QueueName) -> int:
+        """Returns how many accepted jobs of a queue have not started."""
+        return len(self._waiting.get(queue, ()))
+
+    def _on_changes(self, changes: TableChanges, whole: bool) -> None:
+        if whole:
+            self._waiting.clear()
+        for change in changes.rows:
+            cancelled = cancelled_job(change.key)
+            if cancelled is not None:
+                self._not_waiting(cancelled)
+            elif change.value is None:
+                self._not_waiting(change.key)
+            else:
+                self._count(change.key, decode_row(change.value))
+
+    def _count(self, key: str, row: JobRow) -> None:
+        if row.started or row.status.final or row.scheduled:
+            self._not_waiting(key)
+        elif cancel_key(JobId(key)) not in self._jobs.rows:
+            self._waiting.setdefault(row.queue, set()).add(key)
+
+    def _not_waiting(self, key: str) -> None:
+        for keys in self._waiting.values():
+            keys.discard(key)
+
+
+def _known(row: JobRow, cancelled: bool) -> KnownJob:
+    status = row.status
+    if cancelled and not status.final:
+        status = JobStatus.CANCELLED
+    return KnownJob(status, row.organisation, row.queue)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -0,0 +1,349 @@
+"""The leading scheduler: holds the role, rebuilds what is known, and acts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import msgspec
+from result import Ok
+
+from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.messages import (
+    CancelRequested,
+    CatalogueChanged,
+    Decision,
+    Event,
+    JobAccepted,
+    Note,
+    RowWritten,
+    StartTask,
+    StopTask,
+    Tick,
+    WorkerInfo,
+    WorkersListed,
+    WriteRow,
+)
+from pomeloarch_core.batch.rows import JobRow
+from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_core.ids import JobId, WorkerId, ZoneName
+from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.ports import FeedStore, TableChanges, WorkerLinks
+from pomeloarch_node.batch.records import (
+    JOBS_TABLE,
+    ROLE_NAME,
+    SPECS_TABLE,
+    cancelled_job,
+    decode_job,
+    decode_row,
+)
+from pomeloarch_node.batch.row_writer import RowWriter
+from pomeloarch_node.batch.worker_session import (
+    CLOCK_DRIFT,
+    LAPSE_SLACK_S,
+    SessionTimes,
+    WorkerSession,
+)
+from pomeloarch_node.platform import Check
+from pomeloarch_node.role_lease import LeasedRole
+from pomeloarch_node.scheduler_fence import raise_fence
+from pomeloarch_node.scheduler_tenure import Tenure
+
+TICK_S = 0.1
+LOAD_RETRY_S = 0.3
+# How often the list of workers is asked for, in seconds; several times
+# within the time in which a leaving worker has to be spared.
+LIST_PACE_S = 0.7
+SPECS_WAIT_S = 2.0
+SPECS_PACE_S = 0.02
+
+ReadWorkers = Callable[[dict[str, object]], tuple[WorkerInfo, ...]]
+
+
+class LeaderTimes(msgspec.Struct, frozen=True):
+    """Times that the deployment gives, in seconds.
+
+    Attributes:
+      hold_max_s: the longest lease that a worker grants.
+      renew_wait_s: how long a renewal waits for an end.
+    """
+
+    hold_max_s: float
+    renew_wait_s: float
+
+
+class Leader:
+    """Competes for the scheduler's role and acts while it is held.
+
+    Args:
+      store: the store.
+      workers: the mirror's table name of workers and how to read its rows.
+      links: makes links to workers.
+      catalogue: returns the configuration in force, None before the first.
+      jobs: the mirror of the jobs' table.
+      role: the leased role.
+      clock: monotonic time, in seconds.
+      times: the deployment's times.
+      log: where decisions are written.
+    """
+
+    def __init__(
+        self,
+        store: FeedStore,
+        workers: tuple[str, ReadWorkers],
+        links: WorkerLinks,
+        catalogue: Callable[[], Catalogue | None],
+        jobs: TableMirror,
+        role: LeasedRole,
+        clock: Callable[[], float],
+        times: LeaderTimes,
+        log: DecisionLog,
+    ) -> None:
+        """Starts as a candidate."""
+        self._store = store
+        self._workers_table, self._read_workers = workers
+        self._links = links
+        self._catalogue = catalogue
+        self._jobs = jobs
+        self._role = role
+        self._clock = clock
+        self._times = times
+        self._log = log
+        self._term: _Term | None = None
+        jobs.subscribe(self._on_jobs)
+
+    def catalogue_changed(self, catalogue: Catalogue) -> None:
+        """Tells the scheduler, if it acts here, of a newer configuration."""
+        if self._term is not None:
+            self._term.emit(CatalogueChanged(catalogue))
+
+    def _on_jobs(self, changes: TableChanges, whole: bool) -> None:
+        if self._term is not None:
+            self._term.on_jobs(changes, whole)
+
+    async def run(self) -> None:
+        """Acts whenever the role is held, until it is cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._role.run())
+            while True:
+                epoch = self._role.epoch()
+                if epoch is None or self._catalogue() is None:
+                    await self._wait_for_role()
+                    continue
+                await self._serve(Tenure(self._role, epoch))
+
+    async def _wait_for_role(self) -> None:
+        try:
+            async with asyncio.timeout(TICK_S):
+                await self._role.changed()
+        except TimeoutError:
+            return
+
+    async def _serve(self, tenure: Tenure) -> None:
+        self._log.write("scheduler role won", epoch=tenure.epoch)
+        acting = asyncio.create_task(self._act(tenure))
+        try:
+            await tenure.lost()
+        finally:
+            self._term = None
+            acting.cancel()
+            await asyncio.gather(acting, return_exceptions=True)
+        if not acting.cancelled() and acting.exception() is not None:
+            self._log.write("scheduler failed", error=repr(acting.exception()))
+        self._log.write(
+            "scheduler role lost", epoch=tenure.epoch, reason=tenure.reason
+        )
+
+    async def _act(self, tenure: Tenure) -> None:
+        try:
+            fence = await raise_fence(self._store, ZoneName(ROLE_NAME), tenure)
+            await self._jobs.loaded.wait()
+            catalogue = self._catalogue()
+            assert catalogue is not None
+            term = _Term(self, tenure, fence, catalogue)
+            await term.load()
+            self._term = term
+            await term.run()
+        except Exception as exc:
+            self._log.write("scheduler failed", error=repr(exc))
+            tenure.lose(f"the scheduler failed: {exc!r}")
+            raise
+
+
+class _Term:
+    """One unbroken time of acting under one fence."""
+
+    def __init__(
+        self,
+        leader: Leader,
+        tenure: Tenure,
+        fence: Check,
+        catalogue: Catalogue,
+    ) -> None:
+        self._leader = leader
+        self._tenure = tenure
+        self._fence = fence
+        self._clock = leader._clock
+        now = self._clock()
+        self._scheduler = BatchScheduler(
+            tenure.epoch, catalogue, time.time() - now
+        )
+        self._unknown_until = (
+            now + leader._times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+        )
+        self._writer = RowWriter(
+            leader._store, tenure, fence, self._on_written, leader._log
+        )
+        self._sessions: dict[
+            WorkerId, tuple[WorkerSession, asyncio.Task[None]]
+        ] = {}
+        self._specs = self._mirror(SPECS_TABLE, SPECS_WAIT_S, SPECS_PACE_S)
+        self._list = self._mirror(leader._workers_table, 0.0, LIST_PACE_S)
+        self._cancelled: set[JobId] = set()
+        self._closing: set[asyncio.Task[None]] = set()
+        self._rows: dict[JobId, JobRow] = {}
+
+    def _mirror(self, table: str, wait_s: float, pace_s: float) -> TableMirror:
+        leader = self._leader
+        return TableMirror(
+            leader._store, table, self._clock, leader._log, wait_s, pace_s
+        )
+
+    # ---- state of earlier schedulers
+
+    async def load(self) -> None:
+        """Reads all jobs that have not ended; earlier writes are in them."""
+        while self._tenure.held():
+            rows = await self._leader._store.snapshot(JOBS_TABLE)
+            if isinstance(rows, Ok):
+                self._load_rows(rows.ok_value)
+                return
+            await asyncio.sleep(LOAD_RETRY_S)
+
+    def _load_rows(self, changes: TableChanges) -> None:
+        for row in changes.rows:
+            cancelled = cancelled_job(row.key)
+            if cancelled is not None:
+                self._cancelled.add(cancelled)
+            else:
+                self._rows[JobId(row.key)] = decode_row(row.value)
+                self._writer.version_is(JobId(row.key), row.version)
+
+    def _on_specs(self, changes: TableChanges, whole: bool) -> None:
+        for row in changes.rows:
+            if row.value is None:
+                continue
+            job = decode_job(row.value)
+            state = self._rows.pop(job.job_id, None)
+            older = row.version < self._fence.version
+            if state is None:
+                if older:
+                    continue
+                self._writer.version_is(job.job_id, row.version)
+                state = JobRow.from_job(job)
+            self.emit(JobAccepted(job, state, older))
+            if job.job_id in self._cancelled:
+                self.emit(CancelRequested(job.job_id))
+
+    def on_jobs(self, changes: TableChanges, whole: bool) -> None:
+        """Takes marks of jobs whose end was asked for."""
+        for row in changes.rows:
+            cancelled = cancelled_job(row.key)
+            if cancelled is not None and row.value is not None:
+                self.emit(CancelRequested(cancelled))
+
+    # ---- running
+
+    async def run(self) -> None:
+        """Acts until it is cancelled."""
+        self._specs.subscribe(self._on_specs)
+        self._list.subscribe(self._on_list)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(self._specs.run())
+                tasks.create_task(self._writer.run())
+                await self._specs.loaded.wait()
+                for job_id, value in list(self._leader._jobs.rows.items()):
+                    cancelled = cancelled_job(job_id)
+                    if cancelled is not None and value is not None:
+                        self.emit(CancelRequested(cancelled))
+                tasks.create_task(self._list.run())
+                tasks.create_task(self._tick())
+        finally:
+            for session, task in self._sessions.values():
+                task.cancel()
+                await session.close()
+
+    async def _tick(self) -> None:
+        while True:
+            self.emit(Tick(time.time()))
+            await asyncio.sleep(TICK_S)
+
+    def emit(self, event: Event) -> None:
+        """Hands an event to the scheduler and carries its decisions out."""
+        if not self._tenure.held():
+            return
+        for decision in self._scheduler.handle(event, self._clock()):
+            self._carry_out(decision)
+
+    def _carry_out(self, decision: Decision) -> None:
+        if isinstance(decision, Note):
+            self._leader._log.write(decision.event, **decision.fields)
+        elif isinstance(decision, WriteRow):
+            self._writer.put(decision)
+        else:
+            found = self._sessions.get(decision.worker_id)
+            if found is None:
+                return
+            if isinstance(decision, StartTask):
+                found[0].start(decision)
+            elif isinstance(decision, StopTask):
+                found[0].stop(decision)
+
+    def _on_written(self, job_id: JobId, change: int) -> None:
+        self.emit(RowWritten(job_id, change))
+        for session, _ in self._sessions.values():
+            session.wake()
+
+    # ---- workers
+
+    def _on_list(self, _changes: TableChanges, _whole: bool) -> None:
+        workers = self._leader._read_workers(self._list.rows)
+        self.emit(WorkersListed(workers))
+        for info in workers:
+            if info.worker_id not in self._sessions:
+                self._open(info)
+            else:
+                self._sessions[info.worker_id][0].info = info
+
+        listed = {each.worker_id for each in workers}
+        for worker_id in list(self._sessions):
+            if worker_id not in listed:
+                self._close_if_unused(worker_id)
+
+    def _close_if_unused(self, worker_id: WorkerId) -> None:
+        """Ends the session of a worker that has left and runs nothing."""
+        if self._scheduler.occupied(worker_id):
+            return
+        session, task = self._sessions.pop(worker_id)
+        task.cancel()
+        closing = asyncio.create_task(session.close())
+        self._closing.add(closing)
+        closing.add_done_callback(self._closing.discard)
+
+    def _open(self, info: WorkerInfo) -> None:
+        leader = self._leader
+        session = WorkerSession(
+            info,
+            leader._links.open(info),
+            self._tenure,
+            self._scheduler,
+            self.emit,
+            self._clock,
+            SessionTimes(leader._times.hold_max_s, leader._times.renew_wait_s),
+            self._unknown_until,
+        )
+        task = asyncio.create_task(session.run())
+        self._sessions[info.worker_id] = (session, task)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -0,0 +1,276 @@
+"""A node that serves batch jobs: its parts, its start and its planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+import uvicorn
+from result import Err, Result
+from starlette.responses import PlainTextResponse
+
+from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.membership import LeaseConfig
+from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.intake import Intake
+from pomeloarch_node.batch.leader import Leader, LeaderTimes, ReadWorkers
+from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.ports import FeedStore, TableChanges, WorkerLinks
+from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
+from pomeloarch_node.lifecycle import NodeServer
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.role_lease import LeasedRole
+
+# The configuration's feed waits this long for a change, in seconds; each
+# answer confirms that the configuration is current.
+CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_PACE_S = 0.05
+JOBS_WAIT_S = 2.0
+JOBS_PACE_S = 0.25
+# A node is ready while its configuration was confirmed this recently, in
+# seconds; a slow store takes up to a second for an answer.
+READY_WITHIN_S = 3.0
+# How much earlier than the bound keys are no longer trusted, in seconds: a
+# request may have been under way before it is read.
+KEYS_MARGIN_S = 0.6
+RENEW_WAIT_S = 1.0
+# The balancer asks every second and takes two misses.
+BALANCER_S = 2.4
+# Time for answers under way once the listeners are closed, in seconds.
+LAST_ANSWERS_S = 2.5
+_KEEPALIVE_S = 75
+_BACKLOG = 512
+
+
+class BatchSettings(msgspec.Struct, frozen=True):
+    """What a node is told at its start.
+
+    Attributes:
+      node_id: the node's name.
+      availability_zone: where it runs.
+      callers_address: where callers are served, `ip:port`.
+      readiness_address: where the balancer asks, `ip:port`.
+      grace_s: time between a planned stop's signal and the kill.
+      revoke_s: within this time a revoked key is refused.
+      hold_max_s: the longest lease that workers grant.
+      keep_finished_s: how long the state of an ended job is kept.
+    """
+
+    node_id: NodeId
+    availability_zone: ZoneName
+    callers_address: str
+    readiness_address: str
+    grace_s: float = 6.0
+    revoke_s: float = 5.0
+    hold_max_s: float = 6.0
+    keep_finished_s: float = 120.0
+
+
+class Sources(msgspec.Struct, frozen=True):
+    """Tables that others write, and how to read them.
+
+    Attributes:
+      configuration_table: the table of the configuration.
+      configuration_key: the key of its row.
+      read_configuration: decodes the row.
+      workers_table: the table of workers.
+      read_workers: decodes its rows.
+    """
+
+    configuration_table: str
+    configuration_key: str
+    read_configuration: Callable[[Any], Result[Catalogue, str]]
+    workers_table: str
+    read_workers: ReadWorkers
+
+
+class BatchNode:
+    """One of the equal nodes.
+
+    Attributes:
+      catalogue: the configuration in force, None before the first.
+      stopping: whether a planned stop has begun.
+
+    Args:
+      settings: the node's settings.
+      store: the store.
+      links: makes links to workers.
+      sources: tables that others write.
+    """
+
+    def __init__(
+        self,
+        settings: BatchSettings,
+        store: FeedStore,
+        links: WorkerLinks,
+        sources: Sources,
+    ) -> None:
+        """Builds all parts; none runs yet."""
+        self._settings = settings
+        self._sources = sources
+        self.log = DecisionLog(settings.node_id)
+        self.catalogue: Catalogue | None = None
+        self.stopping = False
+        self._stop = asyncio.Event()
+        self._configuration = TableMirror(
+            store,
+            sources.configuration_table,
+            self.clock,
+            self.log,
+            CONFIGURATION_WAIT_S,
+            CONFIGURATION_PACE_S,
+        )
+        self._configuration.subscribe(self._on_configuration)
+        self._jobs = TableMirror(
+            store, JOBS_TABLE, self.clock, self.log, JOBS_WAIT_S, JOBS_PACE_S
+        )
+        self.intake = Intake(store, self._jobs, self.clock)
+        self._role = LeasedRole(
+            ROLE_NAME,
+            settings.node_id,
+            store,
+            self.clock,
+            Metrics(),
+            random.Random(),
+            LeaseConfig(
+                lease_s=2.4,
+                drift_bound_s=0.3,
+                renew_s=0.8,
+                poll_s=0.5,
+                retry_s=0.25,
+            ),
+        )
+        self._leader = Leader(
+            store,
+            (sources.workers_table, sources.read_workers),
+            links,
+            lambda: self.catalogue,
+            self._jobs,
+            self._role,
+            self.clock,
+            LeaderTimes(settings.hold_max_s, RENEW_WAIT_S),
+            self.log,
+        )
+
+    @staticmethod
+    def clock() -> float:
+        """Returns monotonic time that goes on while the host is suspended."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def keys_are_current(self, now: float) -> bool:
+        """Whether no key can have been revoked without this node knowing."""
+        limit_s = self._settings.revoke_s - KEYS_MARGIN_S
+        return self._configuration.age(now) < limit_s
+
+    def ready(self, now: float) -> bool:
+        """Whether the balancer may send callers here."""
+        return (
+            not self.stopping
+            and self.catalogue is not None
+            and self._jobs.loaded.is_set()
+            and self._configuration.age(now) < READY_WITHIN_S
+        )
+
+    # ---- configuration
+
+    def _on_configuration(self, changes: TableChanges, _whole: bool) -> None:
+        for row in changes.rows:
+            if row.key == self._sources.configuration_key and row.value:
+                self._take_configuration(row.value, row.version)
+
+    def _take_configuration(self, value: Any, version: int) -> None:
+        read = self._sources.read_configuration(value)
+        if isinstance(read, Err):
+            self.log.write(
+                "configuration unreadable",
+                row_version=version,
+                reason=read.err_value,
+            )
+            return
+        newer = read.ok_value
+        if (
+            self.catalogue is not None
+            and newer.generation <= self.catalogue.generation
+        ):
+            return
+        self.catalogue = newer
+        self.log.write("configuration in force", generation=newer.generation)
+        self._leader.catalogue_changed(newer)
+
+    # ---- life
+
+    async def run(self, callers_app: Any) -> None:
+        """Serves until a planned stop is done."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        self.log.write(
+            "node starts",
+            availability_zone=self._settings.availability_zone,
+        )
+        callers = self._server(self._settings.callers_address, callers_app)
+        readiness = self._server(
+            self._settings.readiness_address, self._readiness_app
+        )
+        parts = [
+            asyncio.create_task(each)
+            for each in (
+                self._configuration.run(),
+                self._jobs.run(),
+                self._leader.run(),
+                readiness.serve(),
+            )
+        ]
+        serving = asyncio.create_task(callers.serve())
+        await self._stop.wait()
+        await self._planned_stop(callers)
+        await asyncio.wait({serving}, timeout=LAST_ANSWERS_S)
+        for part in parts:
+            part.cancel()
+        await asyncio.gather(*parts, return_exceptions=True)
+        self.log.write("node stopped")
+
+    def _on_hangup(self) -> None:
+        self.log.write("settings changed", outcome="nothing to take over")
+
+    async def _planned_stop(self, callers: uvicorn.Server) -> None:
+        self.stopping = True
+        self.log.write("planned stop begins", grace_s=self._settings.grace_s)
+        releasing = asyncio.create_task(self._role.release())
+        await asyncio.sleep(min(BALANCER_S, self._settings.grace_s * 0.4))
+        await asyncio.wait({releasing}, timeout=0.1)
+        callers.should_exit = True
+
+    def _server(self, address: str, app: Any) -> uvicorn.Server:
+        host, _, port = address.rpartition(":")
+        return NodeServer(
+            uvicorn.Config(
+                app,
+                host=host,
+                port=int(port),
+                loop="asyncio",
+                http="httptools",
+                ws="none",
+                interface="asgi3",
+                lifespan="off",
+                access_log=False,
+                log_config=None,
+                server_header=False,
+                date_header=False,
+                proxy_headers=False,
+                backlog=_BACKLOG,
+                timeout_keep_alive=_KEEPALIVE_S,
+            )
+        )
+
+    async def _readiness_app(self, scope: Any, receive: Any, send: Any) -> None:
+        ready = self.ready(self.clock())
+        response = PlainTextResponse("", 200 if ready else 503)
+        await response(scope, receive, send)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
@@ -0,0 +1,47 @@
+"""Tables of batch jobs and how their rows are encoded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from pomeloarch_core.batch.model import BatchJob
+from pomeloarch_core.batch.rows import JobRow
+from pomeloarch_core.ids import JobId
+
+# What callers submitted, written once; only the leading scheduler reads it.
+SPECS_TABLE = "batch_specs"
+# Where jobs stand, and marks of those whose end was asked for; every node
+# follows this table.
+JOBS_TABLE = "batch_jobs"
+ROLE_NAME = "batch_scheduler"
+
+_CANCEL_SUFFIX = "!"
+
+
+def cancel_key(job_id: JobId) -> str:
+    """Returns the key of the mark that a job's end was asked for."""
+    return job_id + _CANCEL_SUFFIX
+
+
+def cancelled_job(key: str) -> JobId | None:
+    """Returns the job that a mark is of, None for a job's own row."""
+    if key.endswith(_CANCEL_SUFFIX):
+        return JobId(key.removesuffix(_CANCEL_SUFFIX))
+    return None
+
+
+def encode(value: msgspec.Struct) -> Any:
+    """Returns a row's value."""
+    return msgspec.to_builtins(value)
+
+
+def decode_job(value: Any) -> BatchJob:
+    """Returns the job of a row; raises `msgspec.ValidationError`."""
+    return msgspec.convert(value, BatchJob)
+
+
+def decode_row(value: Any) -> JobRow:
+    """Returns the state of a row; raises `msgspec.ValidationError`."""
+    return msgspec.convert(value, JobRow)
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -0,0 +1,264 @@
+"""One worker under the leading scheduler: leases, orders and reports.
+
+Leases are times on the worker's own clock. The latest time at which one can
+end, by this node's clock, is kept, so that a task of a worker that doesn't
+answer is started elsewhere only after its lease has certainly run out.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import msgspec
+from result import Err, Ok
+
+from pomeloarch_core.batch.messages import (
+    Event,
+    Incarnation,
+    StartAnswered,
+    StartOutcome,
+    StartTask,
+    StopAnswered,
+    StopTask,
+    WorkerInfo,
+    WorkerReported,
+    WorkerSilent,
+)
+from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_node.batch.ports import (
+    OrderFailure,
+    StartAnswer,
+    WorkerLink,
+    WorkerState,
+)
+from pomeloarch_node.scheduler_tenure import Tenure
+
+# A worker's clock may be this much slower than ours.
+CLOCK_DRIFT = 0.02
+# What rounding and the way there may add to a lease, in seconds.
+LAPSE_SLACK_S = 0.3
+# Without an answer for this long, in seconds, a worker's leases are no
+# longer extended; two lost answers are not enough.
+SILENT_AFTER_S = 1.6
+CALL_TIMEOUT_S = 0.7
+START_TRIES = 3
+RETRY_PAUSE_S = 0.2
+SILENT_PAUSE_S = 0.5
+IDLE_PAUSE_S = 0.5
+
+
+class SessionTimes(msgspec.Struct, frozen=True):
+    """Times of a session, in seconds.
+
+    Attributes:
+      lease_s: how long a lease is.
+      wait_s: how long a renewal waits for an end.
+    """
+
+    lease_s: float
+    wait_s: float
+
+
+class WorkerSession:
+    """Keeps one worker's leases alive and carries orders to it.
+
+    Args:
+      info: the worker.
+      link: the link to it.
+      tenure: the right to give orders.
+      scheduler: whose orders they are.
+      emit: takes events for the scheduler.
+      clock: monotonic time, in seconds.
+      times: its times.
+      unknown_until: until when the worker may run what an earlier scheduler
+        started, by the clock.
+    """
+
+    def __init__(
+        self,
+        info: WorkerInfo,
+        link: WorkerLink,
+        tenure: Tenure,
+        scheduler: BatchScheduler,
+        emit: Callable[[Event], None],
+        clock: Callable[[], float],
+        times: SessionTimes,
+        unknown_until: float,
+    ) -> None:
+        """Starts with a worker that hasn't answered."""
+        self.info = info
+        self._link = link
+        self._tenure = tenure
+        self._scheduler = scheduler
+        self._emit = emit
+        self._clock = clock
+        self._times = times
+        self._lapses_at = unknown_until
+        self._incarnation = Incarnation(0)
+        self._worker_clock: tuple[int, float] | None = None
+        self._heard_at = clock()
+        self._silent = False
+        self._acknowledged = 0
+        self._wake = asyncio.Event()
+        self._orders: set[asyncio.Task[None]] = set()
+
+    def wake(self) -> None:
+        """Has the session look again at what is to be done."""
+        self._wake.set()
+
+    async def close(self) -> None:
+        """Ends the orders under way and the link."""
+        for each in self._orders:
+            each.cancel()
+        await self._link.close()
+
+    # ---- leases
+
+    async def run(self) -> None:
+        """Renews leases for as long as the worker may run anything."""
+        while self._tenure.held():
+            if await self._idle():
+                continue
+            await self._renew()
+
+    async def _idle(self) -> bool:
+        """Waits while there is nothing to ask; returns whether it waited."""
+        worker_id = self.info.worker_id
+        acknowledged = self._scheduler.acknowledged(worker_id)
+        if acknowledged > self._acknowledged:
+            return False
+        if self._scheduler.occupied(worker_id):
+            return False
+        await self._sleep(IDLE_PAUSE_S)
+        return True
+
+    async def _sleep(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
+    async def _renew(self) -> None:
+        asked_at = self._clock()
+        acknowledged = self._scheduler.acknowledged(self.info.worker_id)
+        first = self._worker_clock is None or self._silent
+        wait_s = 0.0 if first else self._times.wait_s
+        deadline_ms = None if first else self._deadline_ms(asked_at)
+        answer = await self._link.renew(
+            self._tenure.epoch, acknowledged, deadline_ms, wait_s
+        )
+        if not self._tenure.held():
+            return
+        if isinstance(answer, Err):
+            await self._failed(answer.err_value)
+            return
+        self._acknowledged = max(self._acknowledged, acknowledged)
+        self._heard(answer.ok_value, asked_at)
+        if answer.ok_value.ended:
+            await self._sleep(RETRY_PAUSE_S)
+
+    def _deadline_ms(self, now: float) -> int:
+        """Returns the end of a lease granted now, on the worker's clock."""
+        assert self._worker_clock is not None
+        clock_ms, at = self._worker_clock
+        elapsed_s = (now - at) * (1 - CLOCK_DRIFT)
+        deadline = clock_ms + int((elapsed_s + self._times.lease_s) * 1000)
+        lapses_at = at + (deadline - clock_ms) / 1000 / (1 - CLOCK_DRIFT)
+        self._lapses_at = max(self._lapses_at, lapses_at + LAPSE_SLACK_S)
+        return deadline
+
+    def _heard(self, state: WorkerState, asked_at: float) -> None:
+        now = self._clock()
+        self._heard_at = now
+        if state.incarnation != self._incarnation:
+            self._incarnation = state.incarnation
+            self._acknowledged = 0
+        self._worker_clock = (state.clock_ms, now)
+        self._silent = False
+        self._emit(
+            WorkerReported(
+                self.info.worker_id,
+                state.incarnation,
+                asked_at,
+                state.running,
+                state.ended,
+            )
+        )
+
+    async def _failed(self, failure: OrderFailure) -> None:
+        if failure is OrderFailure.SUPERSEDED:
+            self._tenure.supersede(
+                f"worker {self.info.worker_id} has seen a higher fence"
+            )
+            return
+        now = self._clock()
+        if failure is OrderFailure.OTHER_WORKER:
+            self._emit(WorkerSilent(self.info.worker_id, now, gone=True))
+            await asyncio.sleep(SILENT_PAUSE_S)
+            return
+        await self._link.reset()
+        if not self._silent and now - self._heard_at > SILENT_AFTER_S:
+            self._silent = True
+            self._emit(WorkerSilent(self.info.worker_id, self._lapses_at))
+        await asyncio.sleep(SILENT_PAUSE_S if self._silent else RETRY_PAUSE_S)
+
+    # ---- orders
+
+    def start(self, order: StartTask) -> None:
+        """Carries an order to start a task."""
+        self._spawn(self._start(order))
+
+    def stop(self, order: StopTask) -> None:
+        """Carries an order to stop a run."""
+        self._spawn(self._stop(order))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+        self._wake.set()
+
+    async def _start(self, order: StartTask) -> None:
+        outcome = StartOutcome.NO_ANSWER
+        for _ in range(START_TRIES):
+            if not self._tenure.held() or self._worker_clock is None:
+                return
+            if not self._scheduler.wants(order.task, order.run):
+                return
+            answer = await self._link.start(
+                order, self._tenure.epoch, self._deadline_ms(self._clock())
+            )
+            if isinstance(answer, Ok):
+                outcome = self._note_clock(answer.ok_value)
+                break
+            if answer.err_value is OrderFailure.SUPERSEDED:
+                self._tenure.supersede("a worker has seen a higher fence")
+                return
+        self._emit(
+            StartAnswered(self.info.worker_id, order.task, order.run, outcome)
+        )
+        self._wake.set()
+
+    def _note_clock(self, answer: StartAnswer) -> StartOutcome:
+        if answer.clock_ms is not None:
+            self._worker_clock = (answer.clock_ms, self._clock())
+        return answer.outcome
+
+    async def _stop(self, order: StopTask) -> None:
+        while self._tenure.held():
+            answer = await self._link.stop(
+                str(order.task), order.run, self._tenure.epoch
+            )
+            if isinstance(answer, Ok):
+                self._emit(StopAnswered(order.worker_id, order.task, order.run))
+                self._wake.set()
+                return
+            if answer.err_value is OrderFailure.SUPERSEDED:
+                self._tenure.supersede("a worker has seen a higher fence")
+                return
+            if answer.err_value is OrderFailure.OTHER_WORKER:
+                return
+            await asyncio.sleep(RETRY_PAUSE_S)
