Place on-time jobs first, and take ended jobs no second time

Cause: after the store dropped its history, the table of specs was read whole and jobs that had ended were scheduled again; placing ran on each event and took two thirds of a core; under a burst all jobs became late together.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -78,6 +78,10 @@
             and self.suspended_until <= now
         )
 
+    def lapsed(self, now: float) -> bool:
+        """Whether all that it may have run has certainly been killed."""
+        return self.silent and self.lapses_at <= now
+
     def hold(self, group: Group, need: Need, claimed: bool) -> None:
         """Takes room for a task of a group."""
         self.groups[group] = self.groups.get(group, 0) + 1
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -68,6 +68,8 @@
       ready_at: when it became ready.
       started_at: when its current run was ordered.
       advanced_at: when a member last reported progress.
+      resumed: whether the current run's beginning wasn't seen.
+      uncertain: whether an earlier scheduler's run of it may be unknown.
     """
 
     def __init__(
@@ -93,6 +95,7 @@
         self.ready_at = 0.0
         self.started_at = 0.0
         self.advanced_at = 0.0
+        self.resumed = False
         self.uncertain = False
 
     @property
@@ -127,6 +130,7 @@
       written: the change up to which the row is durable.
       groups: its groups, by occurrence and step.
       cancelled: whether its end was asked for.
+      standing: how it stood against its objective when last looked at.
       older: whether an earlier scheduler may have started tasks of it.
     """
 
@@ -139,6 +143,7 @@
         self.queue = queue
         self.older = older
         self.cancelled = False
+        self.standing = 0
         self.change = 0
         self.written = 0
         self.urgent = False
@@ -167,6 +172,13 @@
             groups.append(group)
         return groups
 
+    def group_of(self, task: TaskId) -> Group | None:
+        """Returns the group of a task, None when there is no such task."""
+        groups = self.groups.get((task.occurrence, task.step))
+        if groups is None or task.index >= self.job.steps[task.step].count:
+            return None
+        return groups[0] if groups[0].step.gang else groups[task.index]
+
     def all_groups(self) -> list[Group]:
         """Returns the groups of all steps."""
         return [each for part in self.groups.values() for each in part]
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -11,7 +11,7 @@
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group, GroupState
 from pomeloarch_core.batch.model import NOTHING, Need
-from pomeloarch_core.batch.placing import Places, by_rack, fill, find_places
+from pomeloarch_core.batch.placing import Places, by_rack, fill
 
 # An accelerator's share of lost work, in cores; the usual weight of one
 # accelerator against processors in what organisations are charged.
@@ -25,13 +25,22 @@
     """Returns the core-seconds that stopping a group throws away."""
     if group.state is not GroupState.STARTED:
         return 0.0
-    need = group.step.need
-    cores = need.cpu_millis / _MILLIS
-    cores += need.accelerators * CORES_PER_ACCELERATOR
     ran_s = max(0.0, now - group.started_at)
     if group.step.checkpointing and group.checkpoint:
         ran_s = min(ran_s, 1.0)
-    return cores * ran_s * len(group.indices)
+    return _cores(group) * ran_s
+
+
+def own_work(group: Group) -> float:
+    """Returns the core-seconds that a group will do, as it was estimated."""
+    return _cores(group) * group.step.estimate_s
+
+
+def _cores(group: Group) -> float:
+    need = group.step.need
+    cores = need.cpu_millis / _MILLIS
+    cores += need.accelerators * CORES_PER_ACCELERATOR
+    return cores * len(group.indices)
 
 
 class Eviction:
@@ -110,7 +119,7 @@
                 and each not in victims
                 and may_preempt(each)
             ),
-            key=lambda each: lost_work(each, now),
+            key=lambda each: (-each.job.standing, lost_work(each, now)),
         )
         for victim in candidates:
             if wanted.fits(room):
@@ -119,6 +128,3 @@
             room += victim.step.reserved * worker.groups[victim]
     cost = sum(lost_work(each, now) for each in victims)
     return Eviction(places, list(victims), cost)
-
-
-__all__ = ["Eviction", "find_eviction", "find_places", "lost_work"]
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -15,6 +15,7 @@
     StopTask,
     WriteRow,
 )
+from pomeloarch_core.batch.objectives import RunTimes
 from pomeloarch_core.batch.placing import Places
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import Epoch
@@ -35,11 +36,19 @@
     Args:
       epoch: the epoch of this scheduler.
       fleet: the workers.
+      times: learns from runs that end well.
       out: where decisions are put.
     """
 
-    def __init__(self, epoch: Epoch, fleet: Fleet, out: list[Decision]) -> None:
+    def __init__(
+        self,
+        epoch: Epoch,
+        fleet: Fleet,
+        times: RunTimes,
+        out: list[Decision],
+    ) -> None:
         """Starts without any run."""
+        self._times = times
         self._epoch = epoch
         self._fleet = fleet
         self._out = out
@@ -71,6 +80,7 @@
         group.run = max(RunNumber(group.run + 1), first)
         group.state = GroupState.STARTED
         group.started_at = group.advanced_at = now
+        group.resumed = bool(group.checkpoint)
         for index, member in group.members.items():
             worker = self._fleet.get(member.worker_id)
             assert worker is not None
@@ -106,6 +116,7 @@
         if group.state is not GroupState.STARTED:
             group.state = GroupState.STARTED
             group.started_at = group.advanced_at = now
+            group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
         member.started_at = now
         worker.hold(group, group.step.reserved, claimed=False)
@@ -193,6 +204,8 @@
         health.run_succeeded(worker)
         if group.state is GroupState.OVER or group.step.long_running:
             return
+        if not group.resumed:
+            self._times.learn(group, now - group.started_at)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -36,6 +36,7 @@
     WorkersListed,
 )
 from pomeloarch_core.batch.model import QueueName
+from pomeloarch_core.batch.objectives import RunTimes, standing
 from pomeloarch_core.batch.placing import (
     Places,
     find_places,
@@ -43,7 +44,7 @@
     suitable,
     whole_room,
 )
-from pomeloarch_core.batch.preempting import find_eviction
+from pomeloarch_core.batch.preempting import find_eviction, own_work
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import REFUSED_PAUSE_S, Runs
 from pomeloarch_core.ids import (
@@ -58,13 +59,11 @@
 # wide gang would otherwise never find enough of them free at once.
 RESERVE_AFTER_S = 2.0
 # Below this share in use, a task runs far from its data rather than wait.
+# Above it, what it would take there longer is taken from others.
 IDLE_SHARE = 0.5
 FAR_WHEN_IDLE_S = 0.5
-# Multiples of its estimate that a task waits for a place near its data.
-FAR_WAIT_RUNS = 2.0
-FAR_WAIT_LEAST_S = 2.0
-# How long a worker that has left the list keeps its place here, in seconds.
-UNLISTED_KEPT_S = 30.0
+# How often the state of the fleet is written to the log, in seconds.
+SUMMARY_EVERY_S = 2.0
 
 
 class BatchScheduler:
@@ -84,10 +83,12 @@
         self._wall_offset = wall_offset
         self._out: list[Decision] = []
         self._fleet = Fleet()
-        self._runs = Runs(epoch, self._fleet, self._out)
+        self._times = RunTimes()
+        self._runs = Runs(epoch, self._fleet, self._times, self._out)
         self._jobs: dict[JobId, JobEntry] = {}
         self._early_cancels: set[JobId] = set()
         self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
+        self._summary_due = 0.0
         self._certain = False
         self._listed_once = False
         self._dirty = True
@@ -97,7 +98,19 @@
         self._on(event, now)
         if not self._certain:
             self._update_certainty(now)
+        return self._take_out()
+
+    def place(self, now: float) -> list[Decision]:
+        """Places what can be placed; called soon after events."""
         self._schedule(now)
+        return self._take_out()
+
+    @property
+    def wants_placing(self) -> bool:
+        """Whether something has changed since the last placing."""
+        return self._dirty
+
+    def _take_out(self) -> list[Decision]:
         decisions = list(self._out)
         self._out.clear()
         return decisions
@@ -178,7 +191,7 @@
         for worker in list(self._fleet):
             if worker.worker_id not in listed:
                 worker.listed = False
-                self._forget_if_empty(worker)
+                self._forget_if_empty(worker, now)
         self._dirty = True
 
     @_on.register
@@ -364,7 +377,7 @@
                 self._runs.take_down(group, "its worker is silent", now)
         if event.gone:
             self._lose(worker, now)
-            self._forget_if_empty(worker)
+            self._forget_if_empty(worker, now)
         self._dirty = True
 
     def _lose(self, worker: Worker, now: float) -> None:
@@ -378,9 +391,12 @@
                 if member.worker_id == worker.worker_id:
                     self._runs.member_gone(group, index, now)
 
-    def _forget_if_empty(self, worker: Worker) -> None:
-        if not worker.listed and not worker.groups and not worker.strangers:
-            self._fleet.forget(worker.worker_id)
+    def _forget_if_empty(self, worker: Worker, now: float) -> None:
+        """Drops a worker off the list, unless it may run something."""
+        known = worker.reported or worker.lapsed(now)
+        if worker.listed or worker.groups or worker.strangers or not known:
+            return
+        self._fleet.forget(worker.worker_id)
 
     @_on.register
     def _on_start_answered(self, event: StartAnswered, now: float) -> None:
@@ -445,12 +461,33 @@
     def _on_tick(self, event: Tick, now: float) -> None:
         self._wall_offset = event.wall - now
         for worker in list(self._fleet):
-            if worker.silent and worker.lapses_at <= now:
+            if worker.lapsed(now):
                 self._lose(worker, now)
-                self._forget_if_empty(worker)
+                self._forget_if_empty(worker, now)
         for entry in list(self._jobs.values()):
             self._drop_if_over(entry)
         self._dirty = True
+        if now >= self._summary_due:
+            self._summary_due = now + SUMMARY_EVERY_S
+            self._summarise(now)
+
+    def _summarise(self, now: float) -> None:
+        """Writes to the log how full the fleet is and what waits."""
+        waiting: dict[str, int] = defaultdict(int)
+        for entry in self._jobs.values():
+            if any(g.state is GroupState.READY for g in entry.all_groups()):
+                waiting[entry.queue.name] += 1
+        services = {each.info.service for each in self._fleet}
+        fields: dict[str, object] = {
+            "workers": sum(each.usable(now) for each in self._fleet),
+            "jobs": len(self._jobs),
+            "jobs_waiting": dict(waiting),
+            "in_use": {
+                each: round(self._fleet.share_in_use(each), 3)
+                for each in services
+            },
+        }
+        self._out.append(Note("fleet", fields))
 
     # ---- jobs
 
@@ -458,10 +495,7 @@
         entry = None if task is None else self._jobs.get(task.job_id)
         if entry is None or task is None:
             return None
-        for group in entry.groups.get((task.occurrence, task.step), ()):
-            if task.index in group.indices:
-                return group
-        return None
+        return entry.group_of(task)
 
     def _finish(
         self, entry: JobEntry, status: JobStatus, reason: str, now: float
@@ -507,8 +541,7 @@
         if not self._listed_once:
             return
         for worker in self._fleet:
-            lapsed = worker.silent and worker.lapses_at <= now
-            if not worker.reported and not lapsed:
+            if not worker.reported and not worker.lapsed(now):
                 return
         self._certain = True
         for entry in self._jobs.values():
@@ -526,10 +559,15 @@
             return
         self._dirty = False
         self._start_claimed(now)
-        waiting = self._ready_groups(now)
+        guaranteed = self._guaranteed_jobs()
+        waiting = self._ready_groups(guaranteed, now)
         reserved: dict[ServiceName, set[WorkerId]] = defaultdict(set)
         usable: dict[ServiceName, list[Worker]] = {}
+        without_room: set[tuple[object, ...]] = set()
         for group in waiting:
+            alike = _placing_key(group, group.job.job.job_id in guaranteed)
+            if alike in without_room:
+                continue
             service = group.job.queue.service
             if service not in usable:
                 usable[service] = self._fleet.usable(service, now)
@@ -538,8 +576,11 @@
                 for each in usable[service]
                 if each.worker_id not in reserved[service]
             ]
-            if self._place(group, open_to_it, now):
+            covered = group.job.job.job_id in guaranteed
+            if self._place(group, open_to_it, covered, now):
                 continue
+            if not group.failed_on:
+                without_room.add(alike)
             if not reserved[service] and self._starves(group, now):
                 reserved[service] = self._reserve(group, open_to_it)
 
@@ -552,7 +593,7 @@
                 ):
                     self._runs.start(group, now)
 
-    def _ready_groups(self, now: float) -> list[Group]:
+    def _ready_groups(self, guaranteed: set[JobId], now: float) -> list[Group]:
         """Returns the groups to place, those that go first in front."""
         ready: list[Group] = []
         for entry in self._jobs.values():
@@ -563,11 +604,14 @@
                 if due > now + self._wall_offset:
                     continue
                 ready += self._ready_of(entry, occurrence, groups, now)
-        guaranteed = self._guaranteed_jobs()
+        wall = now + self._wall_offset
+        for entry in {group.job for group in ready}:
+            entry.standing = standing(entry, self._times, wall)
         ready.sort(
             key=lambda group: (
-                group.job.queue.priority,
                 group.job.job.job_id not in guaranteed,
+                group.job.standing,
+                group.job.queue.priority,
                 group.job.job.accepted_at,
             )
         )
@@ -591,7 +635,9 @@
                 ready.append(group)
         return ready
 
-    def _place(self, group: Group, workers: list[Worker], now: float) -> bool:
+    def _place(
+        self, group: Group, workers: list[Worker], covered: bool, now: float
+    ) -> bool:
         siblings = self._siblings(group)
         candidates = suitable(group, workers, siblings)
         if not candidates and group.failed_on:
@@ -604,10 +650,17 @@
             self._runs.start(group, now)
             return True
         return group.job.queue.priority == 0 and self._preempt(
-            group, candidates, now
+            group, candidates, covered, now
         )
 
-    def _preempt(self, group: Group, workers: list[Worker], now: float) -> bool:
+    def _preempt(
+        self, group: Group, workers: list[Worker], covered: bool, now: float
+    ) -> bool:
+        """Makes room for a group of priority 0.
+
+        A guarantee is always made good. Beyond it, others give way only
+        where less work is lost than the group will do.
+        """
         priority = group.job.queue.priority
         eviction = find_eviction(
             group,
@@ -617,6 +670,8 @@
         )
         if eviction is None:
             return False
+        if not covered and eviction.cost > own_work(group):
+            return False
         self._runs.claim(group, eviction.places, now)
         for victim in eviction.victims:
             self._runs.take_down(victim, f"it gives way to {group.name}", now)
@@ -646,9 +701,8 @@
         if find_places(group, candidates, whole_room, False) is None:
             return True
         waited = now - group.ready_at
-        if self._fleet.share_in_use(group.job.queue.service) < IDLE_SHARE:
-            return waited > FAR_WHEN_IDLE_S
-        return waited > max(FAR_WAIT_LEAST_S, FAR_WAIT_RUNS * step.estimate_s)
+        in_use = self._fleet.share_in_use(group.job.queue.service)
+        return in_use < IDLE_SHARE and waited > FAR_WHEN_IDLE_S
 
     def _starves(self, group: Group, now: float) -> bool:
         return now - group.ready_at > RESERVE_AFTER_S
@@ -681,3 +735,19 @@
                 needed[tenant.name] += wanted
                 covered.add(entry.job.job_id)
         return covered
+
+
+def _placing_key(group: Group, covered: bool) -> tuple[object, ...]:
+    """Returns what decides whether there is room for a group."""
+    step = group.step
+    return (
+        group.job.queue.service,
+        group.job.queue.priority,
+        covered,
+        step.reserved,
+        len(group.indices),
+        step.same_rack,
+        step.data_rack,
+        step.label,
+        step.max_per_worker and group.job.job.job_id,
+    )
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -52,6 +52,9 @@
 from pomeloarch_node.scheduler_tenure import Tenure
 
 TICK_S = 0.1
+# Time for more events to come before groups are placed, in seconds: a small
+# part of the shortest objective.
+PLACING_PAUSE_S = 0.015
 LOAD_RETRY_S = 0.3
 # How often the list of workers is asked for, in seconds; several times
 # within the time in which a leaving worker has to be spared.
@@ -201,7 +204,10 @@
         ] = {}
         self._specs = self._mirror(SPECS_TABLE, SPECS_WAIT_S, SPECS_PACE_S)
         self._list = self._mirror(leader._workers_table, 0.0, LIST_PACE_S)
+        # A whole table that is read again names jobs that ended long ago.
+        self._announced: set[JobId] = set()
         self._cancelled: set[JobId] = set()
+        self._changed = asyncio.Event()
         self._closing: set[asyncio.Task[None]] = set()
         self._rows: dict[JobId, JobRow] = {}
 
@@ -234,8 +240,12 @@
     def _on_specs(self, changes: TableChanges, whole: bool) -> None:
         for row in changes.rows:
             if row.value is None:
+                self._announced.discard(JobId(row.key))
                 continue
             job = decode_job(row.value)
+            if job.job_id in self._announced:
+                continue
+            self._announced.add(job.job_id)
             state = self._rows.pop(job.job_id, None)
             older = row.version < self._fence.version
             if state is None:
@@ -271,6 +281,7 @@
                         self.emit(CancelRequested(cancelled))
                 tasks.create_task(self._list.run())
                 tasks.create_task(self._tick())
+                tasks.create_task(self._place())
         finally:
             for session, task in self._sessions.values():
                 task.cancel()
@@ -287,6 +298,18 @@
             return
         for decision in self._scheduler.handle(event, self._clock()):
             self._carry_out(decision)
+        if self._scheduler.wants_placing:
+            self._changed.set()
+
+    async def _place(self) -> None:
+        """Places groups soon after events, for several events at once."""
+        while True:
+            await self._changed.wait()
+            await asyncio.sleep(PLACING_PAUSE_S)
+            self._changed.clear()
+            if self._tenure.held():
+                for decision in self._scheduler.place(self._clock()):
+                    self._carry_out(decision)
 
     def _carry_out(self, decision: Decision) -> None:
         if isinstance(decision, Note):
