--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/__init__.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/__init__.py
@@ -11,6 +11,7 @@
     Route,
     Tenant,
 )
+from pomeloarch_core.batch.dispatching import DispatchTimes
 from pomeloarch_core.batch.model import BatchJob, Need, Step
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.batch.scheduler import BatchScheduler
@@ -19,6 +20,7 @@
     "BatchJob",
     "BatchScheduler",
     "Catalogue",
+    "DispatchTimes",
     "JobRow",
     "JobStatus",
     "Need",
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -0,0 +1,394 @@
+"""Decides which group goes where next.
+
+Groups are taken in the order of their standing. A group that finds no room
+either has workers kept for it until they are free, or, at priority 0, has
+others give way when waiting would cost it its objective. On a kept worker,
+only what will have ended by then is started (backfill).
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import msgspec
+
+from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.fleet import Fleet, Worker
+from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.model import Need
+from pomeloarch_core.batch.objectives import (
+    RunTimes,
+    chain_s,
+    objective_s,
+    standing,
+)
+from pomeloarch_core.batch.placing import (
+    Places,
+    find_places,
+    free_room,
+    suitable,
+    whole_room,
+)
+from pomeloarch_core.batch.preempting import find_eviction, own_work
+from pomeloarch_core.batch.runs import Runs
+from pomeloarch_core.ids import JobId, OrganisationName, ServiceName
+
+# A gang that has waited this long, in seconds, has workers kept for it; it
+# would otherwise never find enough of them free at once.
+KEEP_AFTER_S = 1.0
+# Groups that workers are kept for at a time: each leaves some of them idle.
+MOST_KEPT = 4
+# Points in time, in seconds from now, at which a group's room is looked for.
+PLAN_TIMES_S = (0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 4.5, 6.0, 9.0, 14.0)
+# Below this share in use, a task runs far from its data rather than wait.
+# Above it, what it would take there longer is taken from others.
+IDLE_SHARE = 0.5
+FAR_WHEN_IDLE_S = 0.5
+# Time between an order and its effect, in seconds, beside stopping others.
+ORDER_SLACK_S = 0.3
+
+
+class DispatchTimes(msgspec.Struct, frozen=True):
+    """Times of the deployment, in seconds.
+
+    Attributes:
+      stop_s: how long stopping a task may take.
+      reclaim_s: within this time a guarantee is made good.
+    """
+
+    stop_s: float = 0.2
+    reclaim_s: float = 2.7
+
+
+class _Pass:
+    """What one round of placing has found out so far."""
+
+    def __init__(self, guaranteed: set[JobId]) -> None:
+        self.guaranteed = guaranteed
+        self.usable: dict[ServiceName, list[Worker]] = {}
+        self.without_room: set[tuple[object, ...]] = set()
+        self.kept_until: dict[Worker, float] = {}
+        self.kept_for = 0
+
+
+class Dispatcher:
+    """Places groups.
+
+    Args:
+      fleet: the workers.
+      runs: starts and stops groups.
+      times: estimates of run times.
+      cfg: times of the deployment.
+    """
+
+    def __init__(
+        self, fleet: Fleet, runs: Runs, times: RunTimes, cfg: DispatchTimes
+    ) -> None:
+        """Starts with nothing placed."""
+        self._fleet = fleet
+        self._runs = runs
+        self._times = times
+        self._cfg = cfg
+
+    def run(
+        self,
+        jobs: list[JobEntry],
+        catalogue: Catalogue,
+        now: float,
+        wall: float,
+    ) -> list[JobEntry]:
+        """Places what can be placed.
+
+        Args:
+          jobs: jobs that have not ended.
+          catalogue: the configuration in force.
+          now: the present time, in seconds.
+          wall: the wall clock, in seconds.
+
+        Returns:
+          Jobs with a group that has no attempt left.
+        """
+        self._start_claimed(jobs, now)
+        current = _Pass(guaranteed_jobs(jobs, catalogue))
+        failed: dict[JobEntry, None] = {}
+        for group in self._ready_groups(jobs, current, now, wall):
+            if group.failures >= group.job.queue.max_attempts:
+                failed[group.job] = None
+            elif group.job not in failed:
+                self._offer(group, current, now, wall)
+        return list(failed)
+
+    # ---- who goes first
+
+    def _start_claimed(self, jobs: list[JobEntry], now: float) -> None:
+        for entry in jobs:
+            for group in entry.all_groups():
+                if (
+                    group.state is GroupState.CLAIMED
+                    and self._runs.room_is_free(group)
+                ):
+                    self._runs.start(group, now)
+
+    def _ready_groups(
+        self, jobs: list[JobEntry], current: _Pass, now: float, wall: float
+    ) -> list[Group]:
+        """Returns the groups to place, those that go first in front."""
+        ready: list[Group] = []
+        for entry in jobs:
+            found = _ready_of(entry, now, wall)
+            if found:
+                entry.standing = standing(entry, self._times, wall)
+                ready += found
+        ready.sort(
+            key=lambda group: (
+                group.job.job.job_id not in current.guaranteed,
+                group.job.standing,
+                group.job.queue.priority,
+                group.job.job.accepted_at,
+            )
+        )
+        return ready
+
+    # ---- one group
+
+    def _offer(
+        self, group: Group, current: _Pass, now: float, wall: float
+    ) -> None:
+        covered = group.job.job.job_id in current.guaranteed
+        alike = _placing_key(group, covered)
+        if alike in current.without_room:
+            return
+        candidates = self._candidates(group, current, now)
+        if self._place(group, candidates, current, now):
+            return
+        if not group.failed_on:
+            current.without_room.add(alike)
+        self._make_room(group, candidates, covered, current, now, wall)
+
+    def _candidates(
+        self, group: Group, current: _Pass, now: float
+    ) -> list[Worker]:
+        service = group.job.queue.service
+        if service not in current.usable:
+            current.usable[service] = self._fleet.usable(service, now)
+        siblings = self._siblings(group)
+        usable = current.usable[service]
+        found = suitable(group, usable, siblings)
+        if not found and group.failed_on:
+            group.failed_on.clear()
+            found = suitable(group, usable, siblings)
+        return found
+
+    def _place(
+        self,
+        group: Group,
+        candidates: list[Worker],
+        current: _Pass,
+        now: float,
+    ) -> bool:
+        ends_at = now + self._estimate_s(group)
+        open_to_it = [
+            each
+            for each in candidates
+            if current.kept_until.get(each, ends_at) >= ends_at
+        ]
+        far = self._allow_far(group, candidates, now)
+        places = find_places(group, open_to_it, free_room, far)
+        if places is None:
+            return False
+        self._runs.claim(group, places, now)
+        self._runs.start(group, now)
+        return True
+
+    def _allow_far(
+        self, group: Group, candidates: list[Worker], now: float
+    ) -> bool:
+        """Whether a group may run away from its data or spread over racks."""
+        step = group.step
+        if not step.data_rack and not step.same_rack:
+            return True
+        if find_places(group, candidates, whole_room, False) is None:
+            return True
+        in_use = self._fleet.share_in_use(group.job.queue.service)
+        return in_use < IDLE_SHARE and now - group.ready_at > FAR_WHEN_IDLE_S
+
+    def _siblings(self, group: Group) -> dict[Worker, int]:
+        """Returns how many tasks of a group's step each worker has."""
+        if not group.step.max_per_worker:
+            return {}
+        counts: dict[Worker, int] = defaultdict(int)
+        for other in group.job.groups[group.occurrence, group.number]:
+            for member in other.members.values():
+                worker = self._fleet.get(member.worker_id)
+                if worker is not None:
+                    counts[worker] += 1
+        return counts
+
+    # ---- room for a group that has none
+
+    def _make_room(
+        self,
+        group: Group,
+        candidates: list[Worker],
+        covered: bool,
+        current: _Pass,
+        now: float,
+        wall: float,
+    ) -> None:
+        """Keeps workers for a group, or has others give way to it."""
+        urgent = group.job.queue.priority == 0
+        starves = group.step.gang and now - group.ready_at > KEEP_AFTER_S
+        if current.kept_for >= MOST_KEPT and not urgent:
+            return
+        if not urgent and not starves:
+            return
+        plan = self._plan(group, candidates, now)
+        if urgent:
+            wait_s = self._may_wait_s(group, covered, now, wall)
+            too_late = plan is None or plan[0] > wait_s
+            if too_late and self._preempt(group, candidates, covered, now):
+                return
+        if plan is not None:
+            current.kept_for += 1
+            for worker in plan[1].values():
+                current.kept_until.setdefault(worker, now + plan[0])
+
+    def _plan(
+        self, group: Group, candidates: list[Worker], now: float
+    ) -> tuple[float, Places] | None:
+        """Returns when and where there will be room by itself."""
+        ends = {
+            each: [
+                (self._remaining_s(other, now), other.step.reserved * count)
+                for other, count in each.groups.items()
+                if other.state in (GroupState.STARTED, GroupState.STOPPING)
+            ]
+            for each in candidates
+        }
+        far = self._allow_far(group, candidates, now)
+        for after_s in PLAN_TIMES_S:
+
+            def room(worker: Worker, until: float = after_s) -> Need:
+                have = worker.free
+                for remaining_s, need in ends[worker]:
+                    if remaining_s <= until:
+                        have += need
+                return have
+
+            places = find_places(group, candidates, room, far)
+            if places is not None:
+                return after_s, places
+        return None
+
+    def _remaining_s(self, group: Group, now: float) -> float:
+        """Returns how much longer a group's run will likely take."""
+        if group.state is GroupState.STOPPING:
+            return self._cfg.stop_s
+        ran_s = now - group.started_at
+        percent = group.percent
+        if percent >= 5 and not group.resumed:
+            return ran_s * (100 - percent) / percent
+        return max(0.2, self._estimate_s(group) - ran_s)
+
+    def _estimate_s(self, group: Group) -> float:
+        return self._times.estimate_s(
+            group.step.estimate_s, group.job.queue.name
+        )
+
+    def _may_wait_s(
+        self, group: Group, covered: bool, now: float, wall: float
+    ) -> float:
+        """Returns how long a group of priority 0 may wait for room."""
+        entry = group.job
+        effect_s = self._cfg.stop_s + ORDER_SLACK_S
+        slack_s = (
+            entry.job.accepted_at
+            + objective_s(entry, self._times)
+            - wall
+            - chain_s(entry, self._times, done=True)
+        )
+        wait_s = slack_s - effect_s
+        if covered:
+            waited_s = now - group.ready_at
+            left_s = self._cfg.reclaim_s - effect_s - waited_s
+            wait_s = min(wait_s, left_s) if wait_s > 0 else left_s
+        return wait_s
+
+    def _preempt(
+        self, group: Group, candidates: list[Worker], covered: bool, now: float
+    ) -> bool:
+        """Has others give way to a group of priority 0.
+
+        A guarantee is always made good. Beyond it, others give way only
+        where less work is lost than the group will do.
+        """
+        priority = group.job.queue.priority
+        eviction = find_eviction(
+            group,
+            candidates,
+            lambda other: other.job.queue.priority > priority,
+            now,
+        )
+        if eviction is None:
+            return False
+        if not covered and eviction.cost > own_work(group):
+            return False
+        self._runs.claim(group, eviction.places, now)
+        for victim in eviction.victims:
+            self._runs.take_down(victim, f"it gives way to {group.name}", now)
+        if self._runs.room_is_free(group):
+            self._runs.start(group, now)
+        return True
+
+
+def guaranteed_jobs(jobs: list[JobEntry], catalogue: Catalogue) -> set[JobId]:
+    """Returns jobs of priority 0 that their guarantees cover."""
+    covered: set[JobId] = set()
+    needed: dict[OrganisationName, int] = defaultdict(int)
+    for entry in jobs:
+        tenant = catalogue.tenants.get(entry.job.organisation)
+        if entry.queue.priority != 0 or tenant is None:
+            continue
+        wanted = max(
+            step.count * step.need.accelerators for step in entry.job.steps
+        )
+        if needed[tenant.name] + wanted <= tenant.guaranteed_accelerators:
+            needed[tenant.name] += wanted
+            covered.add(entry.job.job_id)
+    return covered
+
+
+def _ready_of(entry: JobEntry, now: float, wall: float) -> list[Group]:
+    ready = []
+    for (occurrence, _), groups in entry.groups.items():
+        if entry.job.due_at(occurrence) > wall:
+            continue
+        for group in groups:
+            if group.state is GroupState.WAITING and all(
+                entry.step_over(occurrence, each) for each in group.step.after
+            ):
+                group.state = GroupState.READY
+                group.ready_at = now
+            if (
+                group.state is GroupState.READY
+                and not group.uncertain
+                and group.not_before <= now
+            ):
+                ready.append(group)
+    return ready
+
+
+def _placing_key(group: Group, covered: bool) -> tuple[object, ...]:
+    """Returns what decides whether there is room for a group."""
+    step = group.step
+    return (
+        group.job.queue.service,
+        group.job.queue.priority,
+        covered,
+        step.reserved,
+        len(group.indices),
+        step.same_rack,
+        step.data_rack,
+        step.label,
+        step.max_per_worker and group.job.job.job_id,
+    )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -62,7 +62,7 @@
       run: its current or last run.
       members: tasks of the current run that may still be on a worker.
       checkpoint: what the next run resumes from.
-      failures: runs that ended as failed.
+      failed_runs: runs that ended as failed.
       failed_on: workers on which it failed.
       not_before: earliest time of the next placement.
       ready_at: when it became ready.
@@ -89,7 +89,7 @@
         self.run = RunNumber(0)
         self.members: dict[int, Member] = {}
         self.checkpoint = ""
-        self.failures = 0
+        self.failed_runs: set[int] = set()
         self.failed_on: set[WorkerId] = set()
         self.not_before = 0.0
         self.ready_at = 0.0
@@ -107,6 +107,11 @@
         """Returns the id of one of its tasks."""
         return TaskId(self.job.job.job_id, self.occurrence, self.number, index)
 
+    @property
+    def failures(self) -> int:
+        """How many of its runs have failed."""
+        return len(self.failed_runs)
+
     @property
     def running(self) -> bool:
         """Whether all tasks of its run were confirmed."""
@@ -165,7 +170,7 @@
             group.uncertain = self.older
             if settled is not None:
                 first = str(part[0])
-                group.failures = settled.failures.get(first, 0)
+                group.failed_runs = set(settled.failures.get(first, ()))
                 group.checkpoint = settled.checkpoints.get(first, "")
                 if settled.is_done(part[0]):
                     group.state = GroupState.OVER
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/objectives.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/objectives.py
@@ -57,10 +57,10 @@
 def objective_s(entry: JobEntry, times: RunTimes) -> float:
     """Returns how long a job may take, in seconds."""
     queue = entry.queue
-    return queue.stretch * _chain_s(entry, times) + queue.target_latency_s
+    return queue.stretch * chain_s(entry, times) + queue.target_latency_s
 
 
-def _chain_s(entry: JobEntry, times: RunTimes, done: bool = False) -> float:
+def chain_s(entry: JobEntry, times: RunTimes, done: bool = False) -> float:
     """Returns the longest chain of work, in seconds.
 
     Args:
@@ -89,7 +89,7 @@
     if entry.job.scheduled:
         return Standing.ON_TIME
     allowed_s = objective_s(entry, times)
-    ends_at = wall + _chain_s(entry, times, done=True)
+    ends_at = wall + chain_s(entry, times, done=True)
     takes_s = ends_at - entry.job.accepted_at
     if takes_s <= allowed_s:
         return Standing.ON_TIME
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
@@ -97,13 +97,31 @@
     return sum(max(0, room(each).accelerators) for each in workers)
 
 
-def fill(group: Group, workers: Iterable[Worker], room: Room) -> Places | None:
-    """Puts the tasks of a group on the workers with the least room left."""
+def fill(
+    group: Group,
+    workers: Iterable[Worker],
+    room: Room,
+    order: Callable[[Worker], tuple[float, ...]] | None = None,
+) -> Places | None:
+    """Puts the tasks of a group on workers in a given order.
+
+    Args:
+      group: what is to be placed.
+      workers: the suitable workers.
+      room: what counts as room on a worker.
+      order: what is sorted by; by default the room that is left, the least
+        first.
+    """
+    if order is None:
+
+        def order(worker: Worker) -> tuple[float, ...]:
+            return _tightness(worker, room)
+
     need = group.step.reserved
     bound = group.step.max_per_worker
     left = list(group.indices)
     places: Places = {}
-    for worker in sorted(workers, key=lambda each: _tightness(each, room)):
+    for worker in sorted(workers, key=order):
         count = need.times_in(room(worker))
         count = min(count, bound or count, len(left))
         for _ in range(count):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -74,6 +74,16 @@
     def room(worker: Worker) -> Need:
         return worker.free + preemptible[worker]
 
+    lost = {
+        each: sum(
+            lost_work(other, now) for other in each.groups if may_preempt(other)
+        )
+        for each in workers
+    }
+
+    def least_lost(worker: Worker) -> tuple[float, ...]:
+        return lost[worker], room(worker).accelerators
+
     sets = [list(workers)]
     racks = by_rack(workers)
     if group.step.data_rack in racks:
@@ -84,7 +94,7 @@
     for candidates in sets:
         if candidates is sets[-1] and found:
             break
-        places = fill(group, candidates, room)
+        places = fill(group, candidates, room, least_lost)
         if places is not None:
             found.append(_evict(group, places, may_preempt, now))
     return min(found, key=lambda each: each.cost, default=None)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -34,12 +34,12 @@
 
     Attributes:
       done: tasks that ended well, as bits of a hexadecimal number.
-      failures: failed runs by the number of the group's first task.
+      failures: runs that failed, by the number of the group's first task.
       checkpoints: last checkpoint by the number of the group's first task.
     """
 
     done: str = "0"
-    failures: dict[str, int] = {}
+    failures: dict[str, list[int]] = {}
     checkpoints: dict[str, str] = {}
 
     def is_done(self, index: int) -> bool:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -184,27 +184,43 @@
     def ended(
         self, group: Group, worker: Worker, end: EndedTask, now: float
     ) -> None:
-        """Takes in how a task of the current run ended."""
+        """Takes in how a run of a group's task ended.
+
+        It may be a run of an earlier scheduler whose end nobody saw. What is
+        done or has failed counts, whichever run it was.
+        """
         assert end.task is not None
-        if end.checkpoint and group.state is not GroupState.OVER:
-            group.checkpoint = end.checkpoint
-            self._save_checkpoint(group)
+        member = group.members.get(end.task.index)
+        current = (
+            member is not None
+            and member.worker_id == worker.worker_id
+            and group.run == end.run
+        )
+        if not group.members:
+            group.run = max(group.run, end.run)
+        if end.checkpoint and group.run == end.run:
+            self._save_checkpoint(group, end.checkpoint)
         if end.how is RunEnd.DONE:
-            self._done(group, worker, now)
-        elif end.how is RunEnd.FAILED and group.state is not GroupState.OVER:
+            self._done(group, worker, end, now)
+        elif end.how is RunEnd.FAILED:
             self._failed(group, worker, end, now)
-        if end.task.index in group.members:
+        if current and end.task.index in group.members:
             self.member_gone(group, end.task.index, now)
 
-    def _save_checkpoint(self, group: Group) -> None:
+    def _save_checkpoint(self, group: Group, checkpoint: str) -> None:
+        if group.state is GroupState.OVER:
+            return
+        group.checkpoint = checkpoint
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.checkpoints[str(group.indices[0])] = group.checkpoint
 
-    def _done(self, group: Group, worker: Worker, now: float) -> None:
+    def _done(
+        self, group: Group, worker: Worker, end: EndedTask, now: float
+    ) -> None:
         health.run_succeeded(worker)
         if group.state is GroupState.OVER or group.step.long_running:
             return
-        if not group.resumed:
+        if group.run == end.run and not group.resumed:
             self._times.learn(group, now - group.started_at)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
@@ -214,21 +230,26 @@
         self.note(
             "group done",
             group,
-            run=group.run,
+            run=end.run,
             worker=worker.worker_id,
             ran_s=round(now - group.started_at, 3),
         )
+        if group.members and group.run != end.run:
+            self.take_down(group, "an earlier run had ended well", now)
 
     def _failed(
         self, group: Group, worker: Worker, end: EndedTask, now: float
     ) -> None:
+        if group.state is GroupState.OVER or end.run in group.failed_runs:
+            return
         suspended = health.run_failed(worker, now)
         group.failed_on.add(worker.worker_id)
         group.not_before = now + FAILED_PAUSE_S
         if not group.step.long_running:
-            group.failures += 1
+            group.failed_runs.add(end.run)
             step_row = group.job.row.step(group.occurrence, group.number)
-            step_row.failures[str(group.indices[0])] = group.failures
+            first = str(group.indices[0])
+            step_row.failures[first] = sorted(group.failed_runs)
         self.changed(group.job, urgent=False)
         self.note(
             "run failed",
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 
 from pomeloarch_core.batch.catalogue import Catalogue, Queue
+from pomeloarch_core.batch.dispatching import Dispatcher, DispatchTimes
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
 from pomeloarch_core.batch.messages import (
@@ -22,7 +23,6 @@
     JobAccepted,
     Note,
     RowWritten,
-    RunEnd,
     RunningTask,
     RunNumber,
     StartAnswered,
@@ -36,32 +36,16 @@
     WorkersListed,
 )
 from pomeloarch_core.batch.model import QueueName
-from pomeloarch_core.batch.objectives import RunTimes, standing
-from pomeloarch_core.batch.placing import (
-    Places,
-    find_places,
-    free_room,
-    suitable,
-    whole_room,
-)
-from pomeloarch_core.batch.preempting import find_eviction, own_work
+from pomeloarch_core.batch.objectives import RunTimes
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import REFUSED_PAUSE_S, Runs
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
-    OrganisationName,
     ServiceName,
     WorkerId,
 )
 
-# A group that has waited this long, in seconds, has workers kept for it; a
-# wide gang would otherwise never find enough of them free at once.
-RESERVE_AFTER_S = 2.0
-# Below this share in use, a task runs far from its data rather than wait.
-# Above it, what it would take there longer is taken from others.
-IDLE_SHARE = 0.5
-FAR_WHEN_IDLE_S = 0.5
 # How often the state of the fleet is written to the log, in seconds.
 SUMMARY_EVERY_S = 2.0
 
@@ -73,10 +57,15 @@
       epoch: the epoch of the role's holder; part of each run's number.
       catalogue: the configuration in force.
       wall_offset: wall clock less the clock of `now`, in seconds.
+      times: times of the deployment.
     """
 
     def __init__(
-        self, epoch: Epoch, catalogue: Catalogue, wall_offset: float
+        self,
+        epoch: Epoch,
+        catalogue: Catalogue,
+        wall_offset: float,
+        times: DispatchTimes | None = None,
     ) -> None:
         """Makes a scheduler that knows neither jobs nor workers."""
         self._catalogue = catalogue
@@ -85,6 +74,9 @@
         self._fleet = Fleet()
         self._times = RunTimes()
         self._runs = Runs(epoch, self._fleet, self._times, self._out)
+        self._dispatcher = Dispatcher(
+            self._fleet, self._runs, self._times, times or DispatchTimes()
+        )
         self._jobs: dict[JobId, JobEntry] = {}
         self._early_cancels: set[JobId] = set()
         self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
@@ -224,21 +216,9 @@
                 worker.strangers.pop((end.task, end.run), None)
             if group is None or end.task is None:
                 continue
-            if self._counts(group, worker, end):
-                change = group.job.change
-                self._runs.ended(group, worker, end, now)
-                self._after_end(group.job, worker, end, change, now)
-
-    def _counts(self, group: Group, worker: Worker, end: EndedTask) -> bool:
-        """Whether an end is of the group's current run, or of one unknown."""
-        assert end.task is not None
-        member = group.members.get(end.task.index)
-        if member is not None:
-            return member.worker_id == worker.worker_id and group.run == end.run
-        if group.state in (GroupState.WAITING, GroupState.READY):
-            # An earlier scheduler started it and didn't see its end.
-            return end.run >= group.run
-        return end.how is RunEnd.DONE and group.run == end.run
+            change = group.job.change
+            self._runs.ended(group, worker, end, now)
+            self._after_end(group.job, worker, end, change, now)
 
     def _after_end(
         self,
@@ -252,16 +232,7 @@
             worker.pending_ends.add(end.number)
             acks = self._acks.setdefault(entry.job.job_id, [])
             acks.append((worker, end.number, entry.change))
-        if entry.row.status.final:
-            return
-        group = self._group_of(end.task)
-        assert group is not None
-        if (
-            group.failures >= entry.queue.max_attempts
-            and group.state is not GroupState.OVER
-        ):
-            self._finish(entry, JobStatus.FAILED, "attempts used up", now)
-        elif entry.over:
+        if not entry.row.status.final and entry.over:
             self._finish(entry, JobStatus.COMPLETED, "all tasks done", now)
 
     def _take_running(
@@ -558,196 +529,9 @@
         if not self._dirty:
             return
         self._dirty = False
-        self._start_claimed(now)
-        guaranteed = self._guaranteed_jobs()
-        waiting = self._ready_groups(guaranteed, now)
-        reserved: dict[ServiceName, set[WorkerId]] = defaultdict(set)
-        usable: dict[ServiceName, list[Worker]] = {}
-        without_room: set[tuple[object, ...]] = set()
-        for group in waiting:
-            alike = _placing_key(group, group.job.job.job_id in guaranteed)
-            if alike in without_room:
-                continue
-            service = group.job.queue.service
-            if service not in usable:
-                usable[service] = self._fleet.usable(service, now)
-            open_to_it = [
-                each
-                for each in usable[service]
-                if each.worker_id not in reserved[service]
-            ]
-            covered = group.job.job.job_id in guaranteed
-            if self._place(group, open_to_it, covered, now):
-                continue
-            if not group.failed_on:
-                without_room.add(alike)
-            if not reserved[service] and self._starves(group, now):
-                reserved[service] = self._reserve(group, open_to_it)
-
-    def _start_claimed(self, now: float) -> None:
-        for entry in self._jobs.values():
-            for group in entry.all_groups():
-                if (
-                    group.state is GroupState.CLAIMED
-                    and self._runs.room_is_free(group)
-                ):
-                    self._runs.start(group, now)
-
-    def _ready_groups(self, guaranteed: set[JobId], now: float) -> list[Group]:
-        """Returns the groups to place, those that go first in front."""
-        ready: list[Group] = []
-        for entry in self._jobs.values():
-            if entry.row.status.final:
-                continue
-            for (occurrence, _), groups in entry.groups.items():
-                due = entry.job.due_at(occurrence)
-                if due > now + self._wall_offset:
-                    continue
-                ready += self._ready_of(entry, occurrence, groups, now)
+        jobs = [
+            each for each in self._jobs.values() if not each.row.status.final
+        ]
         wall = now + self._wall_offset
-        for entry in {group.job for group in ready}:
-            entry.standing = standing(entry, self._times, wall)
-        ready.sort(
-            key=lambda group: (
-                group.job.job.job_id not in guaranteed,
-                group.job.standing,
-                group.job.queue.priority,
-                group.job.job.accepted_at,
-            )
-        )
-        return ready
-
-    def _ready_of(
-        self, entry: JobEntry, occurrence: int, groups: list[Group], now: float
-    ) -> list[Group]:
-        ready = []
-        for group in groups:
-            if group.state is GroupState.WAITING and all(
-                entry.step_over(occurrence, each) for each in group.step.after
-            ):
-                group.state = GroupState.READY
-                group.ready_at = now
-            if (
-                group.state is GroupState.READY
-                and not group.uncertain
-                and group.not_before <= now
-            ):
-                ready.append(group)
-        return ready
-
-    def _place(
-        self, group: Group, workers: list[Worker], covered: bool, now: float
-    ) -> bool:
-        siblings = self._siblings(group)
-        candidates = suitable(group, workers, siblings)
-        if not candidates and group.failed_on:
-            group.failed_on.clear()
-            candidates = suitable(group, workers, siblings)
-        far = self._allow_far(group, candidates, now)
-        places = find_places(group, candidates, free_room, far)
-        if places is not None:
-            self._runs.claim(group, places, now)
-            self._runs.start(group, now)
-            return True
-        return group.job.queue.priority == 0 and self._preempt(
-            group, candidates, covered, now
-        )
-
-    def _preempt(
-        self, group: Group, workers: list[Worker], covered: bool, now: float
-    ) -> bool:
-        """Makes room for a group of priority 0.
-
-        A guarantee is always made good. Beyond it, others give way only
-        where less work is lost than the group will do.
-        """
-        priority = group.job.queue.priority
-        eviction = find_eviction(
-            group,
-            workers,
-            lambda other: other.job.queue.priority > priority,
-            now,
-        )
-        if eviction is None:
-            return False
-        if not covered and eviction.cost > own_work(group):
-            return False
-        self._runs.claim(group, eviction.places, now)
-        for victim in eviction.victims:
-            self._runs.take_down(victim, f"it gives way to {group.name}", now)
-        if self._runs.room_is_free(group):
-            self._runs.start(group, now)
-        return True
-
-    def _siblings(self, group: Group) -> dict[Worker, int]:
-        """Returns how many tasks of a group's step each worker has."""
-        if not group.step.max_per_worker:
-            return {}
-        counts: dict[Worker, int] = defaultdict(int)
-        for other in group.job.groups[group.occurrence, group.number]:
-            for member in other.members.values():
-                worker = self._fleet.get(member.worker_id)
-                if worker is not None:
-                    counts[worker] += 1
-        return counts
-
-    def _allow_far(
-        self, group: Group, candidates: list[Worker], now: float
-    ) -> bool:
-        """Whether a group may run away from its data or spread over racks."""
-        step = group.step
-        if not step.data_rack and not step.same_rack:
-            return True
-        if find_places(group, candidates, whole_room, False) is None:
-            return True
-        waited = now - group.ready_at
-        in_use = self._fleet.share_in_use(group.job.queue.service)
-        return in_use < IDLE_SHARE and waited > FAR_WHEN_IDLE_S
-
-    def _starves(self, group: Group, now: float) -> bool:
-        return now - group.ready_at > RESERVE_AFTER_S
-
-    def _reserve(self, group: Group, workers: list[Worker]) -> set[WorkerId]:
-        """Chooses the workers that are kept free for a starving group."""
-        candidates = suitable(group, workers, self._siblings(group))
-        candidates.sort(key=lambda each: -each.free.accelerators)
-        places: Places | None = find_places(
-            group, candidates, whole_room, group.step.same_rack is False
-        )
-        if places is None:
-            places = find_places(group, candidates, whole_room, True)
-        return {each.worker_id for each in (places or {}).values()}
-
-    def _guaranteed_jobs(self) -> set[JobId]:
-        """Returns jobs of priority 0 that their guarantees cover."""
-        covered: set[JobId] = set()
-        needed: dict[OrganisationName, int] = defaultdict(int)
-        for entry in self._jobs.values():
-            if entry.queue.priority != 0 or entry.row.status.final:
-                continue
-            tenant = self._catalogue.tenants.get(entry.job.organisation)
-            if tenant is None:
-                continue
-            wanted = max(
-                step.count * step.need.accelerators for step in entry.job.steps
-            )
-            if needed[tenant.name] + wanted <= tenant.guaranteed_accelerators:
-                needed[tenant.name] += wanted
-                covered.add(entry.job.job_id)
-        return covered
-
-
-def _placing_key(group: Group, covered: bool) -> tuple[object, ...]:
-    """Returns what decides whether there is room for a group."""
-    step = group.step
-    return (
-        group.job.queue.service,
-        group.job.queue.priority,
-        covered,
-        step.reserved,
-        len(group.indices),
-        step.same_rack,
-        step.data_rack,
-        step.label,
-        step.max_per_worker and group.job.job.job_id,
-    )
+        for entry in self._dispatcher.run(jobs, self._catalogue, now, wall):
+            self._finish(entry, JobStatus.FAILED, "attempts used up", now)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.dispatching import DispatchTimes
 from pomeloarch_core.batch.messages import (
     CancelRequested,
     CatalogueChanged,
@@ -71,10 +72,12 @@
     Attributes:
       hold_max_s: the longest lease that a worker grants.
       renew_wait_s: how long a renewal waits for an end.
+      dispatch: times that decide about preemption.
     """
 
     hold_max_s: float
     renew_wait_s: float
+    dispatch: DispatchTimes = DispatchTimes()
 
 
 class Leader:
@@ -191,7 +194,10 @@
         self._clock = leader._clock
         now = self._clock()
         self._scheduler = BatchScheduler(
-            tenure.epoch, catalogue, time.time() - now
+            tenure.epoch,
+            catalogue,
+            time.time() - now,
+            leader._times.dispatch,
         )
         self._unknown_until = (
             now + leader._times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -15,6 +15,7 @@
 from starlette.responses import PlainTextResponse
 
 from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.dispatching import DispatchTimes
 from pomeloarch_core.ids import NodeId, ZoneName
 from pomeloarch_core.membership import LeaseConfig
 from pomeloarch_node.batch.decision_log import DecisionLog
@@ -60,6 +61,7 @@
       revoke_s: within this time a revoked key is refused.
       hold_max_s: the longest lease that workers grant.
       keep_finished_s: how long the state of an ended job is kept.
+      dispatch: times that decide about preemption.
     """
 
     node_id: NodeId
@@ -70,6 +72,7 @@
     revoke_s: float = 5.0
     hold_max_s: float = 6.0
     keep_finished_s: float = 120.0
+    dispatch: DispatchTimes = DispatchTimes()
 
 
 class Sources(msgspec.Struct, frozen=True):
@@ -154,7 +157,7 @@
             self._jobs,
             self._role,
             self.clock,
-            LeaderTimes(settings.hold_max_s, RENEW_WAIT_S),
+            LeaderTimes(settings.hold_max_s, RENEW_WAIT_S, settings.dispatch),
             self.log,
         )
 
