--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -295,12 +295,16 @@
             group.step.estimate_s, group.job.queue.name
         )
 
+    def _effect_s(self) -> float:
+        """Returns how long it takes until others have given way."""
+        return self._cfg.stop_s + ORDER_SLACK_S
+
     def _may_wait_s(
         self, group: Group, covered: bool, now: float, wall: float
     ) -> float:
         """Returns how long a group of priority 0 may wait for room."""
         entry = group.job
-        effect_s = self._cfg.stop_s + ORDER_SLACK_S
+        effect_s = self._effect_s()
         slack_s = (
             entry.job.accepted_at
             + objective_s(entry, self._times)
@@ -323,10 +327,14 @@
         where less work is lost than the group will do.
         """
         priority = group.job.queue.priority
+        near_is_possible = find_places(group, candidates, whole_room, False)
+        waited_s = now - group.ready_at
+        last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
         eviction = find_eviction(
             group,
             candidates,
             lambda other: other.job.queue.priority > priority,
+            near_is_possible is None or (covered and last_chance),
             now,
         )
         if eviction is None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -59,6 +59,7 @@
     group: Group,
     workers: Sequence[Worker],
     may_preempt: MayPreempt,
+    allow_far: bool,
     now: float,
 ) -> Eviction | None:
     """Returns the cheapest way to make room, None when there is none.
@@ -67,6 +68,7 @@
       group: the group that goes first.
       workers: the workers that it may use.
       may_preempt: whether a group has to give way to it.
+      allow_far: whether it may run away from its data or on several racks.
       now: the present time, in seconds.
     """
     preemptible = {each: _preemptible(each, may_preempt) for each in workers}
@@ -84,15 +86,17 @@
     def least_lost(worker: Worker) -> tuple[float, ...]:
         return lost[worker], room(worker).accelerators
 
-    sets = [list(workers)]
+    step = group.step
     racks = by_rack(workers)
-    if group.step.data_rack in racks:
-        sets.insert(0, racks[group.step.data_rack])
-    elif group.step.same_rack:
-        sets = [*racks.values(), *sets]
+    near = []
+    if step.data_rack:
+        near = [racks.get(step.data_rack, [])]
+    elif step.same_rack:
+        near = list(racks.values())
+    far = [list(workers)] if allow_far or not near else []
     found: list[Eviction] = []
-    for candidates in sets:
-        if candidates is sets[-1] and found:
+    for candidates in [*near, *far]:
+        if found and candidates not in near:
             break
         places = fill(group, candidates, room, least_lost)
         if places is not None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -81,10 +81,12 @@
         group.state = GroupState.STARTED
         group.started_at = group.advanced_at = now
         group.resumed = bool(group.checkpoint)
+        racks: set[str] = set()
         for index, member in group.members.items():
             worker = self._fleet.get(member.worker_id)
             assert worker is not None
             worker.confirm(group.step.reserved)
+            racks.add(worker.info.rack)
             self._out.append(
                 StartTask(
                     member.worker_id,
@@ -100,6 +102,9 @@
             run=group.run,
             workers=sorted({m.worker_id for m in group.members.values()}),
             waited_s=round(now - group.ready_at, 3),
+            racks=sorted(racks),
+            data_rack=group.step.data_rack,
+            same_rack=group.step.same_rack,
             resumed=bool(group.checkpoint),
         )
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -39,8 +39,9 @@
 # What rounding and the way there may add to a lease, in seconds.
 LAPSE_SLACK_S = 0.3
 # Without an answer for this long, in seconds, a worker's leases are no
-# longer extended; two lost answers are not enough.
-SILENT_AFTER_S = 1.6
+# longer extended. One lost answer is not enough: it is noticed after the
+# wait and the timeout, and the question that follows is answered at once.
+SILENT_AFTER_S = 2.2
 CALL_TIMEOUT_S = 0.7
 START_TRIES = 3
 RETRY_PAUSE_S = 0.2
@@ -99,6 +100,7 @@
         self._worker_clock: tuple[int, float] | None = None
         self._heard_at = clock()
         self._silent = False
+        self._doubtful = False
         self._acknowledged = 0
         self._wake = asyncio.Event()
         self._orders: set[asyncio.Task[None]] = set()
@@ -145,7 +147,7 @@
         asked_at = self._clock()
         acknowledged = self._scheduler.acknowledged(self.info.worker_id)
         first = self._worker_clock is None or self._silent
-        wait_s = 0.0 if first else self._times.wait_s
+        wait_s = 0.0 if first or self._doubtful else self._times.wait_s
         deadline_ms = None if first else self._deadline_ms(asked_at)
         answer = await self._link.renew(
             self._tenure.epoch, acknowledged, deadline_ms, wait_s
@@ -178,6 +180,7 @@
             self._acknowledged = 0
         self._worker_clock = (state.clock_ms, now)
         self._silent = False
+        self._doubtful = False
         self._emit(
             WorkerReported(
                 self.info.worker_id,
@@ -200,10 +203,12 @@
             await asyncio.sleep(SILENT_PAUSE_S)
             return
         await self._link.reset()
+        self._doubtful = True
         if not self._silent and now - self._heard_at > SILENT_AFTER_S:
             self._silent = True
             self._emit(WorkerSilent(self.info.worker_id, self._lapses_at))
-        await asyncio.sleep(SILENT_PAUSE_S if self._silent else RETRY_PAUSE_S)
+        if self._silent:
+            await asyncio.sleep(SILENT_PAUSE_S)
 
     # ---- orders
 
