--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -31,6 +31,7 @@
 )
 from pomeloarch_core.batch.preempting import find_eviction, own_work
 from pomeloarch_core.batch.runs import Runs
+from pomeloarch_core.batch.sparing import Sparing
 from pomeloarch_core.ids import JobId, OrganisationName, ServiceName
 
 # A gang that has waited this long, in seconds, has workers kept for it; it
@@ -89,6 +90,7 @@
         self._runs = runs
         self._times = times
         self._cfg = cfg
+        self._sparing = Sparing()
 
     def run(
         self,
@@ -109,6 +111,7 @@
           Jobs with a group that has no attempt left.
         """
         self._start_claimed(jobs, now)
+        self._sparing.observe(self._fleet, now)
         current = _Pass(guaranteed_jobs(jobs, catalogue))
         failed: dict[JobEntry, None] = {}
         for group in self._ready_groups(jobs, current, now, wall):
@@ -192,6 +195,7 @@
             for each in candidates
             if current.kept_until.get(each, ends_at) >= ends_at
         ]
+        open_to_it = self._sparing.open_to(group, open_to_it)
         far = self._allow_far(group, candidates, now)
         places = find_places(group, open_to_it, free_room, far)
         if places is None:
