Take the role over sooner, bound late starts, spare workers that stand still

A node claims the role at once that an earlier process of its own held; the role's lease is 2 s, as fences make an early change harmless.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -39,6 +39,7 @@
       stopped_at: when its stop was confirmed, None before.
       seen: whether its worker has reported it.
       percent: the share of its work that was reported last.
+      advanced_at: when that share last changed.
     """
 
     def __init__(self, worker_id: WorkerId) -> None:
@@ -48,6 +49,7 @@
         self.stopped_at: float | None = None
         self.seen = False
         self.percent = 0.0
+        self.advanced_at: float | None = None
 
 
 class Group:
@@ -67,7 +69,6 @@
       not_before: earliest time of the next placement.
       ready_at: when it became ready.
       started_at: when its current run was ordered.
-      advanced_at: when a member last reported progress.
       resumed: whether the current run's beginning wasn't seen.
       uncertain: whether an earlier scheduler's run of it may be unknown.
     """
@@ -94,7 +95,6 @@
         self.not_before = 0.0
         self.ready_at = 0.0
         self.started_at = 0.0
-        self.advanced_at = 0.0
         self.resumed = False
         self.uncertain = False
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/health.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/health.py
@@ -26,3 +26,31 @@
     """Notes a run that ended well: the worker is sound."""
     worker.failures = 0
     worker.suspended_until = 0.0
+
+
+# A run without progress for this long, in seconds, stands still; a slow
+# worker's gets a hundredth of its work done in less.
+STALLED_AFTER_S = 2.0
+# How long its worker is given nothing more, in seconds; renewed with each
+# report that shows no progress.
+STALL_SUSPENSION_S = 1.5
+
+
+def suspend_stalled(worker: Worker, still_s: float, now: float) -> bool:
+    """Suspends a worker on which a run stands still.
+
+    Args:
+      worker: the worker.
+      still_s: how long the run has made no progress, in seconds.
+      now: the present time, in seconds.
+
+    Returns:
+      Whether the worker has just been suspended for it.
+    """
+    if still_s < STALLED_AFTER_S:
+        return False
+    fresh = worker.suspended_until <= now
+    worker.suspended_until = max(
+        worker.suspended_until, now + STALL_SUSPENSION_S
+    )
+    return fresh
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -79,7 +79,7 @@
         first = RunNumber(self._epoch * RUNS_PER_EPOCH + 1)
         group.run = max(RunNumber(group.run + 1), first)
         group.state = GroupState.STARTED
-        group.started_at = group.advanced_at = now
+        group.started_at = now
         group.resumed = bool(group.checkpoint)
         racks: set[str] = set()
         for index, member in group.members.items():
@@ -120,7 +120,7 @@
         group.run = run
         if group.state is not GroupState.STARTED:
             group.state = GroupState.STARTED
-            group.started_at = group.advanced_at = now
+            group.started_at = now
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
         member.started_at = now
@@ -132,7 +132,6 @@
         member = group.members[index]
         if member.started_at is None:
             member.started_at = now
-            group.advanced_at = now
             self._mark_started(group)
 
     def _mark_started(self, group: Group) -> None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -10,6 +10,7 @@
 from collections import defaultdict
 from functools import singledispatchmethod
 
+from pomeloarch_core.batch import health
 from pomeloarch_core.batch.catalogue import Catalogue, Queue
 from pomeloarch_core.batch.dispatching import Dispatcher, DispatchTimes
 from pomeloarch_core.batch.fleet import Fleet, Worker
@@ -264,9 +265,23 @@
             self._runs.confirmed(group, each.task.index, now)
         if each.checkpoint:
             group.checkpoint = each.checkpoint
-        if each.percent != member.percent:
+        if each.percent != member.percent or member.advanced_at is None:
             member.percent = each.percent
-            group.advanced_at = now
+            member.advanced_at = now
+        elif self._stands_still(group, worker, now - member.advanced_at, now):
+            self._out.append(
+                Note(
+                    "worker stands still",
+                    {"worker": worker.worker_id, "task": str(each.task)},
+                )
+            )
+
+    def _stands_still(
+        self, group: Group, worker: Worker, still_s: float, now: float
+    ) -> bool:
+        if group.step.long_running or not group.running:
+            return False
+        return health.suspend_stalled(worker, still_s, now)
 
     def _take_unknown(
         self, group: Group, worker: Worker, each: RunningTask, now: float
--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -222,6 +222,9 @@
             return max(self._start_after, self._seen_since)
         if self._row.owner == self._owner:
             return self._seen_since
+        if self._row.holder == self._node:
+            # An earlier process of this node held it, and is gone.
+            return max(self._start_after, self._seen_since)
         return self._seen_since + self._cfg.lease_s
 
     def _claim_row(self) -> LeaseRow:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -41,6 +41,12 @@
 # request may have been under way before it is read.
 KEYS_MARGIN_S = 0.6
 RENEW_WAIT_S = 1.0
+# Workers and the store refuse an older holder, so that a lease may be short:
+# an early change of holder costs a second, and nothing is done twice. A store
+# that is sixty times slower than usual still renews it in time.
+ROLE_LEASE = LeaseConfig(
+    lease_s=2.0, drift_bound_s=0.25, renew_s=0.6, poll_s=0.5, retry_s=0.2
+)
 # The balancer asks every second and takes two misses.
 BALANCER_S = 2.4
 # Time for answers under way once the listeners are closed, in seconds.
@@ -141,13 +147,7 @@
             self.clock,
             Metrics(),
             random.Random(),
-            LeaseConfig(
-                lease_s=2.4,
-                drift_bound_s=0.3,
-                renew_s=0.8,
-                poll_s=0.5,
-                retry_s=0.25,
-            ),
+            ROLE_LEASE,
         )
         self._leader = Leader(
             store,
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -44,6 +44,9 @@
 SILENT_AFTER_S = 2.2
 CALL_TIMEOUT_S = 0.7
 START_TRIES = 3
+# The lease of an order to start, in seconds; renewals extend it. What an
+# order without an answer may still start is known to have ended the sooner.
+START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
 SILENT_PAUSE_S = 0.5
 IDLE_PAUSE_S = 0.5
@@ -148,7 +151,9 @@
         acknowledged = self._scheduler.acknowledged(self.info.worker_id)
         first = self._worker_clock is None or self._silent
         wait_s = 0.0 if first or self._doubtful else self._times.wait_s
-        deadline_ms = None if first else self._deadline_ms(asked_at)
+        deadline_ms = None
+        if not first:
+            deadline_ms = self._deadline_ms(asked_at, self._times.lease_s)
         answer = await self._link.renew(
             self._tenure.epoch, acknowledged, deadline_ms, wait_s
         )
@@ -162,12 +167,12 @@
         if answer.ok_value.ended:
             await self._sleep(RETRY_PAUSE_S)
 
-    def _deadline_ms(self, now: float) -> int:
+    def _deadline_ms(self, now: float, lease_s: float) -> int:
         """Returns the end of a lease granted now, on the worker's clock."""
         assert self._worker_clock is not None
         clock_ms, at = self._worker_clock
         elapsed_s = (now - at) * (1 - CLOCK_DRIFT)
-        deadline = clock_ms + int((elapsed_s + self._times.lease_s) * 1000)
+        deadline = clock_ms + int((elapsed_s + lease_s) * 1000)
         lapses_at = at + (deadline - clock_ms) / 1000 / (1 - CLOCK_DRIFT)
         self._lapses_at = max(self._lapses_at, lapses_at + LAPSE_SLACK_S)
         return deadline
@@ -233,8 +238,10 @@
                 return
             if not self._scheduler.wants(order.task, order.run):
                 return
+            lease_s = min(START_LEASE_S, self._times.lease_s)
+            deadline_ms = self._deadline_ms(self._clock(), lease_s)
             answer = await self._link.start(
-                order, self._tenure.epoch, self._deadline_ms(self._clock())
+                order, self._tenure.epoch, deadline_ms
             )
             if isinstance(answer, Ok):
                 outcome = self._note_clock(answer.ok_value)
