--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -211,11 +211,26 @@
         step = group.step
         if not step.data_rack and not step.same_rack:
             return True
-        if find_places(group, candidates, whole_room, False) is None:
+        if not self._near_is_possible(group):
             return True
         in_use = self._fleet.share_in_use(group.job.queue.service)
         return in_use < IDLE_SHARE and now - group.ready_at > FAR_WHEN_IDLE_S
 
+    def _near_is_possible(self, group: Group) -> bool:
+        """Whether the group would fit near its data if nothing else ran.
+
+        Workers that are suspended or silent count, as they will be back.
+        """
+        workers = [
+            each
+            for each in self._fleet
+            if each.info.service == group.job.queue.service
+            and each.listed
+            and not each.info.draining
+        ]
+        fitting = suitable(group, workers, {})
+        return find_places(group, fitting, whole_room, False) is not None
+
     def _siblings(self, group: Group) -> dict[Worker, int]:
         """Returns how many tasks of a group's step each worker has."""
         if not group.step.max_per_worker:
@@ -331,14 +346,13 @@
         where less work is lost than the group will do.
         """
         priority = group.job.queue.priority
-        near_is_possible = find_places(group, candidates, whole_room, False)
         waited_s = now - group.ready_at
         last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
         eviction = find_eviction(
             group,
             candidates,
             lambda other: other.job.queue.priority > priority,
-            near_is_possible is None or (covered and last_chance),
+            (covered and last_chance) or not self._near_is_possible(group),
             now,
         )
         if eviction is None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -17,6 +17,9 @@
 # accelerator against processors in what organisations are charged.
 CORES_PER_ACCELERATOR = 8
 _MILLIS = 1000
+# What is thrown away counts in full for a job that may still be on time. A
+# late one has less to lose, but its work has to be done again all the same.
+_HARM_OF = (1.0, 0.6, 0.4)
 
 MayPreempt = Callable[[Group], bool]
 
@@ -31,6 +34,11 @@
     return _cores(group) * ran_s
 
 
+def _harm(group: Group, now: float) -> float:
+    """Returns what stopping a group costs: less where it is late already."""
+    return lost_work(group, now) * _HARM_OF[group.job.standing]
+
+
 def own_work(group: Group) -> float:
     """Returns the core-seconds that a group will do, as it was estimated."""
     return _cores(group) * group.step.estimate_s
@@ -78,7 +86,7 @@
 
     lost = {
         each: sum(
-            lost_work(other, now) for other in each.groups if may_preempt(other)
+            _harm(other, now) for other in each.groups if may_preempt(other)
         )
         for each in workers
     }
@@ -133,7 +141,7 @@
                 and each not in victims
                 and may_preempt(each)
             ),
-            key=lambda each: (-each.job.standing, lost_work(each, now)),
+            key=lambda each: _harm(each, now),
         )
         for victim in candidates:
             if wanted.fits(room):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -268,18 +268,33 @@
         if each.percent != member.percent or member.advanced_at is None:
             member.percent = each.percent
             member.advanced_at = now
-        elif self._stands_still(group, worker, now - member.advanced_at, now):
+        elif self._stands_still(
+            group, each.task.index, worker, now - member.advanced_at, now
+        ):
             self._out.append(
                 Note(
                     "worker stands still",
-                    {"worker": worker.worker_id, "task": str(each.task)},
+                    {
+                        "worker": worker.worker_id,
+                        "task": str(each.task),
+                        "percent": each.percent,
+                        "load": each.load,
+                        "ran_s": round(now - group.started_at, 2),
+                    },
                 )
             )
 
     def _stands_still(
-        self, group: Group, worker: Worker, still_s: float, now: float
+        self,
+        group: Group,
+        index: int,
+        worker: Worker,
+        still_s: float,
+        now: float,
     ) -> bool:
-        if group.step.long_running or not group.running:
+        done = group.members[index].percent >= 100
+        if group.step.long_running or not group.running or done:
+            # A member of a gang that has done its work waits for the others.
             return False
         return health.suspend_stalled(worker, still_s, now)
 
