Number each time of acting anew

A term is now numbered by a row of its own; its number is the fence, and jobs accepted before it are uncertain until all workers were heard.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -20,9 +20,9 @@
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import Epoch
 
-# Runs of a group within one epoch; a run's number is above those of all
-# earlier epochs without anything being written before a start.
-RUNS_PER_EPOCH = 4096
+# Runs of a group within one term; a run's number is above those of all
+# earlier terms without anything being written before a start.
+RUNS_PER_TERM = 4096
 # Pause after a start that a worker refused, in seconds; its next report,
 # which shows why, is there by then.
 REFUSED_PAUSE_S = 0.25
@@ -34,7 +34,7 @@
     """Carries groups from one state to the next.
 
     Args:
-      epoch: the epoch of this scheduler.
+      term: the number of this scheduler's term.
       fleet: the workers.
       times: learns from runs that end well.
       out: where decisions are put.
@@ -42,14 +42,14 @@
 
     def __init__(
         self,
-        epoch: Epoch,
+        term: Epoch,
         fleet: Fleet,
         times: RunTimes,
         out: list[Decision],
     ) -> None:
         """Starts without any run."""
         self._times = times
-        self._epoch = epoch
+        self._term = term
         self._fleet = fleet
         self._out = out
 
@@ -76,7 +76,7 @@
 
     def start(self, group: Group, now: float) -> None:
         """Orders the tasks of a group to start where they were promised."""
-        first = RunNumber(self._epoch * RUNS_PER_EPOCH + 1)
+        first = RunNumber(self._term * RUNS_PER_TERM + 1)
         group.run = max(RunNumber(group.run + 1), first)
         group.state = GroupState.STARTED
         group.started_at = now
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -1,7 +1,7 @@
 """The scheduler of batch jobs: events in, decisions out.
 
 What it believes can be rebuilt from the rows of jobs and from what workers
-report: a successor under a higher epoch adopts what runs, and starts nothing
+report: a successor in a later term adopts what runs, and starts nothing
 that may still run on a worker that it hasn't heard of.
 """
 
@@ -52,10 +52,10 @@
 
 
 class BatchScheduler:
-    """Decides for all services under one epoch.
+    """Decides for all services in one term.
 
     Args:
-      epoch: the epoch of the role's holder; part of each run's number.
+      term: the number of this scheduler's term; part of each run's number.
       catalogue: the configuration in force.
       wall_offset: wall clock less the clock of `now`, in seconds.
       times: times of the deployment.
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        epoch: Epoch,
+        term: Epoch,
         catalogue: Catalogue,
         wall_offset: float,
         times: DispatchTimes | None = None,
@@ -74,7 +74,7 @@
         self._out: list[Decision] = []
         self._fleet = Fleet()
         self._times = RunTimes()
-        self._runs = Runs(epoch, self._fleet, self._times, self._out)
+        self._runs = Runs(term, self._fleet, self._times, self._out)
         self._dispatcher = Dispatcher(
             self._fleet, self._runs, self._times, times or DispatchTimes()
         )
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections.abc import Callable
 
@@ -28,28 +29,26 @@
 )
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import BatchScheduler
-from pomeloarch_core.ids import JobId, WorkerId, ZoneName
+from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import FeedStore, TableChanges, WorkerLinks
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
-    ROLE_NAME,
     SPECS_TABLE,
     cancelled_job,
     decode_job,
     decode_row,
 )
 from pomeloarch_node.batch.row_writer import RowWriter
+from pomeloarch_node.batch.term_row import Term, begin_term
 from pomeloarch_node.batch.worker_session import (
     CLOCK_DRIFT,
     LAPSE_SLACK_S,
     SessionTimes,
     WorkerSession,
 )
-from pomeloarch_node.platform import Check
 from pomeloarch_node.role_lease import LeasedRole
-from pomeloarch_node.scheduler_fence import raise_fence
 from pomeloarch_node.scheduler_tenure import Tenure
 
 TICK_S = 0.1
@@ -117,7 +116,8 @@
         self._clock = clock
         self._times = times
         self._log = log
-        self._term: _Term | None = None
+        self._rng = random.Random()
+        self._term: _Acting | None = None
         jobs.subscribe(self._on_jobs)
 
     def catalogue_changed(self, catalogue: Catalogue) -> None:
@@ -164,37 +164,41 @@
 
     async def _act(self, tenure: Tenure) -> None:
         try:
-            fence = await raise_fence(self._store, ZoneName(ROLE_NAME), tenure)
+            term = await begin_term(self._store, tenure, self._rng)
+            if term is None:
+                return
+            self._log.write("scheduler term begins", term=term.number)
             await self._jobs.loaded.wait()
             catalogue = self._catalogue()
             assert catalogue is not None
-            term = _Term(self, tenure, fence, catalogue)
-            await term.load()
-            self._term = term
-            await term.run()
+            acting = _Acting(self, tenure, term, catalogue)
+            await acting.load()
+            self._term = acting
+            await acting.run()
         except Exception as exc:
             self._log.write("scheduler failed", error=repr(exc))
             tenure.lose(f"the scheduler failed: {exc!r}")
             raise
 
 
-class _Term:
+class _Acting:
     """One unbroken time of acting under one fence."""
 
     def __init__(
         self,
         leader: Leader,
         tenure: Tenure,
-        fence: Check,
+        term: Term,
         catalogue: Catalogue,
     ) -> None:
         self._leader = leader
         self._tenure = tenure
-        self._fence = fence
+        self._number = term.number
+        self._fence = term.check
         self._clock = leader._clock
         now = self._clock()
         self._scheduler = BatchScheduler(
-            tenure.epoch,
+            term.number,
             catalogue,
             time.time() - now,
             leader._times.dispatch,
@@ -203,7 +207,7 @@
             now + leader._times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
         )
         self._writer = RowWriter(
-            leader._store, tenure, fence, self._on_written, leader._log
+            leader._store, tenure, term.check, self._on_written, leader._log
         )
         self._sessions: dict[
             WorkerId, tuple[WorkerSession, asyncio.Task[None]]
@@ -368,6 +372,7 @@
             info,
             leader._links.open(info),
             self._tenure,
+            self._number,
             self._scheduler,
             self.emit,
             self._clock,
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
@@ -15,6 +15,8 @@
 # Where jobs stand, and marks of those whose end was asked for; every node
 # follows this table.
 JOBS_TABLE = "batch_jobs"
+# One row: the number of the newest term of a leading scheduler.
+TERMS_TABLE = "batch_terms"
 ROLE_NAME = "batch_scheduler"
 
 _CANCEL_SUFFIX = "!"
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -26,6 +26,7 @@
     WorkerSilent,
 )
 from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_core.ids import Epoch
 from pomeloarch_node.batch.ports import (
     OrderFailure,
     StartAnswer,
@@ -71,6 +72,7 @@
       info: the worker.
       link: the link to it.
       tenure: the right to give orders.
+      fence: the number of the scheduler's term.
       scheduler: whose orders they are.
       emit: takes events for the scheduler.
       clock: monotonic time, in seconds.
@@ -84,6 +86,7 @@
         info: WorkerInfo,
         link: WorkerLink,
         tenure: Tenure,
+        fence: Epoch,
         scheduler: BatchScheduler,
         emit: Callable[[Event], None],
         clock: Callable[[], float],
@@ -94,6 +97,7 @@
         self.info = info
         self._link = link
         self._tenure = tenure
+        self._fence = fence
         self._scheduler = scheduler
         self._emit = emit
         self._clock = clock
@@ -155,7 +159,7 @@
         if not first:
             deadline_ms = self._deadline_ms(asked_at, self._times.lease_s)
         answer = await self._link.renew(
-            self._tenure.epoch, acknowledged, deadline_ms, wait_s
+            self._fence, acknowledged, deadline_ms, wait_s
         )
         if not self._tenure.held():
             return
@@ -240,9 +244,7 @@
                 return
             lease_s = min(START_LEASE_S, self._times.lease_s)
             deadline_ms = self._deadline_ms(self._clock(), lease_s)
-            answer = await self._link.start(
-                order, self._tenure.epoch, deadline_ms
-            )
+            answer = await self._link.start(order, self._fence, deadline_ms)
             if isinstance(answer, Ok):
                 outcome = self._note_clock(answer.ok_value)
                 break
@@ -262,7 +264,7 @@
     async def _stop(self, order: StopTask) -> None:
         while self._tenure.held():
             answer = await self._link.stop(
-                str(order.task), order.run, self._tenure.epoch
+                str(order.task), order.run, self._fence
             )
             if isinstance(answer, Ok):
                 self._emit(StopAnswered(order.worker_id, order.task, order.run))
