--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -217,19 +217,19 @@
                 worker.strangers.pop((end.task, end.run), None)
             if group is None or end.task is None:
                 continue
-            change = group.job.change
             self._runs.ended(group, worker, end, now)
-            self._after_end(group.job, worker, end, change, now)
+            self._after_end(group.job, worker, end, now)
 
     def _after_end(
         self,
         entry: JobEntry,
         worker: Worker,
         end: EndedTask,
-        change: int,
         now: float,
     ) -> None:
-        if entry.change > change:
+        if entry.written < entry.change:
+            # An end may be forgotten once all that it told is durable, also
+            # what another member of its gang told first.
             worker.pending_ends.add(end.number)
             acks = self._acks.setdefault(entry.job.job_id, [])
             acks.append((worker, end.number, entry.change))
