Test whole nodes against models of store and workers in virtual time

The model workers keep fences, leases on their own clocks, gangs and ends, and carry orders out late; a ledger checks from outside that nothing runs twice. It found that a worker's new life had the runs taken for lost that were started on that life before its first report (seed 6 of the series of faults): they were started again beside the running ones. Mended in the same commit; the seed stays in the series.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -193,9 +193,11 @@
         if worker is None:
             return
         if worker.incarnation not in (0, event.incarnation):
-            self._lose(worker, now)
+            # A new life knows no end of the former one. What it runs was
+            # started since; what it doesn't run is found missing below.
             worker.last_end = 0
             worker.pending_ends.clear()
+            worker.strangers.clear()
         worker.incarnation = event.incarnation
         worker.reported = True
         worker.silent = False
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -92,6 +92,7 @@
       clock: monotonic time, in seconds.
       times: the deployment's times.
       log: where decisions are written.
+      wall: the wall clock, in seconds.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         clock: Callable[[], float],
         times: LeaderTimes,
         log: DecisionLog,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Starts as a candidate."""
         self._store = store
@@ -116,6 +118,7 @@
         self._clock = clock
         self._times = times
         self._log = log
+        self._wall = wall
         self._rng = random.Random()
         self._term: _Acting | None = None
         jobs.subscribe(self._on_jobs)
@@ -200,7 +203,7 @@
         self._scheduler = BatchScheduler(
             term.number,
             catalogue,
-            time.time() - now,
+            leader._wall() - now,
             leader._times.dispatch,
         )
         self._unknown_until = (
@@ -299,7 +302,7 @@
 
     async def _tick(self) -> None:
         while True:
-            self.emit(Tick(time.time()))
+            self.emit(Tick(self._leader._wall()))
             await asyncio.sleep(TICK_S)
 
     def emit(self, event: Event) -> None:
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -0,0 +1,255 @@
+"""The batch scheduler's promises on whole nodes, in virtual time."""
+
+import asyncio
+import random
+
+import pytest
+
+from pomeloarch_core.batch.model import BatchJob, Need, Step
+from pomeloarch_core.batch.rows import JobStatus
+from pomeloarch_core.ids import JobId
+from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_standins.batch_world import (
+    BATCH,
+    ORGANISATION,
+    URGENT,
+    BatchWorld,
+)
+from pomeloarch_standins.virtual_time import run_virtual
+
+SMALL = Need(8_000, 8_000, 1)
+BIG = Need(16_000, 32_000, 4)
+
+
+def make_job(number, queue=BATCH, steps=None):
+    return BatchJob(
+        job_id=JobId(f"{number:016x}"),
+        queue=queue,
+        organisation=ORGANISATION,
+        payload="work",
+        steps=steps or (Step(count=3, need=SMALL, estimate_s=2.0),),
+    )
+
+
+def gang(count, seconds=2.0, need=BIG, after=()):
+    return Step(
+        count=count, need=need, estimate_s=seconds, gang=True, after=after
+    )
+
+
+def in_world(scenario, seed=1, **size):
+    """Runs a scenario on a started world; returns what it returns."""
+
+    async def run():
+        world = BatchWorld(seed, **size)
+        world.start()
+        await asyncio.sleep(3.0)
+        try:
+            return await scenario(world)
+        finally:
+            await world.stop()
+            assert world.ledger.broken_promises() == []
+
+    return run_virtual(run())
+
+
+JOBS = {
+    "single tasks": (Step(count=5, need=SMALL, estimate_s=1.0),),
+    "a gang": (gang(3),),
+    "steps in order": (
+        Step(count=2, need=SMALL, estimate_s=1.0),
+        Step(count=3, need=SMALL, estimate_s=1.0, after=(0,)),
+    ),
+    "a gang after tasks": (
+        Step(count=2, need=SMALL, estimate_s=1.0),
+        gang(2, after=(0,)),
+    ),
+}
+
+
+@pytest.mark.parametrize("steps", JOBS.values(), ids=JOBS.keys())
+def test_job_completes_and_every_node_says_so(steps):
+    async def scenario(world):
+        job = make_job(1, steps=steps)
+        assert await world.submit(job, world.nodes[0]) is Outcome.DONE
+        assert await world.settle(20.0) == []
+        await asyncio.sleep(1.0)
+        return [await world.status(job.job_id, n) for n in world.nodes]
+
+    assert in_world(scenario) == [JobStatus.COMPLETED] * 3
+
+
+def test_step_starts_only_after_the_steps_before_it():
+    async def scenario(world):
+        await world.submit(
+            make_job(1, steps=JOBS["steps in order"]), world.nodes[0]
+        )
+        await world.settle(20.0)
+        return world.ledger.entries
+
+    entries = in_world(scenario)
+    first_over = max(each.ended for each in entries if each.task.step == 0)
+    assert all(e.began >= first_over for e in entries if e.task.step == 1)
+
+
+FAULTS = {
+    "the leader is killed": ("kill", 0.0),
+    "the leader loses the store": ("cut", 0.0),
+    "the store loses answers": ("lose", 0.0),
+    "lost writes take effect late": ("lose", 1.0),
+    "the store forgets its history": ("compact", 0.0),
+    "a worker crashes": ("crash", 0.0),
+    "a worker is cut off": ("cut worker", 0.0),
+    "orders are left unanswered": ("orders", 0.0),
+    "orders are carried out late": ("orders", 1.0),
+}
+
+
+async def kill_leader(world, _late):
+    leader = leader_of(world)
+    await leader.kill()
+    await asyncio.sleep(0.5)
+    leader.start()
+
+
+async def cut_leader(world, _late):
+    leader = leader_of(world)
+    leader.link.reachable = False
+    await asyncio.sleep(5.0)
+    leader.link.reachable = True
+
+
+async def lose_writes(world, late):
+    for node in world.nodes:
+        node.link.lose_share, node.link.late_share = 0.3, late
+    await asyncio.sleep(4.0)
+    for node in world.nodes:
+        node.link.lose_share = 0.0
+
+
+async def forget_history(world, _late):
+    world.tables.compact()
+
+
+async def crash_worker(world, _late):
+    world.rng.choice(list(world.workers.values())).crash()
+
+
+async def cut_worker(world, _late):
+    worker = world.rng.choice(list(world.workers.values()))
+    worker.cut = True
+    await asyncio.sleep(5.0)
+    worker.cut = False
+
+
+async def lose_orders(world, late):
+    for each in world.workers.values():
+        each.lose_share, each.late_share = 0.15, late
+    await asyncio.sleep(4.0)
+    for each in world.workers.values():
+        each.lose_share = 0.0
+
+
+def leader_of(world):
+    return next((n for n in world.nodes if n.leads), world.nodes[0])
+
+
+INJECT = {
+    "kill": kill_leader,
+    "cut": cut_leader,
+    "lose": lose_writes,
+    "compact": forget_history,
+    "crash": crash_worker,
+    "cut worker": cut_worker,
+    "orders": lose_orders,
+}
+
+
+async def inject(world, kind, late):
+    await INJECT[kind](world, late)
+
+
+@pytest.mark.parametrize("fault", FAULTS.values(), ids=FAULTS.keys())
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_jobs_complete_once_whatever_fails(fault, seed):
+    async def scenario(world):
+        for number, steps in enumerate(JOBS.values()):
+            job = make_job(number, steps=steps)
+            await world.submit(job, world.nodes[number % 3])
+            await asyncio.sleep(0.3)
+        await inject(world, *fault)
+        await world.submit(make_job(99, URGENT), world.nodes[1])
+        return await world.settle(60.0)
+
+    assert in_world(scenario, seed) == []
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_jobs_complete_once_under_series_of_faults(seed):
+    async def scenario(world):
+        rng = random.Random(seed)
+        kinds = list(FAULTS.values())
+        for number in range(12):
+            steps = rng.choice(list(JOBS.values()))
+            queue = rng.choice([BATCH, URGENT])
+            node = rng.choice(world.nodes)
+            await world.submit(make_job(number, queue, steps), node)
+            await inject(world, *rng.choice(kinds))
+            await asyncio.sleep(rng.uniform(0.0, 2.0))
+        return await world.settle(120.0)
+
+    assert in_world(scenario, seed) == []
+
+
+def test_cancelled_job_is_stopped_everywhere():
+    async def scenario(world):
+        job = make_job(1, steps=(gang(4, seconds=30.0),))
+        await world.submit(job, world.nodes[0])
+        await asyncio.sleep(1.0)
+        outcome = await world.nodes[1].intake.cancel(
+            job.job_id, world.clock() + 2.0
+        )
+        await asyncio.sleep(1.5)
+        running = [e for e in world.ledger.entries if e.ended is None]
+        return outcome, running, await world.status(job.job_id, world.nodes[2])
+
+    assert in_world(scenario) == (Outcome.DONE, [], JobStatus.CANCELLED)
+
+
+def test_job_that_always_fails_is_shown_as_failed_after_its_attempts():
+    async def scenario(world):
+        for worker in world.workers.values():
+            worker.fails = True
+        job = make_job(1, steps=(Step(count=1, need=SMALL, estimate_s=0.5),))
+        await world.submit(job, world.nodes[0])
+        await world.settle(60.0)
+        status = await world.status(job.job_id, world.nodes[0])
+        return status, len(world.ledger.entries)
+
+    assert in_world(scenario) == (JobStatus.FAILED, 2)
+
+
+def test_urgent_gang_takes_the_room_of_batch_work():
+    async def scenario(world):
+        filling = (Step(count=32, need=Need(1_000, 1_000, 1), estimate_s=30.0),)
+        await world.submit(make_job(1, steps=filling), world.nodes[0])
+        await asyncio.sleep(1.0)
+        asked_at = world.clock()
+        await world.submit(
+            make_job(2, URGENT, (gang(2, seconds=1.0),)), world.nodes[0]
+        )
+        await asyncio.sleep(4.0)
+        urgent = [e for e in world.ledger.entries if e.task.job_id[-1] == "2"]
+        return max(each.began for each in urgent) - asked_at
+
+    assert in_world(scenario) < 2.7
+
+
+def test_repeated_submission_is_one_job():
+    async def scenario(world):
+        job = make_job(1)
+        outcomes = [await world.submit(job, node) for node in world.nodes]
+        await world.settle(20.0)
+        return outcomes, len(world.ledger.entries)
+
+    assert in_world(scenario) == ([Outcome.DONE] * 3, 3)
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -0,0 +1,252 @@
+"""Nodes that serve batch jobs, with store and workers, in one process.
+
+The product's own parts run on models of the store and of the workers, in
+virtual time: what a caller or a worker would see is checked from outside.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+
+import msgspec
+
+from pomeloarch_core.batch.catalogue import Catalogue, Queue, Route, Tenant
+from pomeloarch_core.batch.dispatching import DispatchTimes
+from pomeloarch_core.batch.messages import Incarnation, TaskId, WorkerInfo
+from pomeloarch_core.batch.model import BatchJob, Need, QueueName
+from pomeloarch_core.batch.rows import JobStatus
+from pomeloarch_core.ids import (
+    Generation,
+    JobId,
+    NodeId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+from pomeloarch_core.membership import LeaseConfig
+from pomeloarch_node.batch import DecisionLog, Intake, Leader, LeaderTimes
+from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.role_lease import LeasedRole
+from pomeloarch_standins.batch_store import FeedTables, StoreLink
+from pomeloarch_standins.batch_workers import (
+    HOLD_MAX_S,
+    STOP_S,
+    GangKey,
+    Ledger,
+    ModelLink,
+    WorkerModel,
+)
+
+WORKERS_TABLE = "model_workers"
+SERVICE = ServiceName("scorer")
+ORGANISATION = OrganisationName("qasr")
+BATCH = QueueName("batch")
+URGENT = QueueName("urgent")
+ACCEPT_S = 2.0
+
+CATALOGUE = Catalogue(
+    generation=Generation(1),
+    queues={
+        BATCH: Queue(BATCH, SERVICE, priority=2, max_attempts=2, stretch=3.0),
+        URGENT: Queue(URGENT, SERVICE, priority=0, max_attempts=3, stretch=1.5),
+    },
+    routes=(Route("qasr.example", "/batch/", BATCH),),
+    tenants={
+        ORGANISATION: Tenant(
+            ORGANISATION, frozenset(), guaranteed_accelerators=8
+        )
+    },
+)
+
+
+class WorldNode:
+    """One node: its link to the store, its intake and its leader."""
+
+    def __init__(self, world: BatchWorld, number: int) -> None:
+        """Builds the node; nothing runs yet."""
+        self.name = NodeId(f"node-{number}")
+        self._world = world
+        self.link = StoreLink(world.tables, random.Random(world.seed + number))
+        self._task: asyncio.Task[None] | None = None
+        self._build()
+
+    def _build(self) -> None:
+        world = self._world
+        log = DecisionLog(self.name, world.log_fd, world.clock)
+        self.jobs = TableMirror(
+            self.link, JOBS_TABLE, world.clock, log, 1.0, 0.2
+        )
+        self.intake = Intake(self.link, self.jobs, world.clock)
+        self.role = LeasedRole(
+            ROLE_NAME,
+            self.name,
+            self.link,
+            world.clock,
+            Metrics(),
+            world.rng,
+            LeaseConfig(2.0, 0.25, 0.6, 0.5, 0.2),
+        )
+        self.leader = Leader(
+            self.link,
+            (WORKERS_TABLE, world.read_workers),
+            world,
+            lambda: CATALOGUE,
+            self.jobs,
+            self.role,
+            world.clock,
+            LeaderTimes(HOLD_MAX_S, 0.5, DispatchTimes(STOP_S, 2.7)),
+            log,
+            world.clock,
+        )
+
+    def start(self) -> None:
+        """Starts the node anew, with nothing that it knew before."""
+        self._build()
+        self._task = asyncio.create_task(self._run())
+
+    async def _run(self) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.jobs.run())
+            tasks.create_task(self.leader.run())
+
+    async def kill(self) -> None:
+        """Ends the node at once."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+            self._task = None
+
+    @property
+    def leads(self) -> bool:
+        """Whether it holds the scheduler's role now."""
+        return self._task is not None and self.role.epoch() is not None
+
+
+class BatchWorld:
+    """Nodes, workers and a store.
+
+    Args:
+      seed: decides all chance.
+      nodes: how many nodes.
+      workers: how many workers, half of them in each of two racks.
+    """
+
+    def __init__(self, seed: int, nodes: int = 3, workers: int = 4) -> None:
+        """Builds the world; nothing runs yet."""
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.tables = FeedTables()
+        self.ledger = Ledger()
+        self.submitted: dict[JobId, BatchJob] = {}
+        self.accepted: dict[JobId, float] = {}
+        self.cancelled: set[JobId] = set()
+        self.log_fd = os.open(os.devnull, os.O_WRONLY)
+        gangs: dict[GangKey, dict[int, WorkerModel]] = {}
+        self.workers: dict[WorkerId, WorkerModel] = {}
+        for number in range(workers):
+            info = _info(number)
+            self.workers[info.worker_id] = WorkerModel(
+                info,
+                self.submitted,
+                self._duration_s,
+                gangs,
+                self.ledger,
+                self.rng,
+            )
+            self._list(info)
+        self.nodes = [WorldNode(self, number) for number in range(nodes)]
+
+    @staticmethod
+    def clock() -> float:
+        """Returns the loop's time, in seconds."""
+        return asyncio.get_running_loop().time()
+
+    def _duration_s(self, task: TaskId) -> float:
+        return self.submitted[task.job_id].steps[task.step].estimate_s
+
+    # ---- ports
+
+    @staticmethod
+    def read_workers(rows: dict[str, object]) -> tuple[WorkerInfo, ...]:
+        """Decodes the rows of the table of workers."""
+        return tuple(
+            msgspec.convert(each, WorkerInfo) for each in rows.values()
+        )
+
+    def open(self, info: WorkerInfo) -> ModelLink:
+        """Returns a link to a worker."""
+        return ModelLink(self.workers[info.worker_id], lambda: True, self.rng)
+
+    def _list(self, info: WorkerInfo) -> None:
+        self.tables.put(
+            WORKERS_TABLE, info.worker_id, msgspec.to_builtins(info)
+        )
+
+    def unlist(self, worker_id: WorkerId) -> None:
+        """Takes a worker off the list."""
+        self.tables.put(WORKERS_TABLE, worker_id, None)
+
+    def relist(self, worker_id: WorkerId) -> None:
+        """Puts a worker on the list again."""
+        self._list(self.workers[worker_id].info)
+
+    # ---- callers
+
+    async def submit(self, job: BatchJob, node: WorldNode) -> Outcome:
+        """Submits a job through a node."""
+        self.submitted[job.job_id] = job
+        outcome = await node.intake.accept(job, self.clock() + ACCEPT_S)
+        if outcome is Outcome.DONE:
+            self.accepted.setdefault(job.job_id, self.clock())
+        return outcome
+
+    async def status(self, job_id: JobId, node: WorldNode) -> JobStatus | None:
+        """Returns what a node says of a job."""
+        known = (await node.intake.known(job_id)).unwrap_or(None)
+        return None if known is None else known.status
+
+    async def settle(self, within_s: float) -> list[JobId]:
+        """Waits for all accepted jobs to end; returns those that don't."""
+        until = self.clock() + within_s
+        while True:
+            open_jobs = [
+                each for each in self.accepted if not self._is_over(each)
+            ]
+            if not open_jobs or self.clock() > until:
+                return open_jobs
+            await asyncio.sleep(0.1)
+
+    def _is_over(self, job_id: JobId) -> bool:
+        row = self.tables.read(JOBS_TABLE, job_id)
+        status = JobStatus(row.value.get("status", "queued"))
+        return status.final or job_id in self.cancelled
+
+    def start(self) -> None:
+        """Starts all nodes."""
+        for node in self.nodes:
+            node.start()
+
+    async def stop(self) -> None:
+        """Ends all nodes."""
+        for node in self.nodes:
+            await node.kill()
+        os.close(self.log_fd)
+
+
+def _info(number: int) -> WorkerInfo:
+    return WorkerInfo(
+        worker_id=WorkerId(f"w{number}"),
+        service=SERVICE,
+        address=f"w{number}:1",
+        availability_zone=ZoneName(f"zone-{number % 2}"),
+        capacity=Need(64_000, 128_000, 8),
+        labels=frozenset({"a", f"r{number % 2}"}),
+        rack=f"r{number % 2}",
+        incarnation=Incarnation(1),
+    )
