--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/__init__.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/__init__.py
@@ -7,12 +7,11 @@
 
 from pomeloarch_core.batch.catalogue import (
     Catalogue,
-    Queue,
     Route,
     Tenant,
 )
 from pomeloarch_core.batch.dispatching import DispatchTimes
-from pomeloarch_core.batch.model import BatchJob, Need, Step
+from pomeloarch_core.batch.model import BatchJob, Need, Queue, Step
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.batch.scheduler import BatchScheduler
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/catalogue.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/catalogue.py
@@ -12,34 +12,12 @@
 
 import msgspec
 
-from pomeloarch_core.batch.model import QueueName
+from pomeloarch_core.batch.model import Queue, QueueName
 from pomeloarch_core.ids import Generation, OrganisationName, ServiceName
 
 ApiKey = NewType("ApiKey", str)
 
 
-class Queue(msgspec.Struct, frozen=True):
-    """A queue for jobs of one service.
-
-    Attributes:
-      name: its name.
-      service: the service whose workers run its tasks.
-      priority: 0 goes first and may preempt.
-      max_attempts: failed runs of a task after which its job has failed.
-      stretch: the objective, in multiples of the longest chain of work.
-      target_latency_s: what the objective allows besides, in seconds.
-      advised: whether an outside service says which workers may run a step.
-    """
-
-    name: QueueName
-    service: ServiceName
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_latency_s: float = 0.0
-    advised: bool = False
-
-
 class Route(msgspec.Struct, frozen=True):
     """Which calls a queue takes."""
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -12,9 +12,16 @@
 
 import msgspec
 
+from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.fleet import Fleet, Worker
-from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.groups import (
+    Group,
+    GroupState,
+    JobEntry,
+    may_stop,
+)
+from pomeloarch_core.batch.messages import Decision
 from pomeloarch_core.batch.model import Need
 from pomeloarch_core.batch.objectives import (
     RunTimes,
@@ -79,16 +86,26 @@
       fleet: the workers.
       runs: starts and stops groups.
       times: estimates of run times.
+      advice: which workers may run a step, where that is decided outside.
+      out: where questions for advice are put.
       cfg: times of the deployment.
     """
 
     def __init__(
-        self, fleet: Fleet, runs: Runs, times: RunTimes, cfg: DispatchTimes
+        self,
+        fleet: Fleet,
+        runs: Runs,
+        times: RunTimes,
+        advice: AdviceBook,
+        out: list[Decision],
+        cfg: DispatchTimes,
     ) -> None:
         """Starts with nothing placed."""
         self._fleet = fleet
         self._runs = runs
         self._times = times
+        self._advice = advice
+        self._out = out
         self._cfg = cfg
         self._sparing = Sparing()
 
@@ -180,8 +197,21 @@
         if not found and group.failed_on:
             group.failed_on.clear()
             found = suitable(group, usable, siblings)
+        if group.job.queue.advised:
+            return self._advised(group, found, now)
         return found
 
+    def _advised(
+        self, group: Group, workers: list[Worker], now: float
+    ) -> list[Worker]:
+        """Returns workers with a ticket; asks about others if they are few."""
+        ready = self._advice.usable(group, workers, now)
+        if find_places(group, ready, free_room, True) is None:
+            question = self._advice.question(group, workers, now)
+            if question is not None:
+                self._out.append(question)
+        return ready
+
     def _place(
         self,
         group: Group,
@@ -309,6 +339,17 @@
             return ran_s * (100 - percent) / percent
         return max(0.2, self._estimate_s(group) - ran_s)
 
+    def busy_s(self, worker: Worker, now: float) -> float:
+        """Returns how long what runs on a worker will likely take, in s."""
+        return max(
+            (
+                self._remaining_s(group, now)
+                for group in worker.groups
+                if not group.step.long_running
+            ),
+            default=0.0,
+        )
+
     def _estimate_s(self, group: Group) -> float:
         return self._times.estimate_s(
             group.step.estimate_s, group.job.queue.name
@@ -351,7 +392,9 @@
         eviction = find_eviction(
             group,
             candidates,
-            lambda other: other.job.queue.priority > priority,
+            lambda other: (
+                other.job.queue.priority > priority and may_stop(other)
+            ),
             (covered and last_chance) or not self._near_is_possible(group),
             now,
         )
@@ -416,5 +459,7 @@
         step.same_rack,
         step.data_rack,
         step.label,
-        step.max_per_worker and group.job.job.job_id,
+        group.job.job.job_id
+        if step.max_per_worker or group.job.queue.advised
+        else "",
     )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -32,6 +32,7 @@
       strangers: runs here that no group accounts for.
       pending_ends: numbers of ends whose job's row isn't durable yet.
       last_end: the highest number of an end taken in.
+      closing: whether its machine is about to go down.
       suspended_until: until when it is given no task after failures.
       failures: failed runs in a row.
     """
@@ -48,6 +49,7 @@
         self.strangers: dict[tuple[TaskId, RunNumber], float] = {}
         self.pending_ends: set[int] = set()
         self.last_end = 0
+        self.closing = False
         self.suspended_until = 0.0
         self.failures = 0
         self._used = NOTHING
@@ -75,6 +77,7 @@
             and self.reported
             and not self.silent
             and not self.info.draining
+            and not self.closing
             and self.suspended_until <= now
         )
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -5,7 +5,7 @@
 import enum
 
 from pomeloarch_core.batch.catalogue import Queue
-from pomeloarch_core.batch.messages import RunNumber, TaskId
+from pomeloarch_core.batch.messages import RunNumber, StepId, TaskId
 from pomeloarch_core.batch.model import BatchJob, Step
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.ids import WorkerId
@@ -39,6 +39,8 @@
       stopped_at: when its stop was confirmed, None before.
       seen: whether its worker has reported it.
       percent: the share of its work that was reported last.
+      load: its tail latency in ms when it serves, else its processor use.
+      pace: the share of its pace that it was last ordered to, in percent.
       advanced_at: when that share last changed.
     """
 
@@ -49,6 +51,8 @@
         self.stopped_at: float | None = None
         self.seen = False
         self.percent = 0.0
+        self.load = 0.0
+        self.pace = 100
         self.advanced_at: float | None = None
 
 
@@ -103,6 +107,11 @@
         """The group's first task, for logs."""
         return str(self.task(self.indices[0]))
 
+    @property
+    def step_id(self) -> StepId:
+        """The step that the group is of."""
+        return StepId(self.job.job.job_id, self.occurrence, self.number)
+
     def task(self, index: int) -> TaskId:
         """Returns the id of one of its tasks."""
         return TaskId(self.job.job.job_id, self.occurrence, self.number, index)
@@ -199,3 +208,18 @@
     def over(self) -> bool:
         """Whether every task has ended well."""
         return all(self.step_over(*key) for key in self.groups)
+
+
+def may_stop(group: Group) -> bool:
+    """Whether a task of a lasting step may be stopped by this system.
+
+    A step says how many of its tasks may be away at once on its orders.
+    """
+    if not group.step.may_miss:
+        return True
+    others = group.job.groups[group.occurrence, group.number]
+    away = sum(
+        each is not group and not (each.running and each.percent >= 100)
+        for each in others
+    )
+    return away < group.step.may_miss
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -37,6 +37,18 @@
         return cls(JobId(parts[0]), *(int(each) for each in parts[1:]))
 
 
+class StepId(msgspec.Struct, frozen=True, order=True):
+    """One step of one occurrence of a job."""
+
+    job_id: JobId
+    occurrence: int
+    step: int
+
+    def __str__(self) -> str:
+        """Returns the name that the step is known by outside."""
+        return f"{self.job_id}.{self.occurrence}.{self.step}"
+
+
 class WorkerInfo(msgspec.Struct, frozen=True):
     """A worker as the platform lists it.
 
@@ -187,6 +199,7 @@
     OLD_RUN = "old_run"
     TOO_LATE = "too_late"
     UNHEALTHY = "unhealthy"
+    BAD_TICKET = "bad_ticket"
     REFUSED = "refused"
     NO_ANSWER = "no_answer"
 
@@ -208,6 +221,34 @@
     run: RunNumber
 
 
+class AdviceGiven(msgspec.Struct, frozen=True):
+    """The service said which workers may run a step.
+
+    Attributes:
+      step: the step.
+      asked: the workers that were asked about.
+      tickets: a ticket for each of them that may run it.
+      valid_until: when the tickets end.
+    """
+
+    step: StepId
+    asked: tuple[WorkerId, ...]
+    tickets: dict[WorkerId, str]
+    valid_until: float
+
+
+class AdviceMissing(msgspec.Struct, frozen=True):
+    """A question about a step got no answer."""
+
+    step: StepId
+
+
+class WorkersClosing(msgspec.Struct, frozen=True):
+    """Workers whose machines are about to go down; they get nothing new."""
+
+    worker_ids: frozenset[WorkerId]
+
+
 class RowWritten(msgspec.Struct, frozen=True):
     """A job's row is durable up to a change of it."""
 
@@ -230,6 +271,9 @@
     | WorkerSilent
     | StartAnswered
     | StopAnswered
+    | AdviceGiven
+    | AdviceMissing
+    | WorkersClosing
     | RowWritten
     | Tick
 )
@@ -246,6 +290,7 @@
     run: RunNumber
     payload: str
     checkpoint: str
+    ticket: str = ""
 
 
 class StopTask(msgspec.Struct, frozen=True):
@@ -256,6 +301,22 @@
     run: RunNumber
 
 
+class PaceTask(msgspec.Struct, frozen=True):
+    """Order a worker to let a run work at a share of its pace."""
+
+    worker_id: WorkerId
+    task: TaskId
+    run: RunNumber
+    percent: int
+
+
+class AskAdvice(msgspec.Struct, frozen=True):
+    """Ask which of these workers may run a step."""
+
+    step: StepId
+    worker_ids: tuple[WorkerId, ...]
+
+
 class WriteRow(msgspec.Struct, frozen=True):
     """Write a job's row.
 
@@ -284,4 +345,4 @@
     fields: dict[str, object]
 
 
-Decision = StartTask | StopTask | WriteRow | Note
+Decision = StartTask | StopTask | PaceTask | AskAdvice | WriteRow | Note
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from pomeloarch_core.ids import JobId, OrganisationName
+from pomeloarch_core.ids import JobId, OrganisationName, ServiceName
 
 QueueName = NewType("QueueName", str)
 ImageName = NewType("ImageName", str)
@@ -118,6 +118,28 @@
         return self.need
 
 
+class Queue(msgspec.Struct, frozen=True):
+    """A queue for jobs of one service.
+
+    Attributes:
+      name: its name.
+      service: the service whose workers run its tasks.
+      priority: 0 goes first and may preempt.
+      max_attempts: failed runs of a task after which its job has failed.
+      stretch: the objective, in multiples of the longest chain of work.
+      target_latency_s: what the objective allows besides, in seconds.
+      advised: whether an outside service says which workers may run a step.
+    """
+
+    name: QueueName
+    service: ServiceName
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_latency_s: float = 0.0
+    advised: bool = False
+
+
 class BatchJob(msgspec.Struct, frozen=True):
     """A job as it was accepted.
 
@@ -125,6 +147,8 @@
       job_id: the caller's id for it.
       queue: where it was submitted.
       organisation: whose job it is; empty for a queue without keys.
+      accepted_under: the queue as it was then; it counts once the queue is no
+        longer in the configuration.
       payload: what its tasks run, opaque to the scheduler.
       steps: its steps; a step comes after those that it waits for.
       accepted_at: when it was accepted, in seconds of the wall clock.
@@ -136,6 +160,7 @@
     job_id: JobId
     queue: QueueName
     organisation: OrganisationName
+    accepted_under: Queue
     payload: str
     steps: tuple[Step, ...]
     accepted_at: float = 0.0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from pomeloarch_core.batch import health
+from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group, GroupState, JobEntry, Member
 from pomeloarch_core.batch.messages import (
@@ -37,6 +38,7 @@
       term: the number of this scheduler's term.
       fleet: the workers.
       times: learns from runs that end well.
+      advice: tickets for steps that need them.
       out: where decisions are put.
     """
 
@@ -45,9 +47,11 @@
         term: Epoch,
         fleet: Fleet,
         times: RunTimes,
+        advice: AdviceBook,
         out: list[Decision],
     ) -> None:
         """Starts without any run."""
+        self._advice = advice
         self._times = times
         self._term = term
         self._fleet = fleet
@@ -94,6 +98,7 @@
                     group.run,
                     group.job.job.payload,
                     group.checkpoint,
+                    self._advice.ticket(group, worker),
                 )
             )
         self.note(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -11,11 +11,19 @@
 from functools import singledispatchmethod
 
 from pomeloarch_core.batch import health
-from pomeloarch_core.batch.catalogue import Catalogue, Queue
+from pomeloarch_core.batch.advice import AdviceBook
+from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.dispatching import Dispatcher, DispatchTimes
 from pomeloarch_core.batch.fleet import Fleet, Worker
-from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.groups import (
+    Group,
+    GroupState,
+    JobEntry,
+    may_stop,
+)
 from pomeloarch_core.batch.messages import (
+    AdviceGiven,
+    AdviceMissing,
     CancelRequested,
     CatalogueChanged,
     Decision,
@@ -33,17 +41,17 @@
     TaskId,
     Tick,
     WorkerReported,
+    WorkersClosing,
     WorkerSilent,
     WorkersListed,
 )
-from pomeloarch_core.batch.model import QueueName
 from pomeloarch_core.batch.objectives import RunTimes
+from pomeloarch_core.batch.pacing import Pacer
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import REFUSED_PAUSE_S, Runs
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
-    ServiceName,
     WorkerId,
 )
 
@@ -74,9 +82,18 @@
         self._out: list[Decision] = []
         self._fleet = Fleet()
         self._times = RunTimes()
-        self._runs = Runs(term, self._fleet, self._times, self._out)
+        self._advice = AdviceBook()
+        self._pacer = Pacer()
+        self._runs = Runs(
+            term, self._fleet, self._times, self._advice, self._out
+        )
         self._dispatcher = Dispatcher(
-            self._fleet, self._runs, self._times, times or DispatchTimes()
+            self._fleet,
+            self._runs,
+            self._times,
+            self._advice,
+            self._out,
+            times or DispatchTimes(),
         )
         self._jobs: dict[JobId, JobEntry] = {}
         self._early_cancels: set[JobId] = set()
@@ -124,6 +141,23 @@
             or worker.pending_ends
         )
 
+    def watches(self, worker_id: WorkerId) -> bool:
+        """Whether a worker's reports are needed often, for pacing."""
+        worker = self._fleet.get(worker_id)
+        return worker is not None and self._pacer.watches(worker)
+
+    def may_end(self, worker_id: WorkerId) -> bool:
+        """Whether ending all that a worker runs leaves enough at work."""
+        worker = self._fleet.get(worker_id)
+        return worker is None or all(may_stop(g) for g in worker.groups)
+
+    def busy_s(self, worker_id: WorkerId, now: float) -> float:
+        """Returns how long what runs on a worker will likely take, in s."""
+        worker = self._fleet.get(worker_id)
+        if worker is None:
+            return 0.0
+        return self._dispatcher.busy_s(worker, now)
+
     def wants(self, task: TaskId, run: int) -> bool:
         """Whether a start that has no answer yet is still wanted."""
         group = self._group_of(task)
@@ -145,9 +179,7 @@
         job = event.job
         if job.job_id in self._jobs or event.row.status.final:
             return
-        queue = self._catalogue.queues.get(job.queue) or Queue(
-            QueueName(job.queue), ServiceName("")
-        )
+        queue = self._catalogue.queues.get(job.queue) or job.accepted_under
         entry = JobEntry(job, event.row, queue, event.older)
         self._jobs[job.job_id] = entry
         self._dirty = True
@@ -205,6 +237,7 @@
         self._take_ends(worker, event.ended, now)
         self._take_running(worker, running, now)
         self._find_missing(worker, running, event.asked_at, now)
+        self._out += self._pacer.observe(worker, now)
         self._dirty = True
 
     def _take_ends(
@@ -263,6 +296,7 @@
     ) -> None:
         member = group.members[each.task.index]
         member.seen = True
+        member.load = each.load
         if group.state is GroupState.STARTED:
             self._runs.confirmed(group, each.task.index, now)
         if each.checkpoint:
@@ -429,6 +463,8 @@
             if group.state is GroupState.STARTED:
                 self._runs.take_down(group, "a start has no answer", now)
             return
+        if event.outcome is StartOutcome.BAD_TICKET:
+            self._advice.refused(group, event.worker_id)
         if event.outcome is StartOutcome.UNHEALTHY:
             worker = self._fleet.get(event.worker_id)
             if worker is not None:
@@ -445,6 +481,33 @@
         if member is not None and member.worker_id == event.worker_id:
             member.stopped_at = member.stopped_at or now
 
+    @_on.register
+    def _on_advice(self, event: AdviceGiven, now: float) -> None:
+        incarnations: dict[WorkerId, int] = {}
+        for worker_id in event.tickets:
+            worker = self._fleet.get(worker_id)
+            if worker is not None:
+                incarnations[worker_id] = worker.incarnation
+        self._advice.answered(
+            event.step,
+            event.asked,
+            event.tickets,
+            event.valid_until,
+            incarnations,
+        )
+        self._dirty = True
+
+    @_on.register
+    def _on_no_advice(self, event: AdviceMissing, now: float) -> None:
+        self._advice.unanswered(event.step)
+        self._dirty = True
+
+    @_on.register
+    def _on_closing(self, event: WorkersClosing, now: float) -> None:
+        for worker in self._fleet:
+            worker.closing = worker.worker_id in event.worker_ids
+        self._dirty = True
+
     @_on.register
     def _on_written(self, event: RowWritten, now: float) -> None:
         left = []
@@ -536,6 +599,7 @@
             and entry.job.job_id not in self._acks
         ):
             del self._jobs[entry.job.job_id]
+            self._advice.forget([group.step_id for group in entry.all_groups()])
 
     # ---- certainty after a takeover
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -6,6 +6,7 @@
 import random
 import time
 from collections.abc import Callable
+from functools import singledispatch
 
 import msgspec
 from result import Ok
@@ -13,12 +14,14 @@
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.dispatching import DispatchTimes
 from pomeloarch_core.batch.messages import (
+    AskAdvice,
     CancelRequested,
     CatalogueChanged,
     Decision,
     Event,
     JobAccepted,
     Note,
+    PaceTask,
     RowWritten,
     StartTask,
     StopTask,
@@ -29,10 +32,17 @@
 )
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import BatchScheduler
-from pomeloarch_core.ids import JobId, WorkerId
+from pomeloarch_core.ids import JobId, NodeId, WorkerId
+from pomeloarch_node.batch.advice_task import AdviceTask
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
-from pomeloarch_node.batch.ports import FeedStore, TableChanges, WorkerLinks
+from pomeloarch_node.batch.ports import (
+    AdviceService,
+    FeedStore,
+    MachineService,
+    TableChanges,
+    WorkerLinks,
+)
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
     SPECS_TABLE,
@@ -42,6 +52,7 @@
 )
 from pomeloarch_node.batch.row_writer import RowWriter
 from pomeloarch_node.batch.term_row import Term, begin_term
+from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
 from pomeloarch_node.batch.worker_session import (
     CLOCK_DRIFT,
     LAPSE_SLACK_S,
@@ -72,11 +83,29 @@
       hold_max_s: the longest lease that a worker grants.
       renew_wait_s: how long a renewal waits for an end.
       dispatch: times that decide about preemption.
+      upkeep_s: how long a machine is down for its upkeep.
+      duty_pause_s: time between the orders of two holders to a machine.
     """
 
     hold_max_s: float
     renew_wait_s: float
     dispatch: DispatchTimes = DispatchTimes()
+    upkeep_s: float = 2.0
+    duty_pause_s: float = 3.5
+
+
+class Services(msgspec.Struct, frozen=True):
+    """What the scheduler asks of others beside the store and the workers.
+
+    Attributes:
+      waves: waves of upkeep and where their state is written.
+      machines: the machine service; None where there is none.
+      advice: the advice service; None where there is none.
+    """
+
+    waves: WaveSource
+    machines: MachineService | None = None
+    advice: AdviceService | None = None
 
 
 class Leader:
@@ -88,6 +117,8 @@
       links: makes links to workers.
       catalogue: returns the configuration in force, None before the first.
       jobs: the mirror of the jobs' table.
+      services: other services.
+      node_id: this node.
       role: the leased role.
       clock: monotonic time, in seconds.
       times: the deployment's times.
@@ -102,6 +133,8 @@
         links: WorkerLinks,
         catalogue: Callable[[], Catalogue | None],
         jobs: TableMirror,
+        services: Services,
+        node_id: NodeId,
         role: LeasedRole,
         clock: Callable[[], float],
         times: LeaderTimes,
@@ -114,6 +147,8 @@
         self._links = links
         self._catalogue = catalogue
         self._jobs = jobs
+        self._services = services
+        self._node_id = node_id
         self._role = role
         self._clock = clock
         self._times = times
@@ -212,6 +247,23 @@
         self._writer = RowWriter(
             leader._store, tenure, term.check, self._on_written, leader._log
         )
+        self._advice = AdviceTask(
+            leader._services.advice, self.emit, self._clock, leader._log
+        )
+        self._upkeep = UpkeepTask(
+            leader._services.waves,
+            leader._services.machines,
+            leader._store,
+            self._scheduler,
+            self.emit,
+            tenure,
+            leader._node_id,
+            term.number,
+            self._clock,
+            now + leader._times.duty_pause_s,
+            leader._times.upkeep_s,
+            leader._log,
+        )
         self._sessions: dict[
             WorkerId, tuple[WorkerSession, asyncio.Task[None]]
         ] = {}
@@ -295,6 +347,8 @@
                 tasks.create_task(self._list.run())
                 tasks.create_task(self._tick())
                 tasks.create_task(self._place())
+                tasks.create_task(self._advice.run())
+                tasks.create_task(self._upkeep.run())
         finally:
             for session, task in self._sessions.values():
                 task.cancel()
@@ -329,14 +383,10 @@
             self._leader._log.write(decision.event, **decision.fields)
         elif isinstance(decision, WriteRow):
             self._writer.put(decision)
-        else:
-            found = self._sessions.get(decision.worker_id)
-            if found is None:
-                return
-            if isinstance(decision, StartTask):
-                found[0].start(decision)
-            elif isinstance(decision, StopTask):
-                found[0].stop(decision)
+        elif isinstance(decision, AskAdvice):
+            self._advice.ask(decision)
+        elif decision.worker_id in self._sessions:
+            _order(decision, self._sessions[decision.worker_id][0])
 
     def _on_written(self, job_id: JobId, change: int) -> None:
         self.emit(RowWritten(job_id, change))
@@ -384,3 +434,23 @@
         )
         task = asyncio.create_task(session.run())
         self._sessions[info.worker_id] = (session, task)
+
+
+@singledispatch
+def _order(order: object, session: WorkerSession) -> None:
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@_order.register
+def _(order: StartTask, session: WorkerSession) -> None:
+    session.start(order)
+
+
+@_order.register
+def _(order: StopTask, session: WorkerSession) -> None:
+    session.stop(order)
+
+
+@_order.register
+def _(order: PaceTask, session: WorkerSession) -> None:
+    session.pace(order)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -16,16 +16,30 @@
 
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.dispatching import DispatchTimes
+from pomeloarch_core.batch.upkeep import Wave
 from pomeloarch_core.ids import NodeId, ZoneName
 from pomeloarch_core.membership import LeaseConfig
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.intake import Intake
-from pomeloarch_node.batch.leader import Leader, LeaderTimes, ReadWorkers
+from pomeloarch_node.batch.leader import (
+    Leader,
+    LeaderTimes,
+    ReadWorkers,
+    Services,
+)
 from pomeloarch_node.batch.mirror import TableMirror
-from pomeloarch_node.batch.ports import FeedStore, TableChanges, WorkerLinks
+from pomeloarch_node.batch.ports import (
+    AdviceService,
+    FeedStore,
+    MachineService,
+    TableChanges,
+    WorkerLinks,
+)
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
+from pomeloarch_node.batch.upkeep_task import WaveSource
 from pomeloarch_node.lifecycle import NodeServer
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
 
 # The configuration's feed waits this long for a change, in seconds; each
@@ -51,6 +65,8 @@
 BALANCER_S = 2.4
 # Time for answers under way once the listeners are closed, in seconds.
 LAST_ANSWERS_S = 2.5
+# A former holder may have sent its last order a little after its lease.
+DUTY_SLACK_S = 0.7
 _KEEPALIVE_S = 75
 _BACKLOG = 512
 
@@ -68,6 +84,8 @@
       hold_max_s: the longest lease that workers grant.
       keep_finished_s: how long the state of an ended job is kept.
       dispatch: times that decide about preemption.
+      upkeep_s: how long a machine is down for its upkeep.
+      duty_lease_s: least time between orders of two holders to a machine.
     """
 
     node_id: NodeId
@@ -79,6 +97,8 @@
     hold_max_s: float = 6.0
     keep_finished_s: float = 120.0
     dispatch: DispatchTimes = DispatchTimes()
+    upkeep_s: float = 2.0
+    duty_lease_s: float = 3.0
 
 
 class Sources(msgspec.Struct, frozen=True):
@@ -90,6 +110,10 @@
       read_configuration: decodes the row.
       workers_table: the table of workers.
       read_workers: decodes its rows.
+      read_waves: returns the waves among the configuration's rows.
+      wave_status: returns the row that says how far a wave is.
+      machines: the machine service; None where there is none.
+      advice: the advice service; None where there is none.
     """
 
     configuration_table: str
@@ -97,6 +121,10 @@
     read_configuration: Callable[[Any], Result[Catalogue, str]]
     workers_table: str
     read_workers: ReadWorkers
+    read_waves: Callable[[dict[str, Any]], tuple[Wave, ...]]
+    wave_status: Callable[[int, bool], Write]
+    machines: MachineService | None = None
+    advice: AdviceService | None = None
 
 
 class BatchNode:
@@ -155,9 +183,21 @@
             links,
             lambda: self.catalogue,
             self._jobs,
+            Services(
+                WaveSource(self._waves, sources.wave_status),
+                sources.machines,
+                sources.advice,
+            ),
+            settings.node_id,
             self._role,
             self.clock,
-            LeaderTimes(settings.hold_max_s, RENEW_WAIT_S, settings.dispatch),
+            LeaderTimes(
+                settings.hold_max_s,
+                RENEW_WAIT_S,
+                settings.dispatch,
+                settings.upkeep_s,
+                settings.duty_lease_s + DUTY_SLACK_S,
+            ),
             self.log,
         )
 
@@ -180,6 +220,9 @@
             and self._configuration.age(now) < READY_WITHIN_S
         )
 
+    def _waves(self) -> tuple[Wave, ...]:
+        return self._sources.read_waves(self._configuration.rows)
+
     # ---- configuration
 
     def _on_configuration(self, changes: TableChanges, _whole: bool) -> None:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
@@ -15,9 +15,11 @@
     RunNumber,
     StartOutcome,
     StartTask,
+    StepId,
     WorkerInfo,
 )
-from pomeloarch_core.ids import Epoch
+from pomeloarch_core.batch.upkeep import MachineId, UpkeepOutcome
+from pomeloarch_core.ids import Epoch, NodeId, WorkerId
 from pomeloarch_node.platform import PlatformClient, PlatformError, Row
 
 
@@ -121,6 +123,11 @@
     ) -> Result[None, OrderFailure]:
         """Stops a run, or keeps one from starting that isn't there yet."""
 
+    async def pace(
+        self, task_name: str, run: RunNumber, percent: int, fence: Epoch
+    ) -> Result[None, OrderFailure]:
+        """Lets a run work at a share of its pace; repeating does no harm."""
+
     async def reset(self) -> None:
         """Drops all connections, which may have gone silent."""
 
@@ -133,3 +140,50 @@
 
     def open(self, info: WorkerInfo) -> WorkerLink:
         """Returns a link to a worker."""
+
+
+class Advice(msgspec.Struct, frozen=True):
+    """Which workers may run a step.
+
+    Attributes:
+      tickets: a ticket for each worker that may.
+      valid_s: how long they are valid, in seconds from the question.
+    """
+
+    tickets: dict[WorkerId, str]
+    valid_s: float
+
+
+class AdviceService(Protocol):
+    """Says which workers may run a step."""
+
+    async def ask(
+        self, step: StepId, worker_ids: tuple[WorkerId, ...]
+    ) -> Result[Advice, str]:
+        """Returns tickets, or why there is no answer."""
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """A machine as the machine service lists it.
+
+    Attributes:
+      machine_id: its id, which stays.
+      worker_id: the worker that it is now, None when it is down.
+      up: whether it can be ordered down.
+    """
+
+    machine_id: MachineId
+    worker_id: WorkerId | None
+    up: bool
+
+
+class MachineService(Protocol):
+    """Takes machines down for upkeep."""
+
+    async def machines(self) -> Result[tuple[Machine, ...], str]:
+        """Returns all machines, or why they can't be had."""
+
+    async def upkeep(
+        self, machine: MachineId, wave: int, holder: NodeId, fence: Epoch
+    ) -> UpkeepOutcome:
+        """Orders a machine down for a wave; repeating does no harm."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -16,6 +16,7 @@
 from pomeloarch_core.batch.messages import (
     Event,
     Incarnation,
+    PaceTask,
     StartAnswered,
     StartOutcome,
     StartTask,
@@ -44,6 +45,10 @@
 # wait and the timeout, and the question that follows is answered at once.
 SILENT_AFTER_S = 2.2
 CALL_TIMEOUT_S = 0.7
+# A worker whose tasks are paced is asked this often, in seconds; the figures
+# that it gives cover the last half second.
+WATCHED_WAIT_S = 0.5
+PACE_TRIES = 2
 START_TRIES = 3
 # The lease of an order to start, in seconds; renewals extend it. What an
 # order without an answer may still start is known to have ended the sooner.
@@ -154,7 +159,7 @@
         asked_at = self._clock()
         acknowledged = self._scheduler.acknowledged(self.info.worker_id)
         first = self._worker_clock is None or self._silent
-        wait_s = 0.0 if first or self._doubtful else self._times.wait_s
+        wait_s = 0.0 if first or self._doubtful else self._wait_s()
         deadline_ms = None
         if not first:
             deadline_ms = self._deadline_ms(asked_at, self._times.lease_s)
@@ -171,6 +176,11 @@
         if answer.ok_value.ended:
             await self._sleep(RETRY_PAUSE_S)
 
+    def _wait_s(self) -> float:
+        if self._scheduler.watches(self.info.worker_id):
+            return min(WATCHED_WAIT_S, self._times.wait_s)
+        return self._times.wait_s
+
     def _deadline_ms(self, now: float, lease_s: float) -> int:
         """Returns the end of a lease granted now, on the worker's clock."""
         assert self._worker_clock is not None
@@ -229,6 +239,10 @@
         """Carries an order to stop a run."""
         self._spawn(self._stop(order))
 
+    def pace(self, order: PaceTask) -> None:
+        """Carries an order to work at a share of the pace."""
+        self._spawn(self._pace(order))
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         self._orders.add(task)
@@ -261,6 +275,19 @@
             self._worker_clock = (answer.clock_ms, self._clock())
         return answer.outcome
 
+    async def _pace(self, order: PaceTask) -> None:
+        for _ in range(PACE_TRIES):
+            if not self._tenure.held():
+                return
+            answer = await self._link.pace(
+                str(order.task), order.run, order.percent, self._fence
+            )
+            if isinstance(answer, Ok):
+                return
+            if answer.err_value is OrderFailure.SUPERSEDED:
+                self._tenure.supersede("a worker has seen a higher fence")
+                return
+
     async def _stop(self, order: StopTask) -> None:
         while self._tenure.held():
             answer = await self._link.stop(
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -11,6 +11,7 @@
 from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_standins.batch_world import (
     BATCH,
+    CATALOGUE,
     ORGANISATION,
     URGENT,
     BatchWorld,
@@ -26,6 +27,7 @@
         job_id=JobId(f"{number:016x}"),
         queue=queue,
         organisation=ORGANISATION,
+        accepted_under=CATALOGUE.queues[queue],
         payload="work",
         steps=steps or (Step(count=3, need=SMALL, estimate_s=2.0),),
     )
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -463,3 +463,9 @@
         if not await self._arrive(act):
             return Err(OrderFailure.NO_ANSWER)
         return Ok(None) if act(False) else Err(OrderFailure.SUPERSEDED)
+
+    async def pace(
+        self, task_name: str, run: RunNumber, percent: int, fence: Epoch
+    ) -> Result[None, OrderFailure]:
+        """Takes the order; tasks of this model have one pace."""
+        return Ok(None)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -12,10 +12,10 @@
 
 import msgspec
 
-from pomeloarch_core.batch.catalogue import Catalogue, Queue, Route, Tenant
+from pomeloarch_core.batch.catalogue import Catalogue, Route, Tenant
 from pomeloarch_core.batch.dispatching import DispatchTimes
 from pomeloarch_core.batch.messages import Incarnation, TaskId, WorkerInfo
-from pomeloarch_core.batch.model import BatchJob, Need, QueueName
+from pomeloarch_core.batch.model import BatchJob, Need, Queue, QueueName
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import (
     Generation,
@@ -27,11 +27,19 @@
     ZoneName,
 )
 from pomeloarch_core.membership import LeaseConfig
-from pomeloarch_node.batch import DecisionLog, Intake, Leader, LeaderTimes
+from pomeloarch_node.batch import (
+    DecisionLog,
+    Intake,
+    Leader,
+    LeaderTimes,
+    Services,
+    WaveSource,
+)
 from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_standins.batch_store import FeedTables, StoreLink
 from pomeloarch_standins.batch_workers import (
@@ -98,6 +106,8 @@
             world,
             lambda: CATALOGUE,
             self.jobs,
+            Services(WaveSource(lambda: (), _no_status)),
+            self.name,
             self.role,
             world.clock,
             LeaderTimes(HOLD_MAX_S, 0.5, DispatchTimes(STOP_S, 2.7)),
@@ -250,3 +260,7 @@
         rack=f"r{number % 2}",
         incarnation=Incarnation(1),
     )
+
+
+def _no_status(number: int, completed: bool) -> Write:
+    return Write("model_status", str(number), completed)
