--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -35,7 +35,10 @@
 )
 
 # Pause before a write without an answer is sent again, in seconds.
-SETTLE_PAUSE_S = 0.15
+SETTLE_PAUSE_S = 0.1
+# How long a write in doubt is pursued, in seconds; after that the caller can
+# settle it sooner with another node.
+SETTLE_WITHIN_S = 0.8
 
 
 class Outcome(enum.Enum):
@@ -68,15 +71,21 @@
       store: the store.
       jobs: the mirror of the jobs' table.
       clock: monotonic time, in seconds.
+      reachable: whether the store has answered this node of late.
     """
 
     def __init__(
-        self, store: FeedStore, jobs: TableMirror, clock: Callable[[], float]
+        self,
+        store: FeedStore,
+        jobs: TableMirror,
+        clock: Callable[[], float],
+        reachable: Callable[[], bool] = lambda: True,
     ) -> None:
         """Follows the mirror."""
         self._store = store
         self._jobs = jobs
         self._clock = clock
+        self._reachable = reachable
         self._waiting: dict[QueueName, set[str]] = {}
         jobs.subscribe(self._on_changes)
 
@@ -113,6 +122,8 @@
     async def _write_once(
         self, checks: list[Check], writes: list[Write], give_up_at: float
     ) -> Outcome:
+        if not self._reachable():
+            return Outcome.NOT_DONE
         in_doubt = False
         while True:
             left_s = give_up_at - self._clock()
@@ -130,7 +141,9 @@
                 return Outcome.DONE
             if error.failure is PlatformFailure.NOT_DONE and not in_doubt:
                 return Outcome.NOT_DONE
-            in_doubt = in_doubt or error.failure is PlatformFailure.UNKNOWN
+            if error.failure is PlatformFailure.UNKNOWN and not in_doubt:
+                in_doubt = True
+                give_up_at = min(give_up_at, self._clock() + SETTLE_WITHIN_S)
             await asyncio.sleep(SETTLE_PAUSE_S)
 
     # ---- reads
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -49,6 +49,7 @@
     cancelled_job,
     decode_job,
     decode_row,
+    shard_of,
 )
 from pomeloarch_node.batch.row_writer import RowWriter
 from pomeloarch_node.batch.term_row import Term, begin_term
@@ -232,7 +233,7 @@
         self._leader = leader
         self._tenure = tenure
         self._number = term.number
-        self._fence = term.check
+        self._checks = term.checks
         self._clock = leader._clock
         now = self._clock()
         self._scheduler = BatchScheduler(
@@ -244,9 +245,12 @@
         self._unknown_until = (
             now + leader._times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
         )
-        self._writer = RowWriter(
-            leader._store, tenure, term.check, self._on_written, leader._log
-        )
+        self._writers = {
+            shard: RowWriter(
+                leader._store, tenure, check, self._on_written, leader._log
+            )
+            for shard, check in term.checks.items()
+        }
         self._advice = AdviceTask(
             leader._services.advice, self.emit, self._clock, leader._log
         )
@@ -300,7 +304,10 @@
                 self._cancelled.add(cancelled)
             else:
                 self._rows[JobId(row.key)] = decode_row(row.value)
-                self._writer.version_is(JobId(row.key), row.version)
+                self._writer_of(row.key).version_is(JobId(row.key), row.version)
+
+    def _writer_of(self, key: str) -> RowWriter:
+        return self._writers[shard_of(key)]
 
     def _on_specs(self, changes: TableChanges, whole: bool) -> None:
         for row in changes.rows:
@@ -312,11 +319,11 @@
                 continue
             self._announced.add(job.job_id)
             state = self._rows.pop(job.job_id, None)
-            older = row.version < self._fence.version
+            older = row.version < self._checks[shard_of(row.key)].version
             if state is None:
                 if older:
                     continue
-                self._writer.version_is(job.job_id, row.version)
+                self._writer_of(row.key).version_is(job.job_id, row.version)
                 state = JobRow.from_job(job)
             self.emit(JobAccepted(job, state, older))
             if job.job_id in self._cancelled:
@@ -338,7 +345,8 @@
         try:
             async with asyncio.TaskGroup() as tasks:
                 tasks.create_task(self._specs.run())
-                tasks.create_task(self._writer.run())
+                for writer in self._writers.values():
+                    tasks.create_task(writer.run())
                 await self._specs.loaded.wait()
                 for job_id, value in list(self._leader._jobs.rows.items()):
                     cancelled = cancelled_job(job_id)
@@ -382,7 +390,7 @@
         if isinstance(decision, Note):
             self._leader._log.write(decision.event, **decision.fields)
         elif isinstance(decision, WriteRow):
-            self._writer.put(decision)
+            self._writer_of(decision.job_id).put(decision)
         elif isinstance(decision, AskAdvice):
             self._advice.ask(decision)
         elif decision.worker_id in self._sessions:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -167,7 +167,12 @@
         self._jobs = TableMirror(
             store, JOBS_TABLE, self.clock, self.log, JOBS_WAIT_S, JOBS_PACE_S
         )
-        self.intake = Intake(store, self._jobs, self.clock)
+        self.intake = Intake(
+            store,
+            self._jobs,
+            self.clock,
+            lambda: self._configuration.connected,
+        )
         self._role = LeasedRole(
             ROLE_NAME,
             settings.node_id,
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import Any
 
 import msgspec
@@ -15,13 +16,38 @@
 # Where jobs stand, and marks of those whose end was asked for; every node
 # follows this table.
 JOBS_TABLE = "batch_jobs"
-# One row: the number of the newest term of a leading scheduler.
+# One row a shard: the number of the newest term of a leading scheduler.
 TERMS_TABLE = "batch_terms"
 ROLE_NAME = "batch_scheduler"
 
+# Rows of jobs are spread over shards, since a transaction is of one shard and
+# a shard takes one transaction after another. A store that is sixty times
+# slower than usual takes three a second in each.
+SHARDS = 4
+SHARDED_TABLES = frozenset({SPECS_TABLE, JOBS_TABLE})
+
 _CANCEL_SUFFIX = "!"
 
 
+def shard_of(key: str) -> int:
+    """Returns the shard of a job's rows, by its id or its mark's key."""
+    return zlib.crc32(key.removesuffix(_CANCEL_SUFFIX).encode()) % SHARDS
+
+
+def term_key(shard: int) -> str:
+    """Returns the key of the row that numbers terms in a shard."""
+    return f"{ROLE_NAME}/{shard}"
+
+
+def shard_of_row(table: str, key: str) -> int | None:
+    """Returns the shard of a row of these tables, None for other tables."""
+    if table in SHARDED_TABLES:
+        return shard_of(key)
+    if table == TERMS_TABLE:
+        return int(key.rpartition("/")[2])
+    return None
+
+
 def cancel_key(job_id: JobId) -> str:
     """Returns the key of the mark that a job's end was asked for."""
     return job_id + _CANCEL_SUFFIX
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
@@ -1,21 +1,27 @@
-"""The row that numbers the terms of leading schedulers.
+"""The rows that number the terms of leading schedulers, one in each shard.
 
 Each time a node begins to act it takes the next number, also when it has
 regained the role under an epoch that it held before: what it ordered then may
 still be under way. The number is the fence that workers compare, and every
-write of the scheduler carries a check of this row's version.
+write of the scheduler carries a check of its shard's row.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
+from collections.abc import Mapping
 
 import msgspec
 from result import Err, Ok
 
 from pomeloarch_core.ids import Epoch
-from pomeloarch_node.batch.records import ROLE_NAME, TERMS_TABLE, encode
+from pomeloarch_node.batch.records import (
+    SHARDS,
+    TERMS_TABLE,
+    encode,
+    term_key,
+)
 from pomeloarch_node.platform import Check, PlatformClient, Row, Write
 from pomeloarch_node.scheduler_tenure import Tenure
 
@@ -40,11 +46,11 @@
 
     Attributes:
       number: its number, the fence of its orders.
-      check: the condition of its writes.
+      checks: the condition of its writes, by shard.
     """
 
     number: Epoch
-    check: Check
+    checks: Mapping[int, Check]
 
 
 async def begin_term(
@@ -52,34 +58,74 @@
 ) -> Term | None:
     """Takes the next number; None when the role was lost meanwhile.
 
+    The first shard decides the number; no older term can write in any shard
+    once this returns.
+
     Args:
       store: the store.
       tenure: the right to act.
       rng: chance, for the nonce.
     """
     nonce = f"{rng.getrandbits(_NONCE_BITS):016x}"
+    first = await _take(store, tenure, 0, None, nonce)
+    if first is None:
+        return None
+    number, check = first
+    others = await asyncio.gather(
+        *(
+            _take(store, tenure, shard, number, nonce)
+            for shard in range(1, SHARDS)
+        )
+    )
+    checks = {0: check}
+    for shard, other in enumerate(others, start=1):
+        if other is None:
+            return None
+        checks[shard] = other[1]
+    return Term(number, checks)
+
+
+async def _take(
+    store: PlatformClient,
+    tenure: Tenure,
+    shard: int,
+    number: Epoch | None,
+    nonce: str,
+) -> tuple[Epoch, Check] | None:
+    """Writes a number, by default the next one, into a shard's row."""
+    key = term_key(shard)
     while tenure.held():
-        answer = await store.read([(TERMS_TABLE, ROLE_NAME)])
+        answer = await store.read([(TERMS_TABLE, key)])
         if isinstance(answer, Ok):
-            term = await _begin_after(store, answer.ok_value[0], nonce)
-            if term is not None:
-                return term
+            row = answer.ok_value[0]
+            found = _decode(row)
+            if found is not None and found.nonce == nonce:
+                return found.number, Check(TERMS_TABLE, key, row.version)
+            last = 0 if found is None else found.number
+            wanted = Epoch(last + 1) if number is None else number
+            if wanted <= last:
+                tenure.supersede(f"term {last} has begun")
+                return None
+            written = await _write(store, row, TermRow(wanted, nonce))
+            if written is not None:
+                return wanted, written
         await asyncio.sleep(RETRY_PAUSE_S)
     return None
 
 
-async def _begin_after(
-    store: PlatformClient, row: Row, nonce: str
-) -> Term | None:
-    before = None if row.value is None else msgspec.convert(row.value, TermRow)
-    if before is not None and before.nonce == nonce:
-        check = Check(TERMS_TABLE, ROLE_NAME, row.version)
-        return Term(before.number, check)
-    number = Epoch(1 if before is None else before.number + 1)
+def _decode(row: Row) -> TermRow | None:
+    if row.value is None:
+        return None
+    return msgspec.convert(row.value, TermRow)
+
+
+async def _write(
+    store: PlatformClient, row: Row, value: TermRow
+) -> Check | None:
     answer = await store.transact(
-        [Check(TERMS_TABLE, ROLE_NAME, row.version)],
-        [Write(TERMS_TABLE, ROLE_NAME, encode(TermRow(number, nonce)))],
+        [Check(row.table, row.key, row.version)],
+        [Write(row.table, row.key, encode(value))],
     )
     if isinstance(answer, Err):
         return None
-    return Term(number, Check(TERMS_TABLE, ROLE_NAME, answer.ok_value[0]))
+    return Check(row.table, row.key, answer.ok_value[0])
