--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -14,6 +14,9 @@
 
 from pomeloarch_core.ids import Epoch, NodeId
 
+# Candidates whose claims follow each other, a read's time apart.
+_CANDIDATES = 6
+
 
 class LeaseRow(msgspec.Struct, frozen=True):
     """The value of a role's row.
@@ -75,6 +78,9 @@
       owner: a value that no other process uses.
       cfg: the lease's times.
       start_after: earliest time of a first try, which lets roles spread.
+      turn: where this node stands among candidates, from 0 to 1. When the
+        table is slow, the claims of all of them at once would delay each
+        other past the lease.
     """
 
     def __init__(
@@ -83,12 +89,16 @@
         owner: str,
         cfg: LeaseConfig | None = None,
         start_after: float = 0.0,
+        turn: float = 0.0,
     ) -> None:
         """Starts as a candidate that knows nothing."""
         self._node = node
         self._owner = owner
         self._cfg = cfg or LeaseConfig()
         self._start_after = start_after
+        self._turn = turn
+        self._read_sent_at: float | None = None
+        self._read_took = 0.0
         self._version = 0
         self._row: LeaseRow | None = None
         self._seen_since: float | None = None
@@ -148,10 +158,14 @@
         if self._claimable_at() <= now:
             return self._begin(self._claim_row(), now)
         self._poll_due = now + self._cfg.poll_s
+        self._read_sent_at = now
         return ReadRow()
 
     def observed(self, version: int, row: LeaseRow | None, now: float) -> None:
         """Takes the row as it was read; `now` is when the answer came."""
+        if self._read_sent_at is not None:
+            self._read_took = now - self._read_sent_at
+            self._read_sent_at = None
         if self._seen_since is None or version != self._version:
             self._version = version
             self._row = row
@@ -219,13 +233,15 @@
         if self._released or self._seen_since is None:
             return float("inf")
         if self._row is None or self._row.holder is None:
-            return max(self._start_after, self._seen_since)
+            wait_s = self._turn * _CANDIDATES * self._read_took
+            return max(self._start_after, self._seen_since + wait_s)
         if self._row.owner == self._owner:
             return self._seen_since
         if self._row.holder == self._node:
             # An earlier process of this node held it, and is gone.
             return max(self._start_after, self._seen_since)
-        return self._seen_since + self._cfg.lease_s
+        wait_s = self._turn * _CANDIDATES * self._read_took
+        return self._seen_since + self._cfg.lease_s + wait_s
 
     def _claim_row(self) -> LeaseRow:
         last = self._row.epoch if self._row else 0
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -59,7 +59,7 @@
 # an early change of holder costs a second, and nothing is done twice. A store
 # that is sixty times slower than usual still renews it in time.
 ROLE_LEASE = LeaseConfig(
-    lease_s=2.0, drift_bound_s=0.25, renew_s=0.6, poll_s=0.5, retry_s=0.2
+    lease_s=2.3, drift_bound_s=0.25, renew_s=0.6, poll_s=0.5, retry_s=0.2
 )
 # The balancer asks every second and takes two misses.
 BALANCER_S = 2.4
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -29,7 +29,7 @@
 )
 
 ROLES_TABLE = "roles"
-_CALL_TIMEOUT_S = 0.7
+_CALL_TIMEOUT_S = 1.1
 _LONGEST_SLEEP_S = 0.25
 _SPREAD_S = 0.3
 _OWNER_BITS = 64
@@ -71,7 +71,7 @@
         # Different nodes come first for different roles.
         turn = zlib.crc32(f"{name} {node_id}".encode()) % 1000 / 1000
         self._machine = LeaseMachine(
-            node_id, owner, cfg, clock() + turn * _SPREAD_S
+            node_id, owner, cfg, clock() + turn * _SPREAD_S, turn
         )
         self._told: Epoch | None = None
         self._change = asyncio.Event()
