--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/decision_log.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/decision_log.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from pomeloarch_node.metrics import Metrics
+
 # Lines of one kind: a burst, and how many a second after it. A node decides
 # some tens of times a second on a busy day; a flood of one kind is cut.
 BURST_LINES = 100.0
@@ -43,15 +45,21 @@
 
     Args:
       node: the name of this node, in each line.
+      metrics: counts each kind of event, written or not.
       fd: the descriptor to write to; it is made non-blocking.
       wall: the wall clock, in seconds.
     """
 
     def __init__(
-        self, node: str, fd: int = 1, wall: Callable[[], float] = time.time
+        self,
+        node: str,
+        metrics: Metrics,
+        fd: int = 1,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Makes the descriptor non-blocking."""
         self._node = node
+        self._metrics = metrics
         self._fd = fd
         self._wall = wall
         self._budgets: dict[str, _Budget] = {}
@@ -66,6 +74,7 @@
           fields: ids, inputs with their age or version, and the outcome.
         """
         now = self._wall()
+        self._metrics.count("events_total", event=event)
         budget = self._budgets.setdefault(event, _Budget(now))
         if not budget.take(now):
             return
@@ -82,5 +91,6 @@
         except OSError:
             # The reader is too slow or gone; the next line says so.
             budget.left_out += 1
+            self._metrics.count("log_lines_dropped_total")
         else:
             budget.left_out = 0
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -51,6 +51,7 @@
     decode_row,
     shard_of,
 )
+from pomeloarch_node.batch.retention import Retention
 from pomeloarch_node.batch.row_writer import RowWriter
 from pomeloarch_node.batch.term_row import Term, begin_term
 from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
@@ -86,6 +87,7 @@
       dispatch: times that decide about preemption.
       upkeep_s: how long a machine is down for its upkeep.
       duty_pause_s: time between the orders of two holders to a machine.
+      keep_finished_s: how long the state of an ended job is kept.
     """
 
     hold_max_s: float
@@ -93,6 +95,7 @@
     dispatch: DispatchTimes = DispatchTimes()
     upkeep_s: float = 2.0
     duty_pause_s: float = 3.5
+    keep_finished_s: float = 120.0
 
 
 class Services(msgspec.Struct, frozen=True):
@@ -112,6 +115,9 @@
 class Leader:
     """Competes for the scheduler's role and acts while it is held.
 
+    Attributes:
+      times: the deployment's times; a change counts from the next term.
+
     Args:
       store: the store.
       workers: the mirror's table name of workers and how to read its rows.
@@ -152,7 +158,7 @@
         self._node_id = node_id
         self._role = role
         self._clock = clock
-        self._times = times
+        self.times = times
         self._log = log
         self._wall = wall
         self._rng = random.Random()
@@ -240,10 +246,10 @@
             term.number,
             catalogue,
             leader._wall() - now,
-            leader._times.dispatch,
+            leader.times.dispatch,
         )
         self._unknown_until = (
-            now + leader._times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
+            now + leader.times.hold_max_s / (1 - CLOCK_DRIFT) + LAPSE_SLACK_S
         )
         self._writers = {
             shard: RowWriter(
@@ -264,8 +270,16 @@
             leader._node_id,
             term.number,
             self._clock,
-            now + leader._times.duty_pause_s,
-            leader._times.upkeep_s,
+            now + leader.times.duty_pause_s,
+            leader.times.upkeep_s,
+            leader._log,
+        )
+        self._retention = Retention(
+            leader._store,
+            lambda: leader._jobs.rows,
+            term.checks,
+            leader.times.keep_finished_s,
+            leader._wall,
             leader._log,
         )
         self._sessions: dict[
@@ -356,6 +370,7 @@
                 tasks.create_task(self._tick())
                 tasks.create_task(self._place())
                 tasks.create_task(self._advice.run())
+                tasks.create_task(self._retention.run())
                 tasks.create_task(self._upkeep.run())
         finally:
             for session, task in self._sessions.values():
@@ -437,7 +452,7 @@
             self._scheduler,
             self.emit,
             self._clock,
-            SessionTimes(leader._times.hold_max_s, leader._times.renew_wait_s),
+            SessionTimes(leader.times.hold_max_s, leader.times.renew_wait_s),
             self._unknown_until,
         )
         task = asyncio.create_task(session.run())
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -37,8 +37,8 @@
 )
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
 from pomeloarch_node.batch.upkeep_task import WaveSource
-from pomeloarch_node.lifecycle import NodeServer
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.node_server import NodeServer
 from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
 
@@ -79,6 +79,7 @@
       availability_zone: where it runs.
       callers_address: where callers are served, `ip:port`.
       readiness_address: where the balancer asks, `ip:port`.
+      metrics_address: where metrics are served, `ip:port`; empty for nowhere.
       grace_s: time between a planned stop's signal and the kill.
       revoke_s: within this time a revoked key is refused.
       hold_max_s: the longest lease that workers grant.
@@ -92,6 +93,7 @@
     availability_zone: ZoneName
     callers_address: str
     readiness_address: str
+    metrics_address: str = ""
     grace_s: float = 6.0
     revoke_s: float = 5.0
     hold_max_s: float = 6.0
@@ -133,6 +135,7 @@
     Attributes:
       catalogue: the configuration in force, None before the first.
       stopping: whether a planned stop has begun.
+      metrics: counters and latencies.
 
     Args:
       settings: the node's settings.
@@ -151,7 +154,8 @@
         """Builds all parts; none runs yet."""
         self._settings = settings
         self._sources = sources
-        self.log = DecisionLog(settings.node_id)
+        self.metrics = Metrics()
+        self.log = DecisionLog(settings.node_id, self.metrics)
         self.catalogue: Catalogue | None = None
         self.stopping = False
         self._stop = asyncio.Event()
@@ -178,7 +182,7 @@
             settings.node_id,
             store,
             self.clock,
-            Metrics(),
+            self.metrics,
             random.Random(),
             ROLE_LEASE,
         )
@@ -196,13 +200,7 @@
             settings.node_id,
             self._role,
             self.clock,
-            LeaderTimes(
-                settings.hold_max_s,
-                RENEW_WAIT_S,
-                settings.dispatch,
-                settings.upkeep_s,
-                settings.duty_lease_s + DUTY_SLACK_S,
-            ),
+            _leader_times(settings),
             self.log,
         )
 
@@ -261,7 +259,6 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
         self.log.write(
             "node starts",
             availability_zone=self._settings.availability_zone,
@@ -270,15 +267,18 @@
         readiness = self._server(
             self._settings.readiness_address, self._readiness_app
         )
-        parts = [
-            asyncio.create_task(each)
-            for each in (
-                self._configuration.run(),
-                self._jobs.run(),
-                self._leader.run(),
-                readiness.serve(),
-            )
+        running = [
+            self._configuration.run(),
+            self._jobs.run(),
+            self._leader.run(),
+            readiness.serve(),
         ]
+        if self._settings.metrics_address:
+            metrics = self._server(
+                self._settings.metrics_address, self._metrics_app
+            )
+            running.append(metrics.serve())
+        parts = [asyncio.create_task(each) for each in running]
         serving = asyncio.create_task(callers.serve())
         await self._stop.wait()
         await self._planned_stop(callers)
@@ -288,8 +288,18 @@
         await asyncio.gather(*parts, return_exceptions=True)
         self.log.write("node stopped")
 
-    def _on_hangup(self) -> None:
-        self.log.write("settings changed", outcome="nothing to take over")
+    def reload(self, settings: BatchSettings) -> None:
+        """Takes changed settings over.
+
+        Bounds count from now on, those of the scheduler from its next term;
+        addresses only after a restart.
+        """
+        self.log.write(
+            "settings changed",
+            restart_needed=_addresses(settings) != _addresses(self._settings),
+        )
+        self._settings = settings
+        self._leader.times = _leader_times(settings)
 
     async def _planned_stop(self, callers: uvicorn.Server) -> None:
         self.stopping = True
@@ -325,3 +335,26 @@
         ready = self.ready(self.clock())
         response = PlainTextResponse("", 200 if ready else 503)
         await response(scope, receive, send)
+
+    async def _metrics_app(self, scope: Any, receive: Any, send: Any) -> None:
+        response = PlainTextResponse(self.metrics.render())
+        await response(scope, receive, send)
+
+
+def _addresses(settings: BatchSettings) -> tuple[str, ...]:
+    return (
+        settings.callers_address,
+        settings.readiness_address,
+        settings.metrics_address,
+    )
+
+
+def _leader_times(settings: BatchSettings) -> LeaderTimes:
+    return LeaderTimes(
+        settings.hold_max_s,
+        RENEW_WAIT_S,
+        settings.dispatch,
+        settings.upkeep_s,
+        settings.duty_lease_s + DUTY_SLACK_S,
+        settings.keep_finished_s,
+    )
--- a/packages/pomeloarch-node/src/pomeloarch_node/lifecycle.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/lifecycle.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
 import signal
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 
 import uvicorn
 from absl import logging
@@ -30,15 +29,6 @@
     STOPPED_AT_ONCE = 3
 
 
-class NodeServer(uvicorn.Server):
-    """A uvicorn server that leaves the signals to the node."""
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Installs no handler."""
-        yield
-
-
 class CloseWhileStopping:
     """Asks callers to leave their connections once a stop has begun.
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/node.py
@@ -22,9 +22,9 @@
     CloseWhileStopping,
     ExitCode,
     Lifecycle,
-    NodeServer,
 )
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.node_server import NodeServer
 from pomeloarch_node.operators_api import OperatorsApi
 from pomeloarch_node.peer_plane import TcpPeerPlane
 from pomeloarch_node.platform import HttpPlatformClient
--- a/packages/pomeloarch-node/tests/test_http_limits.py
+++ b/packages/pomeloarch-node/tests/test_http_limits.py
@@ -11,7 +11,7 @@
 
 from pomeloarch_node import http_limits
 from pomeloarch_node.http_limits import MAX_HEADER_BYTES, protocol_with_limits
-from pomeloarch_node.lifecycle import NodeServer
+from pomeloarch_node.node_server import NodeServer
 
 
 async def _hello(request):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -86,7 +86,7 @@
 
     def _build(self) -> None:
         world = self._world
-        log = DecisionLog(self.name, world.log_fd, world.clock)
+        log = DecisionLog(self.name, Metrics(), world.log_fd, world.clock)
         self.jobs = TableMirror(
             self.link, JOBS_TABLE, world.clock, log, 1.0, 0.2
         )
