Test dispatch under load, policies, the platform's decoding and the parts

Found by the new tests and mended: a group that is kept off workers for its failures had all groups like it skipped in that round; a group that had failed everywhere was placed nowhere; members of a gang that was done were ordered to stop.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -181,7 +181,8 @@
         candidates = self._candidates(group, current, now)
         if self._place(group, candidates, current, now):
             return
-        if not group.failed_on:
+        if not group.failures and not group.failed_on:
+            # Others like it are kept off no worker for its failures.
             current.without_room.add(alike)
         self._make_room(group, candidates, covered, current, now, wall)
 
@@ -194,9 +195,9 @@
         siblings = self._siblings(group)
         usable = current.usable[service]
         found = suitable(group, usable, siblings)
-        if not found and group.failed_on:
+        if not found and (group.failures or group.failed_on):
             group.failed_on.clear()
-            found = suitable(group, usable, siblings)
+            found = suitable(group, usable, siblings, any_record=True)
         if group.job.queue.advised:
             return self._advised(group, found, now)
         return found
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
@@ -24,7 +24,10 @@
 
 
 def suitable(
-    group: Group, workers: Iterable[Worker], siblings: dict[Worker, int]
+    group: Group,
+    workers: Iterable[Worker],
+    siblings: dict[Worker, int],
+    any_record: bool = False,
 ) -> list[Worker]:
     """Returns the workers that a group may use, room aside.
 
@@ -32,6 +35,8 @@
       group: what is to be placed.
       workers: workers that may be given tasks.
       siblings: tasks of the same step on each worker.
+      any_record: whether a group that has failed may use workers on which
+        runs have failed; it has no others.
     """
     step = group.step
     return [
@@ -39,7 +44,7 @@
         for each in workers
         if (not step.label or step.label in each.info.labels)
         and each.worker_id not in group.failed_on
-        and not (group.failures and each.failures)
+        and (any_record or not (group.failures and each.failures))
         and not (
             step.max_per_worker and siblings.get(each, 0) >= step.max_per_worker
         )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -571,7 +571,7 @@
         if status is JobStatus.COMPLETED:
             entry.row.started = True
         for group in entry.all_groups():
-            if group.members:
+            if group.members and group.state is not GroupState.OVER:
                 self._runs.take_down(group, f"its job is {status.value}", now)
             group.state = GroupState.OVER
         self._runs.changed(entry, urgent=True)
--- /dev/null
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -0,0 +1,475 @@
+"""Where groups go under load: one table of loads for each pattern."""
+
+import pytest
+
+from pomeloarch_core.batch.catalogue import Catalogue, Tenant
+from pomeloarch_core.batch.dispatching import DispatchTimes
+from pomeloarch_core.batch.messages import (
+    EndedTask,
+    Incarnation,
+    JobAccepted,
+    Note,
+    RowWritten,
+    RunEnd,
+    RunningTask,
+    StartAnswered,
+    StartOutcome,
+    StartTask,
+    StopTask,
+    Tick,
+    WorkerInfo,
+    WorkerReported,
+    WorkerSilent,
+    WorkersListed,
+    WriteRow,
+)
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    Need,
+    Queue,
+    QueueName,
+    Step,
+)
+from pomeloarch_core.batch.rows import JobRow, JobStatus
+from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_core.ids import (
+    Epoch,
+    Generation,
+    JobId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+
+SERVICE = ServiceName("scorer")
+OWNER = OrganisationName("qasr")
+OTHER = OrganisationName("shrestha")
+URGENT = Queue(QueueName("urgent"), SERVICE, 0, 3, 1.5, 0.25)
+NORMAL = Queue(QueueName("normal"), SERVICE, 1, 2, 3.0, 1.0)
+BATCH = Queue(QueueName("batch"), SERVICE, 2, 2, 3.0, 3.0)
+CATALOGUE = Catalogue(
+    Generation(1),
+    {each.name: each for each in (URGENT, NORMAL, BATCH)},
+    (),
+    {OWNER: Tenant(OWNER, frozenset(), 16), OTHER: Tenant(OTHER)},
+)
+ONE = Need(8_000, 8_000, 1)
+WHOLE = Need(16_000, 32_000, 8)
+
+
+def step(count, need=ONE, seconds=4.0, **more):
+    return Step(count=count, need=need, estimate_s=seconds, **more)
+
+
+class Fleet:
+    """A scheduler with workers that start what they are told."""
+
+    def __init__(self, racks=2, per_rack=4, term=1):
+        self.now = 100.0
+        self.scheduler = BatchScheduler(
+            Epoch(term), CATALOGUE, 0.0, DispatchTimes(0.9, 3.4)
+        )
+        self.workers = [
+            WorkerInfo(
+                WorkerId(f"w{rack}-{number}"),
+                SERVICE,
+                "",
+                ZoneName("z"),
+                Need(64_000, 128_000, 8),
+                frozenset({"a", f"r{rack}"}),
+                f"r{rack}",
+            )
+            for rack in range(racks)
+            for number in range(per_rack)
+        ]
+        self.running = {}
+        self.ends = {each.worker_id: [] for each in self.workers}
+        self.starts, self.stops, self.notes, self.rows = [], [], [], {}
+        self.emit(WorkersListed(tuple(self.workers)))
+        for each in self.workers:
+            self.report(each.worker_id)
+
+    def emit(self, event):
+        self._take(self.scheduler.handle(event, self.now))
+        self._take(self.scheduler.place(self.now))
+
+    def _take(self, decisions):
+        for each in decisions:
+            if isinstance(each, StartTask):
+                self.starts.append(each)
+                self.running[each.task, each.run] = each.worker_id
+                self._take(
+                    self.scheduler.handle(
+                        StartAnswered(
+                            each.worker_id,
+                            each.task,
+                            each.run,
+                            StartOutcome.STARTED,
+                        ),
+                        self.now,
+                    )
+                )
+            elif isinstance(each, StopTask):
+                self.stops.append(each)
+            elif isinstance(each, WriteRow):
+                self.rows[each.job_id] = each
+            elif isinstance(each, Note):
+                self.notes.append(each)
+
+    def submit(self, number, queue, *steps, organisation=OWNER, **more):
+        job = BatchJob(
+            JobId(f"{number:016x}"),
+            queue.name,
+            organisation,
+            queue,
+            "work",
+            steps,
+            accepted_at=self.now,
+            **more,
+        )
+        self.emit(JobAccepted(job, JobRow.from_job(job)))
+        return job.job_id
+
+    def report(self, worker_id, percent=0.0):
+        running = tuple(
+            RunningTask(task, run, percent=percent)
+            for (task, run), where in self.running.items()
+            if where == worker_id
+        )
+        self.emit(
+            WorkerReported(
+                worker_id,
+                Incarnation(1),
+                self.now,
+                running,
+                tuple(self.ends[worker_id]),
+            )
+        )
+
+    def end(self, task, run, how=RunEnd.DONE):
+        worker_id = self.running.pop((task, run))
+        ends = self.ends[worker_id]
+        ends.append(EndedTask(len(ends) + 1, task, run, how))
+        self.report(worker_id)
+
+    def end_all(self, job_id, how=RunEnd.DONE):
+        for task, run in list(self.running):
+            if task.job_id == job_id and (task, run) in self.running:
+                self.end(task, run, how)
+
+    def wait(self, seconds):
+        self.now += seconds
+        self.emit(Tick(self.now))
+
+    def places(self, job_id):
+        return [
+            where
+            for (task, _), where in self.running.items()
+            if task.job_id == job_id
+        ]
+
+    def obey_stops(self):
+        for order in list(self.stops):
+            if (order.task, order.run) in self.running:
+                self.end(order.task, order.run, RunEnd.STOPPED)
+        self.stops.clear()
+
+
+def rack_of(worker_id):
+    return worker_id[1]
+
+
+# ---- single placements
+
+
+def test_small_tasks_are_packed_to_leave_whole_workers():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(8))
+    assert len(set(fleet.places(job))) == 1
+
+
+def test_gang_starts_whole_or_not_at_all():
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(3, WHOLE, gang=True))
+    assert fleet.starts == []
+    small = fleet.submit(2, BATCH, step(2, WHOLE, gang=True))
+    assert len(fleet.places(small)) == 2
+
+
+def test_members_of_a_gang_share_a_run():
+    fleet = Fleet()
+    fleet.submit(1, BATCH, step(3, WHOLE, gang=True))
+    assert len({each.run for each in fleet.starts}) == 1
+
+
+NEAR = {
+    "the data's rack": (step(2, data_rack="r1"), {"1"}),
+    "one rack for a gang": (step(4, WHOLE, gang=True, same_rack=True), None),
+}
+
+
+@pytest.mark.parametrize(("wanted", "racks"), NEAR.values(), ids=NEAR.keys())
+def test_tasks_run_near_their_data(wanted, racks):
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, wanted)
+    found = {rack_of(each) for each in fleet.places(job)}
+    assert len(found) == 1
+    assert racks is None or found == racks
+
+
+def test_far_only_when_the_fleet_is_idle():
+    fleet = Fleet()
+    fleet.submit(1, BATCH, step(4, WHOLE, data_rack="r1"))
+    job = fleet.submit(2, BATCH, step(1, data_rack="r1"))
+    fleet.wait(1.0)
+    assert fleet.places(job) == []
+    idle = Fleet(racks=3)
+    idle.submit(1, BATCH, step(4, WHOLE, data_rack="r1"))
+    job = idle.submit(2, BATCH, step(1, data_rack="r1"))
+    idle.wait(1.0)
+    assert len(idle.places(job)) == 1
+
+
+def test_bound_on_one_worker_is_kept():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(6, max_per_worker=2))
+    places = fleet.places(job)
+    assert len(places) == 6
+    assert max(places.count(each) for each in places) == 2
+
+
+def test_label_is_required():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(1, label="b"))
+    assert fleet.places(job) == []
+
+
+# ---- loads
+
+
+def test_urgent_flood_leaves_on_time_work_before_late_work():
+    """Pattern: more arrives than there is room for."""
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE, 6.0))
+    late = fleet.submit(2, BATCH, step(1, WHOLE, 1.0))
+    fleet.wait(20.0)
+    fresh = fleet.submit(3, BATCH, step(1, WHOLE, 1.0))
+    fleet.end_all(JobId(f"{1:016x}"))
+    assert fleet.places(fresh)
+    assert not fleet.places(late)
+
+
+def test_guaranteed_gang_takes_room_within_the_bound():
+    """Pattern: an organisation reclaims its guarantee from borrowers."""
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(16, seconds=30.0), organisation=OTHER)
+    job = fleet.submit(2, URGENT, step(2, WHOLE, 2.0, gang=True))
+    waited = 0.0
+    while not fleet.stops and waited < 3.4:
+        fleet.wait(0.1)
+        waited += 0.1
+    assert waited <= 3.4 - 0.9
+    fleet.obey_stops()
+    assert len(fleet.places(job)) == 2
+
+
+def test_room_that_is_about_to_be_free_is_waited_for():
+    """Pattern: preemption would throw away work that is nearly done."""
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.submit(1, BATCH, step(1, WHOLE, 10.0), organisation=OTHER)
+    fleet.now += 9.9
+    for each in fleet.workers:
+        fleet.report(each.worker_id, percent=99.0)
+    urgent = fleet.submit(2, URGENT, step(1, WHOLE, 4.0))
+    assert fleet.stops == []
+    fleet.end_all(job)
+    assert len(fleet.places(urgent)) == 1
+
+
+def test_beyond_its_guarantee_little_work_is_thrown_away():
+    """Pattern: an urgent flood beyond what is guaranteed."""
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    fleet.now += 30.0
+    for each in fleet.workers:
+        fleet.report(each.worker_id, percent=50.0)
+    fleet.submit(2, URGENT, step(1, WHOLE, 1.0), organisation=OTHER)
+    fleet.wait(5.0)
+    assert fleet.stops == []
+
+
+def test_victim_is_the_one_that_loses_least():
+    fleet = Fleet(racks=1, per_rack=2)
+    old = fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    fleet.now += 20.0
+    young = fleet.submit(2, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    fleet.submit(3, URGENT, step(1, WHOLE, 2.0))
+    fleet.wait(1.5)
+    assert {each.task.job_id for each in fleet.stops} == {young} != {old}
+
+
+def test_wide_gang_is_not_starved_by_small_tasks():
+    """Pattern: small tasks take each place that is left."""
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.submit(1, NORMAL, step(16, seconds=3.0))
+    gang = fleet.submit(2, NORMAL, step(2, WHOLE, 3.0, gang=True))
+    fleet.wait(1.5)
+    fleet.submit(3, BATCH, step(40, seconds=30.0))
+    fleet.end_all(JobId(f"{1:016x}"))
+    assert len(fleet.places(gang)) == 2
+
+
+def test_urgent_use_of_late_is_spared_by_other_work():
+    """Pattern: urgent gangs come again and again, each for whole workers."""
+    fleet = Fleet(racks=1, per_rack=8)
+    for number in range(40):
+        job = fleet.submit(number, URGENT, step(3, WHOLE, 1.0, gang=True))
+        fleet.wait(1.0)
+        fleet.end_all(job)
+    fleet.stops.clear()
+    fleet.submit(99, BATCH, step(64, seconds=30.0), organisation=OTHER)
+    urgent = fleet.submit(100, URGENT, step(2, WHOLE, 1.0, gang=True))
+    assert len(fleet.places(urgent)) == 2
+    assert fleet.stops == []
+
+
+# ---- failures
+
+
+def test_attempts_are_not_spent_on_one_bad_worker():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(1))
+    (first,) = fleet.places(job)
+    fleet.end_all(job, RunEnd.FAILED)
+    fleet.wait(0.1)
+    (second,) = fleet.places(job)
+    assert second != first
+
+
+def test_worker_that_fails_twice_gets_nothing_for_a_while():
+    fleet = Fleet(racks=1, per_rack=1)
+    for number in (1, 2):
+        job = fleet.submit(number, BATCH, step(1))
+        fleet.end_all(job, RunEnd.FAILED)
+    waiting = fleet.submit(3, BATCH, step(1))
+    assert fleet.places(waiting) == []
+    fleet.wait(2.5)
+    assert fleet.places(waiting)
+
+
+def test_group_that_failed_everywhere_is_still_tried():
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.submit(1, URGENT, step(1))
+    fleet.end_all(job, RunEnd.FAILED)
+    fleet.wait(0.3)
+    assert len(fleet.places(job)) == 1
+
+
+def test_done_gang_is_not_stopped():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(3, WHOLE, gang=True))
+    fleet.end_all(job)
+    assert fleet.stops == []
+
+
+def test_job_fails_once_its_attempts_are_used_up():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(1))
+    for _ in range(2):
+        fleet.end_all(job, RunEnd.FAILED)
+        fleet.wait(0.3)
+    assert fleet.rows[job].row.status is JobStatus.FAILED
+    assert fleet.places(job) == []
+
+
+ENDS_THAT_ARE_NO_ATTEMPT = [
+    RunEnd.STOPPED,
+    RunEnd.LAPSED,
+    RunEnd.BROKEN,
+    RunEnd.ALONE,
+]
+
+
+@pytest.mark.parametrize("how", ENDS_THAT_ARE_NO_ATTEMPT)
+def test_only_failures_count_as_attempts(how):
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(1))
+    for _ in range(4):
+        fleet.end_all(job, how)
+        fleet.wait(0.3)
+    assert fleet.rows[job].row.status is JobStatus.RUNNING
+    assert fleet.places(job)
+
+
+def test_end_is_forgotten_only_when_all_that_it_told_is_durable():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(2, WHOLE, gang=True))
+    for task, run in list(fleet.running):
+        fleet.end(task, run)
+    workers = [each for each in fleet.ends if fleet.ends[each]]
+    assert [fleet.scheduler.acknowledged(each) for each in workers] == [0, 0]
+    fleet.emit(RowWritten(job, fleet.rows[job].change))
+    assert [fleet.scheduler.acknowledged(each) for each in workers] == [1, 1]
+
+
+def test_silent_workers_tasks_start_elsewhere_only_after_their_lease():
+    fleet = Fleet(racks=1, per_rack=2)
+    job = fleet.submit(1, BATCH, step(1, WHOLE, 30.0))
+    (where,) = fleet.places(job)
+    fleet.emit(WorkerSilent(where, fleet.now + 6.0))
+    fleet.wait(5.9)
+    assert len(fleet.starts) == 1
+    fleet.wait(0.2)
+    assert len(fleet.starts) == 2
+    assert fleet.starts[0].worker_id != fleet.starts[1].worker_id
+
+
+def test_successor_adopts_what_runs_and_starts_nothing_in_doubt():
+    first = Fleet(racks=1, per_rack=3)
+    steps = (step(2, WHOLE, 30.0),)
+    job_id = first.submit(1, BATCH, *steps)
+    run = first.starts[0].run
+    held = set(first.places(job_id))
+    (free,) = {each.worker_id for each in first.workers} - held
+    seen, unseen = sorted(held)
+    job = BatchJob(job_id, BATCH.name, OWNER, BATCH, "work", steps)
+    successor = Fleet.__new__(Fleet)
+    successor.__dict__.update(first.__dict__)
+    successor.scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
+    successor.starts, successor.stops = [], []
+    successor.emit(JobAccepted(job, JobRow.from_job(job), older=True))
+    successor.emit(WorkersListed(tuple(first.workers)))
+    successor.report(free)
+    successor.report(seen)
+    successor.emit(WorkerSilent(unseen, successor.now + 6.0))
+    successor.wait(5.0)
+    assert successor.starts == []
+    successor.wait(1.5)
+    (again,) = successor.starts
+    assert again.worker_id == free
+    assert again.run > run
+    assert successor.stops == []
+
+
+def test_long_running_task_is_started_again_however_it_ends():
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step(1, long_running=True))
+    for how in RunEnd:
+        fleet.end_all(job, how)
+        fleet.wait(0.3)
+        assert len(fleet.places(job)) == 1
+    assert fleet.rows[job].row.status is JobStatus.RUNNING
+
+
+def test_occurrence_starts_when_it_is_due():
+    fleet = Fleet()
+    job = fleet.submit(
+        1, BATCH, step(1), occurrences=2, first_due_at=102.0, interval_s=5.0
+    )
+    fleet.wait(1.9)
+    assert fleet.places(job) == []
+    fleet.wait(0.2)
+    assert [each.task.occurrence for each in fleet.starts] == [0]
+    fleet.wait(5.0)
+    assert [each.task.occurrence for each in fleet.starts] == [0, 1]
--- /dev/null
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -0,0 +1,266 @@
+"""Advice, pacing, waves and the turn of candidates."""
+
+import pytest
+
+from pomeloarch_core.batch.advice import MOST_ASKED, AdviceBook
+from pomeloarch_core.batch.fleet import Worker
+from pomeloarch_core.batch.groups import GroupState, JobEntry, Member, may_stop
+from pomeloarch_core.batch.messages import Note, PaceTask, WorkerInfo
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    ImageName,
+    Need,
+    Queue,
+    QueueName,
+    Step,
+)
+from pomeloarch_core.batch.pacing import Pacer
+from pomeloarch_core.batch.rows import JobRow, StepRow
+from pomeloarch_core.batch.upkeep import (
+    MachineId,
+    UpkeepOutcome,
+    Wave,
+    WavePlan,
+)
+from pomeloarch_core.ids import (
+    Epoch,
+    JobId,
+    NodeId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+from pomeloarch_core.membership import LeaseMachine, LeaseRow
+
+QUEUE = Queue(QueueName("q"), ServiceName("s"), advised=True)
+
+
+def entry_of(*steps):
+    job = BatchJob(
+        JobId("0" * 16), QUEUE.name, OrganisationName("o"), QUEUE, "", steps
+    )
+    return JobEntry(job, JobRow.from_job(job), QUEUE, older=False)
+
+
+def worker(number):
+    info = WorkerInfo(
+        WorkerId(f"w{number:03}"),
+        ServiceName("s"),
+        "",
+        ZoneName("z"),
+        Need(64_000, 64_000, 8),
+    )
+    return Worker(info)
+
+
+# ---- advice
+
+
+def advised_group():
+    return entry_of(Step(count=2)).groups[0, 0][0]
+
+
+def test_no_worker_may_run_an_advised_step_before_it_was_asked_about():
+    book, group = AdviceBook(), advised_group()
+    workers = [worker(n) for n in range(3)]
+    assert book.usable(group, workers, 0.0) == []
+    question = book.question(group, workers, 0.0)
+    assert set(question.worker_ids) == {each.worker_id for each in workers}
+    assert book.question(group, workers, 0.1) is None
+
+
+def test_question_is_about_few_workers():
+    book, group = AdviceBook(), advised_group()
+    question = book.question(group, [worker(n) for n in range(100)], 0.0)
+    assert len(question.worker_ids) == MOST_ASKED
+
+
+def test_answer_counts_until_the_ticket_ends_and_the_rest_are_not_asked_again():
+    book, group = AdviceBook(), advised_group()
+    good, bad = worker(1), worker(2)
+    asked = (good.worker_id, bad.worker_id)
+    book.question(group, [good, bad], 0.0)
+    book.answered(group.step_id, asked, {good.worker_id: "t"}, 3.0, {})
+    assert book.usable(group, [good, bad], 1.0) == [good]
+    assert book.ticket(group, good) == "t"
+    assert book.usable(group, [good, bad], 2.9) == []
+    renewal = book.question(group, [good, bad], 2.9)
+    assert renewal.worker_ids == (good.worker_id,)
+
+
+def test_ticket_is_for_one_life_of_a_worker():
+    book, group = AdviceBook(), advised_group()
+    good = worker(1)
+    book.answered(
+        group.step_id, (good.worker_id,), {good.worker_id: "t"}, 9.0, {}
+    )
+    good.incarnation = 5
+    assert book.usable(group, [good], 1.0) == []
+
+
+# ---- pacing
+
+
+def paced_worker(load, target=100):
+    where = worker(1)
+    serving = entry_of(
+        Step(
+            count=1,
+            image=ImageName("web"),
+            latency_target_ms=target,
+            long_running=True,
+        )
+    ).groups[0, 0][0]
+    filling = entry_of(Step(count=1, scavenging=True)).groups[0, 0][0]
+    for group, value in ((serving, load), (filling, 0.0)):
+        group.state = GroupState.STARTED
+        member = group.members[0] = Member(where.worker_id)
+        member.started_at, member.load = 0.0, value
+        where.hold(group, Need(), claimed=False)
+    return where, serving.members[0]
+
+
+def paces(decisions):
+    return [each.percent for each in decisions if isinstance(each, PaceTask)]
+
+
+def test_filling_tasks_are_held_before_harm_lasts():
+    pacer = Pacer()
+    where, _ = paced_worker(load=150.0)
+    found, now = [], 0.0
+    while now < 2.5:
+        found += paces(pacer.observe(where, now))
+        now += 0.5
+    assert found == [30, 0]
+
+
+def test_filling_tasks_get_more_once_there_is_room_again():
+    pacer = Pacer()
+    where, serving = paced_worker(load=150.0)
+    pacer.observe(where, 0.0)
+    serving.load = 40.0
+    assert paces(pacer.observe(where, 1.0)) == []
+    assert paces(pacer.observe(where, 2.5)) == [45]
+
+
+@pytest.mark.parametrize("load", [0.0, 69.0, 85.0])
+def test_filling_tasks_work_on_while_the_target_is_kept(load):
+    where, _ = paced_worker(load)
+    assert paces(Pacer().observe(where, 10.0)) == []
+
+
+def test_change_of_pace_is_noted():
+    where, _ = paced_worker(load=150.0)
+    notes = [n for n in Pacer().observe(where, 9.0) if isinstance(n, Note)]
+    assert notes[0].fields["cut"] is True
+
+
+# ---- tasks that may be away
+
+
+@pytest.mark.parametrize(
+    ("may_miss", "at_work", "allowed"),
+    [(0, 1, True), (1, 2, True), (1, 1, False), (2, 1, True), (2, 0, False)],
+)
+def test_lasting_step_keeps_enough_at_work(may_miss, at_work, allowed):
+    groups = entry_of(
+        Step(count=3, long_running=True, may_miss=may_miss)
+    ).groups[0, 0]
+    for group in groups[1 : 1 + at_work]:
+        group.state = GroupState.STARTED
+        member = group.members[group.indices[0]] = Member(WorkerId("w"))
+        member.started_at, member.percent = 0.0, 100.0
+    assert may_stop(groups[0]) is allowed
+
+
+# ---- waves
+
+
+def wave(machines=4, most=2, duration=20.0):
+    names = tuple(MachineId(f"m{n}") for n in range(machines))
+    return Wave(1, names, duration, most)
+
+
+def play(plan, load, until, outcome=UpkeepOutcome.DONE):
+    """Returns the times at which machines went down."""
+    now, down = 0.0, {}
+    while now < until and not plan.completed:
+        machine = plan.next_order(load, now)
+        if machine is None:
+            now += 0.25
+            continue
+        plan.answered(machine, outcome, now)
+        if outcome is UpkeepOutcome.DONE:
+            down[machine] = now
+    return down
+
+
+def test_wave_is_done_in_time_with_few_down_at_once():
+    plan = WavePlan(wave(), 0.0, 2.0)
+    down = play(plan, dict.fromkeys(plan.wave.machines, 0.0), 20.0)
+    assert len(down) == 4
+    assert plan.completed
+    for at in down.values():
+        assert sum(at <= other < at + 2.0 for other in down.values()) <= 2
+
+
+def test_idle_machines_go_first_and_busy_ones_in_time():
+    plan = WavePlan(wave(machines=2, most=1), 0.0, 2.0)
+    down = play(plan, {MachineId("m0"): 99.0, MachineId("m1"): 0.0}, 20.0)
+    assert down[MachineId("m1")] < down[MachineId("m0")] < 20.0 - 2.0
+
+
+def test_machine_in_doubt_counts_as_down():
+    plan = WavePlan(wave(machines=2, most=1), 0.0, 2.0)
+    load = dict.fromkeys(plan.wave.machines, 0.0)
+    first = plan.next_order(load, 0.0)
+    plan.answered(first, UpkeepOutcome.NO_ANSWER, 0.0)
+    assert plan.next_order(load, 1.0) is None
+    assert plan.next_order(load, 4.0) is not None
+
+
+def test_machine_that_is_gone_or_not_of_the_wave_is_not_waited_for():
+    plan = WavePlan(wave(machines=2, most=1), 0.0, 2.0)
+    machine = plan.next_order({MachineId("m1"): 0.0}, 0.0)
+    assert machine == "m1"
+    plan.answered(machine, UpkeepOutcome.NOT_OF_WAVE, 0.0)
+    assert plan.completed
+
+
+# ---- rows
+
+
+def test_done_tasks_are_bits():
+    row = StepRow()
+    row.mark_done([0, 3, 70])
+    assert [n for n in range(80) if row.is_done(n)] == [0, 3, 70]
+
+
+# ---- candidates for the role
+
+
+def free_row():
+    return LeaseRow(None, "old", Epoch(3))
+
+
+@pytest.mark.parametrize(
+    ("read_took", "turn", "claims_at"),
+    [(0.01, 0.0, 1.01), (0.01, 0.9, 1.064), (0.5, 0.5, 3.0)],
+)
+def test_candidates_claim_in_turn_when_the_table_is_slow(
+    read_took, turn, claims_at
+):
+    machine = LeaseMachine(NodeId("n"), "me", None, 0.0, turn)
+    machine.action(1.0)
+    machine.observed(7, free_row(), 1.0 + read_took)
+    assert machine.due(1.0 + read_took) == pytest.approx(
+        min(claims_at, 1.5), abs=1e-6
+    )
+
+
+def test_node_claims_at_once_what_its_own_former_process_held():
+    machine = LeaseMachine(NodeId("n"), "me")
+    machine.action(1.0)
+    machine.observed(7, LeaseRow(NodeId("n"), "other", Epoch(3)), 1.01)
+    assert machine.due(1.01) == pytest.approx(1.01)
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -0,0 +1,186 @@
+"""The log, retention and the intake, each by itself."""
+
+import asyncio
+import json
+import os
+
+import pytest
+
+from pomeloarch_core.batch.model import BatchJob, Step
+from pomeloarch_core.batch.rows import JobRow, JobStatus
+from pomeloarch_core.ids import JobId, OrganisationName
+from pomeloarch_node.batch.decision_log import BURST_LINES, DecisionLog
+from pomeloarch_node.batch.intake import Intake, Outcome
+from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.records import (
+    JOBS_TABLE,
+    cancel_key,
+    encode,
+    shard_of,
+)
+from pomeloarch_node.batch.retention import MARGIN_S, expired
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_standins.batch_world import (
+    BATCH,
+    CATALOGUE,
+    ORGANISATION,
+    BatchWorld,
+)
+from pomeloarch_standins.virtual_time import run_virtual
+
+JOB = JobId("5c0e7a21d94b36f8")
+
+
+# ---- log
+
+
+def read_lines(fd):
+    os.set_blocking(fd, False)
+    data = b""
+    while True:
+        try:
+            chunk = os.read(fd, 65536)
+        except BlockingIOError:
+            return [json.loads(line) for line in data.splitlines()]
+        if not chunk:
+            return [json.loads(line) for line in data.splitlines()]
+        data += chunk
+
+
+def test_flood_of_one_kind_is_cut_and_counted():
+    reader, writer = os.pipe()
+    now = [1000.0]
+    metrics = Metrics()
+    log = DecisionLog("n", metrics, writer, lambda: now[0])
+    for number in range(500):
+        log.write("placed", number=number)
+    log.write("lost")
+    now[0] += 1.0
+    log.write("placed", number=500)
+    lines = read_lines(reader)
+    placed = [each for each in lines if each["event"] == "placed"]
+    assert len(placed) == BURST_LINES + 1
+    assert placed[-1]["left_out"] == 500 - BURST_LINES
+    assert lines[-2]["event"] == "lost"
+    assert 'events_total{event="placed"} 501' in metrics.render()
+
+
+def test_full_pipe_drops_lines_and_never_blocks():
+    reader, writer = os.pipe()
+    now = [0.0]
+    log = DecisionLog("n", Metrics(), writer, lambda: now[0])
+    for _ in range(3000):
+        now[0] += 1.0
+        log.write("placed", text="x" * 200)
+    assert read_lines(reader)
+    now[0] += 1.0
+    log.write("placed")
+    assert read_lines(reader)[0]["left_out"] > 0
+
+
+# ---- retention
+
+NOW = 10_000.0
+KEEP_S = 120.0
+
+
+@pytest.mark.parametrize(
+    ("status", "age_s", "goes"),
+    [
+        (JobStatus.COMPLETED, KEEP_S + MARGIN_S + 1, True),
+        (JobStatus.COMPLETED, KEEP_S, False),
+        (JobStatus.FAILED, KEEP_S + MARGIN_S + 1, True),
+        (JobStatus.RUNNING, 10 * KEEP_S, False),
+    ],
+)
+def test_only_long_ended_jobs_are_deleted(status, age_s, goes):
+    row = JobRow(
+        BATCH,
+        OrganisationName("o"),
+        0.0,
+        status,
+        finished_at=NOW - age_s,
+    )
+    rows = {JOB: encode(row), cancel_key(JOB): {"at": 1.0}}
+    found = expired(rows, KEEP_S, NOW)
+    assert found == ({shard_of(JOB): [JOB]} if goes else {})
+
+
+# ---- intake
+
+
+def with_intake(scenario, reachable=lambda: True):
+    async def run():
+        world = BatchWorld(1, nodes=1)
+        node = world.nodes[0]
+        log = DecisionLog("n", Metrics(), world.log_fd)
+        mirror = TableMirror(node.link, JOBS_TABLE, world.clock, log, 1, 0.1)
+        intake = Intake(node.link, mirror, world.clock, reachable)
+        try:
+            return await scenario(world, node.link, intake)
+        finally:
+            os.close(world.log_fd)
+
+    return run_virtual(run())
+
+
+def a_job(world):
+    job = BatchJob(
+        JobId(f"{1:016x}"),
+        BATCH,
+        ORGANISATION,
+        CATALOGUE.queues[BATCH],
+        "work",
+        (Step(count=1),),
+    )
+    world.submitted[job.job_id] = job
+    return job
+
+
+INTAKE_FAULTS = {
+    "sound": ({}, Outcome.DONE),
+    "refusing": ({"refusing": True}, Outcome.NOT_DONE),
+    "unreachable": ({"reachable": False}, Outcome.UNKNOWN),
+}
+
+
+@pytest.mark.parametrize(
+    ("fault", "outcome"), INTAKE_FAULTS.values(), ids=INTAKE_FAULTS.keys()
+)
+def test_answer_to_a_submission_is_true(fault, outcome):
+    async def scenario(world, link, intake):
+        for name, value in fault.items():
+            setattr(link, name, value)
+        found = await intake.accept(a_job(world), world.clock() + 3.0)
+        there = world.tables.read(JOBS_TABLE, f"{1:016x}").version > 0
+        return found, there
+
+    assert with_intake(scenario) == (outcome, outcome is Outcome.DONE)
+
+
+def test_lost_answer_is_settled_by_the_same_write():
+    async def scenario(world, link, intake):
+        link.lose_share = 1.0
+        asyncio.get_running_loop().call_later(
+            0.5, setattr, link, "lose_share", 0.0
+        )
+        return await intake.accept(a_job(world), world.clock() + 3.0)
+
+    assert with_intake(scenario) is Outcome.DONE
+
+
+def test_submission_is_refused_at_once_while_the_store_is_away():
+    async def scenario(world, link, intake):
+        began = world.clock()
+        outcome = await intake.accept(a_job(world), began + 3.0)
+        return outcome, world.clock() - began
+
+    found = with_intake(scenario, reachable=lambda: False)
+    assert found == (Outcome.NOT_DONE, 0.0)
+
+
+def test_cancel_of_an_unknown_job_says_so():
+    async def scenario(world, link, intake):
+        return await intake.cancel(JOB, world.clock() + 3.0)
+
+    assert with_intake(scenario) is Outcome.NO_JOB
