--- a/packages/pomeloarch-cli/src/pomeloarch_cli/main.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/main.py
@@ -14,6 +14,7 @@
     history_commands,
     job_commands,
     publish_commands,
+    story_command,
 )
 from pomeloarch_cli.exit_codes import EXIT_CODES_HELP
 
@@ -36,6 +37,7 @@
     publish_commands.add_to(commands)
     history_commands.add_to(commands)
     job_commands.add_to(commands)
+    story_command.add_to(commands)
     return parser
 
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -172,14 +172,17 @@
         group.members.clear()
         group.state = GroupState.READY
 
-    def member_gone(self, group: Group, index: int, now: float) -> None:
+    def member_gone(
+        self, group: Group, index: int, reason: str, now: float
+    ) -> None:
         """A task of the current run is certainly not on its worker."""
         member = group.members.pop(index)
         worker = self._fleet.get(member.worker_id)
         if worker is not None:
             worker.release(group, group.step.reserved, claimed=False)
         if group.state is GroupState.STARTED:
-            self.take_down(group, "a task is gone from its worker", now)
+            where = f"task {index} on worker {member.worker_id}"
+            self.take_down(group, f"{where}: {reason}", now)
         else:
             self._settle(group, now)
 
@@ -214,7 +217,8 @@
         elif end.how is RunEnd.FAILED:
             self._failed(group, worker, end, now)
         if current and end.task.index in group.members:
-            self.member_gone(group, end.task.index, now)
+            reason = f"its run ended as {end.how.value}"
+            self.member_gone(group, end.task.index, reason, now)
 
     def _save_checkpoint(self, group: Group, checkpoint: str) -> None:
         if group.state is GroupState.OVER:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -390,7 +390,9 @@
                     else member.started_at
                 )
                 if settled is not None and settled < asked_at:
-                    self._runs.member_gone(group, index, now)
+                    self._runs.member_gone(
+                        group, index, "its worker no longer has it", now
+                    )
 
     @_on.register
     def _on_silent(self, event: WorkerSilent, now: float) -> None:
@@ -426,7 +428,9 @@
                 continue
             for index, member in list(group.members.items()):
                 if member.worker_id == worker.worker_id:
-                    self._runs.member_gone(group, index, now)
+                    self._runs.member_gone(
+                        group, index, "its lease has run out", now
+                    )
 
     def _forget_if_empty(self, worker: Worker, now: float) -> None:
         """Drops a worker off the list, unless it may run something."""
@@ -469,7 +473,12 @@
             worker = self._fleet.get(event.worker_id)
             if worker is not None:
                 worker.suspended_until = now + 1.0
-        self._runs.member_gone(group, event.task.index, now)
+        self._runs.member_gone(
+            group,
+            event.task.index,
+            f"its start was answered with {event.outcome.value}",
+            now,
+        )
         self._dirty = True
 
     @_on.register
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -214,6 +214,10 @@
         limit_s = self._settings.revoke_s - KEYS_MARGIN_S
         return self._configuration.age(now) < limit_s
 
+    def configuration_age(self, now: float) -> float:
+        """Returns how long ago the configuration was confirmed, in s."""
+        return round(self._configuration.age(now), 3)
+
     def ready(self, now: float) -> bool:
         """Whether the balancer may send callers here."""
         return (
