--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -81,6 +81,7 @@
       turn: where this node stands among candidates, from 0 to 1. When the
         table is slow, the claims of all of them at once would delay each
         other past the lease.
+      handicap_s: how much later than others it claims, in seconds.
     """
 
     def __init__(
@@ -90,6 +91,7 @@
         cfg: LeaseConfig | None = None,
         start_after: float = 0.0,
         turn: float = 0.0,
+        handicap_s: float = 0.0,
     ) -> None:
         """Starts as a candidate that knows nothing."""
         self._node = node
@@ -97,6 +99,7 @@
         self._cfg = cfg or LeaseConfig()
         self._start_after = start_after
         self._turn = turn
+        self._handicap_s = handicap_s
         self._read_sent_at: float | None = None
         self._read_took = 0.0
         self._version = 0
@@ -233,15 +236,17 @@
         if self._released or self._seen_since is None:
             return float("inf")
         if self._row is None or self._row.holder is None:
-            wait_s = self._turn * _CANDIDATES * self._read_took
-            return max(self._start_after, self._seen_since + wait_s)
+            return max(self._start_after, self._seen_since + self._wait_s())
         if self._row.owner == self._owner:
             return self._seen_since
         if self._row.holder == self._node:
             # An earlier process of this node held it, and is gone.
             return max(self._start_after, self._seen_since)
-        wait_s = self._turn * _CANDIDATES * self._read_took
-        return self._seen_since + self._cfg.lease_s + wait_s
+        return self._seen_since + self._cfg.lease_s + self._wait_s()
+
+    def _wait_s(self) -> float:
+        """Returns how long others may claim before this node."""
+        return self._handicap_s + self._turn * _CANDIDATES * self._read_took
 
     def _claim_row(self) -> LeaseRow:
         last = self._row.epoch if self._row else 0
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -61,6 +61,10 @@
 ROLE_LEASE = LeaseConfig(
     lease_s=2.3, drift_bound_s=0.25, renew_s=0.6, poll_s=0.5, retry_s=0.2
 )
+# The scheduler uses up to 0.7 of a core with 176 workers; hosts with less than
+# a core let others claim its role first.
+LEADING_CORES = 1.0
+SMALL_HOST_HANDICAP_S = 0.6
 # The balancer asks every second and takes two misses.
 BALANCER_S = 2.4
 # Time for answers under way once the listeners are closed, in seconds.
@@ -80,6 +84,7 @@
       callers_address: where callers are served, `ip:port`.
       readiness_address: where the balancer asks, `ip:port`.
       metrics_address: where metrics are served, `ip:port`; empty for nowhere.
+      cores: processor time that the host has, in cores.
       grace_s: time between a planned stop's signal and the kill.
       revoke_s: within this time a revoked key is refused.
       hold_max_s: the longest lease that workers grant.
@@ -94,6 +99,7 @@
     callers_address: str
     readiness_address: str
     metrics_address: str = ""
+    cores: float = LEADING_CORES
     grace_s: float = 6.0
     revoke_s: float = 5.0
     hold_max_s: float = 6.0
@@ -185,6 +191,7 @@
             self.metrics,
             random.Random(),
             ROLE_LEASE,
+            SMALL_HOST_HANDICAP_S if settings.cores < LEADING_CORES else 0.0,
         )
         self._leader = Leader(
             store,
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -48,6 +48,7 @@
       metrics: tells whether the role is held.
       rng: for jitter and to tell this process from others.
       cfg: the lease's times.
+      handicap_s: how much later than others this node claims, in seconds.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         metrics: Metrics,
         rng: random.Random,
         cfg: LeaseConfig | None = None,
+        handicap_s: float = 0.0,
     ) -> None:
         """Starts as a candidate."""
         self._name = name
@@ -71,7 +73,12 @@
         # Different nodes come first for different roles.
         turn = zlib.crc32(f"{name} {node_id}".encode()) % 1000 / 1000
         self._machine = LeaseMachine(
-            node_id, owner, cfg, clock() + turn * _SPREAD_S, turn
+            node_id,
+            owner,
+            cfg,
+            clock() + turn * _SPREAD_S + handicap_s,
+            turn,
+            handicap_s,
         )
         self._told: Epoch | None = None
         self._change = asyncio.Event()
