Remember the workers that may run something in rows of our own

A roster names the workers beside the list; a worker gets its first task once it is on it, and a successor asks all of them.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -32,6 +32,7 @@
       strangers: runs here that no group accounts for.
       pending_ends: numbers of ends whose job's row isn't durable yet.
       last_end: the highest number of an end taken in.
+      enrolled: whether a successor will remember it.
       closing: whether its machine is about to go down.
       suspended_until: until when it is given no task after failures.
       failures: failed runs in a row.
@@ -49,6 +50,7 @@
         self.strangers: dict[tuple[TaskId, RunNumber], float] = {}
         self.pending_ends: set[int] = set()
         self.last_end = 0
+        self.enrolled = False
         self.closing = False
         self.suspended_until = 0.0
         self.failures = 0
@@ -74,6 +76,7 @@
         """Whether it may be given a task."""
         return (
             self.listed
+            and self.enrolled
             and self.reported
             and not self.silent
             and not self.info.draining
@@ -137,6 +140,12 @@
         worker.listed = True
         return worker
 
+    def remembered(self, info: WorkerInfo) -> None:
+        """Takes a worker that may be off the list; it gets nothing new."""
+        if info.worker_id not in self._workers:
+            worker = self._workers[info.worker_id] = Worker(info)
+            worker.listed = False
+
     def forget(self, worker_id: WorkerId) -> None:
         """Drops a worker that is gone."""
         self._workers.pop(worker_id, None)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -159,6 +159,22 @@
     workers: tuple[WorkerInfo, ...]
 
 
+class WorkersRemembered(msgspec.Struct, frozen=True):
+    """Workers that may run something, as an earlier scheduler knew them.
+
+    Attributes:
+      addresses: where each takes orders, `ip:port`.
+    """
+
+    addresses: dict[WorkerId, str]
+
+
+class WorkersEnrolled(msgspec.Struct, frozen=True):
+    """These workers will be remembered by a successor."""
+
+    worker_ids: frozenset[WorkerId]
+
+
 class WorkerReported(msgspec.Struct, frozen=True):
     """A worker answered with what it runs and what has ended.
 
@@ -267,6 +283,8 @@
     | CancelRequested
     | CatalogueChanged
     | WorkersListed
+    | WorkersRemembered
+    | WorkersEnrolled
     | WorkerReported
     | WorkerSilent
     | StartAnswered
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -40,11 +40,15 @@
     StopTask,
     TaskId,
     Tick,
+    WorkerInfo,
     WorkerReported,
     WorkersClosing,
+    WorkersEnrolled,
     WorkerSilent,
     WorkersListed,
+    WorkersRemembered,
 )
+from pomeloarch_core.batch.model import NOTHING
 from pomeloarch_core.batch.objectives import RunTimes
 from pomeloarch_core.batch.pacing import Pacer
 from pomeloarch_core.batch.rows import JobStatus
@@ -52,7 +56,9 @@
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
+    ServiceName,
     WorkerId,
+    ZoneName,
 )
 
 # How often the state of the fleet is written to the log, in seconds.
@@ -146,6 +152,10 @@
         worker = self._fleet.get(worker_id)
         return worker is not None and self._pacer.watches(worker)
 
+    def roster(self) -> dict[WorkerId, str]:
+        """Returns the addresses of workers that a successor has to know."""
+        return {each.worker_id: each.info.address for each in self._fleet}
+
     def may_end(self, worker_id: WorkerId) -> bool:
         """Whether ending all that a worker runs leaves enough at work."""
         worker = self._fleet.get(worker_id)
@@ -219,6 +229,17 @@
                 self._forget_if_empty(worker, now)
         self._dirty = True
 
+    @_on.register
+    def _on_remembered(self, event: WorkersRemembered, now: float) -> None:
+        for worker_id, address in event.addresses.items():
+            self._fleet.remembered(remembered_worker(worker_id, address))
+
+    @_on.register
+    def _on_enrolled(self, event: WorkersEnrolled, now: float) -> None:
+        for worker in self._fleet:
+            worker.enrolled = worker.worker_id in event.worker_ids
+        self._dirty = True
+
     @_on.register
     def _on_reported(self, event: WorkerReported, now: float) -> None:
         worker = self._fleet.get(event.worker_id)
@@ -640,3 +661,10 @@
         wall = now + self._wall_offset
         for entry in self._dispatcher.run(jobs, self._catalogue, now, wall):
             self._finish(entry, JobStatus.FAILED, "attempts used up", now)
+
+
+def remembered_worker(worker_id: WorkerId, address: str) -> WorkerInfo:
+    """Returns a worker of which only its address is known."""
+    return WorkerInfo(
+        worker_id, ServiceName(""), address, ZoneName(""), NOTHING
+    )
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -19,6 +19,7 @@
     Tick,
     WorkerInfo,
     WorkerReported,
+    WorkersEnrolled,
     WorkerSilent,
     WorkersListed,
     WriteRow,
@@ -87,6 +88,7 @@
         self.ends = {each.worker_id: [] for each in self.workers}
         self.starts, self.stops, self.notes, self.rows = [], [], [], {}
         self.emit(WorkersListed(tuple(self.workers)))
+        self.emit(WorkersEnrolled(frozenset(self.ends)))
         for each in self.workers:
             self.report(each.worker_id)
 
@@ -440,6 +442,7 @@
     successor.starts, successor.stops = [], []
     successor.emit(JobAccepted(job, JobRow.from_job(job), older=True))
     successor.emit(WorkersListed(tuple(first.workers)))
+    successor.emit(WorkersEnrolled(frozenset(first.ends)))
     successor.report(free)
     successor.report(seen)
     successor.emit(WorkerSilent(unseen, successor.now + 6.0))
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -28,10 +28,14 @@
     Tick,
     WorkerInfo,
     WorkersListed,
+    WorkersRemembered,
     WriteRow,
 )
 from pomeloarch_core.batch.rows import JobRow
-from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_core.batch.scheduler import (
+    BatchScheduler,
+    remembered_worker,
+)
 from pomeloarch_core.ids import JobId, NodeId, WorkerId
 from pomeloarch_node.batch.advice_task import AdviceTask
 from pomeloarch_node.batch.decision_log import DecisionLog
@@ -52,6 +56,7 @@
     shard_of,
 )
 from pomeloarch_node.batch.retention import Retention
+from pomeloarch_node.batch.roster import Roster
 from pomeloarch_node.batch.row_writer import RowWriter
 from pomeloarch_node.batch.term_row import Term, begin_term
 from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
@@ -274,6 +279,9 @@
             leader.times.upkeep_s,
             leader._log,
         )
+        self._roster = Roster(
+            leader._store, term.checks, self.emit, leader._log
+        )
         self._retention = Retention(
             leader._store,
             lambda: leader._jobs.rows,
@@ -290,6 +298,7 @@
         # A whole table that is read again names jobs that ended long ago.
         self._announced: set[JobId] = set()
         self._cancelled: set[JobId] = set()
+        self._remembered: dict[WorkerId, str] = {}
         self._changed = asyncio.Event()
         self._closing: set[asyncio.Task[None]] = set()
         self._rows: dict[JobId, JobRow] = {}
@@ -308,9 +317,26 @@
             rows = await self._leader._store.snapshot(JOBS_TABLE)
             if isinstance(rows, Ok):
                 self._load_rows(rows.ok_value)
+                break
+            await asyncio.sleep(LOAD_RETRY_S)
+
+        while self._tenure.held():
+            addresses = await self._roster.load()
+            if addresses is not None:
+                self._remembered = addresses
                 return
             await asyncio.sleep(LOAD_RETRY_S)
 
+    def _ask_remembered(self) -> None:
+        """Asks the workers that an earlier scheduler gave tasks.
+
+        Jobs have to be known before: what workers report of others is
+        stopped.
+        """
+        self.emit(WorkersRemembered(self._remembered))
+        for worker_id, address in self._remembered.items():
+            self._open(remembered_worker(worker_id, address))
+
     def _load_rows(self, changes: TableChanges) -> None:
         for row in changes.rows:
             cancelled = cancelled_job(row.key)
@@ -366,11 +392,13 @@
                     cancelled = cancelled_job(job_id)
                     if cancelled is not None and value is not None:
                         self.emit(CancelRequested(cancelled))
+                self._ask_remembered()
                 tasks.create_task(self._list.run())
                 tasks.create_task(self._tick())
                 tasks.create_task(self._place())
                 tasks.create_task(self._advice.run())
                 tasks.create_task(self._retention.run())
+                tasks.create_task(self._roster.run())
                 tasks.create_task(self._upkeep.run())
         finally:
             for session, task in self._sessions.values():
@@ -421,12 +449,16 @@
     def _on_list(self, _changes: TableChanges, _whole: bool) -> None:
         workers = self._leader._read_workers(self._list.rows)
         self.emit(WorkersListed(workers))
+        self._roster.want(self._scheduler.roster())
         for info in workers:
-            if info.worker_id not in self._sessions:
+            known = self._sessions.get(info.worker_id)
+            if known is not None and known[0].info.address != info.address:
+                self._close(info.worker_id)
+                known = None
+            if known is None:
                 self._open(info)
             else:
-                self._sessions[info.worker_id][0].info = info
-
+                known[0].info = info
         listed = {each.worker_id for each in workers}
         for worker_id in list(self._sessions):
             if worker_id not in listed:
@@ -434,8 +466,10 @@
 
     def _close_if_unused(self, worker_id: WorkerId) -> None:
         """Ends the session of a worker that has left and runs nothing."""
-        if self._scheduler.occupied(worker_id):
-            return
+        if not self._scheduler.occupied(worker_id):
+            self._close(worker_id)
+
+    def _close(self, worker_id: WorkerId) -> None:
         session, task = self._sessions.pop(worker_id)
         task.cancel()
         closing = asyncio.create_task(session.close())
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
@@ -19,12 +19,14 @@
 # One row a shard: the number of the newest term of a leading scheduler.
 TERMS_TABLE = "batch_terms"
 ROLE_NAME = "batch_scheduler"
+# Workers that may run something, spread over rows by their ids.
+ROSTER_TABLE = "batch_roster"
 
 # Rows of jobs are spread over shards, since a transaction is of one shard and
 # a shard takes one transaction after another. A store that is sixty times
 # slower than usual takes three a second in each.
 SHARDS = 4
-SHARDED_TABLES = frozenset({SPECS_TABLE, JOBS_TABLE})
+SHARDED_TABLES = frozenset({SPECS_TABLE, JOBS_TABLE, ROSTER_TABLE})
 
 _CANCEL_SUFFIX = "!"
 
@@ -41,6 +43,8 @@
 
 def shard_of_row(table: str, key: str) -> int | None:
     """Returns the shard of a row of these tables, None for other tables."""
+    if table == ROSTER_TABLE:
+        return int(key) % SHARDS
     if table in SHARDED_TABLES:
         return shard_of(key)
     if table == TERMS_TABLE:
--- /dev/null
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
@@ -0,0 +1,121 @@
+"""The workers that may run something, remembered beside the platform's list.
+
+Entries of the list lapse while the store is away, though their workers live
+and run on. A successor that went by the list alone would take their tasks for
+lost. A worker gets its first task only once it is on the roster, and leaves it
+once it is off the list and runs nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import zlib
+from collections.abc import Callable, Mapping
+
+from result import Err, Ok
+
+from pomeloarch_core.batch.messages import Event, WorkersEnrolled
+from pomeloarch_core.ids import WorkerId
+from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.ports import FeedStore
+from pomeloarch_node.batch.records import ROSTER_TABLE, SHARDS
+from pomeloarch_node.platform import Check, Conflict, Write
+
+# Rows that the roster is spread over, so that a change writes few of them.
+CHUNKS = 16
+RETRY_PAUSE_S = 0.2
+
+
+def chunk_of(worker_id: WorkerId) -> str:
+    """Returns the key of the row that a worker is in."""
+    return str(zlib.crc32(worker_id.encode()) % CHUNKS)
+
+
+class Roster:
+    """Keeps the roster's rows as the scheduler wants them.
+
+    Args:
+      store: the store.
+      checks: the conditions of the term's writes, by shard.
+      emit: takes events for the scheduler.
+      log: where failures are written.
+    """
+
+    def __init__(
+        self,
+        store: FeedStore,
+        checks: Mapping[int, Check],
+        emit: Callable[[Event], None],
+        log: DecisionLog,
+    ) -> None:
+        """Starts without rows."""
+        self._store = store
+        self._checks = checks
+        self._emit = emit
+        self._log = log
+        self._versions: dict[str, int] = {}
+        self._written: dict[str, dict[WorkerId, str]] = {}
+        self._wanted: dict[str, dict[WorkerId, str]] = {}
+        self._changed = asyncio.Event()
+
+    async def load(self) -> dict[WorkerId, str] | None:
+        """Returns the addresses of the remembered workers, None on failure."""
+        answer = await self._store.snapshot(ROSTER_TABLE)
+        if isinstance(answer, Err):
+            return None
+        found: dict[WorkerId, str] = {}
+        for row in answer.ok_value.rows:
+            self._versions[row.key] = row.version
+            self._written[row.key] = dict(row.value)
+            found.update(row.value)
+        return found
+
+    def want(self, addresses: Mapping[WorkerId, str]) -> None:
+        """Has exactly these workers remembered."""
+        wanted: dict[str, dict[WorkerId, str]] = {
+            key: {} for key in self._written
+        }
+        for worker_id, address in addresses.items():
+            wanted.setdefault(chunk_of(worker_id), {})[worker_id] = address
+        self._wanted = wanted
+        self._changed.set()
+
+    async def run(self) -> None:
+        """Writes what has changed until it is cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            for key, value in list(self._wanted.items()):
+                if self._written.get(key) != value:
+                    await self._write(key, value)
+            self._emit(
+                WorkersEnrolled(
+                    frozenset(
+                        each for row in self._written.values() for each in row
+                    )
+                )
+            )
+
+    async def _write(self, key: str, value: dict[WorkerId, str]) -> None:
+        answer = await self._store.transact(
+            [
+                self._checks[int(key) % SHARDS],
+                Check(ROSTER_TABLE, key, self._versions.get(key, 0)),
+            ],
+            [Write(ROSTER_TABLE, key, value)],
+        )
+        if isinstance(answer, Ok):
+            self._versions[key] = answer.ok_value[0]
+            self._written[key] = value
+            return
+        error = answer.err_value
+        if isinstance(error, Conflict):
+            # Only this term writes the row: it is an earlier try's.
+            for row in error.rows:
+                if row.table == ROSTER_TABLE:
+                    self._versions[key] = row.version
+                    self._written[key] = dict(row.value or {})
+        else:
+            self._log.write("roster not written", reason=error.message)
+        await asyncio.sleep(RETRY_PAUSE_S)
+        self._changed.set()
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -104,6 +104,7 @@
     "a worker is cut off": ("cut worker", 0.0),
     "orders are left unanswered": ("orders", 0.0),
     "orders are carried out late": ("orders", 1.0),
+    "entries lapse while the leader changes": ("lapse", 0.0),
 }
 
 
@@ -152,6 +153,18 @@
         each.lose_share = 0.0
 
 
+async def lapse_entries(world, _late):
+    """The store was away; workers' entries come back after its return."""
+    leader = leader_of(world)
+    for worker_id in world.workers:
+        world.unlist(worker_id)
+    await leader.kill()
+    await asyncio.sleep(4.5)
+    leader.start()
+    for worker_id in world.workers:
+        world.relist(worker_id)
+
+
 def leader_of(world):
     return next((n for n in world.nodes if n.leads), world.nodes[0])
 
@@ -164,6 +177,7 @@
     "crash": crash_worker,
     "cut worker": cut_worker,
     "orders": lose_orders,
+    "lapse": lapse_entries,
 }
 
 
