End a term whose worker session fails; mend the model of workers

The error was the model's (a gang on a lapsed worker ended twice). The product now logs such an error and gives the term up.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import time
+import traceback
 from collections.abc import Callable
 from functools import singledispatch
 
@@ -476,6 +477,19 @@
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
+    async def _run_session(self, session: WorkerSession) -> None:
+        """Runs a session; the term ends with one that fails."""
+        try:
+            await session.run()
+        except Exception as exc:
+            worker_id = session.info.worker_id
+            self._leader._log.write(
+                "session failed",
+                worker=worker_id,
+                error=traceback.format_exc(limit=-4),
+            )
+            self._tenure.lose(f"the session of {worker_id} failed: {exc!r}")
+
     def _open(self, info: WorkerInfo) -> None:
         leader = self._leader
         session = WorkerSession(
@@ -489,7 +503,7 @@
             SessionTimes(leader.times.hold_max_s, leader.times.renew_wait_s),
             self._unknown_until,
         )
-        task = asyncio.create_task(session.run())
+        task = asyncio.create_task(self._run_session(session))
         self._sessions[info.worker_id] = (session, task)
 
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -57,6 +57,7 @@
       how: how it ended, None for a worker that crashed.
       noted: whether that end was acknowledged.
       late: whether the order was carried out late.
+      void: whether the worker's lease ran out before it was acknowledged.
     """
 
     task: TaskId
@@ -67,6 +68,7 @@
     how: RunEnd | None = None
     noted: bool = False
     late: bool = False
+    void: bool = False
 
 
 class Ledger:
@@ -191,9 +193,13 @@
     def advance(self) -> None:
         """Ends what has ended by now."""
         now = self._now()
-        if self._runs and self.clock_ms() / 1000 > self._deadline:
+        if self.clock_ms() / 1000 > self._deadline:
+            # What ended before is not taken note of any more.
+            for _, entry in self._ends:
+                entry.void = True
             for run in list(self._runs.values()):
-                self._end(run, RunEnd.LAPSED)
+                if run.task in self._runs:
+                    self._end(run, RunEnd.LAPSED)
         for run in list(self._runs.values()):
             if run.task in self._runs:
                 self._advance(run, now)
@@ -285,7 +291,7 @@
         kept = []
         for end, entry in self._ends:
             if end.number <= acknowledged:
-                entry.noted = True
+                entry.noted = not entry.void
             else:
                 kept.append((end, entry))
         self._ends = kept
