--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -217,6 +217,25 @@
     assert in_world(scenario, seed) == []
 
 
+def test_successor_leaves_alone_what_runs_on_workers_off_the_list():
+    async def scenario(world):
+        steps = (Step(count=16, need=Need(8_000, 8_000, 2), estimate_s=9.0),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(1.0)
+        unlisted = list(world.workers)[:2]
+        for worker_id in unlisted:
+            world.unlist(worker_id)
+        leader = leader_of(world)
+        await leader.kill()
+        await asyncio.sleep(4.5)
+        for worker_id in unlisted:
+            world.relist(worker_id)
+        left = await world.settle(30.0)
+        return left, len(world.ledger.entries)
+
+    assert in_world(scenario) == ([], 16)
+
+
 def test_cancelled_job_is_stopped_everywhere():
     async def scenario(world):
         job = make_job(1, steps=(gang(4, seconds=30.0),))
