--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -37,7 +37,6 @@
       worker_id: where it was placed.
       started_at: when its start was confirmed, None before.
       stopped_at: when its stop was confirmed, None before.
-      seen: whether its worker has reported it.
       percent: the share of its work that was reported last.
       load: its tail latency in ms when it serves, else its processor use.
       pace: the share of its pace that it was last ordered to, in percent.
@@ -49,7 +48,6 @@
         self.worker_id = worker_id
         self.started_at: float | None = None
         self.stopped_at: float | None = None
-        self.seen = False
         self.percent = 0.0
         self.load = 0.0
         self.pace = 100
@@ -160,8 +158,6 @@
         self.standing = 0
         self.change = 0
         self.written = 0
-        self.urgent = False
-        self.dirty_since: float | None = None
         self.groups: dict[tuple[int, int], list[Group]] = {}
         for occurrence in range(job.rounds):
             for number in range(len(job.steps)):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -316,7 +316,6 @@
         self, group: Group, worker: Worker, each: RunningTask, now: float
     ) -> None:
         member = group.members[each.task.index]
-        member.seen = True
         member.load = each.load
         if group.state is GroupState.STARTED:
             self._runs.confirmed(group, each.task.index, now)
