Take a configuration that changes while a new scheduler reads its rows

Found by reading: between taking the catalogue and having read the rows, a change was told to nobody, and the scheduler placed jobs under the older version until the next change.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -381,6 +381,10 @@
 
     async def run(self) -> None:
         """Acts until it is cancelled."""
+        catalogue = self._leader._catalogue()
+        if catalogue is not None:
+            # It may have changed while the rows were read.
+            self.emit(CatalogueChanged(catalogue))
         self._specs.subscribe(self._on_specs)
         self._list.subscribe(self._on_list)
         try:
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -3,12 +3,14 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.model import BatchJob, Need, Step
 from pomeloarch_core.batch.rows import JobStatus
-from pomeloarch_core.ids import JobId
+from pomeloarch_core.ids import JobId, ServiceName
 from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_node.batch.records import ROSTER_TABLE
 from pomeloarch_standins.batch_world import (
     BATCH,
     CATALOGUE,
@@ -236,6 +238,37 @@
     assert in_world(scenario) == ([], 16)
 
 
+def test_configuration_that_changes_while_rows_are_read_is_in_force():
+    elsewhere = msgspec.structs.replace(
+        CATALOGUE.queues[BATCH], service=ServiceName("elsewhere")
+    )
+    changed = msgspec.structs.replace(CATALOGUE, queues={BATCH: elsewhere})
+
+    def change_during_load(world, node):
+        read = node.link.snapshot
+
+        async def snapshot(table):
+            if table == ROSTER_TABLE:
+                world.catalogue = changed
+                node.leader.catalogue_changed(changed)
+            return await read(table)
+
+        node.link.snapshot = snapshot
+
+    async def scenario(world):
+        leader = leader_of(world)
+        await leader.kill()
+        for node in world.nodes:
+            change_during_load(world, node)
+        await asyncio.sleep(5.0)
+        successor = next(n for n in world.nodes if n.leads)
+        await world.submit(make_job(1), successor)
+        await asyncio.sleep(3.0)
+        return world.catalogue is changed, len(world.ledger.entries)
+
+    assert in_world(scenario) == (True, 0)
+
+
 def test_cancelled_job_is_stopped_everywhere():
     async def scenario(world):
         job = make_job(1, steps=(gang(4, seconds=30.0),))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -104,7 +104,7 @@
             self.link,
             (WORKERS_TABLE, world.read_workers),
             world,
-            lambda: CATALOGUE,
+            lambda: world.catalogue,
             self.jobs,
             Services(WaveSource(lambda: (), _no_status)),
             self.name,
@@ -151,6 +151,7 @@
         """Builds the world; nothing runs yet."""
         self.seed = seed
         self.rng = random.Random(seed)
+        self.catalogue = CATALOGUE
         self.tables = FeedTables()
         self.ledger = Ledger()
         self.submitted: dict[JobId, BatchJob] = {}
