--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -141,7 +141,6 @@
       change: counts the changes of the row.
       written: the change up to which the row is durable.
       groups: its groups, by occurrence and step.
-      cancelled: whether its end was asked for.
       standing: how it stood against its objective when last looked at.
       older: whether an earlier scheduler may have started tasks of it.
     """
@@ -154,7 +153,6 @@
         self.row = row
         self.queue = queue
         self.older = older
-        self.cancelled = False
         self.standing = 0
         self.change = 0
         self.written = 0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -205,7 +205,6 @@
             self._cancel(entry, now)
 
     def _cancel(self, entry: JobEntry, now: float) -> None:
-        entry.cancelled = True
         self._finish(entry, JobStatus.CANCELLED, "a caller asked for it", now)
 
     @_on.register
