Acknowledge ends only to the life of a worker that has just answered

Cause: a worker may begin a new life under its id and count its ends from 1 again.

A number is sent once, and only after an answer of the same life; the test failed before. Ruled out: the expected instance in the header, since it names the id.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -157,9 +157,10 @@
 
     async def _renew(self) -> None:
         asked_at = self._clock()
-        acknowledged = self._scheduler.acknowledged(self.info.worker_id)
         first = self._worker_clock is None or self._silent
-        wait_s = 0.0 if first or self._doubtful else self._wait_s()
+        known = not first and not self._doubtful
+        acknowledged = self._to_acknowledge() if known else 0
+        wait_s = self._wait_s() if known else 0.0
         deadline_ms = None
         if not first:
             deadline_ms = self._deadline_ms(asked_at, self._times.lease_s)
@@ -176,6 +177,16 @@
         if answer.ok_value.ended:
             await self._sleep(RETRY_PAUSE_S)
 
+    def _to_acknowledge(self) -> int:
+        """Returns up to which end the worker may forget what it keeps.
+
+        A worker may begin a new life under its old id and count its ends
+        anew, so a number is sent once, and only to the life that has just
+        answered: to another it would mean ends that nobody has seen.
+        """
+        acknowledged = self._scheduler.acknowledged(self.info.worker_id)
+        return acknowledged if acknowledged > self._acknowledged else 0
+
     def _wait_s(self) -> float:
         if self._scheduler.watches(self.info.worker_id):
             return min(WATCHED_WAIT_S, self._times.wait_s)
@@ -265,6 +276,7 @@
             if answer.err_value is OrderFailure.SUPERSEDED:
                 self._tenure.supersede("a worker has seen a higher fence")
                 return
+            self._doubtful = True
         self._emit(
             StartAnswered(self.info.worker_id, order.task, order.run, outcome)
         )
