Let small hosts claim the scheduler's role later, also after an outage

While the store was away the wait of every candidate ran out, so whoever reached it first won; and a small host that had led before claimed at once after a restart.

The wait begins anew when the store answers again, a restarted former holder waits its handicap too, and the handicap is 1.5 s instead of 0.6 s, three polls. Tried and dropped: giving up a pending claim when it has no answer; the state machine of leases found a lease counted from a later sending.

Tests failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -105,6 +105,7 @@
         self._version = 0
         self._row: LeaseRow | None = None
         self._seen_since: float | None = None
+        self._answering_since = 0.0
         self._poll_due = start_after
         self._held: Epoch | None = None
         self._lease_end = 0.0
@@ -169,6 +170,8 @@
         if self._read_sent_at is not None:
             self._read_took = now - self._read_sent_at
             self._read_sent_at = None
+        if self._answering_since == float("inf"):
+            self._answering_since = now
         if self._seen_since is None or version != self._version:
             self._version = version
             self._row = row
@@ -199,6 +202,8 @@
 
     def unanswered(self, now: float) -> None:
         """Nothing is known of the pending action; it is tried again."""
+        if self._pending is None:
+            self._answering_since = float("inf")
         self._retry_due = now + self._cfg.retry_s
         self._poll_due = max(self._poll_due, self._retry_due)
 
@@ -241,8 +246,11 @@
             return self._seen_since
         if self._row.holder == self._node:
             # An earlier process of this node held it, and is gone.
-            return max(self._start_after, self._seen_since)
-        return self._seen_since + self._cfg.lease_s + self._wait_s()
+            return max(self._start_after, self._seen_since + self._handicap_s)
+        # While the table is away every candidate's wait runs out. It begins
+        # anew with the table's return, so that they claim in their order.
+        lapsed_at = self._seen_since + self._cfg.lease_s
+        return max(lapsed_at, self._answering_since) + self._wait_s()
 
     def _wait_s(self) -> float:
         """Returns how long others may claim before this node."""
--- a/packages/pomeloarch-core/tests/test_membership_lease.py
+++ b/packages/pomeloarch-core/tests/test_membership_lease.py
@@ -1,5 +1,6 @@
 """Leases under a state machine: delays, lost answers, drift and pauses."""
 
+import pytest
 from hypothesis import settings, strategies
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -268,3 +269,38 @@
     assert (again.version, again.value.holder) == (2, None)
     machine.confirmed(3, 1.2)
     assert machine.released
+
+
+@pytest.mark.parametrize(
+    ("handicap_s", "claims_after_s"),
+    [(0.0, 0.0), (1.5, 1.5)],
+    ids=["large host", "small host"],
+)
+def test_candidates_claim_in_their_order_after_an_outage(
+    handicap_s, claims_after_s
+):
+    """All waits run out while the table is away; its return begins them."""
+    machine = LeaseMachine(NodeId("n"), "n", CFG, handicap_s=handicap_s)
+    now = 0.0
+    assert machine.action(now) == ReadRow()
+    machine.observed(5, LeaseRow(NodeId("other"), "other", 1), now)
+    while now < 20.0:
+        now += 0.25
+        if machine.action(now) is not None:
+            machine.unanswered(now)
+    while machine.action(now) is None:
+        now += 0.05
+    machine.observed(5, LeaseRow(NodeId("other"), "other", 1), now)
+    back_at = now
+    while not isinstance(machine.action(now), WriteRow):
+        machine.observed(5, LeaseRow(NodeId("other"), "other", 1), now)
+        now += 0.05
+    assert now - back_at == pytest.approx(claims_after_s, abs=0.06)
+
+
+def test_small_host_that_restarts_lets_others_claim_first():
+    machine = LeaseMachine(NodeId("n"), "new", CFG, handicap_s=1.5)
+    assert machine.action(0.0) == ReadRow()
+    machine.observed(5, LeaseRow(NodeId("n"), "former", 1), 0.0)
+    assert not isinstance(machine.action(1.4), WriteRow)
+    assert isinstance(machine.action(1.5), WriteRow)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -62,9 +62,9 @@
     lease_s=2.3, drift_bound_s=0.25, renew_s=0.6, poll_s=0.5, retry_s=0.2
 )
 # The scheduler uses up to 0.7 of a core with 176 workers; hosts with less than
-# a core let others claim its role first.
+# a core let others claim its role first: they poll every half a second.
 LEADING_CORES = 1.0
-SMALL_HOST_HANDICAP_S = 0.6
+SMALL_HOST_HANDICAP_S = 1.5
 # The balancer asks every second and takes two misses.
 BALANCER_S = 2.4
 # Time for answers under way once the listeners are closed, in seconds.
