Spend less on placing; tell successors what can't have been started

Room is now counted once for a need, racks without enough are left out first, plans are kept for 0.2 s, and placing takes at most half of the time. A job's row now says that none of its tasks was ordered to start until that changes, and the roster names the tasks that a silent worker may run. A successor waits only where there is doubt.

Also mended: a write of the roster without an answer counted as not made.

Tried and reverted: taking a worker for gone when its entry goes sooner than it can lapse.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -31,6 +31,7 @@
 )
 from pomeloarch_core.batch.placing import (
     Places,
+    Room,
     find_places,
     free_room,
     suitable,
@@ -52,6 +53,16 @@
 # Above it, what it would take there longer is taken from others.
 IDLE_SHARE = 0.5
 FAR_WHEN_IDLE_S = 0.5
+# A group that found no room looks for others to give way, or for workers to
+# keep, again after this time, in seconds: several times within the shortest
+# objective, and seldom enough that a hundred waiting groups don't take a
+# small host's core.
+LOOK_AGAIN_S = 0.2
+# Whether a shape fits in a rack is worked out anew after this time, in
+# seconds; the list of workers is read about as often.
+NEAR_KNOWN_S = 0.5
+# States of groups whose room will be free again.
+_ENDING = (GroupState.STARTED, GroupState.STOPPING)
 # Time between an order and its effect, in seconds, beside stopping others.
 ORDER_SLACK_S = 0.3
 
@@ -75,9 +86,33 @@
         self.guaranteed = guaranteed
         self.usable: dict[ServiceName, list[Worker]] = {}
         self.without_room: set[tuple[object, ...]] = set()
+        self.in_use: dict[ServiceName, float] = {}
+        self._fitting: dict[tuple[ServiceName, Need], dict[Worker, int]] = {}
+        self.remaining_s: dict[Group, float] = {}
+        self.room_after: dict[float, dict[Worker, Need]] = {}
         self.kept_until: dict[Worker, float] = {}
         self.kept_for = 0
 
+    def may_fit(self, group: Group) -> bool:
+        """Whether there is room for a group on the usable workers at all."""
+        service, need = group.job.queue.service, group.step.reserved
+        counts = self._fitting.get((service, need))
+        if counts is None:
+            counts = self._fitting[service, need] = {
+                each: need.times_in(each.free) for each in self.usable[service]
+            }
+        return sum(counts.values()) >= len(group.indices)
+
+    def claimed(self, places: Places) -> None:
+        """Notes that room was taken on some workers."""
+        for (_, need), counts in self._fitting.items():
+            for worker in places.values():
+                if worker in counts:
+                    counts[worker] = need.times_in(worker.free)
+        for known in self.room_after.values():
+            for worker in places.values():
+                known.pop(worker, None)
+
 
 class Dispatcher:
     """Places groups.
@@ -108,6 +143,8 @@
         self._out = out
         self._cfg = cfg
         self._sparing = Sparing()
+        self._near: dict[tuple[object, ...], bool] = {}
+        self._near_until = 0.0
 
     def run(
         self,
@@ -127,7 +164,8 @@
         Returns:
           Jobs with a group that has no attempt left.
         """
-        self._start_claimed(jobs, now)
+        for entry in jobs:
+            self.start_claimed(entry, now)
         self._sparing.observe(self._fleet, now)
         current = _Pass(guaranteed_jobs(jobs, catalogue))
         failed: dict[JobEntry, None] = {}
@@ -140,14 +178,13 @@
 
     # ---- who goes first
 
-    def _start_claimed(self, jobs: list[JobEntry], now: float) -> None:
-        for entry in jobs:
-            for group in entry.all_groups():
-                if (
-                    group.state is GroupState.CLAIMED
-                    and self._runs.room_is_free(group)
-                ):
-                    self._runs.start(group, now)
+    def start_claimed(self, entry: JobEntry, now: float) -> None:
+        """Starts groups of a job whose places are free now."""
+        for group in entry.all_groups():
+            if group.state is GroupState.CLAIMED and self._runs.may_start(
+                group
+            ):
+                self._runs.start(group, now)
 
     def _ready_groups(
         self, jobs: list[JobEntry], current: _Pass, now: float, wall: float
@@ -178,22 +215,26 @@
         alike = _placing_key(group, covered)
         if alike in current.without_room:
             return
-        candidates = self._candidates(group, current, now)
-        if self._place(group, candidates, current, now):
-            return
+        self._find_usable(group, current, now)
+        if current.may_fit(group):
+            candidates = self._candidates(group, current, now)
+            if self._place(group, candidates, current, now):
+                return
         if not group.failures and not group.failed_on:
             # Others like it are kept off no worker for its failures.
             current.without_room.add(alike)
-        self._make_room(group, candidates, covered, current, now, wall)
+        self._make_room(group, covered, current, now, wall)
 
-    def _candidates(
-        self, group: Group, current: _Pass, now: float
-    ) -> list[Worker]:
+    def _find_usable(self, group: Group, current: _Pass, now: float) -> None:
         service = group.job.queue.service
         if service not in current.usable:
             current.usable[service] = self._fleet.usable(service, now)
+
+    def _candidates(
+        self, group: Group, current: _Pass, now: float
+    ) -> list[Worker]:
         siblings = self._siblings(group)
-        usable = current.usable[service]
+        usable = current.usable[group.job.queue.service]
         found = suitable(group, usable, siblings)
         if not found and (group.failures or group.failed_on):
             group.failed_on.clear()
@@ -227,31 +268,43 @@
             if current.kept_until.get(each, ends_at) >= ends_at
         ]
         open_to_it = self._sparing.open_to(group, open_to_it)
-        far = self._allow_far(group, candidates, now)
+        far = self._allow_far(group, current, now)
         places = find_places(group, open_to_it, free_room, far)
         if places is None:
             return False
         self._runs.claim(group, places, now)
-        self._runs.start(group, now)
+        current.claimed(places)
+        if self._runs.may_start(group):
+            self._runs.start(group, now)
         return True
 
-    def _allow_far(
-        self, group: Group, candidates: list[Worker], now: float
-    ) -> bool:
+    def _allow_far(self, group: Group, current: _Pass, now: float) -> bool:
         """Whether a group may run away from its data or spread over racks."""
         step = group.step
         if not step.data_rack and not step.same_rack:
             return True
-        if not self._near_is_possible(group):
+        if not self._near_is_possible(group, now):
             return True
-        in_use = self._fleet.share_in_use(group.job.queue.service)
+        service = group.job.queue.service
+        if service not in current.in_use:
+            current.in_use[service] = self._fleet.share_in_use(service)
+        in_use = current.in_use[service]
         return in_use < IDLE_SHARE and now - group.ready_at > FAR_WHEN_IDLE_S
 
-    def _near_is_possible(self, group: Group) -> bool:
-        """Whether the group would fit near its data if nothing else ran.
-
-        Workers that are suspended or silent count, as they will be back.
-        """
+    def _near_is_possible(self, group: Group, now: float) -> bool:
+        """Whether the group would fit near its data if nothing else ran."""
+        if group.failed_on:
+            return self._fits_near(group)
+        if now >= self._near_until:
+            self._near.clear()
+            self._near_until = now + NEAR_KNOWN_S
+        key = _placing_key(group, covered=False)
+        if key not in self._near:
+            self._near[key] = self._fits_near(group)
+        return self._near[key]
+
+    def _fits_near(self, group: Group) -> bool:
+        """Looks at all workers, as those suspended or silent will be back."""
         workers = [
             each
             for each in self._fleet
@@ -279,7 +332,6 @@
     def _make_room(
         self,
         group: Group,
-        candidates: list[Worker],
         covered: bool,
         current: _Pass,
         now: float,
@@ -292,46 +344,88 @@
             return
         if not urgent and not starves:
             return
-        plan = self._plan(group, candidates, now)
+        if now < group.look_again_at:
+            self._keep(group, current)
+            return
+        group.look_again_at = now + LOOK_AGAIN_S
+        group.kept = ()
+        candidates = self._candidates(group, current, now)
+        plan = self._plan(group, candidates, current, now)
         if urgent:
             wait_s = self._may_wait_s(group, covered, now, wall)
             too_late = plan is None or plan[0] > wait_s
-            if too_late and self._preempt(group, candidates, covered, now):
+            if too_late and self._preempt(
+                group, candidates, current, covered, now
+            ):
                 return
         if plan is not None:
-            current.kept_for += 1
-            for worker in plan[1].values():
-                current.kept_until.setdefault(worker, now + plan[0])
+            group.kept = tuple({each.worker_id for each in plan[1].values()})
+            group.kept_until = now + plan[0]
+            self._keep(group, current)
+
+    def _keep(self, group: Group, current: _Pass) -> None:
+        """Keeps the workers of a group's last plan for it."""
+        current.kept_for += bool(group.kept)
+        for worker_id in group.kept:
+            worker = self._fleet.get(worker_id)
+            if worker is not None:
+                current.kept_until.setdefault(worker, group.kept_until)
 
     def _plan(
-        self, group: Group, candidates: list[Worker], now: float
+        self,
+        group: Group,
+        candidates: list[Worker],
+        current: _Pass,
+        now: float,
     ) -> tuple[float, Places] | None:
         """Returns when and where there will be room by itself."""
-        ends = {
-            each: [
-                (self._remaining_s(other, now), other.step.reserved * count)
-                for other, count in each.groups.items()
-                if other.state in (GroupState.STARTED, GroupState.STOPPING)
-            ]
-            for each in candidates
-        }
-        far = self._allow_far(group, candidates, now)
-        for after_s in PLAN_TIMES_S:
+        far = self._allow_far(group, current, now)
+
+        def places_after(after_s: float) -> Places | None:
+            room = self._room_after(after_s, current, now)
+            return find_places(group, candidates, room, far)
+
+        # Room only grows, so that the first time with enough can be bisected.
+        latest = places_after(PLAN_TIMES_S[-1])
+        if latest is None:
+            return None
+        found = PLAN_TIMES_S[-1], latest
+        low, high = 0, len(PLAN_TIMES_S) - 1
+        while low < high:
+            middle = (low + high) // 2
+            places = places_after(PLAN_TIMES_S[middle])
+            if places is None:
+                low = middle + 1
+            else:
+                found, high = (PLAN_TIMES_S[middle], places), middle
+        return found
+
+    def _room_after(self, after_s: float, current: _Pass, now: float) -> Room:
+        """Returns what will be free on workers by then, if nothing is added."""
+        known = current.room_after.setdefault(after_s, {})
 
-            def room(worker: Worker, until: float = after_s) -> Need:
+        def room(worker: Worker) -> Need:
+            if worker not in known:
                 have = worker.free
-                for remaining_s, need in ends[worker]:
-                    if remaining_s <= until:
-                        have += need
-                return have
-
-            places = find_places(group, candidates, room, far)
-            if places is not None:
-                return after_s, places
-        return None
-
-    def _remaining_s(self, group: Group, now: float) -> float:
-        """Returns how much longer a group's run will likely take."""
+                for other, count in worker.groups.items():
+                    if other.state not in _ENDING:
+                        continue
+                    if self._remaining_in(other, current, now) <= after_s:
+                        have += other.step.reserved * count
+                known[worker] = have
+            return known[worker]
+
+        return room
+
+    def _remaining_in(self, group: Group, current: _Pass, now: float) -> float:
+        if group not in current.remaining_s:
+            current.remaining_s[group] = self.remaining_s(group, now)
+        return current.remaining_s[group]
+
+    def remaining_s(self, group: Group, now: float) -> float:
+        """Returns how much longer a group's run will likely take, in s."""
+        if group.step.long_running:
+            return float("inf")
         if group.state is GroupState.STOPPING:
             return self._cfg.stop_s
         ran_s = now - group.started_at
@@ -344,7 +438,7 @@
         """Returns how long what runs on a worker will likely take, in s."""
         return max(
             (
-                self._remaining_s(group, now)
+                self.remaining_s(group, now)
                 for group in worker.groups
                 if not group.step.long_running
             ),
@@ -380,7 +474,12 @@
         return wait_s
 
     def _preempt(
-        self, group: Group, candidates: list[Worker], covered: bool, now: float
+        self,
+        group: Group,
+        candidates: list[Worker],
+        current: _Pass,
+        covered: bool,
+        now: float,
     ) -> bool:
         """Has others give way to a group of priority 0.
 
@@ -396,7 +495,7 @@
             lambda other: (
                 other.job.queue.priority > priority and may_stop(other)
             ),
-            (covered and last_chance) or not self._near_is_possible(group),
+            (covered and last_chance) or not self._near_is_possible(group, now),
             now,
         )
         if eviction is None:
@@ -404,9 +503,10 @@
         if not covered and eviction.cost > own_work(group):
             return False
         self._runs.claim(group, eviction.places, now)
+        current.claimed(eviction.places)
         for victim in eviction.victims:
             self._runs.take_down(victim, f"it gives way to {group.name}", now)
-        if self._runs.room_is_free(group):
+        if self._runs.may_start(group):
             self._runs.start(group, now)
         return True
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -7,6 +7,7 @@
 
 from pomeloarch_core.batch.messages import (
     Incarnation,
+    RosterEntry,
     RunNumber,
     TaskId,
     WorkerInfo,
@@ -32,7 +33,10 @@
       strangers: runs here that no group accounts for.
       pending_ends: numbers of ends whose job's row isn't durable yet.
       last_end: the highest number of an end taken in.
-      enrolled: whether a successor will remember it.
+      enrolled: whether a successor will take it that it may run any task.
+      may_run: the only tasks that it may run, by name, while it is silent;
+        None for any.
+      evacuated: whether what would not end before it leaves was moved.
       closing: whether its machine is about to go down.
       suspended_until: until when it is given no task after failures.
       failures: failed runs in a row.
@@ -51,11 +55,14 @@
         self.pending_ends: set[int] = set()
         self.last_end = 0
         self.enrolled = False
+        self.may_run: tuple[str, ...] | None = None
+        self.evacuated = False
         self.closing = False
         self.suspended_until = 0.0
         self.failures = 0
         self._used = NOTHING
         self._claimed = NOTHING
+        self._free: Need | None = None
 
     @property
     def worker_id(self) -> WorkerId:
@@ -65,13 +72,22 @@
     @property
     def free(self) -> Need:
         """Room that nothing has or is promised."""
-        return self.info.capacity - self._used - self._claimed
+        if self._free is None:
+            self._free = self.info.capacity - self._used - self._claimed
+        return self._free
 
     @property
     def unused(self) -> Need:
         """Room that no run has, promised or not."""
         return self.info.capacity - self._used
 
+    def relisted(self, info: WorkerInfo) -> None:
+        """Takes what the list says now."""
+        self.info = info
+        self.listed = True
+        self.evacuated = self.evacuated and info.draining
+        self._free = None
+
     def usable(self, now: float) -> bool:
         """Whether it may be given a task."""
         return (
@@ -84,6 +100,37 @@
             and self.suspended_until <= now
         )
 
+    def fell_silent(self, lapses_at: float) -> None:
+        """Takes it that it does not answer; it is given nothing from now on.
+
+        What was ordered here before is known if it has answered this
+        scheduler.
+        """
+        if self.reported and not self.silent:
+            self.enrolled = False
+            self.may_run = tuple(sorted(self._ordered()))
+        self.silent = True
+        self.lapses_at = lapses_at
+
+    def _ordered(self) -> Iterator[str]:
+        yield from (str(task) for task, _ in self.strangers)
+        for group in self.groups:
+            for index, member in group.members.items():
+                if member.worker_id == self.worker_id:
+                    yield str(group.task(index))
+
+    def answered(self) -> None:
+        """Takes it that it answers again."""
+        self.reported = True
+        self.silent = False
+        if self.may_run is not None:
+            self.may_run = None
+            self.enrolled = False
+
+    def roster_entry(self) -> RosterEntry:
+        """Returns what a successor has to know of it."""
+        return RosterEntry(self.info.address, self.may_run)
+
     def lapsed(self, now: float) -> bool:
         """Whether all that it may have run has certainly been killed."""
         return self.silent and self.lapses_at <= now
@@ -91,6 +138,7 @@
     def hold(self, group: Group, need: Need, claimed: bool) -> None:
         """Takes room for a task of a group."""
         self.groups[group] = self.groups.get(group, 0) + 1
+        self._free = None
         if claimed:
             self._claimed += need
         else:
@@ -104,6 +152,7 @@
     def release(self, group: Group, need: Need, claimed: bool) -> None:
         """Gives back the room of a task."""
         self.groups[group] -= 1
+        self._free = None
         if not self.groups[group]:
             del self.groups[group]
         if claimed:
@@ -136,15 +185,17 @@
         worker = self._workers.get(info.worker_id)
         if worker is None:
             worker = self._workers[info.worker_id] = Worker(info)
-        worker.info = info
-        worker.listed = True
+        worker.relisted(info)
         return worker
 
-    def remembered(self, info: WorkerInfo) -> None:
+    def remembered(
+        self, info: WorkerInfo, may_run: tuple[str, ...] | None
+    ) -> None:
         """Takes a worker that may be off the list; it gets nothing new."""
         if info.worker_id not in self._workers:
             worker = self._workers[info.worker_id] = Worker(info)
             worker.listed = False
+            worker.may_run = may_run
 
     def forget(self, worker_id: WorkerId) -> None:
         """Drops a worker that is gone."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -72,6 +72,9 @@
       ready_at: when it became ready.
       started_at: when its current run was ordered.
       resumed: whether the current run's beginning wasn't seen.
+      look_again_at: when room is next made for it, or workers are kept.
+      kept: workers that are kept for it.
+      kept_until: until when they will likely have room for it.
       uncertain: whether an earlier scheduler's run of it may be unknown.
     """
 
@@ -98,6 +101,9 @@
         self.ready_at = 0.0
         self.started_at = 0.0
         self.resumed = False
+        self.look_again_at = 0.0
+        self.kept: tuple[WorkerId, ...] = ()
+        self.kept_until = 0.0
         self.uncertain = False
 
     @property
@@ -140,6 +146,7 @@
       row: its durable state as decided; it may not be written yet.
       change: counts the changes of the row.
       written: the change up to which the row is durable.
+      placed_by: the change that says that tasks may have been started.
       groups: its groups, by occurrence and step.
       standing: how it stood against its objective when last looked at.
       older: whether an earlier scheduler may have started tasks of it.
@@ -156,6 +163,7 @@
         self.standing = 0
         self.change = 0
         self.written = 0
+        self.placed_by = 0
         self.groups: dict[tuple[int, int], list[Group]] = {}
         for occurrence in range(job.rounds):
             for number in range(len(job.steps)):
@@ -180,6 +188,11 @@
             groups.append(group)
         return groups
 
+    @property
+    def may_start(self) -> bool:
+        """Whether it is durable that tasks may have been started."""
+        return not self.row.unplaced and self.written >= self.placed_by
+
     def group_of(self, task: TaskId) -> Group | None:
         """Returns the group of a task, None when there is no such task."""
         groups = self.groups.get((task.occurrence, task.step))
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -159,18 +159,27 @@
     workers: tuple[WorkerInfo, ...]
 
 
-class WorkersRemembered(msgspec.Struct, frozen=True):
-    """Workers that may run something, as an earlier scheduler knew them.
+class RosterEntry(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a successor has to know of a worker that may run something.
 
     Attributes:
-      addresses: where each takes orders, `ip:port`.
+      address: where it takes orders, `ip:port`.
+      may_run: the only tasks that it may run, by name, when it fell silent
+        and was given nothing since; None when it may run any.
     """
 
-    addresses: dict[WorkerId, str]
+    address: str
+    may_run: tuple[str, ...] | None = None
+
+
+class WorkersRemembered(msgspec.Struct, frozen=True):
+    """Workers that may run something, as an earlier scheduler knew them."""
+
+    entries: dict[WorkerId, RosterEntry]
 
 
 class WorkersEnrolled(msgspec.Struct, frozen=True):
-    """These workers will be remembered by a successor."""
+    """A successor will take it that these workers may run any task."""
 
     worker_ids: frozenset[WorkerId]
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
@@ -11,6 +11,12 @@
 QueueName = NewType("QueueName", str)
 ImageName = NewType("ImageName", str)
 
+# Tasks of a job, over all its steps and occurrences: three times what one
+# service may run at a time, and some 20 MB of the scheduler's memory.
+MOST_TASKS = 30_000
+# How often something fits that takes nothing.
+_ANY_NUMBER = 1_000_000
+
 
 class Need(msgspec.Struct, frozen=True):
     """An amount of resources: what a task takes or a worker has.
@@ -59,13 +65,14 @@
 
     def times_in(self, room: Need) -> int:
         """Returns how often this amount fits into `room`."""
-        pairs = (
-            (self.cpu_millis, room.cpu_millis),
-            (self.memory_mb, room.memory_mb),
-            (self.accelerators, room.accelerators),
-        )
-        counts = [have // want for want, have in pairs if want > 0]
-        return max(0, min(counts)) if counts else 1_000_000
+        count = _ANY_NUMBER
+        if self.cpu_millis > 0:
+            count = room.cpu_millis // self.cpu_millis
+        if self.memory_mb > 0:
+            count = min(count, room.memory_mb // self.memory_mb)
+        if self.accelerators > 0:
+            count = min(count, room.accelerators // self.accelerators)
+        return max(0, count)
 
 
 NOTHING = Need()
@@ -194,6 +201,9 @@
                 found.append(f"step {number} may wait for earlier steps only")
             if min(msgspec.structs.astuple(step.need)) < 0:
                 found.append(f"step {number} needs a negative amount")
+        tasks = self.rounds * sum(max(0, s.count) for s in self.steps)
+        if tasks > MOST_TASKS:
+            found.append(f"a job has at most {MOST_TASKS} tasks, not {tasks}")
         if self.scheduled and self.interval_s < 0:
             found.append("the interval between occurrences is negative")
         return found
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
@@ -7,10 +7,11 @@
 
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group
-from pomeloarch_core.batch.model import Need, Step
+from pomeloarch_core.batch.model import Need
 
 Places = dict[int, Worker]
 Room = Callable[[Worker], Need]
+Order = Callable[[Worker], tuple[float, ...]]
 
 
 def free_room(worker: Worker) -> Need:
@@ -66,28 +67,31 @@
       allow_far: whether tasks may run away from their data's rack, or a
         same-rack gang on several racks.
     """
-    for candidates in _candidate_sets(group.step, workers, room, allow_far):
-        places = fill(group, candidates, room)
-        if places is not None:
-            return places
-    return None
-
-
-def _candidate_sets(
-    step: Step, workers: Sequence[Worker], room: Room, allow_far: bool
-) -> list[list[Worker]]:
-    """Returns sets of workers to try, the best first."""
+    counts = _counts(group, workers, room)
+    wanted = len(group.indices)
+    if sum(counts.values()) < wanted:
+        return None
+    step = group.step
+    if not step.data_rack and not step.same_rack:
+        return _spread(group, counts, _by_tightness(room))
     racks = by_rack(workers)
-    sets: list[list[Worker]] = []
+    with_room = [
+        rack
+        for rack in racks.values()
+        if sum(counts.get(each, 0) for each in rack) >= wanted
+    ]
     if step.data_rack:
-        sets.append(racks.get(step.data_rack, []))
-        if not allow_far:
-            return sets
-    if step.same_rack:
-        sets += sorted(racks.values(), key=lambda rack: _room_in(rack, room))
-        if not allow_far:
-            return sets
-    return [*sets, list(workers)]
+        near = [r for r in with_room if r[0].info.rack == step.data_rack]
+    else:
+        near = sorted(with_room, key=lambda rack: _room_in(rack, room))
+    if near:
+        counts = {each: counts[each] for each in near[0] if each in counts}
+    elif not allow_far:
+        return None
+    elif step.data_rack and step.same_rack and with_room:
+        rack = min(with_room, key=lambda rack: _room_in(rack, room))
+        counts = {each: counts[each] for each in rack if each in counts}
+    return _spread(group, counts, _by_tightness(room))
 
 
 def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
@@ -103,10 +107,7 @@
 
 
 def fill(
-    group: Group,
-    workers: Iterable[Worker],
-    room: Room,
-    order: Callable[[Worker], tuple[float, ...]] | None = None,
+    group: Group, workers: Iterable[Worker], room: Room, order: Order
 ) -> Places | None:
     """Puts the tasks of a group on workers in a given order.
 
@@ -114,28 +115,43 @@
       group: what is to be placed.
       workers: the suitable workers.
       room: what counts as room on a worker.
-      order: what is sorted by; by default the room that is left, the least
-        first.
+      order: what is sorted by, the least first.
     """
-    if order is None:
+    counts = _counts(group, workers, room)
+    if sum(counts.values()) < len(group.indices):
+        return None
+    return _spread(group, counts, order)
 
-        def order(worker: Worker) -> tuple[float, ...]:
-            return _tightness(worker, room)
 
+def _counts(
+    group: Group, workers: Iterable[Worker], room: Room
+) -> dict[Worker, int]:
+    """Returns how many tasks of a group fit on each worker that has room."""
     need = group.step.reserved
-    bound = group.step.max_per_worker
+    most = group.step.max_per_worker or len(group.indices)
+    return {
+        each: min(count, most)
+        for each in workers
+        if (count := need.times_in(room(each)))
+    }
+
+
+def _spread(group: Group, counts: dict[Worker, int], order: Order) -> Places:
     left = list(group.indices)
     places: Places = {}
-    for worker in sorted(workers, key=order):
-        count = need.times_in(room(worker))
-        count = min(count, bound or count, len(left))
-        for _ in range(count):
+    for worker in sorted(counts, key=order):
+        for _ in range(min(counts[worker], len(left))):
             places[left.pop()] = worker
         if not left:
-            return places
-    return None
+            break
+    return places
+
+
+def _by_tightness(room: Room) -> Order:
+    """Returns the order in which workers with little room come first."""
+    return lambda worker: _tightness(worker, room)
 
 
-def _tightness(worker: Worker, room: Room) -> tuple[int, int]:
+def _tightness(worker: Worker, room: Room) -> tuple[float, ...]:
     have = room(worker)
     return have.accelerators, have.cpu_millis
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -63,6 +63,8 @@
       accepted_at: when, in seconds of the wall clock.
       status: where it stands.
       started: whether a task of it has started.
+      unplaced: whether certainly none of its tasks was ordered to start; this
+        is taken back, durably, before the first order.
       scheduled: whether it runs at given times.
       finished_at: when its status became final, in wall clock seconds.
       steps: what is settled, by `OCCURRENCE.STEP`.
@@ -73,17 +75,23 @@
     accepted_at: float
     status: JobStatus = JobStatus.QUEUED
     started: bool = False
+    unplaced: bool = False
     scheduled: bool = False
     finished_at: float = 0.0
     steps: dict[str, StepRow] = {}
 
     @classmethod
     def from_job(cls, job: BatchJob) -> JobRow:
-        """Returns the row of a job that was just accepted."""
+        """Returns the row of a job that was just accepted.
+
+        A job of priority 0 is started without a write before: its objective
+        is short, and a slow store takes a good part of it for each write.
+        """
         return cls(
             job.queue,
             job.organisation,
             job.accepted_at,
+            unplaced=job.accepted_under.priority > 0,
             scheduled=job.scheduled,
         )
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -60,15 +60,27 @@
     # ---- starting
 
     def claim(self, group: Group, places: Places, now: float) -> None:
-        """Promises a group its places."""
+        """Promises a group its places.
+
+        The first one of a job has its row say so. Until that is durable, a
+        successor takes it for granted that nothing of the job was started.
+        """
+        entry = group.job
+        if entry.row.unplaced:
+            entry.row.unplaced = False
+            self.changed(entry, urgent=True)
+            entry.placed_by = entry.change
         group.state = GroupState.CLAIMED
         group.started_at = now
         for index, worker in places.items():
             group.members[index] = Member(worker.worker_id)
             worker.hold(group, group.step.reserved, claimed=True)
 
-    def room_is_free(self, group: Group) -> bool:
-        """Whether all places that were promised to a group are empty."""
+    def may_start(self, group: Group) -> bool:
+        """Whether a group may take the places that it was promised."""
+        return group.job.may_start and self._room_is_free(group)
+
+    def _room_is_free(self, group: Group) -> bool:
         for worker_id in {m.worker_id for m in group.members.values()}:
             worker = self._fleet.get(worker_id)
             if worker is None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -31,6 +31,7 @@
     Event,
     JobAccepted,
     Note,
+    RosterEntry,
     RowWritten,
     RunningTask,
     RunNumber,
@@ -106,7 +107,9 @@
         self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
         self._summary_due = 0.0
         self._certain = False
+        self._in_doubt: set[str] | None = None
         self._listed_once = False
+        self._roster_changed = False
         self._dirty = True
 
     def handle(self, event: Event, now: float) -> list[Decision]:
@@ -152,9 +155,14 @@
         worker = self._fleet.get(worker_id)
         return worker is not None and self._pacer.watches(worker)
 
-    def roster(self) -> dict[WorkerId, str]:
-        """Returns the addresses of workers that a successor has to know."""
-        return {each.worker_id: each.info.address for each in self._fleet}
+    def roster(self) -> dict[WorkerId, RosterEntry]:
+        """Returns the workers that a successor has to know."""
+        return {each.worker_id: each.roster_entry() for each in self._fleet}
+
+    def roster_if_changed(self) -> dict[WorkerId, RosterEntry] | None:
+        """Returns the roster if workers fell silent or answered again."""
+        changed, self._roster_changed = self._roster_changed, False
+        return self.roster() if changed else None
 
     def may_end(self, worker_id: WorkerId) -> bool:
         """Whether ending all that a worker runs leaves enough at work."""
@@ -190,7 +198,8 @@
         if job.job_id in self._jobs or event.row.status.final:
             return
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
-        entry = JobEntry(job, event.row, queue, event.older)
+        older = event.older and not event.row.unplaced
+        entry = JobEntry(job, event.row, queue, older)
         self._jobs[job.job_id] = entry
         self._dirty = True
         if job.job_id in self._early_cancels:
@@ -221,17 +230,51 @@
         self._listed_once = True
         listed = {each.worker_id for each in event.workers}
         for info in event.workers:
-            self._fleet.listed(info)
+            worker = self._fleet.listed(info)
+            if info.draining and not worker.evacuated:
+                worker.evacuated = True
+                self._evacuate(worker, now)
         for worker in list(self._fleet):
             if worker.worker_id not in listed:
+                if worker.listed:
+                    self._note_unlisted(worker)
                 worker.listed = False
                 self._forget_if_empty(worker, now)
         self._dirty = True
 
+    def _evacuate(self, worker: Worker, now: float) -> None:
+        """Moves what will not end before a worker leaves.
+
+        It would end there with its worker, and could be started elsewhere
+        only once its lease has certainly run out.
+        """
+        left_s = worker.info.remaining_s or 0.0
+        for group in list(worker.groups):
+            claimed = group.state is GroupState.CLAIMED
+            if not claimed and group.state is not GroupState.STARTED:
+                continue
+            needs_s = self._dispatcher.remaining_s(group, now)
+            if claimed or needs_s > left_s:
+                reason = (
+                    f"worker {worker.worker_id} leaves in {left_s:.1f} s, "
+                    f"it needs {needs_s:.1f} s"
+                )
+                self._runs.take_down(group, reason, now)
+
+    def _note_unlisted(self, worker: Worker) -> None:
+        fields = {
+            "worker": worker.worker_id,
+            "draining": worker.info.draining,
+            "groups": len(worker.groups),
+        }
+        self._out.append(Note("worker off the list", fields))
+
     @_on.register
     def _on_remembered(self, event: WorkersRemembered, now: float) -> None:
-        for worker_id, address in event.addresses.items():
-            self._fleet.remembered(remembered_worker(worker_id, address))
+        for worker_id, entry in event.entries.items():
+            self._fleet.remembered(
+                remembered_worker(worker_id, entry.address), entry.may_run
+            )
 
     @_on.register
     def _on_enrolled(self, event: WorkersEnrolled, now: float) -> None:
@@ -251,8 +294,8 @@
             worker.pending_ends.clear()
             worker.strangers.clear()
         worker.incarnation = event.incarnation
-        worker.reported = True
-        worker.silent = False
+        self._roster_changed |= worker.may_run is not None
+        worker.answered()
         running = {(each.task, each.run): each for each in event.running}
         self._take_ends(worker, event.ended, now)
         self._take_running(worker, running, now)
@@ -418,8 +461,8 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        worker.silent = True
-        worker.lapses_at = event.lapses_at
+        worker.fell_silent(event.lapses_at)
+        self._roster_changed = True
         self._out.append(
             Note(
                 "worker silent",
@@ -549,6 +592,7 @@
         entry = self._jobs.get(event.job_id)
         if entry is not None:
             entry.written = event.change
+            self._dispatcher.start_claimed(entry, now)
             self._drop_if_over(entry)
 
     @_on.register
@@ -632,20 +676,39 @@
     # ---- certainty after a takeover
 
     def _update_certainty(self, now: float) -> None:
-        """Decides whether all that earlier schedulers started is known."""
+        """Decides for which groups no earlier run can be unknown.
+
+        A worker that this scheduler hasn't heard of may run any task, or only
+        those that an earlier scheduler wrote down when it fell silent.
+        """
         if not self._listed_once:
             return
+        in_doubt: set[str] = set()
         for worker in self._fleet:
-            if not worker.reported and not worker.lapsed(now):
+            if worker.reported or worker.lapsed(now):
+                continue
+            if worker.may_run is None:
                 return
-        self._certain = True
+            in_doubt.update(worker.may_run)
+        if in_doubt == self._in_doubt:
+            return
+        self._in_doubt = in_doubt
+        self._certain = not in_doubt
         for entry in self._jobs.values():
             for group in entry.all_groups():
-                group.uncertain = False
-                if group.state is GroupState.STARTED and len(
-                    group.members
-                ) < len(group.indices):
-                    self._runs.take_down(group, "part of it is missing", now)
+                if group.uncertain:
+                    self._clear(group, in_doubt, now)
+        self._dirty = True
+
+    def _clear(self, group: Group, in_doubt: set[str], now: float) -> None:
+        """Ends the doubt about a group, unless one of its tasks is in it."""
+        if any(str(group.task(index)) in in_doubt for index in group.indices):
+            return
+        group.uncertain = False
+        if group.state is GroupState.STARTED and len(group.members) < len(
+            group.indices
+        ):
+            self._runs.take_down(group, "part of it is missing", now)
 
     # ---- placing
 
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1,5 +1,6 @@
 """Where groups go under load: one table of loads for each pattern."""
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.catalogue import Catalogue, Tenant
@@ -9,6 +10,7 @@
     Incarnation,
     JobAccepted,
     Note,
+    RosterEntry,
     RowWritten,
     RunEnd,
     RunningTask,
@@ -22,6 +24,7 @@
     WorkersEnrolled,
     WorkerSilent,
     WorkersListed,
+    WorkersRemembered,
     WriteRow,
 )
 from pomeloarch_core.batch.model import (
@@ -87,6 +90,7 @@
         self.running = {}
         self.ends = {each.worker_id: [] for each in self.workers}
         self.starts, self.stops, self.notes, self.rows = [], [], [], {}
+        self.store_answers = True
         self.emit(WorkersListed(tuple(self.workers)))
         self.emit(WorkersEnrolled(frozenset(self.ends)))
         for each in self.workers:
@@ -115,10 +119,18 @@
             elif isinstance(each, StopTask):
                 self.stops.append(each)
             elif isinstance(each, WriteRow):
-                self.rows[each.job_id] = each
+                self._write(each)
             elif isinstance(each, Note):
                 self.notes.append(each)
 
+    def _write(self, order):
+        """Keeps a row; the store takes the first of a job at once."""
+        known = order.job_id in self.rows
+        self.rows[order.job_id] = order
+        if not known and self.store_answers:
+            written = RowWritten(order.job_id, order.change)
+            self._take(self.scheduler.handle(written, self.now))
+
     def submit(self, number, queue, *steps, organisation=OWNER, **more):
         job = BatchJob(
             JobId(f"{number:016x}"),
@@ -440,7 +452,7 @@
     successor.__dict__.update(first.__dict__)
     successor.scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
     successor.starts, successor.stops = [], []
-    successor.emit(JobAccepted(job, JobRow.from_job(job), older=True))
+    successor.emit(JobAccepted(job, first.rows[job_id].row, older=True))
     successor.emit(WorkersListed(tuple(first.workers)))
     successor.emit(WorkersEnrolled(frozenset(first.ends)))
     successor.report(free)
@@ -455,6 +467,130 @@
     assert successor.stops == []
 
 
+def test_nothing_is_started_before_its_row_says_that_it_may_have_been():
+    fleet = Fleet()
+    fleet.store_answers = False
+    job = fleet.submit(1, BATCH, step(2))
+    assert fleet.starts == []
+    assert not fleet.rows[job].row.unplaced
+    assert fleet.rows[job].urgent
+    fleet.emit(RowWritten(job, fleet.rows[job].change))
+    assert len(fleet.starts) == 2
+
+
+def test_urgent_work_is_started_without_a_write_before():
+    """A store so slow that a write takes a good part of the objective."""
+    fleet = Fleet()
+    fleet.store_answers = False
+    fleet.submit(1, URGENT, step(2))
+    assert len(fleet.starts) == 2
+
+
+@pytest.mark.parametrize(
+    ("placed", "starts_at_once"), [(False, True), (True, False)]
+)
+def test_successor_starts_at_once_what_nobody_can_have_started(
+    placed, starts_at_once
+):
+    """A change of leader with workers out of reach and a queue that waits."""
+    fleet = Fleet(racks=1, per_rack=2, term=2)
+    first, unseen = (each.worker_id for each in fleet.workers)
+    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
+    job = BatchJob(
+        JobId("1" * 16), BATCH.name, OWNER, BATCH, "work", (step(1, WHOLE),)
+    )
+    row = JobRow.from_job(job)
+    row.unplaced = not placed
+    fleet.emit(JobAccepted(job, row, older=True))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
+    fleet.report(first)
+    fleet.emit(WorkerSilent(unseen, fleet.now + 6.0))
+    assert bool(fleet.starts) == starts_at_once
+
+
+@pytest.mark.parametrize(
+    ("case", "may_run", "starts_at_once"),
+    [
+        ("any task may be there", None, False),
+        ("the task itself may be there", ("1" * 16 + ".0.0.0",), False),
+        ("only another task may be there", ("2" * 16 + ".0.0.0",), True),
+        ("nothing can be there", (), True),
+    ],
+)
+def test_successor_waits_for_silent_workers_only_where_they_may_run_it(
+    case, may_run, starts_at_once
+):
+    """A change of leader while workers that left earlier still hold leases."""
+    fleet = Fleet(racks=1, per_rack=1, term=2)
+    (here,) = (each.worker_id for each in fleet.workers)
+    away = WorkerId("away")
+    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
+    job = BatchJob(
+        JobId("1" * 16), BATCH.name, OWNER, BATCH, "work", (step(1, WHOLE),)
+    )
+    row = JobRow.from_job(job)
+    row.unplaced = False
+    fleet.emit(JobAccepted(job, row, older=True))
+    fleet.emit(WorkersRemembered({away: RosterEntry("", may_run)}))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
+    fleet.report(here)
+    fleet.emit(WorkerSilent(away, fleet.now + 6.0))
+    assert bool(fleet.starts) == starts_at_once
+    fleet.wait(6.2)
+    assert len(fleet.starts) == 1
+
+
+def test_roster_names_what_a_silent_worker_may_run():
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.submit(1, BATCH, step(1))
+    (worker,) = fleet.places(job)
+    assert fleet.scheduler.roster()[worker].may_run is None
+    fleet.emit(WorkerSilent(worker, fleet.now + 6.0))
+    assert fleet.scheduler.roster()[worker].may_run == (f"{job}.0.0.0",)
+    fleet.report(worker)
+    assert fleet.scheduler.roster()[worker].may_run is None
+    later = fleet.submit(2, BATCH, step(1))
+    assert fleet.places(later) == []
+    fleet.emit(WorkersEnrolled(frozenset({worker})))
+    assert fleet.places(later) == [worker]
+
+
+@pytest.mark.parametrize(
+    ("case", "left_s", "step_", "moved"),
+    [
+        ("it ends before", 8.0, step(1, seconds=4.0), False),
+        ("it doesn't end before", 1.7, step(1, seconds=4.0), True),
+        ("a gang moves whole", 1.7, step(3, WHOLE, 4.0, gang=True), True),
+        ("a lasting task never ends", 8.0, step(1, long_running=True), True),
+        ("the worker says nothing", None, step(1, seconds=4.0), True),
+    ],
+)
+def test_worker_about_to_leave_is_cleared_of_what_would_end_with_it(
+    case, left_s, step_, moved
+):
+    """Workers that are taken away at short notice."""
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step_)
+    held = set(fleet.places(job))
+    leaving = min(held)
+    listed = tuple(
+        msgspec.structs.replace(each, draining=True, remaining_s=left_s)
+        if each.worker_id == leaving
+        else each
+        for each in fleet.workers
+    )
+    fleet.emit(WorkersListed(listed))
+    assert bool(fleet.stops) == moved
+    if moved:
+        fleet.end_all(job, RunEnd.STOPPED)
+        fleet.wait(0.3)
+        assert leaving not in set(fleet.places(job)[-step_.count :])
+    fleet.emit(WorkersListed(listed))
+    assert len(fleet.stops) == (step_.count if moved else 0)
+
+
 def test_long_running_task_is_started_again_however_it_ends():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1, long_running=True))
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -264,3 +264,32 @@
     machine.action(1.0)
     machine.observed(7, LeaseRow(NodeId("n"), "other", Epoch(3)), 1.01)
     assert machine.due(1.01) == pytest.approx(1.01)
+
+
+# ---- jobs that can't be taken
+
+
+@pytest.mark.parametrize(
+    ("steps", "occurrences", "finding"),
+    [
+        ((), 0, "a job has at least one step"),
+        ((Step(0),), 0, "step 0 has no task"),
+        ((Step(1, after=(0,)),), 0, "step 0 may wait for earlier steps only"),
+        ((Step(1, Need(-1)),), 0, "step 0 needs a negative amount"),
+        ((Step(30_001),), 0, "a job has at most 30000 tasks, not 30001"),
+        ((Step(100),), 301, "a job has at most 30000 tasks, not 30100"),
+        ((Step(30_000),), 0, None),
+    ],
+)
+def test_findings_of_a_job(steps, occurrences, finding):
+    queue = Queue(QueueName("q"), ServiceName("s"))
+    job = BatchJob(
+        JobId("1" * 16),
+        queue.name,
+        OrganisationName(""),
+        queue,
+        "",
+        steps,
+        occurrences=occurrences,
+    )
+    assert job.findings() == ([finding] if finding else [])
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -23,6 +23,7 @@
     JobAccepted,
     Note,
     PaceTask,
+    RosterEntry,
     RowWritten,
     StartTask,
     StopTask,
@@ -75,9 +76,9 @@
 # part of the shortest objective.
 PLACING_PAUSE_S = 0.015
 LOAD_RETRY_S = 0.3
-# How often the list of workers is asked for, in seconds; several times
-# within the time in which a leaving worker has to be spared.
-LIST_PACE_S = 0.7
+# How often the list of workers is asked for, in seconds: some workers leave
+# within two seconds of their notice, and moving what they run takes one.
+LIST_PACE_S = 0.3
 SPECS_WAIT_S = 2.0
 SPECS_PACE_S = 0.02
 
@@ -299,7 +300,7 @@
         # A whole table that is read again names jobs that ended long ago.
         self._announced: set[JobId] = set()
         self._cancelled: set[JobId] = set()
-        self._remembered: dict[WorkerId, str] = {}
+        self._remembered: dict[WorkerId, RosterEntry] = {}
         self._changed = asyncio.Event()
         self._closing: set[asyncio.Task[None]] = set()
         self._rows: dict[JobId, JobRow] = {}
@@ -322,9 +323,9 @@
             await asyncio.sleep(LOAD_RETRY_S)
 
         while self._tenure.held():
-            addresses = await self._roster.load()
-            if addresses is not None:
-                self._remembered = addresses
+            remembered = await self._roster.load()
+            if remembered is not None:
+                self._remembered = remembered
                 return
             await asyncio.sleep(LOAD_RETRY_S)
 
@@ -335,8 +336,8 @@
         stopped.
         """
         self.emit(WorkersRemembered(self._remembered))
-        for worker_id, address in self._remembered.items():
-            self._open(remembered_worker(worker_id, address))
+        for worker_id, entry in self._remembered.items():
+            self._open(remembered_worker(worker_id, entry.address))
 
     def _load_rows(self, changes: TableChanges) -> None:
         for row in changes.rows:
@@ -421,18 +422,28 @@
             return
         for decision in self._scheduler.handle(event, self._clock()):
             self._carry_out(decision)
+        roster = self._scheduler.roster_if_changed()
+        if roster is not None:
+            self._roster.want(roster)
         if self._scheduler.wants_placing:
             self._changed.set()
 
     async def _place(self) -> None:
-        """Places groups soon after events, for several events at once."""
+        """Places groups soon after events, for several events at once.
+
+        It takes at most half of the time, so that a host with too much to
+        place still renews its lease and those of the workers.
+        """
+        took_s = 0.0
         while True:
             await self._changed.wait()
-            await asyncio.sleep(PLACING_PAUSE_S)
+            await asyncio.sleep(max(PLACING_PAUSE_S, took_s))
             self._changed.clear()
             if self._tenure.held():
-                for decision in self._scheduler.place(self._clock()):
+                began = self._clock()
+                for decision in self._scheduler.place(began):
                     self._carry_out(decision)
+                took_s = self._clock() - began
 
     def _carry_out(self, decision: Decision) -> None:
         if isinstance(decision, Note):
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
@@ -3,7 +3,8 @@
 Entries of the list lapse while the store is away, though their workers live
 and run on. A successor that went by the list alone would take their tasks for
 lost. A worker gets its first task only once it is on the roster, and leaves it
-once it is off the list and runs nothing.
+once it is off the list and runs nothing. Of one that has fallen silent the
+roster says which tasks it may run, so that a successor waits for no others.
 """
 
 from __future__ import annotations
@@ -11,10 +12,12 @@
 import asyncio
 import zlib
 from collections.abc import Callable, Mapping
+from typing import Any
 
+import msgspec
 from result import Err, Ok
 
-from pomeloarch_core.batch.messages import Event, WorkersEnrolled
+from pomeloarch_core.batch.messages import Event, RosterEntry, WorkersEnrolled
 from pomeloarch_core.ids import WorkerId
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.ports import FeedStore
@@ -26,6 +29,9 @@
 RETRY_PAUSE_S = 0.2
 
 
+Chunk = dict[WorkerId, RosterEntry]
+
+
 def chunk_of(worker_id: WorkerId) -> str:
     """Returns the key of the row that a worker is in."""
     return str(zlib.crc32(worker_id.encode()) % CHUNKS)
@@ -54,29 +60,31 @@
         self._emit = emit
         self._log = log
         self._versions: dict[str, int] = {}
-        self._written: dict[str, dict[WorkerId, str]] = {}
-        self._wanted: dict[str, dict[WorkerId, str]] = {}
+        # None for a row whose last write had no answer.
+        self._written: dict[str, Chunk | None] = {}
+        self._wanted: dict[str, Chunk] = {}
         self._changed = asyncio.Event()
 
-    async def load(self) -> dict[WorkerId, str] | None:
-        """Returns the addresses of the remembered workers, None on failure."""
+    async def load(self) -> Chunk | None:
+        """Returns the remembered workers, None on failure."""
         answer = await self._store.snapshot(ROSTER_TABLE)
         if isinstance(answer, Err):
             return None
-        found: dict[WorkerId, str] = {}
+        found: Chunk = {}
         for row in answer.ok_value.rows:
             self._versions[row.key] = row.version
-            self._written[row.key] = dict(row.value)
-            found.update(row.value)
+            chunk = _decode(row.value)
+            self._written[row.key] = chunk
+            found.update(chunk)
         return found
 
-    def want(self, addresses: Mapping[WorkerId, str]) -> None:
+    def want(self, entries: Mapping[WorkerId, RosterEntry]) -> None:
         """Has exactly these workers remembered."""
-        wanted: dict[str, dict[WorkerId, str]] = {
-            key: {} for key in self._written
-        }
-        for worker_id, address in addresses.items():
-            wanted.setdefault(chunk_of(worker_id), {})[worker_id] = address
+        wanted: dict[str, Chunk] = {key: {} for key in self._written}
+        for worker_id, entry in entries.items():
+            wanted.setdefault(chunk_of(worker_id), {})[worker_id] = entry
+        if wanted == self._wanted:
+            return
         self._wanted = wanted
         self._changed.set()
 
@@ -88,21 +96,31 @@
             for key, value in list(self._wanted.items()):
                 if self._written.get(key) != value:
                     await self._write(key, value)
-            self._emit(
-                WorkersEnrolled(
-                    frozenset(
-                        each for row in self._written.values() for each in row
-                    )
-                )
-            )
-
-    async def _write(self, key: str, value: dict[WorkerId, str]) -> None:
+            self._emit(WorkersEnrolled(self._enrolled()))
+
+    def _enrolled(self) -> frozenset[WorkerId]:
+        """Returns workers of which a successor takes it they may run any task.
+
+        The row has to say so and is not about to say otherwise.
+        """
+        return frozenset(
+            worker_id
+            for key, chunk in self._wanted.items()
+            if self._written.get(key) is not None
+            for worker_id, entry in chunk.items()
+            if entry.may_run is None and self._said(key, worker_id) == entry
+        )
+
+    def _said(self, key: str, worker_id: WorkerId) -> RosterEntry | None:
+        return (self._written.get(key) or {}).get(worker_id)
+
+    async def _write(self, key: str, value: Chunk) -> None:
         answer = await self._store.transact(
             [
                 self._checks[int(key) % SHARDS],
                 Check(ROSTER_TABLE, key, self._versions.get(key, 0)),
             ],
-            [Write(ROSTER_TABLE, key, value)],
+            [Write(ROSTER_TABLE, key, msgspec.to_builtins(value))],
         )
         if isinstance(answer, Ok):
             self._versions[key] = answer.ok_value[0]
@@ -114,8 +132,13 @@
             for row in error.rows:
                 if row.table == ROSTER_TABLE:
                     self._versions[key] = row.version
-                    self._written[key] = dict(row.value or {})
+                    self._written[key] = _decode(row.value)
         else:
+            self._written[key] = None
             self._log.write("roster not written", reason=error.message)
         await asyncio.sleep(RETRY_PAUSE_S)
         self._changed.set()
+
+
+def _decode(value: Any) -> Chunk:
+    return msgspec.convert(value or {}, Chunk)
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_batch_roster.py
@@ -0,0 +1,84 @@
+"""The roster's rows under lost answers of the store."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from pomeloarch_core.batch.messages import RosterEntry, WorkersEnrolled
+from pomeloarch_core.ids import WorkerId
+from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.records import SHARDS, TERMS_TABLE, term_key
+from pomeloarch_node.batch.roster import Roster
+from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import Check, PlatformError, PlatformFailure
+from pomeloarch_standins.batch_world import BatchWorld
+from pomeloarch_standins.virtual_time import run_virtual
+
+WORKER = WorkerId("w")
+ANY = RosterEntry("a:1")
+NAMED = RosterEntry("a:1", ("1.0.0.0",))
+
+
+class LosingStore:
+    """Carries writes out, and loses the answers of those that are chosen."""
+
+    def __init__(self, link, lost):
+        self._link = link
+        self._lost = set(lost)
+        self.writes = 0
+
+    async def transact(self, checks, writes):
+        answer = await self._link.transact(checks, writes)
+        self.writes += 1
+        if self.writes in self._lost:
+            return Err(PlatformError(PlatformFailure.UNKNOWN, "lost"))
+        return answer
+
+
+async def play(wanted, lost):
+    """Returns what was said to be enrolled last, and what the store holds."""
+    world = BatchWorld(1)
+    for shard in range(SHARDS):
+        world.tables.put(TERMS_TABLE, term_key(shard), 1)
+    checks = {
+        shard: Check(
+            TERMS_TABLE,
+            term_key(shard),
+            world.tables.read(TERMS_TABLE, term_key(shard)).version,
+        )
+        for shard in range(SHARDS)
+    }
+    link = world.nodes[0].link
+    enrolled = []
+    log = DecisionLog("n", Metrics(), world.log_fd, world.clock)
+    roster = Roster(LosingStore(link, lost), checks, enrolled.append, log)
+    running = asyncio.create_task(roster.run())
+    for entry in wanted:
+        roster.want({WORKER: entry})
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(2.0)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    reader = Roster(link, checks, enrolled.append, log)
+    held = await reader.load()
+    return enrolled, held
+
+
+@pytest.mark.parametrize("lost", [(), (1,), (2,), (3,), (1, 2, 3)])
+@pytest.mark.parametrize(
+    ("wanted", "held", "enrolled"),
+    [
+        ([ANY], ANY, True),
+        ([ANY, NAMED], NAMED, False),
+        ([ANY, NAMED, ANY], ANY, True),
+    ],
+)
+def test_worker_counts_as_enrolled_only_where_the_row_says_so(
+    wanted, held, enrolled, lost
+):
+    events, rows = run_virtual(play(wanted, lost))
+    assert rows == {WORKER: held}
+    assert events[-1] == WorkersEnrolled(
+        frozenset({WORKER} if enrolled else ())
+    )
