--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -10,35 +10,31 @@
 from collections import defaultdict
 from functools import singledispatchmethod
 
-from pomeloarch_core.batch import health
 from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.dispatching import Dispatcher, DispatchTimes
+from pomeloarch_core.batch.doubts import Doubts
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import (
-    Group,
     GroupState,
     JobEntry,
     may_stop,
 )
+from pomeloarch_core.batch.jobs import Jobs
 from pomeloarch_core.batch.messages import (
     AdviceGiven,
     AdviceMissing,
     CancelRequested,
     CatalogueChanged,
     Decision,
-    EndedTask,
     Event,
     JobAccepted,
     Note,
     RosterEntry,
     RowWritten,
-    RunningTask,
-    RunNumber,
     StartAnswered,
     StartOutcome,
     StopAnswered,
-    StopTask,
     TaskId,
     Tick,
     WorkerInfo,
@@ -52,6 +48,7 @@
 from pomeloarch_core.batch.model import NOTHING
 from pomeloarch_core.batch.objectives import RunTimes
 from pomeloarch_core.batch.pacing import Pacer
+from pomeloarch_core.batch.reports import Reports
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import REFUSED_PAUSE_S, Runs
 from pomeloarch_core.ids import (
@@ -85,7 +82,6 @@
     ) -> None:
         """Makes a scheduler that knows neither jobs nor workers."""
         self._catalogue = catalogue
-        self._wall_offset = wall_offset
         self._out: list[Decision] = []
         self._fleet = Fleet()
         self._times = RunTimes()
@@ -102,12 +98,11 @@
             self._out,
             times or DispatchTimes(),
         )
-        self._jobs: dict[JobId, JobEntry] = {}
+        self._jobs = Jobs(self._runs, self._advice, self._out, wall_offset)
+        self._reports = Reports(self._jobs, self._runs, self._out)
+        self._doubts = Doubts(self._fleet, self._jobs, self._runs)
         self._early_cancels: set[JobId] = set()
-        self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
         self._summary_due = 0.0
-        self._certain = False
-        self._in_doubt: set[str] | None = None
         self._listed_once = False
         self._roster_changed = False
         self._dirty = True
@@ -115,8 +110,8 @@
     def handle(self, event: Event, now: float) -> list[Decision]:
         """Takes an event in and returns what has to be done, in order."""
         self._on(event, now)
-        if not self._certain:
-            self._update_certainty(now)
+        if self._listed_once and not self._doubts.over:
+            self._dirty |= self._doubts.update(now)
         return self._take_out()
 
     def place(self, now: float) -> list[Decision]:
@@ -178,7 +173,7 @@
 
     def wants(self, task: TaskId, run: int) -> bool:
         """Whether a start that has no answer yet is still wanted."""
-        group = self._group_of(task)
+        group = self._jobs.group_of(task)
         return (
             group is not None
             and group.run == run
@@ -195,12 +190,13 @@
     @_on.register
     def _on_accepted(self, event: JobAccepted, now: float) -> None:
         job = event.job
-        if job.job_id in self._jobs or event.row.status.final:
+        known = self._jobs.get(job.job_id) is not None
+        if known or event.row.status.final:
             return
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
         older = event.older and not event.row.unplaced
         entry = JobEntry(job, event.row, queue, older)
-        self._jobs[job.job_id] = entry
+        self._jobs.add(entry)
         self._dirty = True
         if job.job_id in self._early_cancels:
             self._cancel(entry, now)
@@ -214,12 +210,15 @@
             self._cancel(entry, now)
 
     def _cancel(self, entry: JobEntry, now: float) -> None:
-        self._finish(entry, JobStatus.CANCELLED, "a caller asked for it", now)
+        self._jobs.finish(
+            entry, JobStatus.CANCELLED, "a caller asked for it", now
+        )
+        self._dirty = True
 
     @_on.register
     def _on_catalogue(self, event: CatalogueChanged, now: float) -> None:
         self._catalogue = event.catalogue
-        for entry in self._jobs.values():
+        for entry in self._jobs:
             queue = event.catalogue.queues.get(entry.job.queue)
             if queue is not None:
                 entry.queue = queue
@@ -287,175 +286,11 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        if worker.incarnation not in (0, event.incarnation):
-            # A new life knows no end of the former one. What it runs was
-            # started since; what it doesn't run is found missing below.
-            worker.last_end = 0
-            worker.pending_ends.clear()
-            worker.strangers.clear()
-        worker.incarnation = event.incarnation
         self._roster_changed |= worker.may_run is not None
-        worker.answered()
-        running = {(each.task, each.run): each for each in event.running}
-        self._take_ends(worker, event.ended, now)
-        self._take_running(worker, running, now)
-        self._find_missing(worker, running, event.asked_at, now)
+        self._reports.take(worker, event, now)
         self._out += self._pacer.observe(worker, now)
         self._dirty = True
 
-    def _take_ends(
-        self, worker: Worker, ended: tuple[EndedTask, ...], now: float
-    ) -> None:
-        for end in ended:
-            if end.number <= worker.last_end:
-                continue
-            worker.last_end = end.number
-            group = self._group_of(end.task)
-            if end.task is not None:
-                worker.strangers.pop((end.task, end.run), None)
-            if group is None or end.task is None:
-                continue
-            self._runs.ended(group, worker, end, now)
-            self._after_end(group.job, worker, end, now)
-
-    def _after_end(
-        self,
-        entry: JobEntry,
-        worker: Worker,
-        end: EndedTask,
-        now: float,
-    ) -> None:
-        if entry.written < entry.change:
-            # An end may be forgotten once all that it told is durable, also
-            # what another member of its gang told first.
-            worker.pending_ends.add(end.number)
-            acks = self._acks.setdefault(entry.job.job_id, [])
-            acks.append((worker, end.number, entry.change))
-        if not entry.row.status.final and entry.over:
-            self._finish(entry, JobStatus.COMPLETED, "all tasks done", now)
-
-    def _take_running(
-        self,
-        worker: Worker,
-        running: dict[tuple[TaskId, RunNumber], RunningTask],
-        now: float,
-    ) -> None:
-        for (task, run), each in running.items():
-            group = self._group_of(task)
-            if group is None or group.state is GroupState.OVER:
-                self._stop_stranger(worker, each, now)
-                continue
-            member = group.members.get(task.index)
-            if member is None or group.run != run:
-                self._take_unknown(group, worker, each, now)
-                continue
-            if member.worker_id != worker.worker_id:
-                self._stop_stranger(worker, each, now)
-                continue
-            self._progress(group, worker, each, now)
-
-    def _progress(
-        self, group: Group, worker: Worker, each: RunningTask, now: float
-    ) -> None:
-        member = group.members[each.task.index]
-        member.load = each.load
-        if group.state is GroupState.STARTED:
-            self._runs.confirmed(group, each.task.index, now)
-        if each.checkpoint:
-            group.checkpoint = each.checkpoint
-        if each.percent != member.percent or member.advanced_at is None:
-            member.percent = each.percent
-            member.advanced_at = now
-        elif self._stands_still(
-            group, each.task.index, worker, now - member.advanced_at, now
-        ):
-            self._out.append(
-                Note(
-                    "worker stands still",
-                    {
-                        "worker": worker.worker_id,
-                        "task": str(each.task),
-                        "percent": each.percent,
-                        "load": each.load,
-                        "ran_s": round(now - group.started_at, 2),
-                    },
-                )
-            )
-
-    def _stands_still(
-        self,
-        group: Group,
-        index: int,
-        worker: Worker,
-        still_s: float,
-        now: float,
-    ) -> bool:
-        done = group.members[index].percent >= 100
-        if group.step.long_running or not group.running or done:
-            # A member of a gang that has done its work waits for the others.
-            return False
-        return health.suspend_stalled(worker, still_s, now)
-
-    def _take_unknown(
-        self, group: Group, worker: Worker, each: RunningTask, now: float
-    ) -> None:
-        adoptable = group.uncertain and (
-            group.state in (GroupState.WAITING, GroupState.READY)
-            or (group.state is GroupState.STARTED and group.run == each.run)
-        )
-        if adoptable and each.run >= group.run:
-            self._runs.adopt(group, each.task.index, worker, each.run, now)
-            self._progress(group, worker, each, now)
-        else:
-            self._stop_stranger(worker, each, now)
-
-    def _stop_stranger(
-        self, worker: Worker, each: RunningTask, now: float
-    ) -> None:
-        key = each.task, each.run
-        if key not in worker.strangers:
-            worker.strangers[key] = now
-            self._out.append(
-                Note(
-                    "unaccounted run stopped",
-                    {
-                        "task": str(each.task),
-                        "run": each.run,
-                        "worker": worker.worker_id,
-                    },
-                )
-            )
-            self._out.append(StopTask(worker.worker_id, each.task, each.run))
-
-    def _find_missing(
-        self,
-        worker: Worker,
-        running: dict[tuple[TaskId, RunNumber], RunningTask],
-        asked_at: float,
-        now: float,
-    ) -> None:
-        """Frees the room of tasks that a worker no longer has."""
-        for key in [k for k in worker.strangers if k not in running]:
-            if worker.strangers[key] < asked_at:
-                del worker.strangers[key]
-        for group in list(worker.groups):
-            if group.state is GroupState.CLAIMED:
-                continue
-            for index, member in list(group.members.items()):
-                if member.worker_id != worker.worker_id:
-                    continue
-                if (group.task(index), group.run) in running:
-                    continue
-                settled = (
-                    member.stopped_at
-                    if member.started_at is None
-                    else member.started_at
-                )
-                if settled is not None and settled < asked_at:
-                    self._runs.member_gone(
-                        group, index, "its worker no longer has it", now
-                    )
-
     @_on.register
     def _on_silent(self, event: WorkerSilent, now: float) -> None:
         worker = self._fleet.get(event.worker_id)
@@ -503,7 +338,7 @@
 
     @_on.register
     def _on_start_answered(self, event: StartAnswered, now: float) -> None:
-        group = self._group_of(event.task)
+        group = self._jobs.group_of(event.task)
         if group is None or group.run != event.run:
             return
         member = group.members.get(event.task.index)
@@ -545,7 +380,7 @@
 
     @_on.register
     def _on_stop_answered(self, event: StopAnswered, now: float) -> None:
-        group = self._group_of(event.task)
+        group = self._jobs.group_of(event.task)
         if group is None or group.run != event.run:
             return
         member = group.members.get(event.task.index)
@@ -581,29 +416,20 @@
 
     @_on.register
     def _on_written(self, event: RowWritten, now: float) -> None:
-        left = []
-        for worker, number, change in self._acks.pop(event.job_id, []):
-            if change <= event.change:
-                worker.pending_ends.discard(number)
-            else:
-                left.append((worker, number, change))
-        if left:
-            self._acks[event.job_id] = left
-        entry = self._jobs.get(event.job_id)
+        entry = self._jobs.row_written(event.job_id, event.change)
         if entry is not None:
-            entry.written = event.change
             self._dispatcher.start_claimed(entry, now)
-            self._drop_if_over(entry)
+            self._jobs.drop_if_over(entry)
 
     @_on.register
     def _on_tick(self, event: Tick, now: float) -> None:
-        self._wall_offset = event.wall - now
+        self._jobs.wall_offset = event.wall - now
         for worker in list(self._fleet):
             if worker.lapsed(now):
                 self._lose(worker, now)
                 self._forget_if_empty(worker, now)
-        for entry in list(self._jobs.values()):
-            self._drop_if_over(entry)
+        for entry in list(self._jobs):
+            self._jobs.drop_if_over(entry)
         self._dirty = True
         if now >= self._summary_due:
             self._summary_due = now + SUMMARY_EVERY_S
@@ -612,7 +438,7 @@
     def _summarise(self, now: float) -> None:
         """Writes to the log how full the fleet is and what waits."""
         waiting: dict[str, int] = defaultdict(int)
-        for entry in self._jobs.values():
+        for entry in self._jobs:
             if any(g.state is GroupState.READY for g in entry.all_groups()):
                 waiting[entry.queue.name] += 1
         services = {each.info.service for each in self._fleet}
@@ -627,101 +453,17 @@
         }
         self._out.append(Note("fleet", fields))
 
-    # ---- jobs
-
-    def _group_of(self, task: TaskId | None) -> Group | None:
-        entry = None if task is None else self._jobs.get(task.job_id)
-        if entry is None or task is None:
-            return None
-        return entry.group_of(task)
-
-    def _finish(
-        self, entry: JobEntry, status: JobStatus, reason: str, now: float
-    ) -> None:
-        entry.row.status = status
-        entry.row.finished_at = now + self._wall_offset
-        if status is JobStatus.COMPLETED:
-            entry.row.started = True
-        for group in entry.all_groups():
-            if group.members and group.state is not GroupState.OVER:
-                self._runs.take_down(group, f"its job is {status.value}", now)
-            group.state = GroupState.OVER
-        self._runs.changed(entry, urgent=True)
-        self._out.append(
-            Note(
-                "job finished",
-                {
-                    "job": entry.job.job_id,
-                    "status": status.value,
-                    "reason": reason,
-                    "age_s": round(
-                        now + self._wall_offset - entry.job.accepted_at, 3
-                    ),
-                },
-            )
-        )
-        self._dirty = True
-
-    def _drop_if_over(self, entry: JobEntry) -> None:
-        """Forgets a job that has ended and has nothing left on a worker."""
-        if (
-            entry.row.status.final
-            and entry.written >= entry.change
-            and not any(group.members for group in entry.all_groups())
-            and entry.job.job_id not in self._acks
-        ):
-            del self._jobs[entry.job.job_id]
-            self._advice.forget([group.step_id for group in entry.all_groups()])
-
-    # ---- certainty after a takeover
-
-    def _update_certainty(self, now: float) -> None:
-        """Decides for which groups no earlier run can be unknown.
-
-        A worker that this scheduler hasn't heard of may run any task, or only
-        those that an earlier scheduler wrote down when it fell silent.
-        """
-        if not self._listed_once:
-            return
-        in_doubt: set[str] = set()
-        for worker in self._fleet:
-            if worker.reported or worker.lapsed(now):
-                continue
-            if worker.may_run is None:
-                return
-            in_doubt.update(worker.may_run)
-        if in_doubt == self._in_doubt:
-            return
-        self._in_doubt = in_doubt
-        self._certain = not in_doubt
-        for entry in self._jobs.values():
-            for group in entry.all_groups():
-                if group.uncertain:
-                    self._clear(group, in_doubt, now)
-        self._dirty = True
-
-    def _clear(self, group: Group, in_doubt: set[str], now: float) -> None:
-        """Ends the doubt about a group, unless one of its tasks is in it."""
-        if any(str(group.task(index)) in in_doubt for index in group.indices):
-            return
-        group.uncertain = False
-        if group.state is GroupState.STARTED and len(group.members) < len(
-            group.indices
-        ):
-            self._runs.take_down(group, "part of it is missing", now)
-
     # ---- placing
 
     def _schedule(self, now: float) -> None:
         if not self._dirty:
             return
         self._dirty = False
-        jobs = [
-            each for each in self._jobs.values() if not each.row.status.final
-        ]
-        wall = now + self._wall_offset
+        jobs = [each for each in self._jobs if not each.row.status.final]
+        wall = now + self._jobs.wall_offset
         for entry in self._dispatcher.run(jobs, self._catalogue, now, wall):
-            self._finish(entry, JobStatus.FAILED, "attempts used up", now)
+            self._jobs.finish(entry, JobStatus.FAILED, "attempts used up", now)
+            self._dirty = True
 
 
 def remembered_worker(worker_id: WorkerId, address: str) -> WorkerInfo:
