Keep a new life's end until its own job's row is durable

Cause, found while reading: an end of a worker's former life that waited for its job's row released the end of the same number of the new life. The test failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -3,16 +3,31 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
-from pomeloarch_core.batch.messages import Decision, Note, TaskId
+from pomeloarch_core.batch.messages import (
+    Decision,
+    Incarnation,
+    Note,
+    TaskId,
+)
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import Runs
 from pomeloarch_core.ids import JobId
 
 
+class _ToldBy(NamedTuple):
+    """An end that a worker keeps until a change of its job's row is durable."""
+
+    worker: Worker
+    incarnation: Incarnation
+    number: int
+    change: int
+
+
 class Jobs:
     """Jobs by id, and the ends that wait for their rows.
 
@@ -39,7 +54,7 @@
         self._advice = advice
         self._out = out
         self._entries: dict[JobId, JobEntry] = {}
-        self._acks: dict[JobId, list[tuple[Worker, int, int]]] = {}
+        self._told: dict[JobId, list[_ToldBy]] = {}
 
     def __iter__(self) -> Iterator[JobEntry]:
         """Iterates over the jobs in the order in which they came."""
@@ -100,19 +115,22 @@
         """
         if entry.written < entry.change:
             worker.pending_ends.add(number)
-            acks = self._acks.setdefault(entry.job.job_id, [])
-            acks.append((worker, number, entry.change))
+            told = self._told.setdefault(entry.job.job_id, [])
+            told.append(
+                _ToldBy(worker, worker.incarnation, number, entry.change)
+            )
 
     def row_written(self, job_id: JobId, change: int) -> JobEntry | None:
         """A job's row is durable up to a change; returns the job if known."""
-        left = []
-        for worker, number, told_by in self._acks.pop(job_id, []):
-            if told_by <= change:
-                worker.pending_ends.discard(number)
-            else:
-                left.append((worker, number, told_by))
+        told = self._told.pop(job_id, [])
+        for each in told:
+            # Another life counts its ends anew.
+            same = each.worker.incarnation == each.incarnation
+            if each.change <= change and same:
+                each.worker.pending_ends.discard(each.number)
+        left = [each for each in told if each.change > change]
         if left:
-            self._acks[job_id] = left
+            self._told[job_id] = left
         entry = self.get(job_id)
         if entry is not None:
             entry.written = change
@@ -124,7 +142,7 @@
             entry.row.status.final
             and entry.written >= entry.change
             and not any(group.members for group in entry.all_groups())
-            and entry.job.job_id not in self._acks
+            and entry.job.job_id not in self._told
         ):
             del self._entries[entry.job.job_id]
             self._advice.forget([group.step_id for group in entry.all_groups()])
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -427,6 +427,29 @@
     assert [fleet.scheduler.acknowledged(each) for each in workers] == [1, 1]
 
 
+def test_end_of_a_new_life_is_not_forgotten_for_one_of_the_former():
+    """Two lives of a worker, whose ends have the same numbers."""
+    fleet = Fleet(racks=1, per_rack=1)
+    (worker,) = fleet.ends
+    first = fleet.submit(1, BATCH, step(1))
+    fleet.end_all(first)
+    second = fleet.submit(2, BATCH, step(1))
+    ((task, run),) = fleet.running
+    fleet.emit(
+        WorkerReported(
+            worker,
+            Incarnation(2),
+            fleet.now,
+            (),
+            (EndedTask(1, task, run, RunEnd.DONE),),
+        )
+    )
+    fleet.emit(RowWritten(first, fleet.rows[first].change))
+    assert fleet.scheduler.acknowledged(worker) == 0
+    fleet.emit(RowWritten(second, fleet.rows[second].change))
+    assert fleet.scheduler.acknowledged(worker) == 1
+
+
 def test_silent_workers_tasks_start_elsewhere_only_after_their_lease():
     fleet = Fleet(racks=1, per_rack=2)
     job = fleet.submit(1, BATCH, step(1, WHOLE, 30.0))
