Split the dispatcher: a round of placing and who goes first; read old rosters

A refused write of the roster no longer takes workers out of use, since the row is known to say what it said; rows that an earlier version wrote are read. The split changes no behaviour.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -22,25 +22,27 @@
     may_stop,
 )
 from pomeloarch_core.batch.messages import Decision
-from pomeloarch_core.batch.model import Need
 from pomeloarch_core.batch.objectives import (
     RunTimes,
     chain_s,
     objective_s,
-    standing,
 )
 from pomeloarch_core.batch.placing import (
     Places,
-    Room,
     find_places,
     free_room,
     suitable,
     whole_room,
 )
+from pomeloarch_core.batch.placing_round import PlacingRound
 from pomeloarch_core.batch.preempting import find_eviction, own_work
+from pomeloarch_core.batch.ready import (
+    guaranteed_jobs,
+    placing_key,
+    ready_groups,
+)
 from pomeloarch_core.batch.runs import Runs
 from pomeloarch_core.batch.sparing import Sparing
-from pomeloarch_core.ids import JobId, OrganisationName, ServiceName
 
 # A gang that has waited this long, in seconds, has workers kept for it; it
 # would otherwise never find enough of them free at once.
@@ -61,8 +63,6 @@
 # Whether a shape fits in a rack is worked out anew after this time, in
 # seconds; the list of workers is read about as often.
 NEAR_KNOWN_S = 0.5
-# States of groups whose room will be free again.
-_ENDING = (GroupState.STARTED, GroupState.STOPPING)
 # Time between an order and its effect, in seconds, beside stopping others.
 ORDER_SLACK_S = 0.3
 
@@ -79,41 +79,6 @@
     reclaim_s: float = 2.7
 
 
-class _Pass:
-    """What one round of placing has found out so far."""
-
-    def __init__(self, guaranteed: set[JobId]) -> None:
-        self.guaranteed = guaranteed
-        self.usable: dict[ServiceName, list[Worker]] = {}
-        self.without_room: set[tuple[object, ...]] = set()
-        self.in_use: dict[ServiceName, float] = {}
-        self._fitting: dict[tuple[ServiceName, Need], dict[Worker, int]] = {}
-        self.remaining_s: dict[Group, float] = {}
-        self.room_after: dict[float, dict[Worker, Need]] = {}
-        self.kept_until: dict[Worker, float] = {}
-        self.kept_for = 0
-
-    def may_fit(self, group: Group) -> bool:
-        """Whether there is room for a group on the usable workers at all."""
-        service, need = group.job.queue.service, group.step.reserved
-        counts = self._fitting.get((service, need))
-        if counts is None:
-            counts = self._fitting[service, need] = {
-                each: need.times_in(each.free) for each in self.usable[service]
-            }
-        return sum(counts.values()) >= len(group.indices)
-
-    def claimed(self, places: Places) -> None:
-        """Notes that room was taken on some workers."""
-        for (_, need), counts in self._fitting.items():
-            for worker in places.values():
-                if worker in counts:
-                    counts[worker] = need.times_in(worker.free)
-        for known in self.room_after.values():
-            for worker in places.values():
-                known.pop(worker, None)
-
-
 class Dispatcher:
     """Places groups.
 
@@ -167,9 +132,12 @@
         for entry in jobs:
             self.start_claimed(entry, now)
         self._sparing.observe(self._fleet, now)
-        current = _Pass(guaranteed_jobs(jobs, catalogue))
+        guaranteed = guaranteed_jobs(jobs, catalogue)
+        current = PlacingRound(
+            guaranteed, lambda group: self.remaining_s(group, now)
+        )
         failed: dict[JobEntry, None] = {}
-        for group in self._ready_groups(jobs, current, now, wall):
+        for group in ready_groups(jobs, guaranteed, self._times, now, wall):
             if group.failures >= group.job.queue.max_attempts:
                 failed[group.job] = None
             elif group.job not in failed:
@@ -186,33 +154,13 @@
             ):
                 self._runs.start(group, now)
 
-    def _ready_groups(
-        self, jobs: list[JobEntry], current: _Pass, now: float, wall: float
-    ) -> list[Group]:
-        """Returns the groups to place, those that go first in front."""
-        ready: list[Group] = []
-        for entry in jobs:
-            found = _ready_of(entry, now, wall)
-            if found:
-                entry.standing = standing(entry, self._times, wall)
-                ready += found
-        ready.sort(
-            key=lambda group: (
-                group.job.job.job_id not in current.guaranteed,
-                group.job.standing,
-                group.job.queue.priority,
-                group.job.job.accepted_at,
-            )
-        )
-        return ready
-
     # ---- one group
 
     def _offer(
-        self, group: Group, current: _Pass, now: float, wall: float
+        self, group: Group, current: PlacingRound, now: float, wall: float
     ) -> None:
         covered = group.job.job.job_id in current.guaranteed
-        alike = _placing_key(group, covered)
+        alike = placing_key(group, covered)
         if alike in current.without_room:
             return
         self._find_usable(group, current, now)
@@ -225,13 +173,15 @@
             current.without_room.add(alike)
         self._make_room(group, covered, current, now, wall)
 
-    def _find_usable(self, group: Group, current: _Pass, now: float) -> None:
+    def _find_usable(
+        self, group: Group, current: PlacingRound, now: float
+    ) -> None:
         service = group.job.queue.service
         if service not in current.usable:
             current.usable[service] = self._fleet.usable(service, now)
 
     def _candidates(
-        self, group: Group, current: _Pass, now: float
+        self, group: Group, current: PlacingRound, now: float
     ) -> list[Worker]:
         siblings = self._siblings(group)
         usable = current.usable[group.job.queue.service]
@@ -258,7 +208,7 @@
         self,
         group: Group,
         candidates: list[Worker],
-        current: _Pass,
+        current: PlacingRound,
         now: float,
     ) -> bool:
         ends_at = now + self._estimate_s(group)
@@ -278,7 +228,9 @@
             self._runs.start(group, now)
         return True
 
-    def _allow_far(self, group: Group, current: _Pass, now: float) -> bool:
+    def _allow_far(
+        self, group: Group, current: PlacingRound, now: float
+    ) -> bool:
         """Whether a group may run away from its data or spread over racks."""
         step = group.step
         if not step.data_rack and not step.same_rack:
@@ -298,7 +250,7 @@
         if now >= self._near_until:
             self._near.clear()
             self._near_until = now + NEAR_KNOWN_S
-        key = _placing_key(group, covered=False)
+        key = placing_key(group, covered=False)
         if key not in self._near:
             self._near[key] = self._fits_near(group)
         return self._near[key]
@@ -333,7 +285,7 @@
         self,
         group: Group,
         covered: bool,
-        current: _Pass,
+        current: PlacingRound,
         now: float,
         wall: float,
     ) -> None:
@@ -363,7 +315,7 @@
             group.kept_until = now + plan[0]
             self._keep(group, current)
 
-    def _keep(self, group: Group, current: _Pass) -> None:
+    def _keep(self, group: Group, current: PlacingRound) -> None:
         """Keeps the workers of a group's last plan for it."""
         current.kept_for += bool(group.kept)
         for worker_id in group.kept:
@@ -375,14 +327,14 @@
         self,
         group: Group,
         candidates: list[Worker],
-        current: _Pass,
+        current: PlacingRound,
         now: float,
     ) -> tuple[float, Places] | None:
         """Returns when and where there will be room by itself."""
         far = self._allow_far(group, current, now)
 
         def places_after(after_s: float) -> Places | None:
-            room = self._room_after(after_s, current, now)
+            room = current.room_after(after_s)
             return find_places(group, candidates, room, far)
 
         # Room only grows, so that the first time with enough can be bisected.
@@ -400,28 +352,6 @@
                 found, high = (PLAN_TIMES_S[middle], places), middle
         return found
 
-    def _room_after(self, after_s: float, current: _Pass, now: float) -> Room:
-        """Returns what will be free on workers by then, if nothing is added."""
-        known = current.room_after.setdefault(after_s, {})
-
-        def room(worker: Worker) -> Need:
-            if worker not in known:
-                have = worker.free
-                for other, count in worker.groups.items():
-                    if other.state not in _ENDING:
-                        continue
-                    if self._remaining_in(other, current, now) <= after_s:
-                        have += other.step.reserved * count
-                known[worker] = have
-            return known[worker]
-
-        return room
-
-    def _remaining_in(self, group: Group, current: _Pass, now: float) -> float:
-        if group not in current.remaining_s:
-            current.remaining_s[group] = self.remaining_s(group, now)
-        return current.remaining_s[group]
-
     def remaining_s(self, group: Group, now: float) -> float:
         """Returns how much longer a group's run will likely take, in s."""
         if group.step.long_running:
@@ -477,7 +407,7 @@
         self,
         group: Group,
         candidates: list[Worker],
-        current: _Pass,
+        current: PlacingRound,
         covered: bool,
         now: float,
     ) -> bool:
@@ -509,58 +439,3 @@
         if self._runs.may_start(group):
             self._runs.start(group, now)
         return True
-
-
-def guaranteed_jobs(jobs: list[JobEntry], catalogue: Catalogue) -> set[JobId]:
-    """Returns jobs of priority 0 that their guarantees cover."""
-    covered: set[JobId] = set()
-    needed: dict[OrganisationName, int] = defaultdict(int)
-    for entry in jobs:
-        tenant = catalogue.tenants.get(entry.job.organisation)
-        if entry.queue.priority != 0 or tenant is None:
-            continue
-        wanted = max(
-            step.count * step.need.accelerators for step in entry.job.steps
-        )
-        if needed[tenant.name] + wanted <= tenant.guaranteed_accelerators:
-            needed[tenant.name] += wanted
-            covered.add(entry.job.job_id)
-    return covered
-
-
-def _ready_of(entry: JobEntry, now: float, wall: float) -> list[Group]:
-    ready = []
-    for (occurrence, _), groups in entry.groups.items():
-        if entry.job.due_at(occurrence) > wall:
-            continue
-        for group in groups:
-            if group.state is GroupState.WAITING and all(
-                entry.step_over(occurrence, each) for each in group.step.after
-            ):
-                group.state = GroupState.READY
-                group.ready_at = now
-            if (
-                group.state is GroupState.READY
-                and not group.uncertain
-                and group.not_before <= now
-            ):
-                ready.append(group)
-    return ready
-
-
-def _placing_key(group: Group, covered: bool) -> tuple[object, ...]:
-    """Returns what decides whether there is room for a group."""
-    step = group.step
-    return (
-        group.job.queue.service,
-        group.job.queue.priority,
-        covered,
-        step.reserved,
-        len(group.indices),
-        step.same_rack,
-        step.data_rack,
-        step.label,
-        group.job.job.job_id
-        if step.max_per_worker or group.job.queue.advised
-        else "",
-    )
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
@@ -0,0 +1,98 @@
+"""Which groups are to be placed now, and which of them go first."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.objectives import RunTimes, standing
+from pomeloarch_core.ids import JobId, OrganisationName
+
+
+def ready_groups(
+    jobs: list[JobEntry],
+    guaranteed: set[JobId],
+    times: RunTimes,
+    now: float,
+    wall: float,
+) -> list[Group]:
+    """Returns the groups to place, those that go first in front.
+
+    Args:
+      jobs: jobs that have not ended.
+      guaranteed: those that their organisations' guarantees cover.
+      times: estimates of run times.
+      now: the present time, in seconds.
+      wall: the wall clock, in seconds.
+    """
+    ready: list[Group] = []
+    for entry in jobs:
+        found = _ready_of(entry, now, wall)
+        if found:
+            entry.standing = standing(entry, times, wall)
+            ready += found
+    ready.sort(
+        key=lambda group: (
+            group.job.job.job_id not in guaranteed,
+            group.job.standing,
+            group.job.queue.priority,
+            group.job.job.accepted_at,
+        )
+    )
+    return ready
+
+
+def guaranteed_jobs(jobs: list[JobEntry], catalogue: Catalogue) -> set[JobId]:
+    """Returns jobs of priority 0 that their guarantees cover."""
+    covered: set[JobId] = set()
+    needed: dict[OrganisationName, int] = defaultdict(int)
+    for entry in jobs:
+        tenant = catalogue.tenants.get(entry.job.organisation)
+        if entry.queue.priority != 0 or tenant is None:
+            continue
+        wanted = max(
+            step.count * step.need.accelerators for step in entry.job.steps
+        )
+        if needed[tenant.name] + wanted <= tenant.guaranteed_accelerators:
+            needed[tenant.name] += wanted
+            covered.add(entry.job.job_id)
+    return covered
+
+
+def _ready_of(entry: JobEntry, now: float, wall: float) -> list[Group]:
+    ready = []
+    for (occurrence, _), groups in entry.groups.items():
+        if entry.job.due_at(occurrence) > wall:
+            continue
+        for group in groups:
+            if group.state is GroupState.WAITING and all(
+                entry.step_over(occurrence, each) for each in group.step.after
+            ):
+                group.state = GroupState.READY
+                group.ready_at = now
+            if (
+                group.state is GroupState.READY
+                and not group.uncertain
+                and group.not_before <= now
+            ):
+                ready.append(group)
+    return ready
+
+
+def placing_key(group: Group, covered: bool) -> tuple[object, ...]:
+    """Returns what decides whether there is room for a group."""
+    step = group.step
+    return (
+        group.job.queue.service,
+        group.job.queue.priority,
+        covered,
+        step.reserved,
+        len(group.indices),
+        step.same_rack,
+        step.data_rack,
+        step.label,
+        group.job.job.job_id
+        if step.max_per_worker or group.job.queue.advised
+        else "",
+    )
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
@@ -22,13 +22,17 @@
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.ports import FeedStore
 from pomeloarch_node.batch.records import ROSTER_TABLE, SHARDS
-from pomeloarch_node.platform import Check, Conflict, Write
+from pomeloarch_node.platform import (
+    Check,
+    Conflict,
+    PlatformFailure,
+    Write,
+)
 
 # Rows that the roster is spread over, so that a change writes few of them.
 CHUNKS = 16
 RETRY_PAUSE_S = 0.2
 
-
 Chunk = dict[WorkerId, RosterEntry]
 
 
@@ -134,11 +138,17 @@
                     self._versions[key] = row.version
                     self._written[key] = _decode(row.value)
         else:
-            self._written[key] = None
+            if error.failure is PlatformFailure.UNKNOWN:
+                self._written[key] = None
             self._log.write("roster not written", reason=error.message)
         await asyncio.sleep(RETRY_PAUSE_S)
         self._changed.set()
 
 
 def _decode(value: Any) -> Chunk:
-    return msgspec.convert(value or {}, Chunk)
+    """Returns a row's entries; earlier versions wrote addresses only."""
+    entries = msgspec.convert(value or {}, dict[WorkerId, RosterEntry | str])
+    return {
+        worker_id: RosterEntry(entry) if isinstance(entry, str) else entry
+        for worker_id, entry in entries.items()
+    }
--- a/packages/pomeloarch-node/tests/test_batch_roster.py
+++ b/packages/pomeloarch-node/tests/test_batch_roster.py
@@ -8,7 +8,12 @@
 from pomeloarch_core.batch.messages import RosterEntry, WorkersEnrolled
 from pomeloarch_core.ids import WorkerId
 from pomeloarch_node.batch.decision_log import DecisionLog
-from pomeloarch_node.batch.records import SHARDS, TERMS_TABLE, term_key
+from pomeloarch_node.batch.records import (
+    ROSTER_TABLE,
+    SHARDS,
+    TERMS_TABLE,
+    term_key,
+)
 from pomeloarch_node.batch.roster import Roster
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Check, PlatformError, PlatformFailure
@@ -82,3 +87,70 @@
     assert events[-1] == WorkersEnrolled(
         frozenset({WORKER} if enrolled else ())
     )
+
+
+async def load(value):
+    world = BatchWorld(1)
+    world.tables.put(ROSTER_TABLE, "3", value)
+    log = DecisionLog("n", Metrics(), world.log_fd, world.clock)
+    roster = Roster(world.nodes[0].link, {}, lambda event: None, log)
+    return await roster.load()
+
+
+@pytest.mark.parametrize(
+    ("case", "value", "entry"),
+    [
+        ("any task", {"w": {"address": "a:1"}}, ANY),
+        ("named", {"w": {"address": "a:1", "may_run": ["1.0.0.0"]}}, NAMED),
+        ("written by an earlier version", {"w": "a:1"}, ANY),
+    ],
+)
+def test_rows_of_the_roster_are_read(case, value, entry):
+    assert run_virtual(load(value)) == {WORKER: entry}
+
+
+async def refuse(failure):
+    world = BatchWorld(1)
+    world.tables.put(TERMS_TABLE, term_key(0), 1)
+    version = world.tables.read(TERMS_TABLE, term_key(0)).version
+    checks = {
+        n: Check(TERMS_TABLE, term_key(0), version) for n in range(SHARDS)
+    }
+    enrolled = []
+    store = RefusingStore(world.nodes[0].link, failure)
+    log = DecisionLog("n", Metrics(), world.log_fd, world.clock)
+    roster = Roster(store, checks, enrolled.append, log)
+    running = asyncio.create_task(roster.run())
+    roster.want({WORKER: ANY})
+    await asyncio.sleep(0.1)
+    store.refusing = True
+    others = {WorkerId(str(n)): ANY for n in range(100)}
+    roster.want({WORKER: ANY, **others})
+    await asyncio.sleep(5.0)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return WORKER in enrolled[-1].worker_ids
+
+
+class RefusingStore:
+    """Answers writes with a failure once it is told to."""
+
+    def __init__(self, link, failure):
+        self._link = link
+        self._failure = failure
+        self.refusing = False
+
+    async def transact(self, checks, writes):
+        if self.refusing:
+            return Err(PlatformError(self._failure, "no"))
+        return await self._link.transact(checks, writes)
+
+
+@pytest.mark.parametrize(
+    ("failure", "enrolled"),
+    [(PlatformFailure.NOT_DONE, True), (PlatformFailure.UNKNOWN, False)],
+)
+def test_only_a_write_in_doubt_ends_what_a_row_is_known_to_say(
+    failure, enrolled
+):
+    assert run_virtual(refuse(failure)) == enrolled
