--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -334,6 +334,30 @@
     assert len(fleet.places(gang)) == 2
 
 
+def test_waiting_jobs_cost_a_round_one_look_at_each_worker(monkeypatch):
+    """A queue of a hundred wide jobs that differ, on a fleet that is full."""
+    fleet = Fleet(racks=4, per_rack=11)
+    workers = len(fleet.workers)
+    fleet.submit(1, URGENT, step(workers, WHOLE, 30.0))
+    needs = (ONE, WHOLE)
+    for number in range(100):
+        need = needs[number % len(needs)]
+        queue = (NORMAL, BATCH)[number % 3 == 0]
+        fleet.submit(2 + number, queue, step(2 + number % 40, need, gang=True))
+    looks = 0
+    times_in = Need.times_in
+
+    def counted(self, room):
+        nonlocal looks
+        looks += 1
+        return times_in(self, room)
+
+    fleet.now += 0.05
+    monkeypatch.setattr(Need, "times_in", counted)
+    fleet.emit(Tick(fleet.now))
+    assert looks <= workers * len(needs)
+
+
 def test_urgent_use_of_late_is_spared_by_other_work():
     """Pattern: urgent gangs come again and again, each for whole workers."""
     fleet = Fleet(racks=1, per_rack=8)
