Clear only workers that leave at short notice

Cause: tasks were moved from every leaving worker whose promised time was too short for them. A notice no longer than the bound for draining is a short one.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -73,10 +73,12 @@
     Attributes:
       stop_s: how long stopping a task may take.
       reclaim_s: within this time a guarantee is made good.
+      drain_s: a worker that leaves as planned stays longer than this.
     """
 
     stop_s: float = 0.2
     reclaim_s: float = 2.7
+    drain_s: float = 2.0
 
 
 class Dispatcher:
@@ -364,6 +366,15 @@
             return ran_s * (100 - percent) / percent
         return max(0.2, self._estimate_s(group) - ran_s)
 
+    def ends_with(self, worker: Worker, group: Group, now: float) -> bool:
+        """Whether a run would end when its worker leaves."""
+        if group.step.long_running:
+            return True
+        left_s = worker.info.remaining_s
+        if left_s is None or left_s > self._cfg.drain_s:
+            return False
+        return self.remaining_s(group, now) > left_s
+
     def busy_s(self, worker: Worker, now: float) -> float:
         """Returns how long what runs on a worker will likely take, in s."""
         return max(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -242,22 +242,19 @@
         self._dirty = True
 
     def _evacuate(self, worker: Worker, now: float) -> None:
-        """Moves what will not end before a worker leaves.
+        """Moves what would end with a worker that is about to leave.
 
-        It would end there with its worker, and could be started elsewhere
-        only once its lease has certainly run out.
+        It could be started elsewhere only once its lease has certainly run
+        out. A planned leave waits for what runs, but not for lasting tasks.
         """
-        left_s = worker.info.remaining_s or 0.0
         for group in list(worker.groups):
             claimed = group.state is GroupState.CLAIMED
-            if not claimed and group.state is not GroupState.STARTED:
-                continue
-            needs_s = self._dispatcher.remaining_s(group, now)
-            if claimed or needs_s > left_s:
-                reason = (
-                    f"worker {worker.worker_id} leaves in {left_s:.1f} s, "
-                    f"it needs {needs_s:.1f} s"
-                )
+            started = group.state is GroupState.STARTED
+            if claimed or (
+                started and self._dispatcher.ends_with(worker, group, now)
+            ):
+                left_s = worker.info.remaining_s
+                reason = f"worker {worker.worker_id} leaves in {left_s} s"
                 self._runs.take_down(group, reason, now)
 
     def _note_unlisted(self, worker: Worker) -> None:
