--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -146,7 +146,7 @@
                 self._offer(group, current, now, wall)
         return list(failed)
 
-    # ---- who goes first
+    # ---- groups that have a place
 
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts groups of a job whose places are free now."""
