Wait for a worker's report where it refuses a run as old

Cause: an order that was carried out without an answer is sent again 0.7 s later. The next report tells how the run ended.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -355,6 +355,11 @@
                 },
             )
         )
+        if event.outcome is StartOutcome.OLD_RUN:
+            # An earlier try without an answer may have started it, and it has
+            # ended since: the next report tells how.
+            member.started_at = member.started_at or now
+            return
         group.not_before = now + REFUSED_PAUSE_S
         if event.outcome is StartOutcome.NO_ANSWER:
             group.failed_on.add(event.worker_id)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -474,6 +474,34 @@
     assert fleet.scheduler.acknowledged(worker) == 1
 
 
+@pytest.mark.parametrize(
+    ("how", "starts"), [(RunEnd.DONE, 1), (RunEnd.STOPPED, 2), (None, 2)]
+)
+def test_old_run_is_an_end_that_the_next_report_tells(how, starts):
+    """Short tasks whose orders are carried out and not answered."""
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.submit(1, BATCH, step(1))
+    (order,) = fleet.starts
+    group = fleet.scheduler._jobs.group_of(order.task)
+    group.members[0].started_at = None
+    fleet.emit(
+        StartAnswered(
+            order.worker_id, order.task, order.run, StartOutcome.OLD_RUN
+        )
+    )
+    fleet.wait(0.4)
+    assert len(fleet.starts) == 1
+    if how is None:
+        del fleet.running[order.task, order.run]
+        fleet.report(order.worker_id)
+    else:
+        fleet.end(order.task, order.run, how)
+    fleet.wait(0.4)
+    assert len(fleet.starts) == starts
+    completed = fleet.rows[job].row.status is JobStatus.COMPLETED
+    assert completed == (how is RunEnd.DONE)
+
+
 def test_silent_workers_tasks_start_elsewhere_only_after_their_lease():
     fleet = Fleet(racks=1, per_rack=2)
     job = fleet.submit(1, BATCH, step(1, WHOLE, 30.0))
