--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -95,6 +95,29 @@
         }
         return tuple(self.read(table, key) for key in keys)
 
+    async def wait_since(
+        self, table: str, after: int, until: float
+    ) -> tuple[Row, ...] | None:
+        """Waits for a first change; returns what `since` does.
+
+        Args:
+          table: the table.
+          after: the version after which changes count.
+          until: when the wait ends without one, by the loop's time.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            rows = self.since(table, after)
+            left_s = until - loop.time()
+            if rows is None or rows or left_s <= 0:
+                return rows
+            changed = self.changed
+            try:
+                async with asyncio.timeout(left_s):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
     def compact(self) -> None:
         """Drops the history."""
         self._forgotten = self.version
@@ -200,16 +223,7 @@
         failure = await self._arrive()
         if failure is not None:
             return Err(failure)
-        while True:
-            rows = self._tables.since(table, after)
-            if rows is None:
-                return Err(HistoryGone())
-            left_s = until - loop.time()
-            if rows or left_s <= 0:
-                return Ok(TableChanges(rows, self._tables.version))
-            changed = self._tables.changed
-            try:
-                async with asyncio.timeout(left_s):
-                    await changed.wait()
-            except TimeoutError:
-                continue
+        rows = await self._tables.wait_since(table, after, until)
+        if rows is None:
+            return Err(HistoryGone())
+        return Ok(TableChanges(rows, self._tables.version))
