Log why an urgent job waits, whom a successor waits for, and when its end is told

The logs could not tell a wait after a change of leader from one for room, nor an end that was shown late: waited_s began when the present leader learnt of the job.

New lines: job taken (size, objective, age), group waits (reason and when room is expected), doubts cleared (jobs, the workers that were awaited last), end told to caller. group started has the age of the job. No decision changes.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -19,6 +19,7 @@
     Group,
     GroupState,
     JobEntry,
+    WaitsFor,
     may_stop,
 )
 from pomeloarch_core.batch.messages import Decision
@@ -305,18 +306,46 @@
         group.kept = ()
         candidates = self._candidates(group, current, now)
         plan = self._plan(group, candidates, current, now)
+        waits_for = WaitsFor.ANY_ROOM if plan is None else WaitsFor.ROOM
         if urgent:
             wait_s = self._may_wait_s(group, covered, now, wall)
             too_late = plan is None or plan[0] > wait_s
-            if too_late and self._preempt(
-                group, candidates, current, covered, now
-            ):
-                return
+            if too_late:
+                refusal = self._preempt(
+                    group, candidates, current, covered, now
+                )
+                if refusal is None:
+                    return
+                waits_for = refusal
+        self._note_waiting(group, waits_for, plan, covered, now)
         if plan is not None:
             group.kept = tuple({each.worker_id for each in plan[1].values()})
             group.kept_until = now + plan[0]
             self._keep(group, current)
 
+    def _note_waiting(
+        self,
+        group: Group,
+        waits_for: WaitsFor,
+        plan: tuple[float, Places] | None,
+        covered: bool,
+        now: float,
+    ) -> None:
+        """Says in the log why a group waits, whenever the reason changes."""
+        if group.waits_for is waits_for:
+            return
+        group.waits_for = waits_for
+        self._runs.note(
+            "group waits",
+            group,
+            waits_for=waits_for.value,
+            room_in_s=None if plan is None else plan[0],
+            guaranteed=covered,
+            standing=group.job.standing,
+            waited_s=round(now - group.ready_at, 3),
+            age_s=round(now - group.job.accepted_at, 3),
+        )
+
     def _keep(self, group: Group, current: PlacingRound) -> None:
         """Keeps the workers of a group's last plan for it."""
         current.kept_for += bool(group.kept)
@@ -421,11 +450,14 @@
         current: PlacingRound,
         covered: bool,
         now: float,
-    ) -> bool:
+    ) -> WaitsFor | None:
         """Has others give way to a group of priority 0.
 
         A guarantee is always made good. Beyond it, others give way only
         where less work is lost than the group will do.
+
+        Returns:
+          Why nothing gives way; None when something does.
         """
         priority = group.job.queue.priority
         waited_s = now - group.ready_at
@@ -440,13 +472,13 @@
             now,
         )
         if eviction is None:
-            return False
+            return WaitsFor.VICTIMS
         if not covered and eviction.cost > own_work(group):
-            return False
+            return WaitsFor.COST
         self._runs.claim(group, eviction.places, now)
         current.claimed(eviction.places)
         for victim in eviction.victims:
             self._runs.take_down(victim, f"it gives way to {group.name}", now)
         if self._runs.may_start(group):
             self._runs.start(group, now)
-        return True
+        return None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -30,6 +30,21 @@
     OVER = "over"
 
 
+class WaitsFor(enum.Enum):
+    """Why a group that is ready has no place.
+
+    ROOM: enough workers will be free in time by themselves.
+    VICTIMS: only groups could give way that are not to.
+    COST: what would give way loses more work than the group will do.
+    ANY_ROOM: no room is in sight.
+    """
+
+    ROOM = "room"
+    VICTIMS = "victims"
+    COST = "cost"
+    ANY_ROOM = "any_room"
+
+
 class Member:
     """One task of a group in its current run.
 
@@ -73,6 +88,7 @@
       started_at: when its current run was ordered.
       resumed: whether the current run's beginning wasn't seen.
       look_again_at: when room is next made for it, or workers are kept.
+      waits_for: why it had no room when last looked at, for the log.
       kept: workers that are kept for it.
       kept_until: until when they will likely have room for it.
       uncertain: whether an earlier scheduler's run of it may be unknown.
@@ -102,6 +118,7 @@
         self.started_at = 0.0
         self.resumed = False
         self.look_again_at = 0.0
+        self.waits_for: WaitsFor | None = None
         self.kept: tuple[WorkerId, ...] = ()
         self.kept_until = 0.0
         self.uncertain = False
@@ -150,13 +167,20 @@
       groups: its groups, by occurrence and step.
       standing: how it stood against its objective when last looked at.
       older: whether an earlier scheduler may have started tasks of it.
+      accepted_at: when it was accepted, by the scheduler's clock.
     """
 
     def __init__(
-        self, job: BatchJob, row: JobRow, queue: Queue, older: bool
+        self,
+        job: BatchJob,
+        row: JobRow,
+        queue: Queue,
+        older: bool,
+        accepted_at: float = 0.0,
     ) -> None:
         """Makes the job's groups; what its row says to be done is over."""
         self.job = job
+        self.accepted_at = accepted_at
         self.row = row
         self.queue = queue
         self.older = older
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -71,6 +71,7 @@
             self.changed(entry, urgent=True)
             entry.placed_by = entry.change
         group.state = GroupState.CLAIMED
+        group.waits_for = None
         group.started_at = now
         for index, worker in places.items():
             group.members[index] = Member(worker.worker_id)
@@ -119,6 +120,7 @@
             run=group.run,
             workers=sorted({m.worker_id for m in group.members.values()}),
             waited_s=round(now - group.ready_at, 3),
+            age_s=round(now - group.job.accepted_at, 3),
             racks=sorted(racks),
             data_rack=group.step.data_rack,
             same_rack=group.step.same_rack,
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -46,7 +46,11 @@
     WorkersRemembered,
 )
 from pomeloarch_core.batch.model import NOTHING
-from pomeloarch_core.batch.objectives import RunTimes
+from pomeloarch_core.batch.objectives import (
+    RunTimes,
+    chain_s,
+    objective_s,
+)
 from pomeloarch_core.batch.pacing import Pacer
 from pomeloarch_core.batch.reports import Reports
 from pomeloarch_core.batch.rows import JobStatus
@@ -100,7 +104,7 @@
         )
         self._jobs = Jobs(self._runs, self._advice, self._out, wall_offset)
         self._reports = Reports(self._jobs, self._runs, self._out)
-        self._doubts = Doubts(self._fleet, self._jobs, self._runs)
+        self._doubts = Doubts(self._fleet, self._jobs, self._runs, self._out)
         self._early_cancels: set[JobId] = set()
         self._summary_due = 0.0
         self._listed_once = False
@@ -195,12 +199,31 @@
             return
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
         older = event.older and not event.row.unplaced
-        entry = JobEntry(job, event.row, queue, older)
+        accepted_at = job.accepted_at - self._jobs.wall_offset
+        entry = JobEntry(job, event.row, queue, older, accepted_at)
         self._jobs.add(entry)
+        self._out.append(Note("job taken", self._taken_fields(entry, now)))
         self._dirty = True
         if job.job_id in self._early_cancels:
             self._cancel(entry, now)
 
+    def _taken_fields(self, entry: JobEntry, now: float) -> dict[str, object]:
+        steps = entry.job.steps
+        return {
+            "job": entry.job.job_id,
+            "queue": entry.queue.name,
+            "priority": entry.queue.priority,
+            "tasks": sum(step.count for step in steps),
+            "accelerators": max(
+                step.count * step.need.accelerators for step in steps
+            ),
+            "gang": any(step.gang for step in steps),
+            "chain_s": round(chain_s(entry, self._times), 3),
+            "objective_s": round(objective_s(entry, self._times), 3),
+            "age_s": round(now - entry.accepted_at, 3),
+            "in_doubt": entry.older,
+        }
+
     @_on.register
     def _on_cancel(self, event: CancelRequested, now: float) -> None:
         entry = self._jobs.get(event.job_id)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -313,6 +313,44 @@
     assert fleet.stops == []
 
 
+@pytest.mark.parametrize(
+    ("percent", "elapsed_s", "organisation", "reason"),
+    [
+        (99.0, 59.0, OTHER, "room"),
+        (50.0, 30.0, OTHER, "cost"),
+    ],
+)
+def test_log_says_why_an_urgent_group_waits(
+    percent, elapsed_s, organisation, reason
+):
+    """A line a reason, with the time since the job was accepted."""
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    fleet.now += elapsed_s
+    for each in fleet.workers:
+        fleet.report(each.worker_id, percent=percent)
+    job = fleet.submit(
+        2, URGENT, step(1, WHOLE, 4.0), organisation=organisation
+    )
+    fleet.wait(0.3)
+    (line,) = (n.fields for n in fleet.notes if n.event == "group waits")
+    assert line["task"] == f"{job}.0.0.0"
+    assert line["waits_for"] == reason
+    assert line["age_s"] == 0.0
+
+
+def test_log_says_how_long_a_group_waited_since_its_job_was_accepted():
+    fleet = Fleet(racks=1, per_rack=1)
+    first = fleet.submit(1, NORMAL, step(1, WHOLE))
+    fleet.submit(2, NORMAL, step(1, WHOLE))
+    fleet.wait(3.0)
+    fleet.end_all(first)
+    ages = [
+        n.fields["age_s"] for n in fleet.notes if n.event == "group started"
+    ]
+    assert ages == [0.0, 3.0]
+
+
 def test_victim_is_the_one_that_loses_least():
     fleet = Fleet(racks=1, per_rack=2)
     old = fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
@@ -584,6 +622,27 @@
     assert bool(fleet.starts) == starts_at_once
 
 
+def test_log_says_which_workers_a_successor_waited_for():
+    fleet = Fleet(racks=1, per_rack=2, term=2)
+    first, unseen = (each.worker_id for each in fleet.workers)
+    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
+    fleet.notes.clear()
+    job = BatchJob(
+        JobId("1" * 16), BATCH.name, OWNER, BATCH, "work", (step(1, WHOLE),)
+    )
+    row = JobRow.from_job(job)
+    row.unplaced = False
+    fleet.emit(JobAccepted(job, row, older=True))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.report(first)
+    fleet.emit(WorkerSilent(unseen, fleet.now + 6.0))
+    fleet.wait(6.5)
+    (line,) = (n.fields for n in fleet.notes if n.event == "doubts cleared")
+    assert line["jobs"] == [job.job_id]
+    assert line["awaited_last"] == [unseen]
+    assert line["took_s"] == 6.5
+
+
 @pytest.mark.parametrize(
     ("case", "may_run", "starts_at_once"),
     [
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import enum
+import time
 from collections.abc import Callable
 
 import msgspec
@@ -16,6 +17,7 @@
 from pomeloarch_core.batch.model import BatchJob, QueueName
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.ids import JobId, OrganisationName
+from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import FeedStore, TableChanges
 from pomeloarch_node.batch.records import (
@@ -57,11 +59,21 @@
 
 
 class KnownJob(msgspec.Struct, frozen=True):
-    """What this node knows of a job."""
+    """What this node knows of a job.
+
+    Attributes:
+      status: where it stands.
+      organisation: whose job it is.
+      queue: the queue that took it.
+      accepted_at: when it was accepted, in wall clock seconds.
+      finished_at: when its status became final, in wall clock seconds.
+    """
 
     status: JobStatus
     organisation: OrganisationName
     queue: QueueName
+    accepted_at: float
+    finished_at: float
 
 
 class Intake:
@@ -71,7 +83,9 @@
       store: the store.
       jobs: the mirror of the jobs' table.
       clock: monotonic time, in seconds.
+      log: where it is written when a caller is first told of a job's end.
       reachable: whether the store has answered this node of late.
+      wall: the wall clock, in seconds.
     """
 
     def __init__(
@@ -79,9 +93,14 @@
         store: FeedStore,
         jobs: TableMirror,
         clock: Callable[[], float],
+        log: DecisionLog,
         reachable: Callable[[], bool] = lambda: True,
+        wall: Callable[[], float] = time.time,
     ) -> None:
         """Follows the mirror."""
+        self._log = log
+        self._wall = wall
+        self._told: set[str] = set()
         self._store = store
         self._jobs = jobs
         self._clock = clock
@@ -152,6 +171,33 @@
         self, job_id: JobId
     ) -> Result[KnownJob | None, PlatformError]:
         """Returns what is known of a job; asks the store about a new one."""
+        answer = await self._look_up(job_id)
+        if isinstance(answer, Ok) and answer.ok_value is not None:
+            self._note_told(job_id, answer.ok_value)
+        return answer
+
+    def _note_told(self, job_id: JobId, job: KnownJob) -> None:
+        """Says in the log when a caller is first told that a job has ended."""
+        if not job.status.final or job_id in self._told:
+            return
+        if job_id in self._jobs.rows:
+            # Until the row is deleted, which drops it here as well.
+            self._told.add(job_id)
+        wall = self._wall()
+        self._log.write(
+            "end told to caller",
+            job=job_id,
+            status=job.status.value,
+            age_s=round(wall - job.accepted_at, 3),
+            ended_s_ago=round(wall - job.finished_at, 3)
+            if job.finished_at
+            else None,
+            table_age_s=round(self._jobs.age(self._clock()), 3),
+        )
+
+    async def _look_up(
+        self, job_id: JobId
+    ) -> Result[KnownJob | None, PlatformError]:
         found = self._from_mirror(job_id)
         if found is not None:
             return Ok(found)
@@ -178,12 +224,14 @@
     def _on_changes(self, changes: TableChanges, whole: bool) -> None:
         if whole:
             self._waiting.clear()
+            self._told &= self._jobs.rows.keys()
         for change in changes.rows:
             cancelled = cancelled_job(change.key)
             if cancelled is not None:
                 self._not_waiting(cancelled)
             elif change.value is None:
                 self._not_waiting(change.key)
+                self._told.discard(change.key)
             else:
                 self._count(change.key, decode_row(change.value))
 
@@ -202,4 +250,6 @@
     status = row.status
     if cancelled and not status.final:
         status = JobStatus.CANCELLED
-    return KnownJob(status, row.organisation, row.queue)
+    return KnownJob(
+        status, row.organisation, row.queue, row.accepted_at, row.finished_at
+    )
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -181,6 +181,7 @@
             store,
             self._jobs,
             self.clock,
+            self.log,
             lambda: self._configuration.connected,
         )
         self._role = LeasedRole(
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -20,6 +20,7 @@
 )
 from pomeloarch_node.batch.retention import MARGIN_S, expired
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import Write
 from pomeloarch_standins.batch_world import (
     BATCH,
     CATALOGUE,
@@ -115,7 +116,7 @@
         node = world.nodes[0]
         log = DecisionLog("n", Metrics(), world.log_fd)
         mirror = TableMirror(node.link, JOBS_TABLE, world.clock, log, 1, 0.1)
-        intake = Intake(node.link, mirror, world.clock, reachable)
+        intake = Intake(node.link, mirror, world.clock, log, reachable)
         try:
             return await scenario(world, node.link, intake)
         finally:
@@ -184,3 +185,36 @@
         return await intake.cancel(JOB, world.clock() + 3.0)
 
     assert with_intake(scenario) is Outcome.NO_JOB
+
+
+def test_log_says_once_when_a_caller_is_told_that_a_job_has_ended():
+    reading, writing = os.pipe()
+
+    async def scenario(world, link, _):
+        ended = JobRow(
+            BATCH,
+            ORGANISATION,
+            world.clock() - 4.0,
+            JobStatus.COMPLETED,
+            finished_at=world.clock() - 1.0,
+        )
+        await link.transact([], [Write(JOBS_TABLE, JOB, encode(ended))])
+        log = DecisionLog("n", Metrics(), writing)
+        mirror = TableMirror(link, JOBS_TABLE, world.clock, log, 0.1, 0.1)
+        intake = Intake(link, mirror, world.clock, log, wall=world.clock)
+        following = asyncio.create_task(mirror.run())
+        await mirror.loaded.wait()
+        for _ in range(2):
+            await intake.known(JOB)
+        following.cancel()
+
+    with_intake(scenario)
+    told = [
+        line
+        for line in read_lines(reading)
+        if line["event"] == "end told to caller"
+    ]
+    (line,) = told
+    assert line["job"] == JOB
+    assert 4.0 <= line["age_s"] < 4.2
+    assert 1.0 <= line["ended_s_ago"] < 1.2
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -90,7 +90,9 @@
         self.jobs = TableMirror(
             self.link, JOBS_TABLE, world.clock, log, 1.0, 0.2
         )
-        self.intake = Intake(self.link, self.jobs, world.clock)
+        self.intake = Intake(
+            self.link, self.jobs, world.clock, log, wall=world.clock
+        )
         self.role = LeasedRole(
             ROLE_NAME,
             self.name,
