Learn run times only from runs whose start was seen

What callers saw: after a change of leader, urgent jobs waited for room for 2 to 18 s while other work ran, and nothing gave way to them.

Change: the duration of a run counts only if this scheduler ordered it and saw its end on the worker that it had ordered.

Ruled out: the hypothesis that stopping others costs too much explains only waits of the reason cost, which come without a change of leader too.

test_end_of_an_earlier_leaders_run_teaches_no_run_time fails before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -228,7 +228,10 @@
         if end.checkpoint and group.run == end.run:
             self._save_checkpoint(group, end.checkpoint)
         if end.how is RunEnd.DONE:
-            self._done(group, worker, end, now)
+            # How long a run took is known only if its start was seen.
+            seen = current and not group.resumed
+            ran_s = now - group.started_at if seen else None
+            self._done(group, worker, end, ran_s, now)
         elif end.how is RunEnd.FAILED:
             self._failed(group, worker, end, now)
         if current and end.task.index in group.members:
@@ -243,13 +246,18 @@
         step_row.checkpoints[str(group.indices[0])] = group.checkpoint
 
     def _done(
-        self, group: Group, worker: Worker, end: EndedTask, now: float
+        self,
+        group: Group,
+        worker: Worker,
+        end: EndedTask,
+        ran_s: float | None,
+        now: float,
     ) -> None:
         health.run_succeeded(worker)
         if group.state is GroupState.OVER or group.step.long_running:
             return
-        if group.run == end.run and not group.resumed:
-            self._times.learn(group, now - group.started_at)
+        if ran_s is not None:
+            self._times.learn(group, ran_s)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
@@ -260,7 +268,7 @@
             group,
             run=end.run,
             worker=worker.worker_id,
-            ran_s=round(now - group.started_at, 3),
+            ran_s=None if ran_s is None else round(ran_s, 3),
         )
         if group.members and group.run != end.run:
             self.take_down(group, "an earlier run had ended well", now)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -92,6 +92,7 @@
         self.starts, self.stops, self.notes, self.rows = [], [], [], {}
         self.store_answers = True
         self.places_written = {}
+        self.jobs = {}
         self.emit(WorkersListed(tuple(self.workers)))
         self.emit(WorkersEnrolled(frozenset(self.ends)))
         for each in self.workers:
@@ -138,6 +139,22 @@
             written = RowWritten(order.job_id, order.change)
             self._take(self.scheduler.handle(written, self.now))
 
+    def succeeded_by(self, term):
+        """Returns the fleet under a new scheduler that has read all rows."""
+        successor = Fleet.__new__(Fleet)
+        successor.__dict__.update(self.__dict__)
+        successor.scheduler = BatchScheduler(
+            Epoch(term), CATALOGUE, 0.0, DispatchTimes(0.9, 3.4)
+        )
+        successor.starts, successor.stops, successor.notes = [], [], []
+        for job_id, job in self.jobs.items():
+            row = self.rows[job_id].row if job_id in self.rows else None
+            row = row or JobRow.from_job(job)
+            successor.emit(JobAccepted(job, row, older=True))
+        successor.emit(WorkersListed(tuple(self.workers)))
+        successor.emit(WorkersEnrolled(frozenset(self.ends)))
+        return successor
+
     def submit(self, number, queue, *steps, organisation=OWNER, **more):
         job = BatchJob(
             JobId(f"{number:016x}"),
@@ -149,6 +166,7 @@
             accepted_at=self.now,
             **more,
         )
+        self.jobs[job.job_id] = job
         self.emit(JobAccepted(job, JobRow.from_job(job)))
         return job.job_id
 
@@ -685,6 +703,38 @@
     assert bool(fleet.starts) == starts_at_once
 
 
+@pytest.mark.parametrize(
+    ("case", "reported_first"),
+    [("it had ended before", False), ("it ran on for a while", True)],
+)
+def test_end_of_an_earlier_leaders_run_teaches_no_run_time(
+    case, reported_first
+):
+    """Urgent jobs were thought to have hours after a change of leader.
+
+    They waited for room, and nothing gave way to them.
+    """
+    fleet = Fleet(racks=1, per_rack=2, term=1)
+    fleet.now = 68_000.0
+    old = fleet.submit(1, URGENT, step(1, WHOLE, 2.0))
+    (worker,) = fleet.places(old)
+    successor = fleet.succeeded_by(2)
+    if reported_first:
+        successor.report(worker)
+        successor.wait(1.0)
+    successor.end_all(old)
+    for each in successor.workers:
+        successor.report(each.worker_id)
+    successor.submit(2, BATCH, step(16, seconds=8.0), organisation=OTHER)
+    successor.wait(1.0)
+    urgent = successor.submit(
+        3, URGENT, step(1, WHOLE, 2.0), organisation=OTHER
+    )
+    successor.wait(0.1)
+    successor.obey_stops()
+    assert len(successor.places(urgent)) == 1
+
+
 def test_log_says_which_workers_a_successor_waited_for():
     fleet = Fleet(racks=1, per_rack=2, term=2)
     first, unseen = (each.worker_id for each in fleet.workers)
