Let a node that has lost the store say so within 1.4 s

What callers saw: calls to a node that the store had stopped answering were held for two seconds, then answered 504; callers that stayed connected were told running for as long as the cut lasted, though their job had ended.

Cause: a node took the store to be in reach until a feed's call had failed, up to 3 s; a write was pursued for 2 s; GET was answered from the node's table however old it was; the balancer saw the node as ready for 3 s, and open connections stayed.

Change: the store is in reach while the configuration's feed was confirmed in the last 1.4 s.

Ruled out: giving up on a write after a fixed shorter time; a slow store takes 0.3 s and more for a write behind others.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -41,6 +41,20 @@
 # How long a write in doubt is pursued, in seconds; after that the caller can
 # settle it sooner with another node.
 SETTLE_WITHIN_S = 0.8
+# How often a write that waits for its answer looks whether the store is still
+# in reach, in seconds.
+WATCH_S = 0.1
+# What the table said longer ago than this, in seconds, is asked anew. Its feed
+# confirms it each 0.5 s, and is paced by a quarter of a second.
+STATE_AGE_S = 1.4
+# How long the store is waited for about one job, in seconds: five times as
+# long as one takes that is sixty times slower than usual.
+STATE_READ_S = 1.2
+
+
+_NOT_ASKED = PlatformError(
+    PlatformFailure.NOT_DONE, "the store is out of reach"
+)
 
 
 class Outcome(enum.Enum):
@@ -148,10 +162,8 @@
             left_s = give_up_at - self._clock()
             if left_s <= 0:
                 return Outcome.UNKNOWN if in_doubt else Outcome.NOT_DONE
-            try:
-                async with asyncio.timeout(left_s):
-                    answer = await self._store.transact(checks, writes)
-            except TimeoutError:
+            answer = await self._transact(checks, writes, give_up_at)
+            if answer is None:
                 return Outcome.UNKNOWN
             if isinstance(answer, Ok):
                 return Outcome.DONE
@@ -165,12 +177,35 @@
                 give_up_at = min(give_up_at, self._clock() + SETTLE_WITHIN_S)
             await asyncio.sleep(SETTLE_PAUSE_S)
 
+    async def _transact(
+        self, checks: list[Check], writes: list[Write], give_up_at: float
+    ) -> Result[tuple[int, ...], Conflict | PlatformError] | None:
+        """Writes once; None when the answer isn't waited for any longer.
+
+        That is at `give_up_at`, or as soon as the store is out of reach:
+        another node may reach it, and settles the write as well.
+        """
+        call = asyncio.create_task(self._store.transact(checks, writes))
+        try:
+            while not call.done():
+                left_s = give_up_at - self._clock()
+                if left_s <= 0 or not self._reachable():
+                    return None
+                await asyncio.wait({call}, timeout=min(left_s, WATCH_S))
+            return call.result()
+        finally:
+            call.cancel()
+
     # ---- reads
 
     async def known(
         self, job_id: JobId
     ) -> Result[KnownJob | None, PlatformError]:
-        """Returns what is known of a job; asks the store about a new one."""
+        """Returns what is known of a job.
+
+        The store is asked about a new one, and about one that has not ended
+        when the table here may be out of date.
+        """
         answer = await self._look_up(job_id)
         if isinstance(answer, Ok) and answer.ok_value is not None:
             self._note_told(job_id, answer.ok_value)
@@ -199,11 +234,18 @@
         self, job_id: JobId
     ) -> Result[KnownJob | None, PlatformError]:
         found = self._from_mirror(job_id)
-        if found is not None:
+        fresh = self._jobs.age(self._clock()) <= STATE_AGE_S
+        if found is not None and (found.status.final or fresh):
             return Ok(found)
-        answer = await self._store.read(
-            [(JOBS_TABLE, job_id), (JOBS_TABLE, cancel_key(job_id))]
-        )
+        if not self._reachable():
+            return Err(_NOT_ASKED)
+        try:
+            async with asyncio.timeout(STATE_READ_S):
+                answer = await self._store.read(
+                    [(JOBS_TABLE, job_id), (JOBS_TABLE, cancel_key(job_id))]
+                )
+        except TimeoutError:
+            return Err(_NOT_ASKED)
         if isinstance(answer, Err):
             return answer
         row, mark = answer.ok_value
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -42,15 +42,15 @@
 from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
 
-# The configuration's feed waits this long for a change, in seconds; each
-# answer confirms that the configuration is current.
-CONFIGURATION_WAIT_S = 1.0
+# The feeds wait this long for a change, in seconds; each answer confirms that
+# the table is current and that the store can be reached.
+FEED_WAIT_S = 0.5
 CONFIGURATION_PACE_S = 0.05
-JOBS_WAIT_S = 2.0
 JOBS_PACE_S = 0.25
-# A node is ready while its configuration was confirmed this recently, in
-# seconds; a slow store takes up to a second for an answer.
-READY_WITHIN_S = 3.0
+# The store is in reach while a feed was confirmed this recently, in seconds.
+# One that is sixty times slower than usual takes 0.25 s for an answer, and
+# two of them and the wait pass between confirmations.
+IN_REACH_WITHIN_S = 1.4
 # How much earlier than the bound keys are no longer trusted, in seconds: a
 # request may have been under way before it is read.
 KEYS_MARGIN_S = 0.6
@@ -170,19 +170,19 @@
             sources.configuration_table,
             self.clock,
             self.log,
-            CONFIGURATION_WAIT_S,
+            FEED_WAIT_S,
             CONFIGURATION_PACE_S,
         )
         self._configuration.subscribe(self._on_configuration)
         self._jobs = TableMirror(
-            store, JOBS_TABLE, self.clock, self.log, JOBS_WAIT_S, JOBS_PACE_S
+            store, JOBS_TABLE, self.clock, self.log, FEED_WAIT_S, JOBS_PACE_S
         )
         self.intake = Intake(
             store,
             self._jobs,
             self.clock,
             self.log,
-            lambda: self._configuration.connected,
+            lambda: self.store_in_reach(self.clock()),
         )
         self._role = LeasedRole(
             ROLE_NAME,
@@ -232,9 +232,13 @@
             not self.stopping
             and self.catalogue is not None
             and self._jobs.loaded.is_set()
-            and self._configuration.age(now) < READY_WITHIN_S
+            and self.store_in_reach(now)
         )
 
+    def store_in_reach(self, now: float) -> bool:
+        """Whether the store has answered this node of late."""
+        return self._configuration.age(now) < IN_REACH_WITHIN_S
+
     def _waves(self) -> tuple[Wave, ...]:
         return self._sources.read_waves(self._configuration.rows)
 
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -10,7 +10,7 @@
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.ids import JobId, OrganisationName
 from pomeloarch_node.batch.decision_log import BURST_LINES, DecisionLog
-from pomeloarch_node.batch.intake import Intake, Outcome
+from pomeloarch_node.batch.intake import WATCH_S, Intake, Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
@@ -180,6 +180,61 @@
     assert found == (Outcome.NOT_DONE, 0.0)
 
 
+def test_write_is_given_up_as_soon_as_the_store_is_out_of_reach():
+    """A node that is cut from the store while a caller waits.
+
+    Callers were held for two seconds before they could try another node.
+    """
+
+    async def scenario(world, link, intake):
+        link.reachable = False
+        began = world.clock()
+        outcome = await intake.accept(a_job(world), began + 3.0)
+        return outcome, world.clock() - began
+
+    cut_off = iter([True] * 3)
+    outcome, took_s = with_intake(
+        scenario, reachable=lambda: next(cut_off, False)
+    )
+    assert outcome is Outcome.UNKNOWN
+    assert took_s <= 3 * WATCH_S
+
+
+@pytest.mark.parametrize(
+    ("case", "status", "age_s", "in_reach", "told"),
+    [
+        ("the table is current", JobStatus.RUNNING, 0.1, True, "running"),
+        ("an end is final", JobStatus.COMPLETED, 5.0, False, "completed"),
+        ("it has ended since", JobStatus.RUNNING, 5.0, True, "completed"),
+        ("nobody can say", JobStatus.RUNNING, 5.0, False, None),
+    ],
+)
+def test_state_is_told_only_while_it_is_not_out_of_date(
+    case, status, age_s, in_reach, told
+):
+    """A node that is cut from the store, with callers that stay connected.
+
+    They were told `running` for as long as the cut lasted.
+    """
+
+    async def scenario(world, link, _):
+        row = JobRow(BATCH, ORGANISATION, 0.0, status)
+        await link.transact([], [Write(JOBS_TABLE, JOB, encode(row))])
+        log = DecisionLog("n", Metrics(), world.log_fd)
+        mirror = TableMirror(link, JOBS_TABLE, world.clock, log, 0.1, 0.1)
+        intake = Intake(link, mirror, world.clock, log, lambda: in_reach)
+        following = asyncio.create_task(mirror.run())
+        await mirror.loaded.wait()
+        following.cancel()
+        ended = JobRow(BATCH, ORGANISATION, 0.0, JobStatus.COMPLETED)
+        await link.transact([], [Write(JOBS_TABLE, JOB, encode(ended))])
+        await asyncio.sleep(age_s)
+        answer = await intake.known(JOB)
+        return answer.ok_value.status.value if answer.is_ok() else None
+
+    assert with_intake(scenario) == told
+
+
 def test_cancel_of_an_unknown_job_says_so():
     async def scenario(world, link, intake):
         return await intake.cancel(JOB, world.clock() + 3.0)
