Tell a successor since when groups wait and how far runs are

Waits began anew, and with them the bound of a guarantee; all runs counted as just begun, so that the longest ones were stopped as readily as the newest.

Change: a group of a job that was taken over waits since its acceptance, a time ahead of now aside; the start of an adopted run is worked out from its progress.

test_successor_knows_how_much_work_a_run_would_lose and test_guarantee_is_made_good_in_time_over_a_change_of_leader fail before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -170,6 +170,7 @@
       standing: how it stood against its objective when last looked at.
       older: whether an earlier scheduler may have started tasks of it.
       accepted_at: when it was accepted, by the scheduler's clock.
+      taken_over: whether an earlier scheduler had the job.
     """
 
     def __init__(
@@ -179,10 +180,12 @@
         queue: Queue,
         older: bool,
         accepted_at: float = 0.0,
+        taken_over: bool = False,
     ) -> None:
         """Makes the job's groups; what its row says to be done is over."""
         self.job = job
         self.accepted_at = accepted_at
+        self.taken_over = taken_over
         self.row = row
         self.queue = queue
         self.older = older
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
@@ -70,7 +70,7 @@
                 entry.step_over(occurrence, each) for each in group.step.after
             ):
                 group.state = GroupState.READY
-                group.ready_at = now
+                group.ready_at = _ready_since(group, now)
             if (
                 group.state is GroupState.READY
                 and not group.uncertain
@@ -80,6 +80,18 @@
     return ready
 
 
+def _ready_since(group: Group, now: float) -> float:
+    """Returns since when a group that is ready now has been waiting.
+
+    An earlier scheduler may have had its job for a while. When the steps
+    before it ended is not kept, nor is a time trusted that lies ahead.
+    """
+    entry = group.job
+    if not entry.taken_over or group.step.after or entry.job.scheduled:
+        return now
+    return min(now, entry.accepted_at)
+
+
 def placing_key(group: Group, covered: bool) -> tuple[object, ...]:
     """Returns what decides whether there is room for a group."""
     step = group.step
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -140,7 +140,7 @@
             or (group.state is GroupState.STARTED and group.run == each.run)
         )
         if adoptable and each.run >= group.run:
-            self._runs.adopt(group, each.task.index, worker, each.run, now)
+            self._runs.adopt(group, each.task.index, worker, each, now)
             self._progress(group, worker, each, now)
         else:
             self._stop_stranger(worker, each, now)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -11,6 +11,7 @@
     EndedTask,
     Note,
     RunEnd,
+    RunningTask,
     RunNumber,
     StartTask,
     StopTask,
@@ -133,14 +134,20 @@
         group: Group,
         index: int,
         worker: Worker,
-        run: RunNumber,
+        each: RunningTask,
         now: float,
     ) -> None:
-        """Takes in a run that an earlier scheduler started."""
-        group.run = run
+        """Takes in a run that an earlier scheduler started.
+
+        When it was started is worked out from how far it is.
+        """
+        group.run = each.run
         if group.state is not GroupState.STARTED:
             group.state = GroupState.STARTED
-            group.started_at = now
+            estimate_s = self._times.estimate_s(
+                group.step.estimate_s, group.job.queue.name
+            )
+            group.started_at = now - estimate_s * each.percent / 100
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
         member.started_at = now
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -200,7 +200,7 @@
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
         older = event.older and not event.row.unplaced
         accepted_at = job.accepted_at - self._jobs.wall_offset
-        entry = JobEntry(job, event.row, queue, older, accepted_at)
+        entry = JobEntry(job, event.row, queue, older, accepted_at, event.older)
         self._jobs.add(entry)
         self._out.append(Note("job taken", self._taken_fields(entry, now)))
         self._dirty = True
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -735,6 +735,43 @@
     assert len(successor.places(urgent)) == 1
 
 
+def test_successor_knows_how_much_work_a_run_would_lose():
+    """An urgent gang needs room soon after a change of leader.
+
+    All runs counted as begun when the successor heard of them, so that the
+    longest ones were stopped as often as the newest.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    old = fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    fleet.now += 30.0
+    young = fleet.submit(2, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
+    percent = {fleet.places(old)[0]: 50.0, fleet.places(young)[0]: 1.0}
+    successor = fleet.succeeded_by(2)
+    for each in successor.workers:
+        successor.report(each.worker_id, percent[each.worker_id])
+    successor.submit(3, URGENT, step(1, WHOLE, 2.0))
+    successor.wait(2.5)
+    assert {each.task.job_id for each in successor.stops} == {young}
+
+
+def test_guarantee_is_made_good_in_time_over_a_change_of_leader():
+    """An organisation reclaims its guarantee, and the leader is lost.
+
+    The bound counted anew from when the successor learnt of the job.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(16, seconds=1.7), organisation=OTHER)
+    job = fleet.submit(2, URGENT, step(2, WHOLE, 30.0, gang=True))
+    assert fleet.stops == []
+    fleet.wait(1.5)
+    successor = fleet.succeeded_by(2)
+    for each in successor.workers:
+        successor.report(each.worker_id, 20.0)
+    successor.wait(0.3)
+    successor.obey_stops()
+    assert len(successor.places(job)) == 2
+
+
 def test_log_says_which_workers_a_successor_waited_for():
     fleet = Fleet(racks=1, per_rack=2, term=2)
     first, unseen = (each.worker_id for each in fleet.workers)
