Leave slow workers to work that has time

What callers saw: urgent jobs late though they were started at once and ran once.

Cause: a third of the workers takes 1.3 times as long as the others, and an urgent job has 1.5 times its work and 0.3 s.

Change: the scheduler learns from the times of equal tasks which workers are slow, remembers it in the roster over changes of leader, places urgent work on others first and other work on the slow ones, and spares the fast ones.

Ruled out: declared durations, which are off by far more.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -32,6 +32,7 @@
     Places,
     find_places,
     free_room,
+    not_slow,
     suitable,
     whole_room,
 )
@@ -222,7 +223,11 @@
         ]
         open_to_it = self._sparing.open_to(group, open_to_it)
         far = self._allow_far(group, current, now)
-        places = find_places(group, open_to_it, free_room, far)
+        places = None
+        if group.job.queue.priority == 0:
+            places = find_places(group, not_slow(open_to_it), free_room, False)
+        if places is None:
+            places = find_places(group, open_to_it, free_room, far)
         if places is None:
             return False
         self._runs.claim(group, places, now)
@@ -462,19 +467,26 @@
         priority = group.job.queue.priority
         waited_s = now - group.ready_at
         last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
-        eviction = find_eviction(
-            group,
-            candidates,
-            lambda other: (
-                other.job.queue.priority > priority and may_stop(other)
-            ),
-            (covered and last_chance) or not self._near_is_possible(group, now),
-            now,
-        )
+        eviction, refusal = None, WaitsFor.VICTIMS
+        for workers in (not_slow(candidates), candidates):
+            found = find_eviction(
+                group,
+                workers,
+                lambda other: (
+                    other.job.queue.priority > priority and may_stop(other)
+                ),
+                (covered and last_chance)
+                or not self._near_is_possible(group, now),
+                now,
+            )
+            if found is None:
+                continue
+            if covered or found.cost <= own_work(group):
+                eviction = found
+                break
+            refusal = WaitsFor.COST
         if eviction is None:
-            return WaitsFor.VICTIMS
-        if not covered and eviction.cost > own_work(group):
-            return WaitsFor.COST
+            return refusal
         self._runs.claim(group, eviction.places, now)
         current.claimed(eviction.places)
         for victim in eviction.victims:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -19,6 +19,11 @@
     from pomeloarch_core.batch.groups import Group
 
 
+# What a worker's slowness is taken for that an earlier scheduler called slow;
+# a few runs of its own correct it.
+REMEMBERED_SLOWNESS = 1.25
+
+
 class Worker:
     """One worker: what it has, what stands on it and how it is doing.
 
@@ -40,6 +45,9 @@
       closing: whether its machine is about to go down.
       suspended_until: until when it is given no task after failures.
       failures: failed runs in a row.
+      slow: whether it takes clearly longer than others for the same work.
+      slowness: the time that it takes for a task, in that of a usual worker.
+      speed_samples: how many of its runs that figure is from.
     """
 
     def __init__(self, info: WorkerInfo) -> None:
@@ -60,6 +68,9 @@
         self.closing = False
         self.suspended_until = 0.0
         self.failures = 0
+        self.slow = False
+        self.slowness = 1.0
+        self.speed_samples = 0
         self._used = NOTHING
         self._claimed = NOTHING
         self._free: Need | None = None
@@ -129,7 +140,7 @@
 
     def roster_entry(self) -> RosterEntry:
         """Returns what a successor has to know of it."""
-        return RosterEntry(self.info.address, self.may_run)
+        return RosterEntry(self.info.address, self.may_run, self.slow)
 
     def lapsed(self, now: float) -> bool:
         """Whether all that it may have run has certainly been killed."""
@@ -188,14 +199,14 @@
         worker.relisted(info)
         return worker
 
-    def remembered(
-        self, info: WorkerInfo, may_run: tuple[str, ...] | None
-    ) -> None:
+    def remembered(self, info: WorkerInfo, entry: RosterEntry) -> None:
         """Takes a worker that may be off the list; it gets nothing new."""
         if info.worker_id not in self._workers:
             worker = self._workers[info.worker_id] = Worker(info)
             worker.listed = False
-            worker.may_run = may_run
+            worker.may_run = entry.may_run
+            worker.slow = entry.slow
+            worker.slowness = REMEMBERED_SLOWNESS if entry.slow else 1.0
 
     def forget(self, worker_id: WorkerId) -> None:
         """Drops a worker that is gone."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -166,10 +166,12 @@
       address: where it takes orders, `ip:port`.
       may_run: the only tasks that it may run, by name, when it fell silent
         and was given nothing since; None when it may run any.
+      slow: whether it takes clearly longer than others for the same work.
     """
 
     address: str
     may_run: tuple[str, ...] | None = None
+    slow: bool = False
 
 
 class WorkersRemembered(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
@@ -24,6 +24,11 @@
     return worker.info.capacity
 
 
+def not_slow(workers: Iterable[Worker]) -> list[Worker]:
+    """Returns the workers that take no longer than usual."""
+    return [each for each in workers if not each.slow]
+
+
 def suitable(
     group: Group,
     workers: Iterable[Worker],
@@ -73,7 +78,7 @@
         return None
     step = group.step
     if not step.data_rack and not step.same_rack:
-        return _spread(group, counts, _by_tightness(room))
+        return _spread(group, counts, _order(group, room))
     racks = by_rack(workers)
     with_room = [
         rack
@@ -91,7 +96,7 @@
     elif step.data_rack and step.same_rack and with_room:
         rack = min(with_room, key=lambda rack: _room_in(rack, room))
         counts = {each: counts[each] for each in rack if each in counts}
-    return _spread(group, counts, _by_tightness(room))
+    return _spread(group, counts, _order(group, room))
 
 
 def by_rack(workers: Iterable[Worker]) -> dict[str, list[Worker]]:
@@ -147,9 +152,17 @@
     return places
 
 
-def _by_tightness(room: Room) -> Order:
-    """Returns the order in which workers with little room come first."""
-    return lambda worker: _tightness(worker, room)
+def _order(group: Group, room: Room) -> Order:
+    """Returns the order in which a group takes workers.
+
+    Urgent work has no time for slow workers, and other work leaves it the
+    rest. Among those alike, the ones with little room come first.
+    """
+    urgent = group.job.queue.priority == 0
+    return lambda worker: (
+        worker.slow == urgent,
+        *_tightness(worker, room),
+    )
 
 
 def _tightness(worker: Worker, room: Room) -> tuple[float, ...]:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -20,6 +20,7 @@
 from pomeloarch_core.batch.objectives import RunTimes
 from pomeloarch_core.batch.placing import Places
 from pomeloarch_core.batch.rows import JobStatus
+from pomeloarch_core.batch.speeds import Speeds
 from pomeloarch_core.ids import Epoch
 
 # Runs of a group within one term; a run's number is above those of all
@@ -54,6 +55,7 @@
         """Starts without any run."""
         self._advice = advice
         self._times = times
+        self._speeds = Speeds(fleet, out)
         self._term = term
         self._fleet = fleet
         self._out = out
@@ -265,6 +267,7 @@
             return
         if ran_s is not None:
             self._times.learn(group, ran_s)
+            self._speeds.learn(group, worker, ran_s)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -292,7 +292,7 @@
     def _on_remembered(self, event: WorkersRemembered, now: float) -> None:
         for worker_id, entry in event.entries.items():
             self._fleet.remembered(
-                remembered_worker(worker_id, entry.address), entry.may_run
+                remembered_worker(worker_id, entry.address), entry
             )
 
     @_on.register
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
@@ -55,7 +55,7 @@
         share = min(MOST_SPARED, self._share.get(group.job.queue.service, 0))
         left: list[Worker] = []
         for rack in by_rack(workers).values():
-            ordered = sorted(rack, key=lambda each: each.worker_id)
+            ordered = sorted(rack, key=lambda each: (each.slow, each.worker_id))
             left += ordered[round(share * len(ordered)) :]
         if find_places(group, left, whole_room, False) is None:
             return workers
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
@@ -0,0 +1,86 @@
+"""Learns which workers take longer than others for the same work.
+
+Tasks of a step are alike, so that the time of one against the times of the
+others tells about its worker. Declared durations are too far off for that.
+"""
+
+from __future__ import annotations
+
+import statistics
+
+from pomeloarch_core.batch.fleet import Fleet, Worker
+from pomeloarch_core.batch.groups import Group
+from pomeloarch_core.batch.messages import Decision, Note, StepId
+
+# Runs of a step that have to have ended before another is compared to them.
+FEWEST_RUNS = 3
+# Weight of the newest run in what is known of a worker: tasks of a step
+# differ by a tenth or two, of which a third is left in the mean.
+LEARNING_RATE = 0.2
+# Runs of a worker that have to be known before it is called slow.
+FEWEST_SAMPLES = 3
+# A worker is slow that takes this much longer than the median worker, and no
+# longer slow below the second figure.
+SLOW_FROM = 1.15
+SLOW_TO = 1.08
+# A single run counts as no more than this against the others.
+MOST_RATIO = 2.5
+# Weight of a step's newest run in its usual time is at least a tenth.
+LONGEST_MEAN = 10
+# Steps whose usual times are kept; a few hundred run at a time.
+MOST_STEPS = 1000
+
+
+class Speeds:
+    """Marks workers as slow.
+
+    Args:
+      fleet: the workers.
+      out: where changes are noted.
+    """
+
+    def __init__(self, fleet: Fleet, out: list[Decision]) -> None:
+        """Knows nothing of any worker."""
+        self._fleet = fleet
+        self._out = out
+        # Ended runs of a step and their usual time on a usual worker, in s.
+        self._usual: dict[StepId, tuple[int, float]] = {}
+
+    def learn(self, group: Group, worker: Worker, ran_s: float) -> None:
+        """Takes in how long a task ran, in seconds."""
+        if len(group.indices) > 1 or ran_s <= 0:
+            return
+        if group.step.data_rack not in ("", worker.info.rack):
+            return
+        runs, usual_s = self._usual.pop(group.step_id, (0, ran_s))
+        if runs >= FEWEST_RUNS:
+            ratio = min(ran_s / usual_s, MOST_RATIO)
+            worker.slowness += LEARNING_RATE * (ratio - worker.slowness)
+            worker.speed_samples += 1
+            self._mark(worker)
+        runs = min(runs + 1, LONGEST_MEAN)
+        own_s = min(ran_s / worker.slowness, usual_s * MOST_RATIO)
+        usual_s += (own_s - usual_s) / runs
+        self._usual[group.step_id] = runs, usual_s
+        if len(self._usual) > MOST_STEPS:
+            del self._usual[next(iter(self._usual))]
+
+    def _mark(self, worker: Worker) -> None:
+        if worker.speed_samples < FEWEST_SAMPLES:
+            return
+        median = statistics.median(each.slowness for each in self._fleet)
+        ratio = worker.slowness / median
+        slow = ratio > (SLOW_TO if worker.slow else SLOW_FROM)
+        if slow == worker.slow:
+            return
+        worker.slow = slow
+        self._out.append(
+            Note(
+                "worker slow" if slow else "worker no longer slow",
+                {
+                    "worker": worker.worker_id,
+                    "ratio": round(ratio, 3),
+                    "samples": worker.speed_samples,
+                },
+            )
+        )
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -376,6 +376,62 @@
     assert ages == [0.0, 3.0]
 
 
+def with_slow_worker(percent_longer, per_rack=3):
+    """Returns a fleet whose first worker takes longer, by what it has run."""
+    fleet = Fleet(racks=1, per_rack=per_rack)
+    slow = fleet.workers[0].worker_id
+    sample = fleet.submit(1, BATCH, step(8 * per_rack, seconds=4.0))
+    began = fleet.now
+    usual = [key for key, where in fleet.running.items() if where != slow]
+    for number, (task, run) in enumerate(usual):
+        fleet.now = began + 3.8 + number % 5 / 10
+        fleet.end(task, run)
+    fleet.now = began + 4.0 * (1 + percent_longer / 100)
+    fleet.end_all(sample)
+    return fleet, slow
+
+
+@pytest.mark.parametrize(
+    ("percent_longer", "queue", "takes_it"),
+    [
+        (30, URGENT, False),
+        (30, BATCH, True),
+        (4, URGENT, True),
+    ],
+)
+def test_slow_workers_are_left_to_work_that_has_time(
+    percent_longer, queue, takes_it
+):
+    """A third of the machines is slower than the others.
+
+    Urgent jobs that ran there were late though they were started at once.
+    """
+    fleet, slow = with_slow_worker(percent_longer)
+    job = fleet.submit(2, queue, step(1, WHOLE, 2.0))
+    assert (fleet.places(job) == [slow]) == takes_it
+
+
+def test_urgent_work_takes_a_slow_worker_rather_than_wait():
+    fleet, slow = with_slow_worker(30)
+    fleet.submit(2, URGENT, step(2, WHOLE, 2.0), organisation=OTHER)
+    job = fleet.submit(3, URGENT, step(1, WHOLE, 2.0), organisation=OTHER)
+    assert fleet.places(job) == [slow]
+
+
+def test_successor_knows_slow_workers():
+    fleet, slow = with_slow_worker(30)
+    remembered = fleet.scheduler.roster()
+    assert [each for each in remembered if remembered[each].slow] == [slow]
+    fleet.scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
+    fleet.emit(WorkersRemembered(remembered))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
+    for each in fleet.workers:
+        fleet.report(each.worker_id)
+    job = fleet.submit(2, URGENT, step(1, WHOLE, 2.0))
+    assert fleet.places(job) != [slow]
+
+
 def test_victim_is_the_one_that_loses_least():
     fleet = Fleet(racks=1, per_rack=2)
     old = fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/roster.py
@@ -112,11 +112,19 @@
             for key, chunk in self._wanted.items()
             if self._written.get(key) is not None
             for worker_id, entry in chunk.items()
-            if entry.may_run is None and self._said(key, worker_id) == entry
+            if entry.may_run is None and self._says_any(key, worker_id, entry)
         )
 
-    def _said(self, key: str, worker_id: WorkerId) -> RosterEntry | None:
-        return (self._written.get(key) or {}).get(worker_id)
+    def _says_any(
+        self, key: str, worker_id: WorkerId, entry: RosterEntry
+    ) -> bool:
+        """Whether a row says that a worker at its address may run any task."""
+        said = (self._written.get(key) or {}).get(worker_id)
+        return (
+            said is not None
+            and said.may_run is None
+            and said.address == entry.address
+        )
 
     async def _write(self, key: str, value: Chunk) -> None:
         answer = await self._store.transact(
