Let others give way where an urgent job is worth more than what is lost

What callers saw: urgent gangs beyond their guarantee waited for 1.3 to 11 s (reason cost in the log) on a fleet full of other work, and were late.

Cause: others gave way only if they lost less work than the urgent job does. An urgent job that is late loses four fifths of its worth; work that gives way is done again and is mostly on time all the same.

Change: an urgent job counts three times its work, and so does what a victim loses if it would then miss its objective. Both use learnt run times.

test_urgent_work_outweighs_work_that_can_be_done_again fails before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -37,7 +37,11 @@
     whole_room,
 )
 from pomeloarch_core.batch.placing_round import PlacingRound
-from pomeloarch_core.batch.preempting import find_eviction, own_work
+from pomeloarch_core.batch.preempting import (
+    find_eviction,
+    lost_work,
+    own_work,
+)
 from pomeloarch_core.batch.ready import (
     guaranteed_jobs,
     placing_key,
@@ -67,6 +71,17 @@
 NEAR_KNOWN_S = 0.5
 # Time between an order and its effect, in seconds, beside stopping others.
 ORDER_SLACK_S = 0.3
+# An urgent job that misses its objective loses most of its worth, while work
+# that gives way is only done again: what the first is worth, in multiples of
+# the work that it does.
+URGENT_WEIGHT = 3.0
+# Work of a job that would miss its objective by giving way counts as much.
+MISSED_HARM = 3.0
+# That of a job which misses it anyway still has to be done again.
+LATE_HARM = 0.6
+# How long a group that gave way waits for room, in seconds: about the time of
+# a task of other work.
+AGAIN_AFTER_S = 3.0
 
 
 class DispatchTimes(msgspec.Struct, frozen=True):
@@ -138,7 +153,9 @@
         self._sparing.observe(self._fleet, now)
         guaranteed = guaranteed_jobs(jobs, catalogue)
         current = PlacingRound(
-            guaranteed, lambda group: self.remaining_s(group, now)
+            guaranteed,
+            lambda group: self.remaining_s(group, now),
+            lambda group: self._harm(group, now, wall),
         )
         failed: dict[JobEntry, None] = {}
         for group in ready_groups(jobs, guaranteed, self._times, now, wall):
@@ -448,6 +465,22 @@
             wait_s = min(wait_s, left_s) if wait_s > 0 else left_s
         return wait_s
 
+    def _harm(self, group: Group, now: float, wall: float) -> float:
+        """Returns what stopping a group costs, in core-seconds.
+
+        It is the work that is lost, and more where its job could not be on
+        time any more.
+        """
+        lost = lost_work(group, now)
+        entry = group.job
+        if entry.job.scheduled:
+            return lost
+        ends_by = entry.job.accepted_at + objective_s(entry, self._times)
+        if wall + self.remaining_s(group, now) > ends_by:
+            return lost * LATE_HARM
+        again_s = chain_s(entry, self._times, done=True) + AGAIN_AFTER_S
+        return lost if wall + again_s <= ends_by else lost * MISSED_HARM
+
     def _preempt(
         self,
         group: Group,
@@ -459,7 +492,7 @@
         """Has others give way to a group of priority 0.
 
         A guarantee is always made good. Beyond it, others give way only
-        where less work is lost than the group will do.
+        where the harm is less than what the group is worth.
 
         Returns:
           Why nothing gives way; None when something does.
@@ -467,6 +500,7 @@
         priority = group.job.queue.priority
         waited_s = now - group.ready_at
         last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
+        worth = URGENT_WEIGHT * own_work(group, self._estimate_s(group))
         eviction, refusal = None, WaitsFor.VICTIMS
         for workers in (not_slow(candidates), candidates):
             found = find_eviction(
@@ -477,11 +511,11 @@
                 ),
                 (covered and last_chance)
                 or not self._near_is_possible(group, now),
-                now,
+                current.harm,
             )
             if found is None:
                 continue
-            if covered or found.cost <= own_work(group):
+            if covered or found.cost <= worth:
                 eviction = found
                 break
             refusal = WaitsFor.COST
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
@@ -28,12 +28,14 @@
     Args:
       guaranteed: jobs that their organisations' guarantees cover.
       remaining_s: returns how much longer a group's run will likely take.
+      harm: returns what stopping a group costs, in core-seconds.
     """
 
     def __init__(
         self,
         guaranteed: set[JobId],
         remaining_s: Callable[[Group], float],
+        harm: Callable[[Group], float],
     ) -> None:
         """Starts with nothing found out."""
         self.guaranteed = guaranteed
@@ -44,6 +46,8 @@
         self.kept_until: dict[Worker, float] = {}
         self.kept_for = 0
         self._estimate_s = remaining_s
+        self._work_out_harm = harm
+        self._harm: dict[Group, float] = {}
         self._remaining_s: dict[Group, float] = {}
         self._room_after: dict[float, dict[Worker, Need]] = {}
 
@@ -67,6 +71,12 @@
             for worker in places.values():
                 known.pop(worker, None)
 
+    def harm(self, group: Group) -> float:
+        """Returns what stopping a group costs, in core-seconds."""
+        if group not in self._harm:
+            self._harm[group] = self._work_out_harm(group)
+        return self._harm[group]
+
     def room_after(self, after_s: float) -> Room:
         """Returns what will be free on workers by then, if nothing is added."""
         known = self._room_after.setdefault(after_s, {})
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -17,11 +17,9 @@
 # accelerator against processors in what organisations are charged.
 CORES_PER_ACCELERATOR = 8
 _MILLIS = 1000
-# What is thrown away counts in full for a job that may still be on time. A
-# late one has less to lose, but its work has to be done again all the same.
-_HARM_OF = (1.0, 0.6, 0.4)
 
 MayPreempt = Callable[[Group], bool]
+Harm = Callable[[Group], float]
 
 
 def lost_work(group: Group, now: float) -> float:
@@ -34,14 +32,9 @@
     return _cores(group) * ran_s
 
 
-def _harm(group: Group, now: float) -> float:
-    """Returns what stopping a group costs: less where it is late already."""
-    return lost_work(group, now) * _HARM_OF[group.job.standing]
-
-
-def own_work(group: Group) -> float:
-    """Returns the core-seconds that a group will do, as it was estimated."""
-    return _cores(group) * group.step.estimate_s
+def own_work(group: Group, estimate_s: float) -> float:
+    """Returns the core-seconds that a group will do in that time."""
+    return _cores(group) * estimate_s
 
 
 def _cores(group: Group) -> float:
@@ -52,12 +45,18 @@
 
 
 class Eviction:
-    """Places for a group, and the groups that have to leave for it."""
+    """Places for a group, and the groups that have to leave for it.
+
+    Attributes:
+      places: a worker for each of the group's tasks.
+      victims: groups that have to leave.
+      cost: the harm that is done to them, in core-seconds.
+    """
 
     def __init__(
         self, places: Places, victims: list[Group], cost: float
     ) -> None:
-        """Keeps what was found and what it costs, in core-seconds."""
+        """Keeps what was found."""
         self.places = places
         self.victims = victims
         self.cost = cost
@@ -68,7 +67,7 @@
     workers: Sequence[Worker],
     may_preempt: MayPreempt,
     allow_far: bool,
-    now: float,
+    harm: Harm,
 ) -> Eviction | None:
     """Returns the cheapest way to make room, None when there is none.
 
@@ -77,7 +76,7 @@
       workers: the workers that it may use.
       may_preempt: whether a group has to give way to it.
       allow_far: whether it may run away from its data or on several racks.
-      now: the present time, in seconds.
+      harm: returns what stopping a group costs, in core-seconds.
     """
     preemptible = {each: _preemptible(each, may_preempt) for each in workers}
 
@@ -85,9 +84,7 @@
         return worker.free + preemptible[worker]
 
     lost = {
-        each: sum(
-            _harm(other, now) for other in each.groups if may_preempt(other)
-        )
+        each: sum(harm(other) for other in each.groups if may_preempt(other))
         for each in workers
     }
 
@@ -108,7 +105,7 @@
             break
         places = fill(group, candidates, room, least_lost)
         if places is not None:
-            found.append(_evict(group, places, may_preempt, now))
+            found.append(_evict(group, places, may_preempt, harm))
     return min(found, key=lambda each: each.cost, default=None)
 
 
@@ -121,7 +118,7 @@
 
 
 def _evict(
-    group: Group, places: Places, may_preempt: MayPreempt, now: float
+    group: Group, places: Places, may_preempt: MayPreempt, harm: Harm
 ) -> Eviction:
     """Chooses victims on each worker until the group's tasks fit there."""
     victims: dict[Group, None] = {}
@@ -141,12 +138,12 @@
                 and each not in victims
                 and may_preempt(each)
             ),
-            key=lambda each: _harm(each, now),
+            key=harm,
         )
         for victim in candidates:
             if wanted.fits(room):
                 break
             victims[victim] = None
             room += victim.step.reserved * worker.groups[victim]
-    cost = sum(lost_work(each, now) for each in victims)
+    cost = sum(harm(each) for each in victims)
     return Eviction(places, list(victims), cost)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -432,6 +432,34 @@
     assert fleet.places(job) != [slow]
 
 
+@pytest.mark.parametrize(
+    ("case", "ran_s", "victim_estimate_s", "gives_way"),
+    [
+        ("it can be done again in time", 5.0, 20.0, True),
+        ("too much work would be lost", 12.0, 40.0, False),
+        ("it would miss its objective", 5.0, 2.0, False),
+    ],
+)
+def test_urgent_work_outweighs_work_that_can_be_done_again(
+    case, ran_s, victim_estimate_s, gives_way
+):
+    """Urgent gangs beyond what is guaranteed, on a fleet full of other work.
+
+    They waited for room whenever a little more work would have been lost
+    than they do themselves, and were late.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(
+        1, BATCH, step(1, WHOLE, victim_estimate_s), organisation=OTHER
+    )
+    fleet.now += ran_s
+    for each in fleet.workers:
+        fleet.report(each.worker_id, percent=2.0)
+    fleet.submit(2, URGENT, step(1, WHOLE, 2.0), organisation=OTHER)
+    fleet.wait(0.1)
+    assert bool(fleet.stops) == gives_way
+
+
 def test_victim_is_the_one_that_loses_least():
     fleet = Fleet(racks=1, per_rack=2)
     old = fleet.submit(1, BATCH, step(1, WHOLE, 60.0), organisation=OTHER)
