Tell slow workers by the progress of a gang's members

One gang tells what a dozen single tasks tell, within a second or two of its start.

test_progress_of_a_gang_shows_slow_workers.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -56,6 +56,7 @@
       load: its tail latency in ms when it serves, else its processor use.
       pace: the share of its pace that it was last ordered to, in percent.
       advanced_at: when that share last changed.
+      reported_at: when it was last reported.
     """
 
     def __init__(self, worker_id: WorkerId) -> None:
@@ -67,6 +68,7 @@
         self.load = 0.0
         self.pace = 100
         self.advanced_at: float | None = None
+        self.reported_at = 0.0
 
 
 class Group:
@@ -87,6 +89,7 @@
       ready_at: when it became ready.
       started_at: when its current run was ordered.
       resumed: whether the current run's beginning wasn't seen.
+      compared: whether its members' progress was compared in this run.
       look_again_at: when room is next made for it, or workers are kept.
       placed_by: the change of its job's row that names its places.
       waits_for: why it had no room when last looked at, for the log.
@@ -118,6 +121,7 @@
         self.ready_at = 0.0
         self.started_at = 0.0
         self.resumed = False
+        self.compared = False
         self.look_again_at = 0.0
         self.placed_by = 0
         self.waits_for: WaitsFor | None = None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -95,6 +95,7 @@
     ) -> None:
         member = group.members[each.task.index]
         member.load = each.load
+        member.reported_at = now
         if group.state is GroupState.STARTED:
             self._runs.confirmed(group, each.task.index, now)
         if each.checkpoint:
@@ -102,6 +103,7 @@
         if each.percent != member.percent or member.advanced_at is None:
             member.percent = each.percent
             member.advanced_at = now
+            self._runs.speeds.compare(group)
         elif self._stands_still(
             group, each.task.index, worker, now - member.advanced_at, now
         ):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -36,6 +36,9 @@
 class Runs:
     """Carries groups from one state to the next.
 
+    Attributes:
+      speeds: learns how fast workers are.
+
     Args:
       term: the number of this scheduler's term.
       fleet: the workers.
@@ -55,7 +58,7 @@
         """Starts without any run."""
         self._advice = advice
         self._times = times
-        self._speeds = Speeds(fleet, out)
+        self.speeds = Speeds(fleet, out)
         self._term = term
         self._fleet = fleet
         self._out = out
@@ -102,6 +105,7 @@
         group.state = GroupState.STARTED
         group.started_at = now
         group.resumed = bool(group.checkpoint)
+        group.compared = False
         racks: set[str] = set()
         for index, member in group.members.items():
             worker = self._fleet.get(member.worker_id)
@@ -267,7 +271,7 @@
             return
         if ran_s is not None:
             self._times.learn(group, ran_s)
-            self._speeds.learn(group, worker, ran_s)
+            self.speeds.learn(group, worker, ran_s)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
@@ -1,7 +1,8 @@
 """Learns which workers take longer than others for the same work.
 
-Tasks of a step are alike, so that the time of one against the times of the
-others tells about its worker. Declared durations are too far off for that.
+Members of a gang have the same work, so that how far each has got tells about
+its worker. Single tasks of a step are nearly alike, and their times tell the
+same more slowly. Declared durations are too far off for either.
 """
 
 from __future__ import annotations
@@ -17,7 +18,12 @@
 # Weight of the newest run in what is known of a worker: tasks of a step
 # differ by a tenth or two, of which a third is left in the mean.
 LEARNING_RATE = 0.2
-# Runs of a worker that have to be known before it is called slow.
+# That of a gang's progress, which is exact but for rounding.
+GANG_RATE = 0.7
+# Least progress of a gang's members, in percent, that is compared: whole
+# percents are reported.
+COMPARED_FROM = 20
+# Single runs of a worker that have to be known before it is called slow.
 FEWEST_SAMPLES = 3
 # A worker is slow that takes this much longer than the median worker, and no
 # longer slow below the second figure.
@@ -65,6 +71,34 @@
         if len(self._usual) > MOST_STEPS:
             del self._usual[next(iter(self._usual))]
 
+    def compare(self, group: Group) -> None:
+        """Compares how far the members of a gang have got, once a run."""
+        members = list(group.members.values())
+        if group.compared or group.resumed or len(members) < 2:
+            return
+        began = max(each.started_at or 0.0 for each in members)
+        if not group.running or any(
+            each.percent < COMPARED_FROM or each.reported_at <= began
+            for each in members
+        ):
+            return
+        group.compared = True
+        per_s = {
+            each.worker_id: each.percent / (each.reported_at - began)
+            for each in members
+        }
+        if len(per_s) < 2:
+            return
+        fastest = max(per_s.values())
+        compared = [self._fleet.get(each) for each in per_s]
+        workers = [each for each in compared if each is not None]
+        for worker in workers:
+            ratio = min(fastest / per_s[worker.worker_id], MOST_RATIO)
+            worker.slowness += GANG_RATE * (ratio - worker.slowness)
+            worker.speed_samples += FEWEST_SAMPLES
+        for worker in workers:
+            self._mark(worker)
+
     def _mark(self, worker: Worker) -> None:
         if worker.speed_samples < FEWEST_SAMPLES:
             return
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -411,6 +411,27 @@
     assert (fleet.places(job) == [slow]) == takes_it
 
 
+@pytest.mark.parametrize(
+    ("percents", "slow"),
+    [
+        ((40.0, 40.0, 31.0), [2]),
+        ((40.0, 39.0, 41.0), []),
+        ((8.0, 8.0, 6.0), []),
+        ((31.0, 100.0, 31.0), [0, 2]),
+    ],
+)
+def test_progress_of_a_gang_shows_slow_workers(percents, slow):
+    """The first gang that runs beside a slow worker tells."""
+    fleet = Fleet(racks=1, per_rack=5)
+    job = fleet.submit(1, NORMAL, step(3, WHOLE, 8.0, gang=True))
+    fleet.now += 1.0
+    workers = fleet.places(job)
+    for each, percent in zip(workers, percents, strict=True):
+        fleet.report(each, percent)
+    found = fleet.scheduler.roster()
+    assert [n for n in range(3) if found[workers[n]].slow] == slow
+
+
 def test_urgent_work_takes_a_slow_worker_rather_than_wait():
     fleet, slow = with_slow_worker(30)
     fleet.submit(2, URGENT, step(2, WHOLE, 2.0), organisation=OTHER)
