Keep slow workers known as such when a gang runs on them alone

A gang whose members are all on slow workers showed them as usual ones. Progress is now compared with what is known of the fastest member.

test_slow_workers_stay_known_as_such_among_themselves fails before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
@@ -23,6 +23,8 @@
 # Least progress of a gang's members, in percent, that is compared: whole
 # percents are reported.
 COMPARED_FROM = 20
+# Members this close to the fastest one are as fast, but for rounding.
+ALIKE_WITHIN = 1.08
 # Single runs of a worker that have to be known before it is called slow.
 FEWEST_SAMPLES = 3
 # A worker is slow that takes this much longer than the median worker, and no
@@ -92,8 +94,17 @@
         fastest = max(per_s.values())
         compared = [self._fleet.get(each) for each in per_s]
         workers = [each for each in compared if each is not None]
+        # All members may be on slow workers.
+        usual = min(
+            (
+                each.slowness
+                for each in workers
+                if per_s[each.worker_id] * ALIKE_WITHIN >= fastest
+            ),
+            default=1.0,
+        )
         for worker in workers:
-            ratio = min(fastest / per_s[worker.worker_id], MOST_RATIO)
+            ratio = min(usual * fastest / per_s[worker.worker_id], MOST_RATIO)
             worker.slowness += GANG_RATE * (ratio - worker.slowness)
             worker.speed_samples += FEWEST_SAMPLES
         for worker in workers:
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -432,6 +432,24 @@
     assert [n for n in range(3) if found[workers[n]].slow] == slow
 
 
+def test_slow_workers_stay_known_as_such_among_themselves():
+    """A gang whose members are all on slow workers."""
+    fleet = Fleet(racks=1, per_rack=5)
+    first = fleet.submit(1, NORMAL, step(3, WHOLE, 8.0, gang=True))
+    fleet.now += 1.0
+    workers = fleet.places(first)
+    for each, percent in zip(workers, (31.0, 31.0, 40.0), strict=True):
+        fleet.report(each, percent)
+    fleet.end_all(first)
+    second = fleet.submit(2, NORMAL, step(2, WHOLE, 8.0, gang=True))
+    assert set(fleet.places(second)) == set(workers[:2])
+    fleet.now += 1.0
+    for each in workers[:2]:
+        fleet.report(each, 40.0)
+    found = fleet.scheduler.roster()
+    assert all(found[each].slow for each in workers[:2])
+
+
 def test_urgent_work_takes_a_slow_worker_rather_than_wait():
     fleet, slow = with_slow_worker(30)
     fleet.submit(2, URGENT, step(2, WHOLE, 2.0), organisation=OTHER)
