--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -10,10 +10,9 @@
 
 from collections import defaultdict
 
-import msgspec
-
 from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.expectations import DispatchTimes, Expectations
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import (
     Group,
@@ -23,11 +22,6 @@
     may_stop,
 )
 from pomeloarch_core.batch.messages import Decision
-from pomeloarch_core.batch.objectives import (
-    RunTimes,
-    chain_s,
-    objective_s,
-)
 from pomeloarch_core.batch.placing import (
     Places,
     find_places,
@@ -39,7 +33,6 @@
 from pomeloarch_core.batch.placing_round import PlacingRound
 from pomeloarch_core.batch.preempting import (
     find_eviction,
-    lost_work,
     own_work,
 )
 from pomeloarch_core.batch.ready import (
@@ -73,27 +66,6 @@
 # that gives way is only done again: what the first is worth, in multiples of
 # the work that it does.
 URGENT_WEIGHT = 3.0
-# Work of a job that would miss its objective by giving way counts as much.
-MISSED_HARM = 3.0
-# That of a job which misses it anyway still has to be done again.
-LATE_HARM = 0.6
-# How long a group that gave way waits for room, in seconds: about the time of
-# a task of other work.
-AGAIN_AFTER_S = 3.0
-
-
-class DispatchTimes(msgspec.Struct, frozen=True):
-    """Times of the deployment, in seconds.
-
-    Attributes:
-      stop_s: how long stopping a task may take.
-      reclaim_s: within this time a guarantee is made good.
-      drain_s: a worker that leaves as planned stays longer than this.
-    """
-
-    stop_s: float = 0.2
-    reclaim_s: float = 2.7
-    drain_s: float = 2.0
 
 
 class Dispatcher:
@@ -102,7 +74,7 @@
     Args:
       fleet: the workers.
       runs: starts and stops groups.
-      times: estimates of run times.
+      expected: how long runs and jobs will likely take.
       advice: which workers may run a step, where that is decided outside.
       out: where questions for advice are put.
       cfg: times of the deployment.
@@ -112,7 +84,7 @@
         self,
         fleet: Fleet,
         runs: Runs,
-        times: RunTimes,
+        expected: Expectations,
         advice: AdviceBook,
         out: list[Decision],
         cfg: DispatchTimes,
@@ -120,7 +92,7 @@
         """Starts with nothing placed."""
         self._fleet = fleet
         self._runs = runs
-        self._times = times
+        self._expected = expected
         self._advice = advice
         self._out = out
         self._cfg = cfg
@@ -152,11 +124,13 @@
         guaranteed = guaranteed_jobs(jobs, catalogue)
         current = PlacingRound(
             guaranteed,
-            lambda group: self.remaining_s(group, now),
-            lambda group: self._harm(group, now, wall),
+            lambda group: self._expected.remaining_s(group, now),
+            lambda group: self._expected.harm(group, now, wall),
         )
         failed: dict[JobEntry, None] = {}
-        for group in ready_groups(jobs, guaranteed, self._times, now, wall):
+        for group in ready_groups(
+            jobs, guaranteed, self._expected.times, now, wall
+        ):
             if group.failures >= group.job.queue.max_attempts:
                 failed[group.job] = None
             elif group.job not in failed:
@@ -230,7 +204,7 @@
         current: PlacingRound,
         now: float,
     ) -> bool:
-        ends_at = now + self._estimate_s(group)
+        ends_at = now + self._expected.run_s(group)
         open_to_it = [
             each
             for each in candidates
@@ -403,43 +377,6 @@
                 found, high = (PLAN_TIMES_S[middle], places), middle
         return found
 
-    def remaining_s(self, group: Group, now: float) -> float:
-        """Returns how much longer a group's run will likely take, in s."""
-        if group.step.long_running:
-            return float("inf")
-        if group.state is GroupState.STOPPING:
-            return self._cfg.stop_s
-        ran_s = now - group.started_at
-        percent = group.percent
-        if percent >= 5 and not group.resumed:
-            return ran_s * (100 - percent) / percent
-        return max(0.2, self._estimate_s(group) - ran_s)
-
-    def ends_with(self, worker: Worker, group: Group, now: float) -> bool:
-        """Whether a run would end when its worker leaves."""
-        if group.step.long_running:
-            return True
-        left_s = worker.info.remaining_s
-        if left_s is None or left_s > self._cfg.drain_s:
-            return False
-        return self.remaining_s(group, now) > left_s
-
-    def busy_s(self, worker: Worker, now: float) -> float:
-        """Returns how long what runs on a worker will likely take, in s."""
-        return max(
-            (
-                self.remaining_s(group, now)
-                for group in worker.groups
-                if not group.step.long_running
-            ),
-            default=0.0,
-        )
-
-    def _estimate_s(self, group: Group) -> float:
-        return self._times.estimate_s(
-            group.step.estimate_s, group.job.queue.name
-        )
-
     def _effect_s(self) -> float:
         """Returns how long it takes until others have given way."""
         return self._cfg.stop_s + ORDER_SLACK_S
@@ -448,37 +385,14 @@
         self, group: Group, covered: bool, now: float, wall: float
     ) -> float:
         """Returns how long a group of priority 0 may wait for room."""
-        entry = group.job
         effect_s = self._effect_s()
-        slack_s = (
-            entry.job.accepted_at
-            + objective_s(entry, self._times)
-            - wall
-            - chain_s(entry, self._times, done=True)
-        )
-        wait_s = slack_s - effect_s
+        wait_s = self._expected.slack_s(group.job, wall) - effect_s
         if covered:
             waited_s = now - group.ready_at
             left_s = self._cfg.reclaim_s - effect_s - waited_s
             wait_s = min(wait_s, left_s) if wait_s > 0 else left_s
         return wait_s
 
-    def _harm(self, group: Group, now: float, wall: float) -> float:
-        """Returns what stopping a group costs, in core-seconds.
-
-        It is the work that is lost, and more where its job could not be on
-        time any more.
-        """
-        lost = lost_work(group, now)
-        entry = group.job
-        if entry.job.scheduled:
-            return lost
-        ends_by = entry.job.accepted_at + objective_s(entry, self._times)
-        if wall + self.remaining_s(group, now) > ends_by:
-            return lost * LATE_HARM
-        again_s = chain_s(entry, self._times, done=True) + AGAIN_AFTER_S
-        return lost if wall + again_s <= ends_by else lost * MISSED_HARM
-
     def _preempt(
         self,
         group: Group,
@@ -498,7 +412,7 @@
         priority = group.job.queue.priority
         waited_s = now - group.ready_at
         last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
-        worth = URGENT_WEIGHT * own_work(group, self._estimate_s(group))
+        worth = URGENT_WEIGHT * own_work(group, self._expected.run_s(group))
         eviction, refusal = None, WaitsFor.VICTIMS
         for workers in (not_slow(candidates), candidates):
             found = find_eviction(
--- /dev/null
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
@@ -0,0 +1,109 @@
+"""How long runs and jobs will likely take, and what stopping them costs."""
+
+from __future__ import annotations
+
+import msgspec
+
+from pomeloarch_core.batch.fleet import Worker
+from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.objectives import RunTimes, chain_s, objective_s
+from pomeloarch_core.batch.preempting import lost_work
+
+# Lost work of a job that would miss its objective by giving way counts this
+# many times.
+MISSED_HARM = 3.0
+# That of a job which misses it anyway still has to be done again.
+LATE_HARM = 0.6
+# How long a group that gave way waits for room, in seconds: about the time of
+# a task of other work.
+AGAIN_AFTER_S = 3.0
+
+
+class DispatchTimes(msgspec.Struct, frozen=True):
+    """Times of the deployment, in seconds.
+
+    Attributes:
+      stop_s: how long stopping a task may take.
+      reclaim_s: within this time a guarantee is made good.
+      drain_s: a worker that leaves as planned stays longer than this.
+    """
+
+    stop_s: float = 0.2
+    reclaim_s: float = 2.7
+    drain_s: float = 2.0
+
+
+class Expectations:
+    """Works out times from estimates and progress.
+
+    Attributes:
+      times: estimates of run times.
+
+    Args:
+      times: estimates of run times.
+      cfg: times of the deployment.
+    """
+
+    def __init__(self, times: RunTimes, cfg: DispatchTimes) -> None:
+        """Goes by the estimates as they are learnt."""
+        self.times = times
+        self._cfg = cfg
+
+    def remaining_s(self, group: Group, now: float) -> float:
+        """Returns how much longer a group's run will likely take, in s."""
+        if group.step.long_running:
+            return float("inf")
+        if group.state is GroupState.STOPPING:
+            return self._cfg.stop_s
+        ran_s = now - group.started_at
+        percent = group.percent
+        if percent >= 5 and not group.resumed:
+            return ran_s * (100 - percent) / percent
+        return max(0.2, self.run_s(group) - ran_s)
+
+    def ends_with(self, worker: Worker, group: Group, now: float) -> bool:
+        """Whether a run would end when its worker leaves."""
+        if group.step.long_running:
+            return True
+        left_s = worker.info.remaining_s
+        if left_s is None or left_s > self._cfg.drain_s:
+            return False
+        return self.remaining_s(group, now) > left_s
+
+    def busy_s(self, worker: Worker, now: float) -> float:
+        """Returns how long what runs on a worker will likely take, in s."""
+        return max(
+            (
+                self.remaining_s(group, now)
+                for group in worker.groups
+                if not group.step.long_running
+            ),
+            default=0.0,
+        )
+
+    def run_s(self, group: Group) -> float:
+        """Returns how long a run of a group will likely take, in s."""
+        return self.times.estimate_s(
+            group.step.estimate_s, group.job.queue.name
+        )
+
+    def slack_s(self, entry: JobEntry, wall: float) -> float:
+        """Returns how much later a job could start and be on time, in s."""
+        ends_by = entry.job.accepted_at + objective_s(entry, self.times)
+        return ends_by - wall - chain_s(entry, self.times, done=True)
+
+    def harm(self, group: Group, now: float, wall: float) -> float:
+        """Returns what stopping a group costs, in core-seconds.
+
+        It is the work that is lost, and more where its job could not be on
+        time any more.
+        """
+        lost = lost_work(group, now)
+        entry = group.job
+        if entry.job.scheduled:
+            return lost
+        ends_by = entry.job.accepted_at + objective_s(entry, self.times)
+        if wall + self.remaining_s(group, now) > ends_by:
+            return lost * LATE_HARM
+        in_time = self.slack_s(entry, wall) >= AGAIN_AFTER_S
+        return lost if in_time else lost * MISSED_HARM
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -12,8 +12,9 @@
 
 from pomeloarch_core.batch.advice import AdviceBook
 from pomeloarch_core.batch.catalogue import Catalogue
-from pomeloarch_core.batch.dispatching import Dispatcher, DispatchTimes
+from pomeloarch_core.batch.dispatching import Dispatcher
 from pomeloarch_core.batch.doubts import Doubts
+from pomeloarch_core.batch.expectations import DispatchTimes, Expectations
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import (
     GroupState,
@@ -94,13 +95,15 @@
         self._runs = Runs(
             term, self._fleet, self._times, self._advice, self._out
         )
+        cfg = times or DispatchTimes()
+        self._expected = Expectations(self._times, cfg)
         self._dispatcher = Dispatcher(
             self._fleet,
             self._runs,
-            self._times,
+            self._expected,
             self._advice,
             self._out,
-            times or DispatchTimes(),
+            cfg,
         )
         self._jobs = Jobs(self._runs, self._advice, self._out, wall_offset)
         self._reports = Reports(self._jobs, self._runs, self._out)
@@ -173,7 +176,7 @@
         worker = self._fleet.get(worker_id)
         if worker is None:
             return 0.0
-        return self._dispatcher.busy_s(worker, now)
+        return self._expected.busy_s(worker, now)
 
     def wants(self, task: TaskId, run: int) -> bool:
         """Whether a start that has no answer yet is still wanted."""
@@ -274,7 +277,7 @@
             claimed = group.state is GroupState.CLAIMED
             started = group.state is GroupState.STARTED
             if claimed or (
-                started and self._dispatcher.ends_with(worker, group, now)
+                started and self._expected.ends_with(worker, group, now)
             ):
                 left_s = worker.info.remaining_s
                 reason = f"worker {worker.worker_id} leaves in {left_s} s"
