Work out the median speed of workers once a second

It was worked out for each member of each gang. No figures: a gang of 128 on 32,000 workers would have sorted 32,000 figures 128 times; the decisions are the same but for the age of the median.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -103,7 +103,7 @@
         if each.percent != member.percent or member.advanced_at is None:
             member.percent = each.percent
             member.advanced_at = now
-            self._runs.speeds.compare(group)
+            self._runs.speeds.compare(group, now)
         elif self._stands_still(
             group, each.task.index, worker, now - member.advanced_at, now
         ):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -271,7 +271,7 @@
             return
         if ran_s is not None:
             self._times.learn(group, ran_s)
-            self.speeds.learn(group, worker, ran_s)
+            self.speeds.learn(group, worker, ran_s, now)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/speeds.py
@@ -12,6 +12,7 @@
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group
 from pomeloarch_core.batch.messages import Decision, Note, StepId
+from pomeloarch_core.ids import WorkerId
 
 # Runs of a step that have to have ended before another is compared to them.
 FEWEST_RUNS = 3
@@ -35,6 +36,9 @@
 MOST_RATIO = 2.5
 # Weight of a step's newest run in its usual time is at least a tenth.
 LONGEST_MEAN = 10
+# How long the median worker's slowness is taken for known, in seconds: it
+# changes as slowly as the fleet.
+MEDIAN_KNOWN_S = 1.0
 # Steps whose usual times are kept; a few hundred run at a time.
 MOST_STEPS = 1000
 
@@ -53,8 +57,12 @@
         self._out = out
         # Ended runs of a step and their usual time on a usual worker, in s.
         self._usual: dict[StepId, tuple[int, float]] = {}
+        self._known_median = 1.0
+        self._median_until = 0.0
 
-    def learn(self, group: Group, worker: Worker, ran_s: float) -> None:
+    def learn(
+        self, group: Group, worker: Worker, ran_s: float, now: float
+    ) -> None:
         """Takes in how long a task ran, in seconds."""
         if len(group.indices) > 1 or ran_s <= 0:
             return
@@ -65,7 +73,7 @@
             ratio = min(ran_s / usual_s, MOST_RATIO)
             worker.slowness += LEARNING_RATE * (ratio - worker.slowness)
             worker.speed_samples += 1
-            self._mark(worker)
+            self._mark(worker, now)
         runs = min(runs + 1, LONGEST_MEAN)
         own_s = min(ran_s / worker.slowness, usual_s * MOST_RATIO)
         usual_s += (own_s - usual_s) / runs
@@ -73,22 +81,14 @@
         if len(self._usual) > MOST_STEPS:
             del self._usual[next(iter(self._usual))]
 
-    def compare(self, group: Group) -> None:
+    def compare(self, group: Group, now: float) -> None:
         """Compares how far the members of a gang have got, once a run."""
-        members = list(group.members.values())
-        if group.compared or group.resumed or len(members) < 2:
+        if group.compared or group.resumed or len(group.indices) < 2:
             return
-        began = max(each.started_at or 0.0 for each in members)
-        if not group.running or any(
-            each.percent < COMPARED_FROM or each.reported_at <= began
-            for each in members
-        ):
+        per_s = _progress_per_s(group)
+        if per_s is None:
             return
         group.compared = True
-        per_s = {
-            each.worker_id: each.percent / (each.reported_at - began)
-            for each in members
-        }
         if len(per_s) < 2:
             return
         fastest = max(per_s.values())
@@ -108,13 +108,12 @@
             worker.slowness += GANG_RATE * (ratio - worker.slowness)
             worker.speed_samples += FEWEST_SAMPLES
         for worker in workers:
-            self._mark(worker)
+            self._mark(worker, now)
 
-    def _mark(self, worker: Worker) -> None:
+    def _mark(self, worker: Worker, now: float) -> None:
         if worker.speed_samples < FEWEST_SAMPLES:
             return
-        median = statistics.median(each.slowness for each in self._fleet)
-        ratio = worker.slowness / median
+        ratio = worker.slowness / self._median(now)
         slow = ratio > (SLOW_TO if worker.slow else SLOW_FROM)
         if slow == worker.slow:
             return
@@ -129,3 +128,29 @@
                 },
             )
         )
+
+    def _median(self, now: float) -> float:
+        """Returns the slowness of the median worker."""
+        if now >= self._median_until:
+            self._median_until = now + MEDIAN_KNOWN_S
+            self._known_median = statistics.median(
+                each.slowness for each in self._fleet
+            )
+        return self._known_median
+
+
+def _progress_per_s(group: Group) -> dict[WorkerId, float] | None:
+    """Returns how fast a gang's tasks get on, in percent a second, by worker.
+
+    None before all of them have got far enough to be compared.
+    """
+    members = group.members.values()
+    if not group.running or any(m.percent < COMPARED_FROM for m in members):
+        return None
+    began = max(each.started_at or 0.0 for each in members)
+    if any(each.reported_at <= began for each in members):
+        return None
+    return {
+        each.worker_id: each.percent / (each.reported_at - began)
+        for each in members
+    }
