Open what is spared to all that waits while much is idle

Single tasks that need a label, or their data's rack, could be kept from idle workers in the same way.

Change: what has waited for a second may use spared workers, a gang in any case, others while less than half of the service's workers is in use.

test_tasks_that_need_a_label_do_not_wait_beside_idle_workers fails before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -42,15 +42,14 @@
     starves,
 )
 from pomeloarch_core.batch.runs import Runs
-from pomeloarch_core.batch.sparing import Sparing
+from pomeloarch_core.batch.sparing import IDLE_SHARE, Sparing
 
 # Groups that workers are kept for at a time: each leaves some of them idle.
 MOST_KEPT = 4
 # Points in time, in seconds from now, at which a group's room is looked for.
 PLAN_TIMES_S = (0.3, 0.6, 1.0, 1.5, 2.0, 3.0, 4.5, 6.0, 9.0, 14.0)
-# Below this share in use, a task runs far from its data rather than wait.
-# Above it, what it would take there longer is taken from others.
-IDLE_SHARE = 0.5
+# While much is idle, a task that has waited this long, in seconds, runs far
+# from its data. Otherwise, what it takes longer there is taken from others.
 FAR_WHEN_IDLE_S = 0.5
 # A group that found no room looks for others to give way, or for workers to
 # keep, again after this time, in seconds: several times within the shortest
@@ -210,7 +209,8 @@
             for each in candidates
             if current.kept_until.get(each, ends_at) >= ends_at
         ]
-        open_to_it = self._sparing.open_to(group, open_to_it, now)
+        in_use = self._in_use(group, current)
+        open_to_it = self._sparing.open_to(group, open_to_it, in_use, now)
         far = self._allow_far(group, current, now)
         places = None
         if group.job.queue.priority == 0:
@@ -234,11 +234,15 @@
             return True
         if not self._near_is_possible(group, now):
             return True
+        idle = self._in_use(group, current) < IDLE_SHARE
+        return idle and now - group.ready_at > FAR_WHEN_IDLE_S
+
+    def _in_use(self, group: Group, current: PlacingRound) -> float:
+        """Returns the share of the group's service that is in use."""
         service = group.job.queue.service
         if service not in current.in_use:
             current.in_use[service] = self._fleet.share_in_use(service)
-        in_use = current.in_use[service]
-        return in_use < IDLE_SHARE and now - group.ready_at > FAR_WHEN_IDLE_S
+        return current.in_use[service]
 
     def _near_is_possible(self, group: Group, now: float) -> bool:
         """Whether the group would fit near its data if nothing else ran."""
@@ -298,7 +302,8 @@
         group.look_again_at = now + LOOK_AGAIN_S
         group.kept = ()
         candidates = self._candidates(group, current, now)
-        open_to_it = self._sparing.open_to(group, candidates, now)
+        in_use = self._in_use(group, current)
+        open_to_it = self._sparing.open_to(group, candidates, in_use, now)
         plan = self._plan(group, open_to_it, current, now)
         waits_for = WaitsFor.ANY_ROOM if plan is None else WaitsFor.ROOM
         if urgent:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
@@ -13,12 +13,14 @@
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group
 from pomeloarch_core.batch.placing import by_rack, find_places, whole_room
-from pomeloarch_core.batch.ready import starves
+from pomeloarch_core.batch.ready import STARVES_AFTER_S
 from pomeloarch_core.ids import ServiceName
 
 # Time over which the use by urgent work is averaged, in seconds: some of
 # its tasks' lengths.
 AVERAGE_S = 10.0
+# Below this share in use there is more idle than is ever spared.
+IDLE_SHARE = 0.5
 # Most of a rack that is left to urgent work.
 MOST_SPARED = 0.4
 
@@ -50,15 +52,25 @@
             self._share[service] = mean + weight * (share - mean)
 
     def open_to(
-        self, group: Group, workers: list[Worker], now: float
+        self, group: Group, workers: list[Worker], in_use: float, now: float
     ) -> list[Worker]:
         """Returns the workers that a group may use now.
 
         A gang that starves may use all: it needs several whole workers, and
-        seldom finds them among those that small tasks share. Urgent work that
-        needs them has it give way.
+        seldom finds them among those that small tasks share. So may others
+        that wait while much is idle. Urgent work that needs the workers has
+        them give way.
+
+        Args:
+          group: what is to be placed.
+          workers: the workers that it could use otherwise.
+          in_use: the share of the service's workers that is in use.
+          now: the present time, in seconds.
         """
-        if group.job.queue.priority == 0 or starves(group, now):
+        waits = now - group.ready_at > STARVES_AFTER_S
+        if waits and (group.step.gang or in_use < IDLE_SHARE):
+            return workers
+        if group.job.queue.priority == 0:
             return workers
         share = min(MOST_SPARED, self._share.get(group.job.queue.service, 0))
         left: list[Worker] = []
