Let urgent work weigh one and a half times its own

No kind is to pay for another.

Change: the weight is 1.5, and a victim is taken to wait for room as long as it runs, not for 3 s.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -61,10 +61,9 @@
 NEAR_KNOWN_S = 0.5
 # Time between an order and its effect, in seconds, beside stopping others.
 ORDER_SLACK_S = 0.3
-# An urgent job that misses its objective loses most of its worth, while work
-# that gives way is only done again: what the first is worth, in multiples of
-# the work that it does.
-URGENT_WEIGHT = 3.0
+# What an urgent group is worth, in multiples of the work that it does. It loses
+# most of its worth when it is late, while work that gives way is done again.
+URGENT_WEIGHT = 1.5
 
 
 class Dispatcher:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
@@ -14,9 +14,6 @@
 MISSED_HARM = 3.0
 # That of a job which misses it anyway still has to be done again.
 LATE_HARM = 0.6
-# How long a group that gave way waits for room, in seconds: about the time of
-# a task of other work.
-AGAIN_AFTER_S = 3.0
 
 
 class DispatchTimes(msgspec.Struct, frozen=True):
@@ -105,5 +102,6 @@
         ends_by = entry.job.accepted_at + objective_s(entry, self.times)
         if wall + self.remaining_s(group, now) > ends_by:
             return lost * LATE_HARM
-        in_time = self.slack_s(entry, wall) >= AGAIN_AFTER_S
+        # Room is free again about when runs like this one end.
+        in_time = self.slack_s(entry, wall) >= self.run_s(group)
         return lost if in_time else lost * MISSED_HARM
