Ask the store for a row when a feed is silent, before it counts as out of reach

What was seen: while the store forgets its history its watches hear nothing for a second.

Change: a feed that has been silent for 0.8 s has the store asked for a row; either answer counts. What is out of reach is still known 1.4 s after the last answer.

Ruled out: a longer bound, which holds calls at nodes that are cut off.

test_store_is_out_of_reach_only_when_it_answers_nothing has the three cases; the stalled watch fails with the feed's age alone.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -36,6 +36,7 @@
     WorkerLinks,
 )
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
+from pomeloarch_node.batch.store_contact import StoreContact
 from pomeloarch_node.batch.upkeep_task import WaveSource
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.node_server import NodeServer
@@ -47,10 +48,6 @@
 FEED_WAIT_S = 0.5
 CONFIGURATION_PACE_S = 0.05
 JOBS_PACE_S = 0.25
-# The store is in reach while a feed was confirmed this recently, in seconds.
-# One that is sixty times slower than usual takes 0.25 s for an answer, and
-# two of them and the wait pass between confirmations.
-IN_REACH_WITHIN_S = 1.4
 # How much earlier than the bound keys are no longer trusted, in seconds: a
 # request may have been under way before it is read.
 KEYS_MARGIN_S = 0.6
@@ -175,6 +172,12 @@
             CONFIGURATION_PACE_S,
         )
         self._configuration.subscribe(self._on_configuration)
+        self._contact = StoreContact(
+            store,
+            self._configuration,
+            (sources.configuration_table, sources.configuration_key),
+            self.clock,
+        )
         self._jobs = TableMirror(
             store, JOBS_TABLE, self.clock, self.log, FEED_WAIT_S, JOBS_PACE_S
         )
@@ -183,7 +186,7 @@
             self._jobs,
             self.clock,
             self.log,
-            lambda: self.store_in_reach(self.clock()),
+            lambda: self._contact.in_reach(self.clock()),
         )
         self._role = LeasedRole(
             ROLE_NAME,
@@ -233,13 +236,9 @@
             not self.stopping
             and self.catalogue is not None
             and self._jobs.loaded.is_set()
-            and self.store_in_reach(now)
+            and self._contact.in_reach(now)
         )
 
-    def store_in_reach(self, now: float) -> bool:
-        """Whether the store has answered this node of late."""
-        return self._configuration.age(now) < IN_REACH_WITHIN_S
-
     def _waves(self) -> tuple[Wave, ...]:
         return self._sources.read_waves(self._configuration.rows)
 
@@ -286,6 +285,7 @@
         )
         running = [
             self._configuration.run(),
+            self._contact.run(),
             self._jobs.run(),
             self._leader.run(),
             readiness.serve(),
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -19,6 +19,7 @@
     shard_of,
 )
 from pomeloarch_node.batch.retention import MARGIN_S, expired
+from pomeloarch_node.batch.store_contact import StoreContact
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Write
 from pomeloarch_standins.batch_world import (
@@ -180,6 +181,45 @@
     assert found == (Outcome.NOT_DONE, 0.0)
 
 
+@pytest.mark.parametrize(
+    ("case", "feed_stalls", "reads_answered", "in_reach"),
+    [
+        ("all is well", False, True, True),
+        ("a watch hears nothing", True, True, True),
+        ("the store turns this node away", True, False, False),
+    ],
+)
+def test_store_is_out_of_reach_only_when_it_answers_nothing(
+    case, feed_stalls, reads_answered, in_reach
+):
+    """The store forgets its history: watches hear nothing for a while.
+
+    Nodes refused calls then, though the store would have served them.
+    """
+
+    async def scenario(world, link, _):
+        log = DecisionLog("n", Metrics(), world.log_fd)
+        feed = TableMirror(link, JOBS_TABLE, world.clock, log, 0.5, 0.05)
+        contact = StoreContact(link, feed, (JOBS_TABLE, "any"), world.clock)
+        tasks = [asyncio.create_task(each.run()) for each in (feed, contact)]
+        await asyncio.sleep(2.0)
+        assert contact.in_reach(world.clock())
+        if feed_stalls:
+            tasks[0].cancel()
+        link.reachable = reads_answered
+        seen = []
+        for _ in range(20):
+            await asyncio.sleep(0.1)
+            seen.append(contact.in_reach(world.clock()))
+        tasks[1].cancel()
+        return seen
+
+    seen = with_intake(scenario)
+    assert seen[-1] == in_reach
+    assert all(seen) == in_reach
+    assert all(seen[:7])
+
+
 def test_write_is_given_up_as_soon_as_the_store_is_out_of_reach():
     """A node that is cut from the store while a caller waits.
 
