--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -800,6 +800,25 @@
     assert not row.add_places([WorkerId("yet another")])
 
 
+def successor_of_two_workers(queue, unplaced, placed_on):
+    """Returns a fleet whose new scheduler has heard of one of two workers."""
+    fleet = Fleet(racks=1, per_rack=2, term=2)
+    first, unseen = (each.worker_id for each in fleet.workers)
+    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
+    job = BatchJob(
+        JobId("1" * 16), queue.name, OWNER, queue, "work", (step(1, WHOLE),)
+    )
+    row = JobRow.from_job(job)
+    row.unplaced = unplaced
+    row.placed_on = [WorkerId(each) for each in placed_on]
+    fleet.emit(JobAccepted(job, row, older=True))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
+    fleet.report(first)
+    fleet.emit(WorkerSilent(unseen, fleet.now + 6.0))
+    return fleet
+
+
 @pytest.mark.parametrize(
     ("case", "placed_on", "starts_at_once"),
     [
@@ -816,20 +835,7 @@
 
     Urgent jobs that waited for room had to wait for those leases as well.
     """
-    fleet = Fleet(racks=1, per_rack=2, term=2)
-    first, unseen = (each.worker_id for each in fleet.workers)
-    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
-    job = BatchJob(
-        JobId("1" * 16), queue.name, OWNER, queue, "work", (step(1, WHOLE),)
-    )
-    row = JobRow.from_job(job)
-    row.unplaced = False
-    row.placed_on = [WorkerId(each) for each in placed_on]
-    fleet.emit(JobAccepted(job, row, older=True))
-    fleet.emit(WorkersListed(tuple(fleet.workers)))
-    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
-    fleet.report(first)
-    fleet.emit(WorkerSilent(unseen, fleet.now + 6.0))
+    fleet = successor_of_two_workers(queue, False, placed_on)
     assert bool(fleet.starts) == starts_at_once
     fleet.wait(6.2)
     assert len(fleet.starts) == 1
@@ -843,19 +849,7 @@
     placed, starts_at_once, queue
 ):
     """A change of leader with workers out of reach and a queue that waits."""
-    fleet = Fleet(racks=1, per_rack=2, term=2)
-    first, unseen = (each.worker_id for each in fleet.workers)
-    fleet.scheduler = BatchScheduler(Epoch(3), CATALOGUE, 0.0)
-    job = BatchJob(
-        JobId("1" * 16), queue.name, OWNER, queue, "work", (step(1, WHOLE),)
-    )
-    row = JobRow.from_job(job)
-    row.unplaced = not placed
-    fleet.emit(JobAccepted(job, row, older=True))
-    fleet.emit(WorkersListed(tuple(fleet.workers)))
-    fleet.emit(WorkersEnrolled(frozenset(fleet.ends)))
-    fleet.report(first)
-    fleet.emit(WorkerSilent(unseen, fleet.now + 6.0))
+    fleet = successor_of_two_workers(queue, not placed, ())
     assert bool(fleet.starts) == starts_at_once
 
 
