Say once how long a run takes, who waits long, and where a job came from

Read over as a newcomer; decisions are the same. The estimate of a group's run stood in two places (RunTimes.run_s now), the end of a job's time in two, the test for a starving gang in two, and a job entry had two flags of which one follows from the other. A reason in the log and a comment named a former rule and a former poll time.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -31,10 +31,7 @@
     whole_room,
 )
 from pomeloarch_core.batch.placing_round import PlacingRound
-from pomeloarch_core.batch.preempting import (
-    find_eviction,
-    own_work,
-)
+from pomeloarch_core.batch.preempting import find_eviction, own_work
 from pomeloarch_core.batch.ready import (
     guaranteed_jobs,
     placing_key,
@@ -202,14 +199,13 @@
         current: PlacingRound,
         now: float,
     ) -> bool:
-        ends_at = now + self._expected.run_s(group)
+        ends_at = now + self._expected.times.run_s(group)
         open_to_it = [
             each
             for each in candidates
             if current.kept_until.get(each, ends_at) >= ends_at
         ]
-        in_use = self._in_use(group, current)
-        open_to_it = self._sparing.open_to(group, open_to_it, in_use, now)
+        open_to_it = self._open_to(group, open_to_it, current, now)
         far = self._allow_far(group, current, now)
         places = None
         if group.job.queue.priority == 0:
@@ -236,6 +232,17 @@
         idle = self._in_use(group, current) < IDLE_SHARE
         return idle and now - group.ready_at > FAR_WHEN_IDLE_S
 
+    def _open_to(
+        self,
+        group: Group,
+        workers: list[Worker],
+        current: PlacingRound,
+        now: float,
+    ) -> list[Worker]:
+        """Returns those workers that are not spared for more urgent groups."""
+        in_use = self._in_use(group, current)
+        return self._sparing.open_to(group, workers, in_use, now)
+
     def _in_use(self, group: Group, current: PlacingRound) -> float:
         """Returns the share of the group's service that is in use."""
         service = group.job.queue.service
@@ -301,8 +308,7 @@
         group.look_again_at = now + LOOK_AGAIN_S
         group.kept = ()
         candidates = self._candidates(group, current, now)
-        in_use = self._in_use(group, current)
-        open_to_it = self._sparing.open_to(group, candidates, in_use, now)
+        open_to_it = self._open_to(group, candidates, current, now)
         plan = self._plan(group, open_to_it, current, now)
         waits_for = WaitsFor.ANY_ROOM if plan is None else WaitsFor.ROOM
         if urgent:
@@ -416,7 +422,8 @@
         priority = group.job.queue.priority
         waited_s = now - group.ready_at
         last_chance = waited_s > self._cfg.reclaim_s - self._effect_s() - 0.2
-        worth = URGENT_WEIGHT * own_work(group, self._expected.run_s(group))
+        run_s = self._expected.times.run_s(group)
+        worth = URGENT_WEIGHT * own_work(group, run_s)
         eviction, refusal = None, WaitsFor.VICTIMS
         for workers in (not_slow(candidates), candidates):
             found = find_eviction(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
@@ -56,7 +56,7 @@
         percent = group.percent
         if percent >= 5 and not group.resumed:
             return ran_s * (100 - percent) / percent
-        return max(0.2, self.run_s(group) - ran_s)
+        return max(0.2, self.times.run_s(group) - ran_s)
 
     def ends_with(self, worker: Worker, group: Group, now: float) -> bool:
         """Whether a run would end when its worker leaves."""
@@ -78,16 +78,10 @@
             default=0.0,
         )
 
-    def run_s(self, group: Group) -> float:
-        """Returns how long a run of a group will likely take, in s."""
-        return self.times.estimate_s(
-            group.step.estimate_s, group.job.queue.name
-        )
-
     def slack_s(self, entry: JobEntry, wall: float) -> float:
         """Returns how much later a job could start and be on time, in s."""
-        ends_by = entry.job.accepted_at + objective_s(entry, self.times)
-        return ends_by - wall - chain_s(entry, self.times, done=True)
+        chain = chain_s(entry, self.times, done=True)
+        return self._ends_by(entry) - wall - chain
 
     def harm(self, group: Group, now: float, wall: float) -> float:
         """Returns what stopping a group costs, in core-seconds.
@@ -99,9 +93,12 @@
         entry = group.job
         if entry.job.scheduled:
             return lost
-        ends_by = entry.job.accepted_at + objective_s(entry, self.times)
-        if wall + self.remaining_s(group, now) > ends_by:
+        if wall + self.remaining_s(group, now) > self._ends_by(entry):
             return lost * LATE_HARM
         # Room is free again about when runs like this one end.
-        in_time = self.slack_s(entry, wall) >= self.run_s(group)
+        in_time = self.slack_s(entry, wall) >= self.times.run_s(group)
         return lost if in_time else lost * MISSED_HARM
+
+    def _ends_by(self, entry: JobEntry) -> float:
+        """Returns when a job is late, in wall clock seconds."""
+        return entry.job.accepted_at + objective_s(entry, self.times)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -35,7 +35,7 @@
 
     ROOM: enough workers will be free in time by themselves.
     VICTIMS: only groups could give way that are not to.
-    COST: what would give way loses more work than the group will do.
+    COST: it would do more harm to what gives way than the group is worth.
     ANY_ROOM: no room is in sight.
     """
 
@@ -182,9 +182,8 @@
         job: BatchJob,
         row: JobRow,
         queue: Queue,
-        older: bool,
-        accepted_at: float = 0.0,
-        taken_over: bool = False,
+        taken_over: bool,
+        accepted_at: float,
     ) -> None:
         """Makes the job's groups; what its row says to be done is over."""
         self.job = job
@@ -192,7 +191,7 @@
         self.taken_over = taken_over
         self.row = row
         self.queue = queue
-        self.older = older
+        self.older = taken_over and not row.unplaced
         self.standing = 0
         self.change = 0
         self.written = 0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/objectives.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/objectives.py
@@ -53,6 +53,10 @@
             return mean_s or declared_s
         return math.sqrt(mean_s * declared_s)
 
+    def run_s(self, group: Group) -> float:
+        """Returns how long a run of a group will likely take, in seconds."""
+        return self.estimate_s(group.step.estimate_s, group.job.queue.name)
+
 
 def objective_s(entry: JobEntry, times: RunTimes) -> float:
     """Returns how long a job may take, in seconds."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
@@ -9,8 +9,9 @@
 from pomeloarch_core.batch.objectives import RunTimes, standing
 from pomeloarch_core.ids import JobId, OrganisationName
 
-# A gang that has waited this long, in seconds, has workers kept for it.
-STARVES_AFTER_S = 1.0
+# A group that has waited this long, in seconds, waits for more than others to
+# end soon: a gang has workers kept for it.
+LONG_WAIT_S = 1.0
 
 
 def ready_groups(
@@ -83,9 +84,14 @@
     return ready
 
 
+def waits_long(group: Group, now: float) -> bool:
+    """Whether a group has waited long for a place."""
+    return now - group.ready_at > LONG_WAIT_S
+
+
 def starves(group: Group, now: float) -> bool:
     """Whether a group would hardly find enough room that is free at once."""
-    return group.step.gang and now - group.ready_at > STARVES_AFTER_S
+    return group.step.gang and waits_long(group, now)
 
 
 def _ready_since(group: Group, now: float) -> float:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -150,10 +150,8 @@
         group.run = each.run
         if group.state is not GroupState.STARTED:
             group.state = GroupState.STARTED
-            estimate_s = self._times.estimate_s(
-                group.step.estimate_s, group.job.queue.name
-            )
-            group.started_at = now - estimate_s * each.percent / 100
+            ran_s = self._times.run_s(group) * each.percent / 100
+            group.started_at = now - ran_s
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
         member.started_at = now
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -201,9 +201,8 @@
         if known or event.row.status.final:
             return
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
-        older = event.older and not event.row.unplaced
         accepted_at = job.accepted_at - self._jobs.wall_offset
-        entry = JobEntry(job, event.row, queue, older, accepted_at, event.older)
+        entry = JobEntry(job, event.row, queue, event.older, accepted_at)
         self._jobs.add(entry)
         self._out.append(Note("job taken", self._taken_fields(entry, now)))
         self._dirty = True
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/sparing.py
@@ -13,7 +13,7 @@
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group
 from pomeloarch_core.batch.placing import by_rack, find_places, whole_room
-from pomeloarch_core.batch.ready import STARVES_AFTER_S
+from pomeloarch_core.batch.ready import starves, waits_long
 from pomeloarch_core.ids import ServiceName
 
 # Time over which the use by urgent work is averaged, in seconds: some of
@@ -67,8 +67,8 @@
           in_use: the share of the service's workers that is in use.
           now: the present time, in seconds.
         """
-        waits = now - group.ready_at > STARVES_AFTER_S
-        if waits and (group.step.gang or in_use < IDLE_SHARE):
+        idle = in_use < IDLE_SHARE
+        if starves(group, now) or (idle and waits_long(group, now)):
             return workers
         if group.job.queue.priority == 0:
             return workers
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -40,7 +40,9 @@
     job = BatchJob(
         JobId("0" * 16), QUEUE.name, OrganisationName("o"), QUEUE, "", steps
     )
-    return JobEntry(job, JobRow.from_job(job), QUEUE, older=False)
+    return JobEntry(
+        job, JobRow.from_job(job), QUEUE, taken_over=False, accepted_at=0.0
+    )
 
 
 def worker(number):
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -52,7 +52,6 @@
 # times slower than usual takes half of it.
 STATE_READ_S = 0.6
 
-
 _NOT_ASKED = PlatformError(
     PlatformFailure.NOT_DONE, "the store is out of reach"
 )
@@ -239,7 +238,7 @@
             return Ok(found)
         if not self._reachable():
             return Err(_NOT_ASKED)
-        answer = await self._read(job_id, STATE_READ_S)
+        answer = await self._read(job_id)
         if isinstance(answer, Ok) or found is None:
             return answer
         if self._jobs.age(self._clock()) <= STATE_AGE_S:
@@ -247,11 +246,11 @@
         return answer
 
     async def _read(
-        self, job_id: JobId, within_s: float
+        self, job_id: JobId
     ) -> Result[KnownJob | None, PlatformError]:
         keys = [(JOBS_TABLE, job_id), (JOBS_TABLE, cancel_key(job_id))]
         try:
-            async with asyncio.timeout(within_s):
+            async with asyncio.timeout(STATE_READ_S):
                 answer = await self._store.read(keys)
         except TimeoutError:
             return Err(_NOT_ASKED)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -60,7 +60,7 @@
     lease_s=1.7, drift_bound_s=0.2, renew_s=0.4, poll_s=0.3, retry_s=0.1
 )
 # The scheduler uses up to 0.7 of a core with 176 workers; hosts with less than
-# a core let others claim its role first: they poll every half a second.
+# a core let others claim its role first: they poll each 0.3 s.
 LEADING_CORES = 1.0
 SMALL_HOST_HANDICAP_S = 1.5
 # The balancer asks every second and takes two misses.
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/store_contact.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/store_contact.py
@@ -17,7 +17,9 @@
 # A feed that has said nothing for this long, in seconds, may have lost its
 # watch while the store serves other calls: it is asked for a row.
 ASK_AFTER_S = 0.8
+# The answer counts until it would be too late for the bound above.
 ASK_TIMEOUT_S = 0.6
+# How often the feed's age is looked at, in seconds.
 LOOK_EACH_S = 0.2
 
 
