Tell a cut from a silent store by asking the peers as well

Callers of a zone that is cut off were held and sent there again: its nodes took the store to be in reach for 1.4 s after its last answer, the time that the slowest store needs, and stayed in the balancer's rotation for that long plus two of its misses.

A store that is slow and a cut differ in that peers of other zones answer. When the store's answer is late, a connection to one peer of each other zone is tried beside it; if neither answers, the node is cut off: it refuses at once and is not ready. Detected 0.3 s after a call that is late, or within 1.0 s without calls (1.4 s before).

The stand-in's feeds now lose their answers in a cut, as real ones do. test_node_that_is_cut_off_knows_it_before_a_slow_store_would_be_given_up failed before with 1.4 s and more.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -197,16 +197,29 @@
             CONFIGURATION_PACE_S,
         )
         self._configuration.subscribe(self._on_configuration)
+        self._nodes = follow_nodes(store, self.clock, self.log)
+        self._transport = HttpTransport()
+        self._peers = Peers(
+            settings.node_id,
+            settings.availability_zone,
+            lambda: self._nodes.rows,
+            self._transport,
+            self.clock,
+            random.Random(),
+            self.log,
+            self._generation,
+        )
         self._contact = StoreContact(
             repeating,
             self._configuration,
             (sources.configuration_table, sources.configuration_key),
+            self._peers.any_in_reach,
             self.clock,
+            self.log,
         )
         self._jobs = TableMirror(
             store, JOBS_TABLE, self.clock, self.log, FEED_WAIT_S, JOBS_PACE_S
         )
-        self._nodes = follow_nodes(store, self.clock, self.log)
         self.intake = Intake(
             repeating,
             self._jobs,
@@ -306,9 +319,10 @@
             "node starts",
             availability_zone=self._settings.availability_zone,
         )
-        transport = HttpTransport()
         passing_on = PassingOn(
-            callers_app, self._peers(transport), self._most_body_bytes
+            callers_app,
+            self._peers,
+            self._most_body_bytes,
         )
         callers = self._server(self._settings.callers_address, passing_on)
         readiness = self._server(
@@ -342,7 +356,7 @@
         for part in parts:
             part.cancel()
         await asyncio.gather(*parts, return_exceptions=True)
-        await transport.close()
+        await self._transport.close()
         self.log.write("node stopped")
 
     async def _keep_running(
@@ -363,18 +377,6 @@
                 )
             await asyncio.sleep(PART_PAUSE_S)
 
-    def _peers(self, transport: HttpTransport) -> Peers:
-        return Peers(
-            self._settings.node_id,
-            self._settings.availability_zone,
-            lambda: self._nodes.rows,
-            transport,
-            self.clock,
-            random.Random(),
-            self.log,
-            self._generation,
-        )
-
     def _generation(self) -> int:
         return 0 if self.catalogue is None else self.catalogue.generation
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
@@ -155,6 +155,9 @@
           TimeoutError: the call was sent and has no answer.
         """
 
+    async def is_in_reach(self, address: str) -> bool:
+        """Whether a peer's host answers, be it by refusing a connection."""
+
 
 def _make_socket(addr_info: tuple[Any, ...]) -> socket.socket:
     """Returns a socket that takes unsent bytes back when it is closed.
@@ -226,6 +229,19 @@
         except (TimeoutError, aiohttp.ClientError) as exc:
             raise TimeoutError(repr(exc)) from exc
 
+    async def is_in_reach(self, address: str) -> bool:
+        """Whether a peer's host answers, be it by refusing a connection."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, ValueError):
+            return False
+        writer.close()
+        return True
+
     async def close(self) -> None:
         """Ends all connections."""
         if self._session is not None:
@@ -320,6 +336,22 @@
             self._left_out_until[peer.address] = now + LEFT_OUT_S
         return None
 
+    async def any_in_reach(self) -> bool:
+        """Whether a peer of another zone can be reached.
+
+        Where there is none, nothing can be said: the answer is yes.
+        """
+        known = (_peer_row(value) for value in self._rows().values())
+        others: dict[ZoneName, list[PeerRow]] = {}
+        for row in known:
+            if row is not None and row.availability_zone != self._zone:
+                others.setdefault(row.availability_zone, []).append(row)
+        asked = [self._rng.choice(rows) for rows in others.values()]
+        found = await asyncio.gather(
+            *(self._transport.is_in_reach(each.address) for each in asked)
+        )
+        return any(found) or not found
+
     def _note(self, call: Call, peer: PeerRow, outcome: str) -> None:
         self._log.write(
             "call passed on",
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -12,6 +12,7 @@
 from pomeloarch_node.batch.decision_log import BURST_LINES, DecisionLog
 from pomeloarch_node.batch.intake import WATCH_S, Intake, Outcome
 from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.passing_on import CONNECT_TIMEOUT_S
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
     cancel_key,
@@ -19,7 +20,7 @@
     shard_of,
 )
 from pomeloarch_node.batch.retention import MARGIN_S, expired
-from pomeloarch_node.batch.store_contact import StoreContact
+from pomeloarch_node.batch.store_contact import ASK_PEERS_AFTER_S, StoreContact
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Write
 from pomeloarch_standins.batch_world import (
@@ -111,6 +112,10 @@
 # ---- intake
 
 
+async def peers_answer():
+    return True
+
+
 def with_intake(scenario, reachable=lambda: True):
     async def run():
         world = BatchWorld(1, nodes=1)
@@ -200,7 +205,9 @@
     async def scenario(world, link, _):
         log = DecisionLog("n", Metrics(), world.log_fd)
         feed = TableMirror(link, JOBS_TABLE, world.clock, log, 0.5, 0.05)
-        contact = StoreContact(link, feed, (JOBS_TABLE, "any"), world.clock)
+        contact = StoreContact(
+            link, feed, (JOBS_TABLE, "any"), peers_answer, world.clock, log
+        )
         tasks = [asyncio.create_task(each.run()) for each in (feed, contact)]
         await asyncio.sleep(2.0)
         assert contact.in_reach(world.clock())
@@ -220,6 +227,66 @@
     assert all(seen[:7])
 
 
+@pytest.mark.parametrize(
+    ("case", "store_answers", "peers_answer", "refuses_within_s"),
+    [
+        ("all is well", True, True, None),
+        ("the store is silent, peers may reach it", False, True, 1.6),
+        ("the zone is cut off", False, False, 1.0),
+        ("peers are gone", True, False, None),
+    ],
+)
+@pytest.mark.parametrize("suspected", [False, True])
+def test_node_that_is_cut_off_knows_it_before_a_slow_store_would_be_given_up(
+    case, store_answers, peers_answer, refuses_within_s, suspected
+):
+    """Guards against a cut zone whose callers are held or sent there again.
+
+    A slow store is waited for for 1.4 s. Where neither it nor the nodes of
+    other zones answer, there is nothing to wait for.
+    """
+
+    async def scenario(world, link, _):
+        log = DecisionLog("n", Metrics(), world.log_fd)
+        feed = TableMirror(link, JOBS_TABLE, world.clock, log, 0.5, 0.05)
+        in_reach = [True]
+
+        async def peers_in_reach():
+            await asyncio.sleep(0.01 if in_reach[0] else CONNECT_TIMEOUT_S)
+            return in_reach[0]
+
+        contact = StoreContact(
+            link, feed, (JOBS_TABLE, "any"), peers_in_reach, world.clock, log
+        )
+        tasks = [asyncio.create_task(each.run()) for each in (feed, contact)]
+        await asyncio.sleep(2.0)
+        link.reachable = store_answers
+        in_reach[0] = peers_answer
+        began, refused_at = world.clock(), None
+        if suspected:
+            contact.suspect()
+        while refused_at is None and world.clock() < began + 3.0:
+            if not contact.in_reach(world.clock()):
+                refused_at = world.clock() - began
+            await asyncio.sleep(0.02)
+        link.reachable = True
+        await asyncio.sleep(1.5)
+        back = contact.in_reach(world.clock())
+        for task in tasks:
+            task.cancel()
+        return refused_at, back
+
+    refused_at, back = with_intake(scenario)
+    assert back
+    if refuses_within_s is None:
+        assert refused_at is None
+    else:
+        assert refused_at is not None
+        assert refused_at <= refuses_within_s
+        if suspected and not peers_answer:
+            assert refused_at <= 2 * ASK_PEERS_AFTER_S + CONNECT_TIMEOUT_S
+
+
 def test_write_is_given_up_as_soon_as_the_store_is_out_of_reach():
     """A node that is cut from the store while a caller waits.
 
--- a/packages/pomeloarch-node/tests/test_passing_on.py
+++ b/packages/pomeloarch-node/tests/test_passing_on.py
@@ -52,6 +52,9 @@
             raise answer
         return answer
 
+    async def is_in_reach(self, address):
+        return self.answers.get(address[0], GONE) is not GONE
+
 
 def peers_with(answers, rows=ROWS, clock=lambda: 0.0, generation=lambda: 7):
     log = DecisionLog(HERE, Metrics(), os.open(os.devnull, os.O_WRONLY))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -227,6 +227,10 @@
         if failure is not None:
             return Err(failure)
         rows = await self._tables.wait_since(table, after, until)
+        if not self.reachable:
+            # A cut takes answers under way with it.
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(_LOST)
         if rows is None:
             return Err(HistoryGone())
         return Ok(TableChanges(rows, self._tables.version))
