Ask a peer beside a late answer of the node's own

Callers whose node has just lost the store were held for up to 1.5 s (silent store) or 0.8 s (broken connections) before the node knew it, and only then answered through a peer, 20 ms later. Where a zone's nodes lose the store together, that is all of its callers.

A node now waits for its own answer no longer than such answers usually take (RFC 6298, by method) and then asks a peer beside it. The first that has carried the call out is the answer; a job's id makes both one. A refusal is told only when neither may have carried it out, as before: what is in doubt here is not refused because a peer refuses it.

The body is read before the application is called, so that it can be sent to a peer while the application is at work.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -323,6 +323,8 @@
             callers_app,
             self._peers,
             self._most_body_bytes,
+            self.clock,
+            self._contact.suspect,
         )
         callers = self._server(self._settings.callers_address, passing_on)
         readiness = self._server(
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import socket
 import struct
@@ -19,6 +20,7 @@
 import msgspec
 from result import Ok
 
+from pomeloarch_core.answer_times import AnswerTimes
 from pomeloarch_core.ids import NodeId, ZoneName
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
@@ -325,17 +327,19 @@
             except TimeoutError as exc:
                 self._note(call, peer, f"no answer: {exc}")
                 return IN_DOUBT
-            now = self._clock()
             if answer is None:
-                self._left_out_until[peer.address] = now + LEFT_OUT_S
+                self._leave_out(peer)
                 continue
             self._note(call, peer, str(answer.status))
             if answer.status != _NOT_DONE:
                 self._newest = max(self._newest, answer.generation)
                 return answer
-            self._left_out_until[peer.address] = now + LEFT_OUT_S
+            self._leave_out(peer)
         return None
 
+    def _leave_out(self, peer: PeerRow) -> None:
+        self._left_out_until[peer.address] = self._clock() + LEFT_OUT_S
+
     async def any_in_reach(self) -> bool:
         """Whether a peer of another zone can be reached.
 
@@ -370,21 +374,36 @@
 
 
 class PassingOn:
-    """An ASGI application that has peers answer what it can't.
+    """An ASGI application that has peers answer what it can't, or not yet.
+
+    A node learns only after a while that it does not reach the store. Until
+    then its own answer is waited for no longer than it usually takes: a peer is
+    asked beside it, and the first that carries the call out is the answer. A
+    job's id makes both of them one call.
 
     Args:
       app: answers callers.
       peers: the other nodes.
       most_bytes: returns the largest body that is passed on.
+      clock: monotonic time, in seconds.
+      on_late: called when an answer of this node is late.
     """
 
     def __init__(
-        self, app: Any, peers: Peers, most_bytes: Callable[[], int]
+        self,
+        app: Any,
+        peers: Peers,
+        most_bytes: Callable[[], int],
+        clock: Callable[[], float],
+        on_late: Callable[[], None] = lambda: None,
     ) -> None:
         """Keeps the application."""
         self._app = app
         self._peers = peers
         self._most_bytes = most_bytes
+        self._clock = clock
+        self._on_late = on_late
+        self._times: dict[str, AnswerTimes] = {}
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answers one request."""
@@ -392,23 +411,97 @@
             await self._app(scope, receive, send)
             return
         kept = _Kept(receive, self._most_bytes())
+        await kept.read()
+        own = asyncio.create_task(self._answer_here(scope, kept))
+        asked: asyncio.Task[PeerAnswer | None] | None = None
+        try:
+            patience_s = self._times_of(scope["method"]).patience_s()
+            await asyncio.wait({own}, timeout=patience_s)
+            if not own.done() and kept.whole:
+                self._on_late()
+                asked = self._ask_peers(scope, kept)
+                await asyncio.wait(
+                    {own, asked}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not own.done() and not _carried_out(asked.result()):
+                    await asyncio.wait({own})
+            held = await self._first_of(own, asked, scope, kept)
+        finally:
+            for task in (own, asked):
+                if task is not None:
+                    task.cancel()
+        for message in held:
+            await send(message)
+
+    async def _answer_here(self, scope: Any, kept: _Kept) -> list[Any]:
+        """Returns the messages of this node's own answer."""
+        if self._peers.behind():
+            return _messages(_BEHIND)
         held: list[Any] = []
 
         async def hold(message: Any) -> None:
             held.append(message)
 
-        if self._peers.behind():
-            held = _messages(_BEHIND)
-        else:
-            await self._app(scope, kept.receive, hold)
-        status = held[0]["status"] if held else 0
-        unanswered = status in (_NOT_DONE, _UNKNOWN)
-        if unanswered and await kept.read_rest():
-            answer = await self._peers.ask(_call(scope, kept.body))
-            if answer is not None and _replaces(status, answer.status):
-                held = _messages(answer)
-        for message in held:
-            await send(message)
+        began = self._clock()
+        await self._app(scope, kept.receive, hold)
+        if _carried_out(_status(held)):
+            self._times_of(scope["method"]).observe(self._clock() - began)
+        return held
+
+    def _times_of(self, method: str) -> AnswerTimes:
+        # Methods differ in what they ask of the store.
+        return self._times.setdefault(method, AnswerTimes())
+
+    def _ask_peers(
+        self, scope: Any, kept: _Kept
+    ) -> asyncio.Task[PeerAnswer | None]:
+        return asyncio.create_task(self._peers.ask(_call(scope, kept.body)))
+
+    async def _first_of(
+        self,
+        own: asyncio.Task[list[Any]],
+        asked: asyncio.Task[PeerAnswer | None] | None,
+        scope: Any,
+        kept: _Kept,
+    ) -> list[Any]:
+        """Returns the messages of the answer that is the caller's."""
+        if asked is not None and not own.done():
+            answer = asked.result()
+            assert answer is not None
+            return _messages(answer)
+        held = await own
+        status = _status(held)
+        if status not in (_NOT_DONE, _UNKNOWN):
+            return held
+        if asked is None:
+            if not kept.whole:
+                return held
+            asked = self._ask_peers(scope, kept)
+        answer = await asked
+        if answer is not None and _replaces(status, answer.status):
+            return _messages(answer)
+        return held
+
+
+def _status(held: list[Any]) -> int:
+    """Returns the status of an answer's messages, 0 when there is none."""
+    return int(held[0]["status"]) if held else 0
+
+
+@functools.singledispatch
+def _carried_out(answer: object) -> bool:
+    """Whether an answer says that the call was carried out."""
+    return False
+
+
+@_carried_out.register
+def _(answer: int) -> bool:
+    return 200 <= answer < 300
+
+
+@_carried_out.register
+def _(answer: PeerAnswer) -> bool:
+    return _carried_out(answer.status)
 
 
 def _replaces(own: int, peers: int) -> bool:
@@ -417,8 +510,7 @@
     What may have been carried out from here is not refused because a peer
     refuses it.
     """
-    done = 200 <= peers < 300
-    return done or own == _NOT_DONE
+    return _carried_out(peers) or own == _NOT_DONE
 
 
 class PeersApp:
@@ -460,7 +552,7 @@
 
 
 class _Kept:
-    """A request's body, kept as it is read.
+    """A request's body, read before the application asks for it.
 
     Attributes:
       body: what was read.
@@ -470,25 +562,34 @@
         self._receive = receive
         self._most_bytes = most_bytes
         self._more = True
+        self._given = False
         self.body = b""
 
-    async def receive(self) -> Any:
-        """Returns the next message."""
-        message = await self._receive()
-        if message["type"] == "http.request":
-            if len(self.body) <= self._most_bytes:
-                self.body += message.get("body", b"")
-            self._more = message.get("more_body", False)
-        return message
-
-    async def read_rest(self) -> bool:
-        """Reads what is left; returns whether the body is there as a whole."""
+    async def read(self) -> None:
+        """Reads the body, a longer one only as far as it may be passed on."""
         while self._more and len(self.body) <= self._most_bytes:
-            message = await self.receive()
+            message = await self._receive()
             if message["type"] != "http.request":
-                return False
+                return
+            self.body += message.get("body", b"")
+            self._more = message.get("more_body", False)
+
+    @property
+    def whole(self) -> bool:
+        """Whether the body is there as a whole and may be passed on."""
         return not self._more and len(self.body) <= self._most_bytes
 
+    async def receive(self) -> Any:
+        """Returns what was read as one message, then what comes after it."""
+        if self._given:
+            return await self._receive()
+        self._given = True
+        return {
+            "type": "http.request",
+            "body": self.body,
+            "more_body": self._more,
+        }
+
 
 def _call(scope: Any, body: bytes) -> Call:
     path = scope["raw_path"].decode("latin-1")
--- a/packages/pomeloarch-node/tests/test_passing_on.py
+++ b/packages/pomeloarch-node/tests/test_passing_on.py
@@ -5,9 +5,14 @@
 import random
 
 import pytest
+from result import Ok
 
-from pomeloarch_core.ids import NodeId, ZoneName
+from pomeloarch_core.answer_times import FIRST_PATIENCE_S
+from pomeloarch_core.batch.model import BatchJob, Step
+from pomeloarch_core.ids import JobId, NodeId, ZoneName
 from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.intake import Intake, Outcome
+from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.passing_on import (
     GENERATION,
     LEFT_OUT_S,
@@ -22,8 +27,13 @@
     PeersApp,
     register,
 )
+from pomeloarch_node.batch.records import JOBS_TABLE
+from pomeloarch_node.batch.repeating_store import RepeatingStore
+from pomeloarch_node.batch.store_contact import StoreContact
 from pomeloarch_node.metrics import Metrics
+from pomeloarch_node.platform import PlatformError, PlatformFailure
 from pomeloarch_standins.batch_store import FeedTables, StoreLink
+from pomeloarch_standins.batch_world import BATCH, CATALOGUE, ORGANISATION
 from pomeloarch_standins.virtual_time import run_virtual
 
 HERE = NodeId("a1")
@@ -35,6 +45,8 @@
 REFUSED = PeerAnswer(503, ((b"retry-after", b"1"),), b"")
 GONE = None
 LOST = TimeoutError("no answer in time")
+# How long an answer of the node itself is waited for before any was seen.
+PATIENCE_S = FIRST_PATIENCE_S
 
 
 class FakeTransport:
@@ -85,7 +97,9 @@
     return app
 
 
-async def call(app, peers, chunks=(b"one", b"two"), most_bytes=100):
+async def call(
+    app, peers, chunks=(b"one", b"two"), most_bytes=100, on_late=lambda: None
+):
     """Makes a call; returns the status, the headers and the body."""
     left = [
         {"type": "http.request", "body": each, "more_body": each != chunks[-1]}
@@ -105,7 +119,9 @@
         "raw_path": b"/q/5c0e7a21d94b36f8",
         "headers": [(b"host", b"x.example"), (b"cookie", b"c")],
     }
-    await PassingOn(app, peers, lambda: most_bytes)(scope, receive, send)
+    clock = asyncio.get_running_loop().time
+    passing_on = PassingOn(app, peers, lambda: most_bytes, clock, on_late)
+    await passing_on(scope, receive, send)
     return sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"]
 
 
@@ -162,6 +178,153 @@
         assert each.headers == ((b"host", b"x.example"),)
 
 
+def app_that_waits(status, held_s):
+    """Answers after a while, as an application whose store is silent."""
+    answers = app_that_answers(status)
+
+    async def app(scope, receive, send):
+        await asyncio.sleep(held_s)
+        await answers(scope, receive, send)
+
+    return app
+
+
+@pytest.mark.parametrize(
+    ("case", "own", "held_s", "answers", "status", "took_s"),
+    [
+        ("it is quick", 200, 0.03, {"b": TAKEN, "c": TAKEN}, 200, 0.03),
+        ("silent store", 504, 1.4, {"b": TAKEN, "c": TAKEN}, 200, PATIENCE_S),
+        ("slow store", 200, 0.6, {"b": REFUSED, "c": REFUSED}, 200, 0.6),
+        ("nobody is in reach", 504, 1.4, {}, 504, 1.4),
+        ("refused by all", 503, 1.4, {"b": REFUSED, "c": REFUSED}, 503, 1.4),
+        ("a peer may have done it", 503, 1.4, {"b": LOST, "c": LOST}, 504, 1.4),
+        (
+            "it may have been done here, and is refused there",
+            504,
+            1.4,
+            {"b": PeerAnswer(401, (), b""), "c": PeerAnswer(401, (), b"")},
+            504,
+            1.4,
+        ),
+    ],
+)
+def test_caller_is_not_held_until_a_node_knows_that_it_lost_the_store(
+    case, own, held_s, answers, status, took_s
+):
+    """Guards against calls held for 1.4 s at nodes that just lost the store.
+
+    Where a zone's nodes lose it together, all urgent jobs of its callers were
+    late by then.
+    """
+
+    async def scenario():
+        peers, _ = peers_with(answers)
+        suspected = []
+        found, _, _ = await call(
+            app_that_waits(own, held_s),
+            peers,
+            on_late=lambda: suspected.append(True),
+        )
+        took_s = asyncio.get_running_loop().time()
+        return found, took_s, bool(suspected)
+
+    found, waited_s, suspected = run_virtual(scenario())
+    assert found == status
+    assert waited_s == pytest.approx(took_s, abs=0.01)
+    assert suspected == (held_s > PATIENCE_S)
+
+
+class ResettingLink(StoreLink):
+    """A way to the store on which each call is broken off at once."""
+
+    resets = False
+
+    async def _arrive(self):
+        if self.resets:
+            await asyncio.sleep(0.001)
+            return PlatformError(PlatformFailure.UNKNOWN, "reset")
+        return await super()._arrive()
+
+
+JOB = JobId("5c0e7a21d94b36f8")
+CALLS = {
+    "submits": lambda intake, until: intake.accept(
+        BatchJob(
+            JOB, BATCH, ORGANISATION, CATALOGUE.queues[BATCH], "", (Step(1),)
+        ),
+        until,
+    ),
+    "cancels": lambda intake, until: intake.cancel(JOB, until),
+    "asks": lambda intake, until: intake.known(JOB),
+}
+LOSSES = {
+    "silent": {"reachable": False},
+    "refusing": {"refusing": True},
+    "resetting": {"resets": True},
+}
+# Half of what an urgent job of 2.5 s has beside its work.
+HALF_SLACK_S = 0.75
+STATUSES = {
+    Outcome.DONE: 200,
+    Outcome.NOT_DONE: 503,
+    Outcome.UNKNOWN: 504,
+    Outcome.NO_JOB: 410,
+}
+
+
+@pytest.mark.parametrize("loss", LOSSES.values(), ids=LOSSES.keys())
+@pytest.mark.parametrize("make_call", CALLS.values(), ids=CALLS.keys())
+def test_caller_is_answered_through_a_peer_within_half_the_slack_of_urgent_work(
+    make_call, loss
+):
+    """Guards against urgent jobs late for the first second without the store.
+
+    Peers were asked only once the node itself had an answer to give.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        link = ResettingLink(FeedTables(), random.Random(1))
+        log = DecisionLog("n", Metrics(), os.open(os.devnull, os.O_WRONLY))
+        store = RepeatingStore(link, loop.time)
+        feed = TableMirror(link, "op", loop.time, log, 0.5, 0.05)
+        peers, _ = peers_with({"b": TAKEN, "c": TAKEN}, clock=loop.time)
+        contact = StoreContact(
+            store, feed, ("op", "config"), peers.any_in_reach, loop.time, log
+        )
+        jobs = TableMirror(link, JOBS_TABLE, loop.time, log, 0.5, 0.25)
+        intake = Intake(
+            store,
+            jobs,
+            loop.time,
+            log,
+            lambda: contact.in_reach(loop.time()),
+        )
+
+        async def app(scope, receive, send):
+            found = await make_call(intake, loop.time() + 2.85)
+            status = STATUSES.get(found, 200 if isinstance(found, Ok) else 503)
+            await app_that_answers(status)(scope, receive, send)
+
+        tasks = [
+            asyncio.create_task(each.run()) for each in (feed, contact, jobs)
+        ]
+        await asyncio.sleep(5.0)
+        for name, value in loss.items():
+            setattr(link, name, value)
+        await asyncio.sleep(0.05)
+        began = loop.time()
+        status, _, _ = await call(app, peers, on_late=contact.suspect)
+        took_s = loop.time() - began
+        for each in tasks:
+            each.cancel()
+        return status, took_s
+
+    status, took_s = run_virtual(scenario())
+    assert status == 200
+    assert took_s < HALF_SLACK_S
+
+
 def test_node_that_passed_a_call_on_to_a_newer_configuration_stays_with_it():
     """Guards against a configuration that callers of one node see go back.
 
