Leave a peer out for a second that did not answer

A frozen peer was asked again and again: each call that was passed on to it took 1.2 s and ended in doubt. Only peers that refused a connection were left out. test_peer_that_did_not_answer_is_left_out_for_a_while failed before (asked in 11 of 20 calls).

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
@@ -43,7 +43,8 @@
 # How long a peer has for its answer, in seconds: a write that the store takes
 # its time for, with a part of the caller's patience left.
 ANSWER_TIMEOUT_S = 1.2
-# A peer that could not be connected to is left out for this long, in seconds.
+# A peer that could not be connected to, or did not answer, is left out for this
+# long, in seconds.
 LEFT_OUT_S = 1.0
 # Peers that are tried for one call. The one after a peer that can't be reached
 # is of another zone.
@@ -326,6 +327,7 @@
                 )
             except TimeoutError as exc:
                 self._note(call, peer, f"no answer: {exc}")
+                self._leave_out(peer)
                 return IN_DOUBT
             if answer is None:
                 self._leave_out(peer)
--- a/packages/pomeloarch-node/tests/test_passing_on.py
+++ b/packages/pomeloarch-node/tests/test_passing_on.py
@@ -325,6 +325,20 @@
     assert took_s < HALF_SLACK_S
 
 
+def test_peer_that_did_not_answer_is_left_out_for_a_while():
+    """Guards against one frozen peer that costs call after call 1.2 s."""
+    now = [0.0]
+    peers, transport = peers_with({"b": LOST, "c": TAKEN}, clock=lambda: now[0])
+    for _ in range(20):
+        run_virtual(call(app_that_answers(503), peers))
+    asked = [address for address, _ in transport.sent]
+    assert asked.count("b") <= sum(name[0] == "b" for name in ROWS)
+    now[0] += LEFT_OUT_S
+    for _ in range(20):
+        run_virtual(call(app_that_answers(503), peers))
+    assert [address for address, _ in transport.sent].count("b") > 2
+
+
 def test_node_that_passed_a_call_on_to_a_newer_configuration_stays_with_it():
     """Guards against a configuration that callers of one node see go back.
 
