Bound the copies of calls that a slow peer is sent

A part of the store takes one transaction after another, so that each copy delays the calls behind it, which are late for it and are sent again: a retry storm that lasts as long as the slowness.

A peer's copies have a budget now: four at once, a quarter more for each call that was answered without one, and one back for a copy that was answered where an earlier one was not. An answer that comes to an earlier copy shows that the peer is slow and not silent; the estimate starts again from it (RFC 4015). A slow read tells that writes will be slow as well.

--- a/packages/pomeloarch-core/src/pomeloarch_core/answer_times.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/answer_times.py
@@ -2,7 +2,9 @@
 
 The estimate is that of TCP's retransmission timer (RFC 6298): a smoothed mean
 and a smoothed deviation. It rises with one slow answer and falls with many
-quick ones, so that a peer that has become slow is not asked twice for long.
+quick ones, so that a peer that has become slow is not asked twice for long. A
+budget bounds the copies of calls that such a peer is sent meanwhile: each makes
+the others wait longer.
 """
 
 from __future__ import annotations
@@ -18,6 +20,14 @@
 # Least patience, in seconds: a round of placing on a small host may hold an
 # answer up for most of it.
 LEAST_PATIENCE_S = 0.1
+# Times that a call of one kind may take as long as one of another kind did: a
+# write waits for others before it, a read does not.
+OTHER_MULTIPLE = 4
+# A budget for copies, as for retries in "Site Reliability Engineering", chapter
+# 21: so many at once, and so many more for each call that needed none. One that
+# was needed costs nothing, so that a peer which loses answers is asked again.
+MOST_COPIES = 4.0
+COPIES_PER_CALL = 0.25
 # Most patience, in seconds; an answer that takes longer has its own time-out.
 MOST_PATIENCE_S = 1.0
 
@@ -29,6 +39,25 @@
         """Starts without any answer."""
         self._mean_s: float | None = None
         self._deviation_s = 0.0
+        self._least_s = 0.0
+        self._copies: float = MOST_COPIES
+
+    def try_copy(self) -> bool:
+        """Takes a copy of a late call out of the budget, if one is left."""
+        if self._copies < 1:
+            return False
+        self._copies -= 1
+        return True
+
+    def earn(self, repeated: bool) -> None:
+        """Adds to the budget for a call whose last copy was answered.
+
+        Args:
+          repeated: whether that was a copy of a call that had no answer; it
+            gives back what the copy took.
+        """
+        earned = 1.0 if repeated else COPIES_PER_CALL
+        self._copies = min(self._copies + earned, MOST_COPIES)
 
     def observe(self, took_s: float) -> None:
         """Takes in how long an answer took, in seconds."""
@@ -42,9 +71,34 @@
         )
         self._mean_s += MEAN_WEIGHT * error_s
 
+    def observe_needless_copy(self, took_s: float) -> None:
+        """Takes in the answer to a call that was sent again in vain.
+
+        The peer has become slow, and copies make it slower still: what was
+        learnt before says nothing of it any more (as in RFC 4015).
+
+        Args:
+          took_s: how long the answer took, in seconds.
+        """
+        if self._mean_s is None or took_s > self._mean_s:
+            self._mean_s = took_s
+            self._deviation_s = max(self._deviation_s, took_s / 2)
+        else:
+            self.observe(took_s)
+
+    def observe_other(self, took_s: float) -> None:
+        """Takes in how long the latest answer to another kind of call took.
+
+        Args:
+          took_s: that time, in seconds.
+        """
+        self._least_s = OTHER_MULTIPLE * took_s
+
     def patience_s(self) -> float:
         """Returns after which time an answer is late, in seconds."""
         if self._mean_s is None:
-            return FIRST_PATIENCE_S
-        patience_s = self._mean_s + DEVIATIONS * self._deviation_s
-        return min(max(patience_s, LEAST_PATIENCE_S), MOST_PATIENCE_S)
+            patience_s = FIRST_PATIENCE_S
+        else:
+            patience_s = self._mean_s + DEVIATIONS * self._deviation_s
+        least_s = max(LEAST_PATIENCE_S, self._least_s)
+        return min(max(patience_s, least_s), MOST_PATIENCE_S)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/repeating_store.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/repeating_store.py
@@ -94,8 +94,17 @@
         self, keys: Sequence[tuple[str, str]]
     ) -> Result[tuple[Row, ...], PlatformError]:
         """Reads rows, absent ones with version 0, in the order of keys."""
+
+        async def send() -> Result[tuple[Row, ...], PlatformError]:
+            asked_at = self._clock()
+            answer = await self._store.read(keys)
+            if isinstance(answer, Ok):
+                # A store that has become slow is not written to twice.
+                self._writes.observe_other(self._clock() - asked_at)
+            return answer
+
         return await first_answer(
-            lambda: self._store.read(keys),
+            send,
             lambda answer: isinstance(answer, Ok),
             self._reads,
             self._clock,
--- a/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
@@ -29,8 +29,9 @@
     """Returns the first answer that settles a call, of several copies of it.
 
     The next copy is sent beside those under way when no answer came in the
-    usual time, each time after twice as long. A copy that fails is not
-    replaced: only silence is answered with another.
+    usual time, each time after twice as long, as far as the budget for copies
+    goes. A copy that fails is not replaced: only silence is answered with
+    another.
 
     Args:
       send: sends one copy and waits for its answer, with a time-out.
@@ -51,7 +52,7 @@
     late = True
     try:
         while True:
-            if late and left:
+            if late and left and (left == copies or times.try_copy()):
                 if left < copies and not await again():
                     left = 0
                 else:
@@ -65,11 +66,17 @@
             late = not done
             patience_s *= 2 if late else 1
             for call in done:
-                took_s = clock() - under_way.pop(call)
+                sent_at = under_way.pop(call)
+                took_s = clock() - sent_at
                 answer = call.result()
                 if settles(answer):
-                    if not held_s:
+                    needless = any(at > sent_at for at in under_way.values())
+                    if needless and not held_s:
+                        times.observe_needless_copy(took_s)
+                    elif not held_s:
                         times.observe(took_s)
+                    if not needless:
+                        times.earn(repeated=left < copies - 1)
                     return answer
             if done and not under_way:
                 return answer
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -145,6 +145,7 @@
             return
 
     async def _read(self) -> None:
+        asked_at = self._clock()
         try:
             async with asyncio.timeout(_CALL_TIMEOUT_S):
                 answer = await self._platform.read([(ROLES_TABLE, self._name)])
@@ -153,6 +154,7 @@
         now = self._clock()
         if isinstance(answer, Err):
             return self._machine.unanswered(now)
+        self._answers.observe_other(now - asked_at)
         row = answer.ok_value[0]
         return self._machine.observed(row.version, _lease_row(row), now)
 
--- a/packages/pomeloarch-node/tests/test_repeating.py
+++ b/packages/pomeloarch-node/tests/test_repeating.py
@@ -15,6 +15,8 @@
 from pomeloarch_standins.virtual_time import run_virtual
 
 LOST_S = 1.2
+# Calls that a caller makes one after another.
+CALLS = 10
 
 
 class Peer:
@@ -128,3 +130,39 @@
 )
 def test_patience_follows_the_answers(case, answers_s, least_s, most_s):
     assert least_s <= usual(*answers_s).patience_s() <= most_s
+
+
+@pytest.mark.parametrize("callers", [1, 4])
+@pytest.mark.parametrize("turn_s", [0.15, 0.3])
+def test_copies_do_not_make_a_slow_peer_slower(turn_s, callers):
+    """Guards against writes that take two seconds in a store that is slow.
+
+    Its parts take one write after another. Copies of late calls waited there
+    before the next calls, which were late for them and were sent again.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        turn, sent = asyncio.Lock(), []
+
+        async def carry_out():
+            async with turn:
+                await asyncio.sleep(turn_s)
+
+        async def send():
+            sent.append(loop.time())
+            await asyncio.shield(asyncio.create_task(carry_out()))
+            return Ok(None)
+
+        times = usual(*[0.01] * 20)
+
+        async def call():
+            for _ in range(CALLS):
+                await first_answer(send, is_ok, times, loop.time, 4)
+
+        await asyncio.gather(*(call() for _ in range(callers)))
+        return loop.time(), len(sent)
+
+    took_s, sent = run_virtual(scenario())
+    assert sent <= callers * (CALLS + 3)
+    assert took_s <= 1.5 * turn_s * CALLS * callers
