--- a/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
@@ -71,15 +71,21 @@
                 answer = call.result()
                 if settles(answer):
                     needless = any(at > sent_at for at in under_way.values())
-                    if needless and not held_s:
-                        times.observe_needless_copy(took_s)
-                    elif not held_s:
-                        times.observe(took_s)
                     if not needless:
                         times.earn(repeated=left < copies - 1)
+                    if not held_s:
+                        _learn(times, took_s, needless)
                     return answer
             if done and not under_way:
                 return answer
     finally:
         for call in under_way:
             call.cancel()
+
+
+def _learn(times: AnswerTimes, took_s: float, needless: bool) -> None:
+    """Teaches what one answer took, after a copy that was not needed or not."""
+    if needless:
+        times.observe_needless_copy(took_s)
+    else:
+        times.observe(took_s)
