--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -324,6 +324,7 @@
             self._peers,
             self._most_body_bytes,
             self.clock,
+            self._store.patience_s,
             self._contact.suspect,
         )
         callers = self._server(self._settings.callers_address, passing_on)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
@@ -388,6 +388,8 @@
       peers: the other nodes.
       most_bytes: returns the largest body that is passed on.
       clock: monotonic time, in seconds.
+      store_patience_s: returns how long the store is usually waited for, in
+        seconds; while it is slow, it is as slow for peers.
       on_late: called when an answer of this node is late.
     """
 
@@ -397,6 +399,7 @@
         peers: Peers,
         most_bytes: Callable[[], int],
         clock: Callable[[], float],
+        store_patience_s: Callable[[], float],
         on_late: Callable[[], None] = lambda: None,
     ) -> None:
         """Keeps the application."""
@@ -404,6 +407,7 @@
         self._peers = peers
         self._most_bytes = most_bytes
         self._clock = clock
+        self._store_patience_s = store_patience_s
         self._on_late = on_late
         self._times: dict[str, AnswerTimes] = {}
 
@@ -417,9 +421,10 @@
         own = asyncio.create_task(self._answer_here(scope, kept))
         asked: asyncio.Task[PeerAnswer | None] | None = None
         try:
-            patience_s = self._times_of(scope["method"]).patience_s()
+            times = self._times_of(scope["method"])
+            patience_s = max(times.patience_s(), self._store_patience_s())
             await asyncio.wait({own}, timeout=patience_s)
-            if not own.done() and kept.whole:
+            if not own.done() and kept.whole and times.try_copy():
                 self._on_late()
                 asked = self._ask_peers(scope, kept)
                 await asyncio.wait(
@@ -447,7 +452,9 @@
         began = self._clock()
         await self._app(scope, kept.receive, hold)
         if _carried_out(_status(held)):
-            self._times_of(scope["method"]).observe(self._clock() - began)
+            times = self._times_of(scope["method"])
+            times.observe(self._clock() - began)
+            times.earn(repeated=False)
         return held
 
     def _times_of(self, method: str) -> AnswerTimes:
@@ -470,6 +477,7 @@
         if asked is not None and not own.done():
             answer = asked.result()
             assert answer is not None
+            self._times_of(scope["method"]).earn(repeated=True)
             return _messages(answer)
         held = await own
         status = _status(held)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/repeating_store.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/repeating_store.py
@@ -47,6 +47,10 @@
         self._reads = AnswerTimes()
         self._writes = AnswerTimes()
 
+    def patience_s(self) -> float:
+        """Returns how long a write is usually waited for, in seconds."""
+        return self._writes.patience_s()
+
     async def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> _Written:
--- a/packages/pomeloarch-node/tests/test_passing_on.py
+++ b/packages/pomeloarch-node/tests/test_passing_on.py
@@ -7,7 +7,7 @@
 import pytest
 from result import Ok
 
-from pomeloarch_core.answer_times import FIRST_PATIENCE_S
+from pomeloarch_core.answer_times import FIRST_PATIENCE_S, MOST_COPIES
 from pomeloarch_core.batch.model import BatchJob, Step
 from pomeloarch_core.ids import JobId, NodeId, ZoneName
 from pomeloarch_node.batch.decision_log import DecisionLog
@@ -16,6 +16,7 @@
 from pomeloarch_node.batch.passing_on import (
     GENERATION,
     LEFT_OUT_S,
+    MOST_PEERS,
     NODES_TABLE,
     PASSED_ON,
     Call,
@@ -98,8 +99,26 @@
 
 
 async def call(
-    app, peers, chunks=(b"one", b"two"), most_bytes=100, on_late=lambda: None
+    app,
+    peers,
+    chunks=(b"one", b"two"),
+    most_bytes=100,
+    on_late=lambda: None,
+    store_patience_s=0.0,
 ):
+    """Makes a call; returns the status, the headers and the body."""
+    passing_on = PassingOn(
+        app,
+        peers,
+        lambda: most_bytes,
+        asyncio.get_running_loop().time,
+        lambda: store_patience_s,
+        on_late,
+    )
+    return await call_through(passing_on, chunks)
+
+
+async def call_through(passing_on, chunks):
     """Makes a call; returns the status, the headers and the body."""
     left = [
         {"type": "http.request", "body": each, "more_body": each != chunks[-1]}
@@ -119,8 +138,6 @@
         "raw_path": b"/q/5c0e7a21d94b36f8",
         "headers": [(b"host", b"x.example"), (b"cookie", b"c")],
     }
-    clock = asyncio.get_running_loop().time
-    passing_on = PassingOn(app, peers, lambda: most_bytes, clock, on_late)
     await passing_on(scope, receive, send)
     return sent[0]["status"], dict(sent[0]["headers"]), sent[1]["body"]
 
@@ -325,6 +342,37 @@
     assert took_s < HALF_SLACK_S
 
 
+def test_peers_are_not_asked_beside_a_store_that_is_known_to_be_slow():
+    """Guards against each call being written twice in a slow store.
+
+    It is as slow for peers: asking them makes all wait longer.
+    """
+
+    async def scenario():
+        peers, transport = peers_with({"b": TAKEN, "c": TAKEN})
+        app = app_that_waits(200, 0.9)
+        status, _, _ = await call(app, peers, store_patience_s=1.0)
+        return status, transport.sent
+
+    assert run_virtual(scenario()) == (200, [])
+
+
+def test_few_calls_are_made_twice_where_that_is_of_no_use():
+    """Guards against twice as many calls in a store that has become slow."""
+
+    async def scenario():
+        peers, transport = peers_with({"b": REFUSED, "c": REFUSED})
+        clock = asyncio.get_running_loop().time
+        passing_on = PassingOn(
+            app_that_waits(200, 0.9), peers, lambda: 100, clock, lambda: 0.0
+        )
+        calls = [call_through(passing_on, (b"",)) for _ in range(20)]
+        await asyncio.gather(*calls)
+        return len(transport.sent)
+
+    assert run_virtual(scenario()) <= MOST_PEERS * MOST_COPIES
+
+
 def test_peer_that_did_not_answer_is_left_out_for_a_while():
     """Guards against one frozen peer that costs call after call 1.2 s."""
     now = [0.0]
