Pass no call on to a node that is being stopped, nor its failure to a caller

A caller could be told 500 for a call whose fate is not known.

A node that is being stopped leaves such calls to others from the beginning of its stop, so that those under way have its whole grace. Any failure of a peer but a refusal counts as not known: the caller is told 504 and the peer is left out for a second.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -344,7 +344,9 @@
                 self._settings.metrics_address,
                 functools.partial(
                     self._internal_app,
-                    PeersApp(callers_app, self._generation),
+                    PeersApp(
+                        callers_app, self._generation, lambda: self.stopping
+                    ),
                 ),
             )
             running += [
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/passing_on.py
@@ -59,6 +59,7 @@
 _DIGITS = 18
 # The option's two numbers: on, and no time for bytes that are still to be sent.
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_FAILED = 500
 _NOT_DONE = 503
 _UNKNOWN = 504
 
@@ -106,7 +107,7 @@
 _BEHIND = PeerAnswer(
     _NOT_DONE,
     ((b"content-type", b"application/json"), (b"retry-after", b"1")),
-    b'{"error":"a newer configuration is in force"}',
+    b'{"error":"another node has to be asked"}',
 )
 
 
@@ -333,6 +334,10 @@
                 self._leave_out(peer)
                 continue
             self._note(call, peer, str(answer.status))
+            if answer.status >= _FAILED and answer.status != _NOT_DONE:
+                # It may have failed after it had carried the call out.
+                self._leave_out(peer)
+                return IN_DOUBT
             if answer.status != _NOT_DONE:
                 self._newest = max(self._newest, answer.generation)
                 return answer
@@ -529,12 +534,20 @@
     Args:
       app: answers callers.
       generation: returns that of this node's configuration.
+      stopping: whether a planned stop has begun; what comes after it might be
+        cut off.
     """
 
-    def __init__(self, app: Any, generation: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        app: Any,
+        generation: Callable[[], int],
+        stopping: Callable[[], bool] = lambda: False,
+    ) -> None:
         """Keeps the application."""
         self._app = app
         self._generation = generation
+        self._stopping = stopping
 
     async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
         """Answers one request, unless this node's configuration is older."""
@@ -549,7 +562,7 @@
             (_number(v) for k, v in scope["headers"] if k == PASSED_ON),
             default=0,
         )
-        if at_least > self._generation():
+        if at_least > self._generation() or self._stopping():
             for message in _messages(_BEHIND):
                 await say_generation(message)
             return
--- a/packages/pomeloarch-node/tests/test_passing_on.py
+++ b/packages/pomeloarch-node/tests/test_passing_on.py
@@ -46,6 +46,7 @@
 REFUSED = PeerAnswer(503, ((b"retry-after", b"1"),), b"")
 GONE = None
 LOST = TimeoutError("no answer in time")
+BROKEN = PeerAnswer(500, (), b"")
 # How long an answer of the node itself is waited for before any was seen.
 PATIENCE_S = FIRST_PATIENCE_S
 
@@ -175,6 +176,7 @@
             [1],
         ),
         ("an answer is lost", 504, {"b": LOST, "c": LOST}, 504, [1]),
+        ("a peer that stops", 503, {"b": BROKEN, "c": BROKEN}, 504, [1]),
     ],
 )
 def test_caller_of_a_node_without_the_store_is_answered_through_a_peer(
@@ -373,6 +375,21 @@
     assert run_virtual(scenario()) <= MOST_PEERS * MOST_COPIES
 
 
+def test_peer_that_is_being_stopped_leaves_the_call_to_others():
+    """Guards against calls that end with their peer's planned stop."""
+    sent = []
+
+    async def send(message):
+        sent.append(message)
+
+    scope = {"type": "http", "headers": [(PASSED_ON, b"7")]}
+    app = PeersApp(
+        app_that_answers(200, reads_body=False), lambda: 7, lambda: True
+    )
+    run_virtual(app(scope, None, send))
+    assert sent[0]["status"] == 503
+
+
 def test_peer_that_did_not_answer_is_left_out_for_a_while():
     """Guards against one frozen peer that costs call after call 1.2 s."""
     now = [0.0]
