Act until the lease ends after the role was given up

The lease that the holder has was not used, though former holders are fenced off.

Where they are, the holder now acts until its lease ends or it is superseded. Duties to machines, which take turns by time, wait for the longest lease and an order more. Other roles end at once as before.

Ruled out: giving the role up only after the grace, which cuts the time that the successor has. test_holder_that_stops_acts_until_its_successor_may_have_begun failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -148,13 +148,14 @@
         self._pending_since = 0.0
         self._retry_due = 0.0
         self._released = False
+        self._given_up = False
 
     def epoch(self, now: float) -> Epoch | None:
         """Returns the epoch to act under, None when the role isn't held."""
         if self._held is None or now >= self._lease_end:
             return None
-        # Where that does no harm, the holder acts until the row says that it
-        # has given the role up: with a slow table nobody else acts before.
+        # Where that does no harm, one that gives the role up acts for as long
+        # as its lease: its successor takes its time to begin.
         return self._held if self._cfg.fenced or not self._released else None
 
     @property
@@ -171,7 +172,8 @@
     @property
     def released(self) -> bool:
         """Whether nothing is left to do after `release`."""
-        return self._released and self._held is None and self._pending is None
+        held = self._held is not None and not self._given_up
+        return self._released and not held and self._pending is None
 
     def due(self, now: float) -> float:
         """Returns when `action` will next return something."""
@@ -259,7 +261,7 @@
         self._row = row
         self._seen_since = now
         if row.holder is None:
-            self._held = None
+            self._given_up = True
             return
         self._held = row.epoch
         self._write_took = now - self._pending_since
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -86,9 +86,9 @@
 BALANCER_S = 2.4
 # Time for answers under way once the listeners are closed, in seconds.
 LAST_ANSWERS_S = 2.5
-# A former holder may have sent its last order a little after its lease, and a
-# successor may have claimed the role this much before that.
-DUTY_SLACK_S = 0.7 + ROLE_LEASE.longest_s - (ROLE_LEASE.overdue_s or 0.0)
+# A former holder that gives the role up acts until its lease ends, and its last
+# order may be under way a little longer.
+DUTY_SLACK_S = 0.7 + ROLE_LEASE.longest_s
 # Pause before a part that has failed runs again, in seconds; several fit into
 # the time in which a configuration has to be in force.
 PART_PAUSE_S = 0.2
@@ -413,6 +413,7 @@
     async def _planned_stop(self, callers: uvicorn.Server) -> None:
         self.stopping = True
         self.log.write("planned stop begins", grace_s=self._settings.grace_s)
+        self._leader.begin_no_more()
         releasing = asyncio.create_task(self._role.release())
         await asyncio.sleep(min(BALANCER_S, self._settings.grace_s * 0.4))
         await asyncio.wait({releasing}, timeout=0.1)
