Never act again under an epoch that was superseded

Where both reach the store they end each other's terms in turn, for as long as the former lease lasts.

An epoch that was superseded is not acted under again, and a node that is being stopped begins no further term.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -38,7 +38,7 @@
     BatchScheduler,
     remembered_worker,
 )
-from pomeloarch_core.ids import JobId, NodeId, WorkerId
+from pomeloarch_core.ids import Epoch, JobId, NodeId, WorkerId
 from pomeloarch_node.batch.advice_task import AdviceTask
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
@@ -175,8 +175,14 @@
         self._wall = wall
         self._rng = random.Random()
         self._term: _Acting | None = None
+        self._superseded = Epoch(0)
+        self._stopping = False
         jobs.subscribe(self._on_jobs)
 
+    def begin_no_more(self) -> None:
+        """Acts until the present term ends, and in no other."""
+        self._stopping = True
+
     def catalogue_changed(self, catalogue: Catalogue) -> None:
         """Tells the scheduler, if it acts here, of a newer configuration."""
         if self._term is not None:
@@ -192,10 +198,19 @@
             tasks.create_task(self._role.run())
             while True:
                 epoch = self._role.epoch()
-                if epoch is None or self._catalogue() is None:
+                if (
+                    epoch is None
+                    or epoch <= self._superseded
+                    or self._stopping
+                    or self._catalogue() is None
+                ):
                     await self._wait_for_role()
                     continue
-                await self._serve(Tenure(self._role, epoch))
+                tenure = Tenure(self._role, epoch)
+                await self._serve(tenure)
+                if tenure.superseded:
+                    # A term under this epoch would end that of its successor.
+                    self._superseded = epoch
 
     async def _wait_for_role(self) -> None:
         try:
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -10,7 +10,11 @@
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import JobId, ServiceName
 from pomeloarch_node.batch.intake import Outcome
-from pomeloarch_node.batch.records import ROSTER_TABLE
+from pomeloarch_node.batch.records import (
+    ROSTER_TABLE,
+    TERMS_TABLE,
+    term_key,
+)
 from pomeloarch_standins.batch_world import (
     BATCH,
     CATALOGUE,
@@ -321,3 +325,36 @@
         return outcomes, len(world.ledger.entries)
 
     assert in_world(scenario) == ([Outcome.DONE] * 3, 3)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_leaders_stopped_in_turn_hand_over_once_each(seed):
+    """Guards against a former leader that ends its successor's term.
+
+    It acts until its lease ends, and could take the next term then.
+    """
+
+    async def scenario(world):
+        number = 0
+        for _ in range(4):
+            leader = next(each for each in world.nodes if each.leads)
+            stopping = asyncio.create_task(leader.stop())
+            for _ in range(15):
+                number += 1
+                alive = [n for n in world.nodes if n is not leader]
+                await world.submit(
+                    make_job(number, (BATCH, URGENT)[number % 2]),
+                    alive[number % len(alive)],
+                )
+                await asyncio.sleep(0.2)
+            await stopping
+            leader.start()
+            await asyncio.sleep(0.5)
+        left = await world.settle(within_s=30.0)
+        terms = world.tables.read(TERMS_TABLE, term_key(0)).value["number"]
+        return left, terms
+
+    left, terms = in_world(scenario, seed, nodes=3)
+    assert left == []
+    # The first, and one for each leader that was stopped.
+    assert terms == 5
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -57,6 +57,8 @@
 BATCH = QueueName("batch")
 URGENT = QueueName("urgent")
 ACCEPT_S = 2.0
+# How long a node that is stopped as planned goes on, in seconds.
+STOPS_AFTER_S = 2.4
 
 CATALOGUE = Catalogue(
     generation=Generation(1),
@@ -100,7 +102,7 @@
             world.clock,
             Metrics(),
             world.rng,
-            LeaseConfig(2.0, 0.25, 0.6, 0.5, 0.2),
+            LeaseConfig(2.0, 0.25, 0.6, 0.5, 0.2, overdue_s=1.4),
         )
         self.leader = Leader(
             self.link,
@@ -134,6 +136,13 @@
             await asyncio.gather(self._task, return_exceptions=True)
             self._task = None
 
+    async def stop(self) -> None:
+        """Ends the node as planned: it gives its role up and acts a while."""
+        self.leader.begin_no_more()
+        await self.role.release()
+        await asyncio.sleep(STOPS_AFTER_S)
+        await self.kill()
+
     @property
     def leads(self) -> bool:
         """Whether it holds the scheduler's role now."""
