Tell how long a run will take from how it gets on, also after a change of leader

What callers saw: after a change of leader, urgent jobs waited beside a run that was said to end in 0.3 s, again and again, until their slack was gone.

Cause: Expectations.remaining_s of a run whose beginning wasn't seen (adopted, or started from a checkpoint) left its reported progress out and took the estimate less the time since, at least 0.2 s. A new leader has learnt no run times, so the estimate is what the caller declared; past it, the run counted as about to end until it did.

A member now remembers the share that it reported first and until when; what it gained since gives its speed, and the slowest member's speed gives the time left. Until 5% were gained, the share last reported as left takes its part of the usual time, so that a run past its estimate isn't about to end. This holds for runs seen from the start too while they show less than 5%. lost_work of an adopted run goes by the same speed: it took the estimate for how long the run had been at work, so that adopted runs which take longer than declared gave way as if they were young.

Ruled out: setting started_at anew from the speed, as a run that was resumed from a checkpoint has work behind it that stopping it doesn't lose.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/expectations.py
@@ -5,7 +5,12 @@
 import msgspec
 
 from pomeloarch_core.batch.fleet import Worker
-from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
+from pomeloarch_core.batch.groups import (
+    LEAST_GAIN_PERCENT,
+    Group,
+    GroupState,
+    JobEntry,
+)
 from pomeloarch_core.batch.objectives import RunTimes, chain_s, objective_s
 from pomeloarch_core.batch.preempting import lost_work
 
@@ -14,6 +19,9 @@
 MISSED_HARM = 3.0
 # That of a job which misses it anyway still has to be done again.
 LATE_HARM = 0.6
+# A run of which no end was reported lasts this much longer at least, in
+# seconds: about as long as an end takes to be heard of.
+LEAST_LEFT_S = 0.2
 
 
 class DispatchTimes(msgspec.Struct, frozen=True):
@@ -50,16 +58,29 @@
         self._cfg = cfg
 
     def remaining_s(self, group: Group, now: float) -> float:
-        """Returns how much longer a group's run will likely take, in s."""
+        """Returns how much longer a group's run will likely take, in s.
+
+        It goes by how fast the run gets on, as far as that was seen. Before,
+        the share of work that was last reported as left takes its part of the
+        usual time: a run that has outlasted its estimate isn't about to end.
+        """
         if group.step.long_running:
             return float("inf")
         if group.state is GroupState.STOPPING:
             return self._cfg.stop_s
-        ran_s = now - group.started_at
         percent = group.percent
-        if percent >= 5 and not group.resumed:
-            return ran_s * (100 - percent) / percent
-        return max(0.2, self.times.run_s(group) - ran_s)
+        if percent >= LEAST_GAIN_PERCENT and not group.resumed:
+            return (now - group.started_at) * (100 - percent) / percent
+        last = group.last_member
+        known_at = group.started_at
+        if last is not None:
+            known_at = max(known_at, last.reported_at)
+        speed = last.speed if last is not None else None
+        if speed is None:
+            left_s = self.times.run_s(group) * (100 - percent) / 100
+        else:
+            left_s = (100 - percent) / speed
+        return max(LEAST_LEFT_S, left_s - (now - known_at))
 
     def ends_with(self, worker: Worker, group: Group, now: float) -> bool:
         """Whether a run would end when its worker leaves."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -10,6 +10,10 @@
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.ids import WorkerId
 
+# Below this gain in the share of work done, in percent, how fast a run gets on
+# isn't known: most of the time may have gone into its beginning.
+LEAST_GAIN_PERCENT = 5.0
+
 
 class GroupState(enum.Enum):
     """Where a group stands.
@@ -57,6 +61,8 @@
       pace: the share of its pace that it was last ordered to, in percent.
       advanced_at: when that share last changed.
       reported_at: when it was last reported.
+      first_percent: the share of its work that was reported first.
+      first_at: when that share was last reported.
     """
 
     def __init__(self, worker_id: WorkerId) -> None:
@@ -69,6 +75,31 @@
         self.pace = 100
         self.advanced_at: float | None = None
         self.reported_at = 0.0
+        self.first_percent: float | None = None
+        self.first_at = 0.0
+
+    def reported(self, percent: float, now: float) -> None:
+        """Takes in how far it is."""
+        self.percent = percent
+        self.reported_at = now
+        if self.first_percent in (None, percent):
+            self.first_percent = percent
+            self.first_at = now
+
+    @property
+    def speed(self) -> float | None:
+        """The share of work done in a second, in percent, None at first.
+
+        What was done before the first report doesn't count: when that began
+        may be unknown.
+        """
+        if self.first_percent is None:
+            return None
+        gained = self.percent - self.first_percent
+        took_s = self.reported_at - self.first_at
+        if gained < LEAST_GAIN_PERCENT or took_s <= 0:
+            return None
+        return gained / took_s
 
 
 class Group:
@@ -166,6 +197,12 @@
         """The least share of work done that a member reported."""
         return min((m.percent for m in self.members.values()), default=0.0)
 
+    @property
+    def last_member(self) -> Member | None:
+        """The member that has got least far."""
+        members = self.members.values()
+        return min(members, key=lambda m: m.percent, default=None)
+
 
 class JobEntry:
     """A job and its groups.
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -27,6 +27,10 @@
     if group.state is not GroupState.STARTED:
         return 0.0
     ran_s = max(0.0, now - group.started_at)
+    last = group.last_member
+    if group.resumed and last is not None and last.speed is not None:
+        # When a run that was adopted began is only worked out.
+        ran_s = last.percent / last.speed
     if group.step.checkpointing and group.checkpoint:
         ran_s = min(ran_s, 1.0)
     return _cores(group) * ran_s
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -96,13 +96,13 @@
     ) -> None:
         member = group.members[each.task.index]
         member.load = each.load
-        member.reported_at = now
+        advanced = each.percent != member.percent
+        member.reported(each.percent, now)
         if group.state is GroupState.STARTED:
             self._runs.confirmed(group, each.task.index, now)
         if each.checkpoint:
             group.checkpoint = each.checkpoint
-        if each.percent != member.percent or member.advanced_at is None:
-            member.percent = each.percent
+        if advanced or member.advanced_at is None:
             member.advanced_at = now
             self._runs.speeds.compare(group, now)
         elif self._stands_still(
