Take back places behind a cut as soon as an answer is late there

What callers saw: urgent jobs whose place was behind a cut waited there while workers in other zones were idle, or were started there and waited for leases to run out.

Cause: a late answer kept new groups off the worker, and off its zone while that is in doubt, but groups that had their places already kept them: until their row was written they were then started there, and otherwise they kept the place until the worker counted as silent, 2.2 s after it was last heard or later.

A late answer now takes back what was promised on that worker and, when nothing is heard of its zone, on all workers of the zone. No order was given for such places, so that nothing is lost: the group is placed anew at once. What had to give way for it has been stopped by then and is placed anew as well.

Ruled out: asking in Runs.may_start as well. A group gets no place on such workers, so that only a late answer can bring the two together; and it alone would have kept groups waiting for their places instead of giving them others.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -345,9 +345,7 @@
                 },
             )
         )
-        for group in list(worker.groups):
-            if group.state is GroupState.CLAIMED:
-                self._runs.take_down(group, "its worker is silent", now)
+        self._give_up_claims(worker, "its worker is silent", now)
         if event.gone:
             self._lose(worker, now)
             self._forget_if_empty(worker, now)
@@ -356,9 +354,23 @@
     @_on.register
     def _on_late(self, event: WorkerLate, now: float) -> None:
         worker = self._fleet.get(event.worker_id)
-        if worker is not None and worker.late_since is None:
-            worker.late_since = now
-            self._dirty = True
+        if worker is None or worker.late_since is not None:
+            return
+        worker.late_since = now
+        self._dirty = True
+        zone = worker.info.availability_zone
+        cut_off = zone in self._fleet.zones_in_doubt()
+        for other in self._fleet:
+            if other is worker or (
+                cut_off and other.info.availability_zone == zone
+            ):
+                self._give_up_claims(other, "an answer is late there", now)
+
+    def _give_up_claims(self, worker: Worker, reason: str, now: float) -> None:
+        """Takes back what was promised on a worker and not yet ordered."""
+        for group in list(worker.groups):
+            if group.state is GroupState.CLAIMED:
+                self._runs.take_down(group, reason, now)
 
     def _not_late(
         self, worker_id: WorkerId, outcome: StartOutcome | None = None
