Ask a worker whose answer was late until it answers

What callers saw: less room for the rest of a leader's term.

Cause: a worker counts as late until it answers. One that nothing stands on is asked only while its zone is in doubt, and another worker of the zone that is heard ends that: the late one was then neither asked nor given a task any more. Giving places on late workers back at once makes it likely that nothing stands on them.

A worker whose answer is late is now asked until it answers or counts as silent.

Ruled out: clearing it when another worker of the zone is heard, since the late one may be what has trouble.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -146,13 +146,14 @@
         """Whether a worker has to be asked.
 
         It may run or report something, or its answer tells whether its
-        availability zone is cut off.
+        availability zone is cut off, or that it is of use again.
         """
         worker = self._fleet.get(worker_id)
         return worker is not None and bool(
             worker.info.availability_zone in self._fleet.zones_in_doubt()
             or not worker.reported
             or worker.silent
+            or worker.late_since is not None
             or worker.groups
             or worker.strangers
             or worker.pending_ends
--- a/packages/pomeloarch-core/tests/test_batch_late_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_workers.py
@@ -4,6 +4,7 @@
 
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.messages import (
+    CancelRequested,
     Incarnation,
     JobAccepted,
     RowWritten,
@@ -180,3 +181,26 @@
     fleet.emit(WorkerLate(elsewhere))
     fleet.rows_written()
     assert [e.worker_id for e in fleet.starts()] == [place]
+
+
+def test_idle_worker_that_was_late_is_asked_until_it_answers():
+    """Guards against a worker left out for the rest of a term.
+
+    Its zone is heard of through another worker, and nothing stands on it any
+    more, so that nobody asks it and nothing takes back that it was late.
+    """
+    fleet = Fleet(zones=1, tasks=1)
+    (late,) = fleet.claimed
+    fleet.now += 0.2
+    fleet.emit(WorkerLate(late))
+    fleet.emit(CancelRequested(JOB))
+    fleet.rows_written()
+    fleet.now += 0.1
+    for each in fleet.zone_of:
+        if each != late:
+            fleet.report(each)
+    worker = fleet.scheduler._fleet.get(late)
+    assert worker.usable(fleet.now) or fleet.scheduler.occupied(late)
+    fleet.report(late)
+    assert worker.usable(fleet.now)
+    assert not fleet.scheduler.occupied(late)
