Tell the end of an earlier run from one of a group that only has its places

What callers saw: room that stayed empty, and jobs that were kept, for the rest of a leader's term; and a run more than a queue's attempts allow.

Cause: a group that is promised places goes by the number of its last run until it is started. When a worker then listed how an earlier run had ended: - done: the group was over, and its promised room was never given back (same number), or was given back as used after needless stops (another number); - any end on a worker where it was promised a place again: the place was given back as used, so that a gang would have been started without that member; - failed: the place was kept on the worker that it had failed on, and the group started though its attempts were used up.

An end now counts for the current run only once that run was ordered. What is done gives its promised places back before it is over; a failed run takes them back if one of them is where it failed, or if no attempt is left. Runs.member_gone gives back what was promised as promised, whoever calls it.

Ruled out: a new run number when places are promised. Places that are taken back would use up a term's numbers, and a checkpoint that a late end brings would be lost.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -206,6 +206,9 @@
         self, group: Group, index: int, reason: str, now: float
     ) -> None:
         """A task of the current run is certainly not on its worker."""
+        if group.state is GroupState.CLAIMED:
+            self._unclaim(group)
+            return
         member = group.members.pop(index)
         worker = self._fleet.get(member.worker_id)
         if worker is not None:
@@ -229,12 +232,14 @@
         """Takes in how a run of a group's task ended.
 
         It may be a run of an earlier scheduler whose end nobody saw. What is
-        done or has failed counts, whichever run it was.
+        done or has failed counts, whichever run it was. A group that only has
+        its places still goes by the number of the run before.
         """
         assert end.task is not None
         member = group.members.get(end.task.index)
         current = (
             member is not None
+            and group.state is not GroupState.CLAIMED
             and member.worker_id == worker.worker_id
             and group.run == end.run
         )
@@ -274,6 +279,8 @@
         if ran_s is not None:
             self._times.learn(group, ran_s)
             self.speeds.learn(group, worker, ran_s, now)
+        if group.state is GroupState.CLAIMED:
+            self._unclaim(group)
         group.state = GroupState.OVER
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
@@ -312,6 +319,11 @@
             failures=group.failures,
             suspended=suspended,
         )
+        if group.state is GroupState.CLAIMED:
+            places = {each.worker_id for each in group.members.values()}
+            used_up = group.failures >= group.job.queue.max_attempts
+            if used_up or worker.worker_id in places:
+                self._unclaim(group)
 
     # ---- rows and log
 
