Show that a start refused after a copy without answer makes two runs

An order to start is sent up to three times; when the first copy has no answer and a later one is refused, the leader takes the refusal as final, though the first copy may be carried out seconds later.

--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -6,10 +6,12 @@
 import pytest
 from result import Err, Ok
 
-from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.catalogue import Catalogue, Tenant
 from pomeloarch_core.batch.messages import (
     EndedTask,
     Incarnation,
+    JobAccepted,
+    RowWritten,
     RunEnd,
     RunNumber,
     StartAnswered,
@@ -18,17 +20,27 @@
     StopAnswered,
     StopTask,
     TaskId,
+    Tick,
     WorkerInfo,
     WorkerReported,
     WorkersEnrolled,
     WorkersListed,
+    WriteRow,
 )
-from pomeloarch_core.batch.model import Need
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    Need,
+    Queue,
+    QueueName,
+    Step,
+)
+from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import (
     Epoch,
     Generation,
     JobId,
+    OrganisationName,
     ServiceName,
     WorkerId,
     ZoneName,
@@ -262,3 +274,117 @@
         )
 
     assert run_virtual(scenario()) < TIMES.wait_s + URGENT_SLACK_S
+
+
+QUEUE = Queue(QueueName("q"), INFO.service, 0, 3, 1.5, URGENT_SLACK_S)
+ORGANISATION = OrganisationName("o")
+JOB = BatchJob(
+    TASK.job_id,
+    QUEUE.name,
+    ORGANISATION,
+    QUEUE,
+    "work",
+    (Step(count=1, need=Need(1_000, 1_000, 1), estimate_s=1.0),),
+)
+
+
+class RefusingLink(Link):
+    """Refuses the first run's start; keeps the orders in their order.
+
+    Args:
+      refusal: its answer to the first run's start.
+      lost: how many copies of that are left unanswered before.
+    """
+
+    def __init__(self, refusal, lost):
+        super().__init__([])
+        self.orders = []
+        self._refusal = refusal
+        self._lost = lost
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        await asyncio.sleep(0.01 + wait_s)
+        return answer(1)
+
+    async def start(self, order, fence, deadline_ms):
+        self.orders.append(("start", order.run))
+        if len(self.orders) <= self._lost:
+            await asyncio.sleep(0.7)
+            return NO_ANSWER
+        await asyncio.sleep(0.01)
+        first = self.orders[0] == self.orders[-1]
+        outcome = self._refusal if first else StartOutcome.STARTED
+        return Ok(StartAnswer(outcome, 1000))
+
+    async def stop(self, task_name, run, fence):
+        self.orders.append(("stop", run))
+        await asyncio.sleep(0.01)
+        return Ok(None)
+
+
+async def orders_for_a_job(link):
+    """Returns the orders that a worker gets until a second run begins."""
+    loop = asyncio.get_running_loop()
+    catalogue = Catalogue(
+        Generation(1),
+        {QUEUE.name: QUEUE},
+        (),
+        {ORGANISATION: Tenant(ORGANISATION, frozenset(), 8)},
+    )
+    scheduler = BatchScheduler(Epoch(1), catalogue, 0.0)
+
+    def carry_out(decisions):
+        for each in decisions:
+            if isinstance(each, StartTask):
+                session.start(each)
+            elif isinstance(each, StopTask):
+                session.stop(each)
+            elif isinstance(each, WriteRow):
+                emit(RowWritten(each.job_id, each.change))
+
+    def emit(event):
+        carry_out(scheduler.handle(event, loop.time()))
+
+    session = WorkerSession(
+        INFO, link, Held(), Epoch(1), scheduler, emit, loop.time, TIMES, 0.0
+    )
+    emit(WorkersListed((INFO,)))
+    emit(WorkersEnrolled(frozenset({INFO.worker_id})))
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(1.0)
+    emit(JobAccepted(JOB, JobRow.from_job(JOB)))
+    for _ in range(50):
+        carry_out(scheduler.place(loop.time()))
+        if len({run for _, run in link.orders}) > 1:
+            break
+        await asyncio.sleep(0.1)
+        emit(Tick(loop.time()))
+    running.cancel()
+    await session.close()
+    first = link.orders[0][1]
+    return [(kind, run - first) for kind, run in link.orders]
+
+
+REFUSALS = [
+    StartOutcome.NO_ROOM,
+    StartOutcome.TOO_LATE,
+    StartOutcome.UNHEALTHY,
+    StartOutcome.BAD_TICKET,
+    StartOutcome.REFUSED,
+]
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("lost", [1, 2])
+def test_start_refused_after_a_copy_without_answer_is_stopped_first(
+    refusal, lost
+):
+    """Guards against two runs of a task: the first copy may begin later."""
+    found = run_virtual(orders_for_a_job(RefusingLink(refusal, lost)))
+    assert found == [("start", 0)] * (lost + 1) + [("stop", 0), ("start", 1)]
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_start_that_was_sent_once_and_refused_needs_no_stop(refusal):
+    found = run_virtual(orders_for_a_job(RefusingLink(refusal, 0)))
+    assert found == [("start", 0), ("start", 1)]
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -5,12 +5,16 @@
 
 import msgspec
 import pytest
+from result import Err, Ok
 
+from pomeloarch_core.batch.messages import StartOutcome
 from pomeloarch_core.batch.model import BatchJob, Need, Step
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import JobId, ServiceName
 from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_node.batch.ports import OrderFailure, StartAnswer
 from pomeloarch_node.batch.records import ROSTER_TABLE
+from pomeloarch_standins.batch_workers import CALL_S, TIMEOUT_S, ModelLink
 from pomeloarch_standins.batch_world import (
     BATCH,
     CATALOGUE,
@@ -321,3 +325,48 @@
         return outcomes, len(world.ledger.entries)
 
     assert in_world(scenario) == ([Outcome.DONE] * 3, 3)
+
+
+def refuse_second_copy(monkeypatch, late_s):
+    """Has the first order to start carried out late, and its copy refused.
+
+    An unhealthy worker gets nothing for a while: the task goes elsewhere.
+    """
+    start_plainly = ModelLink.start
+    copies = []
+
+    async def start(link, order, fence, deadline_ms):
+        worker = link._worker
+        key = order.task, order.run
+        if copies and copies[0] != key:
+            return await start_plainly(link, order, fence, deadline_ms)
+        copies.append(key)
+        if len(copies) > 1:
+            await asyncio.sleep(CALL_S)
+            return Ok(StartAnswer(StartOutcome.UNHEALTHY, worker.clock_ms()))
+        worker.later(
+            late_s,
+            lambda: worker.begin(order, fence, deadline_ms, late=False),
+        )
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "start", start)
+    return copies
+
+
+@pytest.mark.parametrize("late_s", [0.15, 0.4, 1.0, 2.5])
+@pytest.mark.parametrize("steps", [JOBS["single tasks"], (gang(3),)])
+def test_first_copy_of_a_start_that_comes_after_a_refusal_makes_no_second_run(
+    monkeypatch, late_s, steps
+):
+    """Guards against two runs of a task that one leader started."""
+    copies = refuse_second_copy(monkeypatch, late_s)
+
+    async def scenario(world):
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        left = await world.settle(20.0)
+        await asyncio.sleep(late_s)
+        return left, len(copies)
+
+    assert in_world(scenario) == ([], 2)
