Count a refused start as gone only when its order was sent once

Cause: an order to start is sent up to three times. When a later copy was refused (no room, too late, unhealthy, ticket, refused), the leader freed the task's place without a stop and started it elsewhere, though an earlier copy without an answer may be carried out seconds later.

Now StartAnswered says whether the answer is settled: a refusal is, when one copy was sent. Otherwise the run keeps its place, is stopped (a stop bars a run that isn't there yet) and counts as gone by what counts for any run: its end, its stop's answer and a later report without it, a lapsed lease, or another worker in its place. What a refusal teaches (ticket, health) is still taken in at once, and a start that was sent once is made up for as before.

Ruled out: that a worker or the connection repeats a call by itself (POST is sent once by the client library); that a single refused copy is carried out (the worker then did nothing).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -242,12 +242,22 @@
 
 
 class StartAnswered(msgspec.Struct, frozen=True):
-    """An order to start a task was answered, or given up on."""
+    """An order to start a task was answered, or given up on.
+
+    Attributes:
+      worker_id: the worker.
+      task: the task.
+      run: which of its runs.
+      outcome: what the worker said.
+      settled: whether that holds for good. It doesn't for a refusal while
+        another copy of the order may still be carried out.
+    """
 
     worker_id: WorkerId
     task: TaskId
     run: RunNumber
     outcome: StartOutcome
+    settled: bool
 
 
 class StopAnswered(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -17,6 +17,7 @@
 from pomeloarch_core.batch.expectations import DispatchTimes, Expectations
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import (
+    Group,
     GroupState,
     JobEntry,
     may_stop,
@@ -408,6 +409,7 @@
                     "run": event.run,
                     "worker": event.worker_id,
                     "outcome": event.outcome.value,
+                    "settled": event.settled,
                 },
             )
         )
@@ -417,24 +419,27 @@
             member.started_at = member.started_at or now
             return
         group.not_before = now + REFUSED_PAUSE_S
+        self._blame(group, event, now)
+        reason = f"its start was answered with {event.outcome.value}"
+        if event.settled:
+            self._runs.member_gone(group, event.task.index, reason, now)
+        elif group.state is GroupState.STARTED:
+            # It may begin yet: it keeps its place until its stop has been
+            # answered and a later report doesn't list it.
+            where = f"task {event.task.index} on worker {event.worker_id}"
+            self._runs.take_down(group, f"{where}: {reason}", now)
+        self._dirty = True
+
+    def _blame(self, group: Group, event: StartAnswered, now: float) -> None:
+        """Has the next run avoid what this start was refused for."""
         if event.outcome is StartOutcome.NO_ANSWER:
             group.failed_on.add(event.worker_id)
-            if group.state is GroupState.STARTED:
-                self._runs.take_down(group, "a start has no answer", now)
-            return
-        if event.outcome is StartOutcome.BAD_TICKET:
+        elif event.outcome is StartOutcome.BAD_TICKET:
             self._advice.refused(group, event.worker_id)
-        if event.outcome is StartOutcome.UNHEALTHY:
+        elif event.outcome is StartOutcome.UNHEALTHY:
             worker = self._fleet.get(event.worker_id)
             if worker is not None:
                 worker.suspended_until = now + 1.0
-        self._runs.member_gone(
-            group,
-            event.task.index,
-            f"its start was answered with {event.outcome.value}",
-            now,
-        )
-        self._dirty = True
 
     @_on.register
     def _on_stop_answered(self, event: StopAnswered, now: float) -> None:
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -17,6 +17,7 @@
     StartAnswered,
     StartOutcome,
     StartTask,
+    StopAnswered,
     StopTask,
     Tick,
     WorkerInfo,
@@ -70,6 +71,8 @@
 class Fleet:
     """A scheduler with workers that start what they are told."""
 
+    answers_starts = True
+
     def __init__(self, racks=2, per_rack=4, term=1):
         self.now = 100.0
         self.scheduler = BatchScheduler(
@@ -110,6 +113,8 @@
         for each in decisions:
             if isinstance(each, StartTask):
                 self.starts.append(each)
+                if not self.answers_starts:
+                    continue
                 self.running[each.task, each.run] = each.worker_id
                 self._take(
                     self.scheduler.handle(
@@ -118,6 +123,7 @@
                             each.task,
                             each.run,
                             StartOutcome.STARTED,
+                            settled=True,
                         ),
                         self.now,
                     )
@@ -762,7 +768,11 @@
     group.members[0].started_at = None
     fleet.emit(
         StartAnswered(
-            order.worker_id, order.task, order.run, StartOutcome.OLD_RUN
+            order.worker_id,
+            order.task,
+            order.run,
+            StartOutcome.OLD_RUN,
+            settled=True,
         )
     )
     fleet.wait(0.4)
@@ -778,6 +788,80 @@
     assert completed == (how is RunEnd.DONE)
 
 
+class Unanswered(Fleet):
+    """A fleet whose workers get their orders and haven't answered them."""
+
+    answers_starts = False
+
+    def refuse(self, order, outcome, settled):
+        self.emit(
+            StartAnswered(
+                order.worker_id, order.task, order.run, outcome, settled
+            )
+        )
+
+
+REFUSALS = [
+    StartOutcome.NO_ROOM,
+    StartOutcome.TOO_LATE,
+    StartOutcome.UNHEALTHY,
+    StartOutcome.BAD_TICKET,
+    StartOutcome.REFUSED,
+    StartOutcome.NO_ANSWER,
+]
+
+
+GONE_BY = {
+    "a stop's answer and a later report": ["stop answered", "report"],
+    "its end": ["begins", "ends"],
+    "a lapsed lease": ["silent", "lapses"],
+    "another worker in its place": ["gone"],
+}
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("steps", GONE_BY.values(), ids=GONE_BY.keys())
+def test_refused_start_that_may_begin_yet_is_gone_only_by_evidence(
+    refusal, steps
+):
+    """Guards against two runs of a task: a late copy of a refused order."""
+    fleet = Unanswered(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    (order,) = fleet.starts
+    where, key = order.worker_id, (order.task, order.run)
+    worker = fleet.scheduler._fleet.get(where)
+    fleet.refuse(order, refusal, settled=False)
+    assert [(each.task, each.run) for each in fleet.stops] == [key]
+    happens = {
+        "stop answered": lambda: fleet.emit(StopAnswered(where, *key)),
+        "report": lambda: fleet.report(where),
+        "begins": lambda: fleet.running.update({key: where}),
+        "ends": lambda: fleet.end(*key, RunEnd.STOPPED),
+        "silent": lambda: fleet.emit(WorkerSilent(where, fleet.now + 1.0)),
+        "lapses": lambda: fleet.wait(1.0),
+        "gone": lambda: fleet.emit(WorkerSilent(where, fleet.now, gone=True)),
+    }
+    fleet.wait(0.4)
+    fleet.report(where)
+    for each in steps:
+        assert len(fleet.starts) == 1
+        assert not WHOLE.fits(worker.free)
+        fleet.wait(0.1)
+        happens[each]()
+    fleet.wait(0.3)
+    assert len(fleet.starts) == 2
+
+
+@pytest.mark.parametrize("refusal", REFUSALS[:-1])
+def test_start_that_was_refused_for_good_is_made_up_for_at_once(refusal):
+    fleet = Unanswered(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    (order,) = fleet.starts
+    fleet.refuse(order, refusal, settled=True)
+    fleet.wait(0.3)
+    assert (len(fleet.starts), fleet.stops) == (2, [])
+
+
 def test_nothing_is_started_in_a_zone_that_has_just_been_cut_off():
     """Guards against urgent gangs started on workers behind a cut.
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -305,17 +305,27 @@
     async def _start(self, order: StartTask) -> None:
         if not self._still_wanted(order):
             return
+        copies = 0
+
+        async def send() -> Result[StartAnswer, OrderFailure]:
+            nonlocal copies
+            copies += 1
+            return await self._send_start(order)
+
         answer = await first_answer(
-            lambda: self._send_start(order),
+            send,
             _has_answered,
             self._answer_times,
             self._clock,
             START_COPIES,
             lambda: self._start_again(order),
         )
-        outcome = StartOutcome.NO_ANSWER
+        outcome, settled = StartOutcome.NO_ANSWER, False
         if isinstance(answer, Ok):
             outcome = self._note_clock(answer.ok_value)
+            # A copy that was refused says nothing of the others: they may be
+            # carried out seconds later, when what was refused would fit.
+            settled = outcome is StartOutcome.STARTED or copies == 1
         elif answer.err_value is OrderFailure.SUPERSEDED:
             self._tenure.supersede("a worker has seen a higher fence")
             return
@@ -324,7 +334,9 @@
             if not self._still_wanted(order):
                 return
         self._emit(
-            StartAnswered(self.info.worker_id, order.task, order.run, outcome)
+            StartAnswered(
+                self.info.worker_id, order.task, order.run, outcome, settled
+            )
         )
         self._wake.set()
 
