Carry leases and orders over when a worker's address changes

What callers would have seen: when the entry of a worker named another address (a restart under its id), a task whose start was under way waited for good, as did tasks that were ordered to start there before the worker had anything to be asked for; and a worker that did not answer at the new address was taken for lapsed at once, so that its tasks ran twice if the former address was still served.

Cause: the session was closed and a new one opened. Its orders ended without a word to the scheduler, and until when leases had been granted was forgotten.

Now the session goes on with another link. What a former address answers late counts as no answer, and a start that can't be sent is told as one without answer, so that it is stopped and settled like any other. A session that doesn't know its worker's clock asks for it.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -6,7 +6,7 @@
 import random
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from functools import singledispatch
 
 import msgspec
@@ -484,11 +484,10 @@
         self._roster.want(self._scheduler.roster())
         for info in workers:
             known = self._sessions.get(info.worker_id)
-            if known is not None and known[0].info.address != info.address:
-                self._close(info.worker_id)
-                known = None
             if known is None:
                 self._open(info)
+            elif known[0].info.address != info.address:
+                self._move(info)
             else:
                 known[0].info = info
         listed = {each.worker_id for each in workers}
@@ -516,7 +515,20 @@
     def _close(self, worker_id: WorkerId) -> None:
         session, task = self._sessions.pop(worker_id)
         task.cancel()
-        closing = asyncio.create_task(session.close())
+        self._end(session.close())
+
+    def _move(self, info: WorkerInfo) -> None:
+        """Has a session go on at another address."""
+        session, task = self._sessions[info.worker_id]
+        task.cancel()
+        # Calls under way keep their connections until they have ended.
+        self._end(session.move(info, self._leader._links.open(info)).reset())
+        task = asyncio.create_task(self._run_session(session))
+        self._sessions[info.worker_id] = (session, task)
+
+    def _end(self, work: Coroutine[None, None, None]) -> None:
+        """Ends connections in the background."""
+        closing = asyncio.create_task(work)
         self._closing.add(closing)
         closing.add_done_callback(self._closing.discard)
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -40,6 +40,8 @@
 from pomeloarch_node.repeating import first_answer
 from pomeloarch_node.scheduler_tenure import Tenure
 
+_Answer = TypeVar("_Answer")
+
 # A worker's clock may be this much slower than ours.
 CLOCK_DRIFT = 0.02
 # What rounding and the way there may add to a lease, in seconds.
@@ -129,6 +131,20 @@
         """Has the session look again at what is to be done."""
         self._wake.set()
 
+    def move(self, info: WorkerInfo, link: WorkerLink) -> WorkerLink:
+        """Goes on at another address; returns the link to the former one.
+
+        Orders under way are carried on there, and what was granted before
+        counts until it has run out: the former address may still be served.
+        `run` has to be begun anew.
+        """
+        former, self._link = self._link, link
+        self.info = info
+        self._worker_clock = None
+        self._doubtful = True
+        self._answer_times = AnswerTimes()
+        return former
+
     async def close(self) -> None:
         """Ends the orders under way and the link."""
         for each in self._orders:
@@ -147,6 +163,8 @@
     async def _idle(self) -> bool:
         """Waits while there is nothing to ask; returns whether it waited."""
         worker_id = self.info.worker_id
+        if self._worker_clock is None:
+            return False
         acknowledged = self._scheduler.acknowledged(worker_id)
         if acknowledged > self._acknowledged:
             return False
@@ -305,21 +323,7 @@
     async def _start(self, order: StartTask) -> None:
         if not self._still_wanted(order):
             return
-        copies = 0
-
-        async def send() -> Result[StartAnswer, OrderFailure]:
-            nonlocal copies
-            copies += 1
-            return await self._send_start(order)
-
-        answer = await first_answer(
-            send,
-            _has_answered,
-            self._answer_times,
-            self._clock,
-            START_COPIES,
-            lambda: self._start_again(order),
-        )
+        answer, copies = await self._send_copies(order)
         outcome, settled = StartOutcome.NO_ANSWER, False
         if isinstance(answer, Ok):
             outcome = self._note_clock(answer.ok_value)
@@ -340,25 +344,58 @@
         )
         self._wake.set()
 
+    async def _send_copies(
+        self, order: StartTask
+    ) -> tuple[Result[StartAnswer, OrderFailure], int]:
+        """Sends an order to start; returns its answer and how many copies."""
+        copies = 0
+
+        async def send() -> Result[StartAnswer, OrderFailure]:
+            nonlocal copies
+            if not self._may_start():
+                return Err(OrderFailure.NO_ANSWER)
+            copies += 1
+            lease_s = min(START_LEASE_S, self._times.lease_s)
+            deadline_ms = self._deadline_ms(self._clock(), lease_s)
+            return await self._at_present(
+                lambda link: link.start(order, self._fence, deadline_ms)
+            )
+
+        answer = await first_answer(
+            send,
+            _has_answered,
+            self._answer_times,
+            self._clock,
+            START_COPIES,
+            lambda: self._start_again(order),
+        )
+        return answer, copies
+
     def _still_wanted(self, order: StartTask) -> bool:
-        return (
-            self._tenure.held()
-            and self._worker_clock is not None
-            and self._scheduler.wants(order.task, order.run)
+        return self._tenure.held() and self._scheduler.wants(
+            order.task, order.run
         )
 
-    async def _send_start(
-        self, order: StartTask
-    ) -> Result[StartAnswer, OrderFailure]:
-        lease_s = min(START_LEASE_S, self._times.lease_s)
-        deadline_ms = self._deadline_ms(self._clock(), lease_s)
-        return await self._link.start(order, self._fence, deadline_ms)
+    def _may_start(self) -> bool:
+        """Whether the end of a lease that is granted now can be told."""
+        return self._worker_clock is not None
 
     async def _start_again(self, order: StartTask) -> bool:
         if not self._still_wanted(order):
             return False
         return await self._again()
 
+    async def _at_present(
+        self,
+        call: Callable[[WorkerLink], Awaitable[Result[_Answer, OrderFailure]]],
+    ) -> Result[_Answer, OrderFailure]:
+        """Makes a call; what a former address answers doesn't count."""
+        link = self._link
+        answer = await call(link)
+        if link is self._link:
+            return answer
+        return Err(OrderFailure.NO_ANSWER)
+
     async def _again(self) -> bool:
         """Uses new connections: a silent one may be why there is no answer."""
         self._doubtful = True
@@ -387,8 +424,10 @@
     async def _stop(self, order: StopTask) -> None:
         while self._tenure.held():
             answer = await first_answer(
-                lambda: self._link.stop(
-                    str(order.task), order.run, self._fence
+                lambda: self._at_present(
+                    lambda link: link.stop(
+                        str(order.task), order.run, self._fence
+                    )
                 ),
                 _has_answered,
                 self._answer_times,
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -370,3 +370,51 @@
         return left, len(copies)
 
     assert in_world(scenario) == ([], 2)
+
+
+def move_entries(world, names):
+    """Has workers' entries name another address of the same workers."""
+    for worker in [world.workers[each] for each in names]:
+        worker.info = msgspec.structs.replace(
+            worker.info, address=f"{worker.info.address}0"
+        )
+        world.relist(worker.info.worker_id)
+
+
+def test_order_under_way_when_an_address_changes_is_not_forgotten(monkeypatch):
+    """Guards against a task that waits for good for an answer to its start."""
+
+    async def start(link, order, fence, deadline_ms):
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    async def scenario(world):
+        with monkeypatch.context() as patch:
+            patch.setattr(ModelLink, "start", start)
+            await world.submit(make_job(1), world.nodes[0])
+            await asyncio.sleep(0.3)
+            move_entries(world, world.workers)
+            await asyncio.sleep(0.6)
+        return await world.settle(15.0)
+
+    assert in_world(scenario) == []
+
+
+def test_lease_outlasts_a_change_of_address():
+    """Guards against two runs of a task: the old lease still counted."""
+
+    async def scenario(world):
+        await asyncio.sleep(5.0)
+        steps = (Step(count=2, need=SMALL, estimate_s=12.0),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(1.0)
+        (name,) = {each.worker for each in world.ledger.entries}
+        world.workers[name].cut = True
+        move_entries(world, [name])
+        for _ in range(100):
+            # A model that nobody calls looks at its leases only when told.
+            world.workers[name].advance()
+            await asyncio.sleep(0.1)
+        return await world.settle(40.0), len(world.ledger.entries)
+
+    assert in_world(scenario) == ([], 4)
