Start nothing in a promised place while an unaccounted run of it is stopped

What callers would have seen: two runs of a task at once. A group whose places wait for a row to be durable or for others to leave was started when they were free, though a run of one of its tasks that no group accounts for had come to light meanwhile; only the placing of groups looked at such runs.

The new test fails on the code before (the group is started beside the run).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -86,9 +86,17 @@
             worker.hold(group, group.step.reserved, claimed=True)
 
     def may_start(self, group: Group) -> bool:
-        """Whether a group may take the places that it was promised."""
+        """Whether a group may take the places that it was promised.
+
+        A run of its tasks that no group accounts for may have come to light
+        since: it ends first.
+        """
         durable = group.job.written >= group.placed_by
-        return durable and self._room_is_free(group)
+        return (
+            durable
+            and self._room_is_free(group)
+            and self._fleet.unaccounted().isdisjoint(group.tasks())
+        )
 
     def _room_is_free(self, group: Group) -> bool:
         for worker_id in {m.worker_id for m in group.members.values()}:
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -19,6 +19,7 @@
     StartTask,
     StopAnswered,
     StopTask,
+    TaskId,
     Tick,
     WorkerInfo,
     WorkerLate,
@@ -862,6 +863,26 @@
     assert (len(fleet.starts), fleet.stops) == (2, [])
 
 
+def test_promised_place_is_not_taken_while_an_unaccounted_run_is_stopped():
+    """Guards against two runs of a task: one shows while its place is free."""
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.store_answers = False
+    job = fleet.submit(1, BATCH, step(1))
+    task = TaskId(job, 0, 0, 0)
+    assert fleet.starts == []
+    other = fleet.workers[1].worker_id
+    fleet.running[task, 7] = other
+    fleet.report(other)
+    assert [each.run for each in fleet.stops] == [7]
+    fleet.store_answers = True
+    fleet.emit(RowWritten(job, fleet.rows[job].change))
+    fleet.wait(0.3)
+    assert fleet.starts == []
+    fleet.end(task, 7, RunEnd.STOPPED)
+    fleet.wait(0.1)
+    assert len(fleet.starts) == 1
+
+
 def test_nothing_is_started_in_a_zone_that_has_just_been_cut_off():
     """Guards against urgent gangs started on workers behind a cut.
 
