Send no further copy of a start once a worker was found silent

What callers would have seen: two runs of a task at once where the longest lease is short. When a worker is found silent, it is said when its last lease ends. Copies of an order to start that was under way were still sent after that, with later leases. With leases of 6 s the renewals before cover them; with 3 s they need not.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -377,8 +377,11 @@
         )
 
     def _may_start(self) -> bool:
-        """Whether the end of a lease that is granted now can be told."""
-        return self._worker_clock is not None
+        """Whether the end of a lease that is granted now can be told.
+
+        When the last lease of a silent worker ends has been said already.
+        """
+        return self._worker_clock is not None and not self._silent
 
     async def _start_again(self, order: StartTask) -> bool:
         if not self._still_wanted(order):
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -24,6 +24,7 @@
     WorkerInfo,
     WorkerReported,
     WorkersEnrolled,
+    WorkerSilent,
     WorkersListed,
     WriteRow,
 )
@@ -57,6 +58,8 @@
     WorkerId("w"), ServiceName("s"), "a:1", ZoneName("z"), Need(8_000, 8_000, 8)
 )
 TIMES = SessionTimes(lease_s=6.0, wait_s=1.0)
+# When a worker that answers once is found silent, in seconds.
+SILENT_AT_S = 2.62
 # The latency target of urgent queues, in seconds.
 URGENT_SLACK_S = 0.3
 NO_ANSWER = Err(OrderFailure.NO_ANSWER)
@@ -179,6 +182,7 @@
     def __init__(self, lost):
         super().__init__([])
         self.left = {"start": lost, "stop": lost, "renew": lost}
+        self.started_at = []
 
     async def _answer(self, kind, found, held_s=0.0):
         await asyncio.sleep(0.01 + held_s)
@@ -194,6 +198,7 @@
         return await self._answer("renew", answer(1), wait_s)
 
     async def start(self, order, fence, deadline_ms):
+        self.started_at.append(asyncio.get_running_loop().time())
         return await self._answer(
             "start", Ok(StartAnswer(StartOutcome.STARTED, 1000))
         )
@@ -212,16 +217,17 @@
 
 
 def session_that_loses(answers):
-    """Returns a session, and the list of its events with their times.
+    """Returns a session, its link, and the list of its events with times.
 
     Args:
       answers: how many answers to each kind of call are lost.
     """
     clock = asyncio.get_running_loop().time
     events = []
+    link = LossyLink(answers)
     session = WorkerSession(
         INFO,
-        LossyLink(answers),
+        link,
         Held(),
         Epoch(1),
         Wanted(),
@@ -230,7 +236,7 @@
         TIMES,
         0.0,
     )
-    return session, events
+    return session, link, events
 
 
 @pytest.mark.parametrize("told", [StartAnswered, StopAnswered])
@@ -242,7 +248,7 @@
 
     async def scenario():
         loop = asyncio.get_running_loop()
-        session, events = session_that_loses(lost)
+        session, _, events = session_that_loses(lost)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(5.0)
         began = loop.time()
@@ -264,7 +270,7 @@
     """Guards against ends that were seen 1.7 s late for one lost answer."""
 
     async def scenario():
-        session, events = session_that_loses(lost)
+        session, _, events = session_that_loses(lost)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(12.0)
         running.cancel()
@@ -276,6 +282,30 @@
     assert run_virtual(scenario()) < TIMES.wait_s + URGENT_SLACK_S
 
 
+@pytest.mark.parametrize("sooner_s", [0.02, 0.05, 0.15, 0.25])
+def test_nothing_is_granted_after_the_end_of_a_silent_workers_leases_was_said(
+    sooner_s,
+):
+    """Guards against runs that outlast the end of all leases that was given."""
+
+    async def scenario():
+        session, link, events = session_that_loses(100)
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(SILENT_AT_S - sooner_s)
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(2.0)
+        running.cancel()
+        await session.close()
+        (silent_at,) = [at for at, e in events if isinstance(e, WorkerSilent)]
+        (told,) = [e for _, e in events if isinstance(e, StartAnswered)]
+        assert told.outcome is StartOutcome.NO_ANSWER
+        return [at - silent_at for at in link.started_at]
+
+    sent = run_virtual(scenario())
+    assert sent
+    assert max(sent) <= 0.0
+
+
 QUEUE = Queue(QueueName("q"), INFO.service, 0, 3, 1.5, URGENT_SLACK_S)
 ORGANISATION = OrganisationName("o")
 JOB = BatchJob(
