--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -6,10 +6,12 @@
 import pytest
 from result import Err, Ok
 
-from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.catalogue import Catalogue, Tenant
 from pomeloarch_core.batch.messages import (
     EndedTask,
     Incarnation,
+    JobAccepted,
+    RowWritten,
     RunEnd,
     RunNumber,
     StartAnswered,
@@ -18,17 +20,28 @@
     StopAnswered,
     StopTask,
     TaskId,
+    Tick,
     WorkerInfo,
     WorkerReported,
     WorkersEnrolled,
+    WorkerSilent,
     WorkersListed,
+    WriteRow,
 )
-from pomeloarch_core.batch.model import Need
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    Need,
+    Queue,
+    QueueName,
+    Step,
+)
+from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import (
     Epoch,
     Generation,
     JobId,
+    OrganisationName,
     ServiceName,
     WorkerId,
     ZoneName,
@@ -45,6 +58,8 @@
     WorkerId("w"), ServiceName("s"), "a:1", ZoneName("z"), Need(8_000, 8_000, 8)
 )
 TIMES = SessionTimes(lease_s=6.0, wait_s=1.0)
+# When a worker that answers once is found silent, in seconds.
+SILENT_AT_S = 2.62
 # The latency target of urgent queues, in seconds.
 URGENT_SLACK_S = 0.3
 NO_ANSWER = Err(OrderFailure.NO_ANSWER)
@@ -167,6 +182,7 @@
     def __init__(self, lost):
         super().__init__([])
         self.left = {"start": lost, "stop": lost, "renew": lost}
+        self.started_at = []
 
     async def _answer(self, kind, found, held_s=0.0):
         await asyncio.sleep(0.01 + held_s)
@@ -182,6 +198,7 @@
         return await self._answer("renew", answer(1), wait_s)
 
     async def start(self, order, fence, deadline_ms):
+        self.started_at.append(asyncio.get_running_loop().time())
         return await self._answer(
             "start", Ok(StartAnswer(StartOutcome.STARTED, 1000))
         )
@@ -200,16 +217,17 @@
 
 
 def session_that_loses(answers):
-    """Returns a session, and the list of its events with their times.
+    """Returns a session, its link, and the list of its events with times.
 
     Args:
       answers: how many answers to each kind of call are lost.
     """
     clock = asyncio.get_running_loop().time
     events = []
+    link = LossyLink(answers)
     session = WorkerSession(
         INFO,
-        LossyLink(answers),
+        link,
         Held(),
         Epoch(1),
         Wanted(),
@@ -218,7 +236,7 @@
         TIMES,
         0.0,
     )
-    return session, events
+    return session, link, events
 
 
 @pytest.mark.parametrize("told", [StartAnswered, StopAnswered])
@@ -230,7 +248,7 @@
 
     async def scenario():
         loop = asyncio.get_running_loop()
-        session, events = session_that_loses(lost)
+        session, _, events = session_that_loses(lost)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(5.0)
         began = loop.time()
@@ -252,7 +270,7 @@
     """Guards against ends that were seen 1.7 s late for one lost answer."""
 
     async def scenario():
-        session, events = session_that_loses(lost)
+        session, _, events = session_that_loses(lost)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(12.0)
         running.cancel()
@@ -262,3 +280,141 @@
         )
 
     assert run_virtual(scenario()) < TIMES.wait_s + URGENT_SLACK_S
+
+
+@pytest.mark.parametrize("sooner_s", [0.02, 0.05, 0.15, 0.25])
+def test_nothing_is_granted_after_the_end_of_a_silent_workers_leases_was_said(
+    sooner_s,
+):
+    """Guards against runs that outlast the end of all leases that was given."""
+
+    async def scenario():
+        session, link, events = session_that_loses(100)
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(SILENT_AT_S - sooner_s)
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(2.0)
+        running.cancel()
+        await session.close()
+        (silent_at,) = [at for at, e in events if isinstance(e, WorkerSilent)]
+        (told,) = [e for _, e in events if isinstance(e, StartAnswered)]
+        assert told.outcome is StartOutcome.NO_ANSWER
+        return [at - silent_at for at in link.started_at]
+
+    sent = run_virtual(scenario())
+    assert sent
+    assert max(sent) <= 0.0
+
+
+QUEUE = Queue(QueueName("q"), INFO.service, 0, 3, 1.5, URGENT_SLACK_S)
+ORGANISATION = OrganisationName("o")
+JOB = BatchJob(
+    TASK.job_id,
+    QUEUE.name,
+    ORGANISATION,
+    QUEUE,
+    "work",
+    (Step(count=1, need=Need(1_000, 1_000, 1), estimate_s=1.0),),
+)
+
+
+class RefusingLink(Link):
+    """Refuses the first run's start; keeps the orders in their order.
+
+    Args:
+      refusal: its answer to the first run's start.
+      lost: how many copies of that are left unanswered before.
+    """
+
+    def __init__(self, refusal, lost):
+        super().__init__([])
+        self.orders = []
+        self._refusal = refusal
+        self._lost = lost
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        await asyncio.sleep(0.01 + wait_s)
+        return answer(1)
+
+    async def start(self, order, fence, deadline_ms):
+        self.orders.append(("start", order.run))
+        if len(self.orders) <= self._lost:
+            await asyncio.sleep(0.7)
+            return NO_ANSWER
+        await asyncio.sleep(0.01)
+        first = self.orders[0] == self.orders[-1]
+        outcome = self._refusal if first else StartOutcome.STARTED
+        return Ok(StartAnswer(outcome, 1000))
+
+    async def stop(self, task_name, run, fence):
+        self.orders.append(("stop", run))
+        await asyncio.sleep(0.01)
+        return Ok(None)
+
+
+async def orders_for_a_job(link):
+    """Returns the orders that a worker gets until a second run begins."""
+    loop = asyncio.get_running_loop()
+    catalogue = Catalogue(
+        Generation(1),
+        {QUEUE.name: QUEUE},
+        (),
+        {ORGANISATION: Tenant(ORGANISATION, frozenset(), 8)},
+    )
+    scheduler = BatchScheduler(Epoch(1), catalogue, 0.0)
+
+    def carry_out(decisions):
+        for each in decisions:
+            if isinstance(each, StartTask):
+                session.start(each)
+            elif isinstance(each, StopTask):
+                session.stop(each)
+            elif isinstance(each, WriteRow):
+                emit(RowWritten(each.job_id, each.change))
+
+    def emit(event):
+        carry_out(scheduler.handle(event, loop.time()))
+
+    session = WorkerSession(
+        INFO, link, Held(), Epoch(1), scheduler, emit, loop.time, TIMES, 0.0
+    )
+    emit(WorkersListed((INFO,)))
+    emit(WorkersEnrolled(frozenset({INFO.worker_id})))
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(1.0)
+    emit(JobAccepted(JOB, JobRow.from_job(JOB)))
+    for _ in range(50):
+        carry_out(scheduler.place(loop.time()))
+        if len({run for _, run in link.orders}) > 1:
+            break
+        await asyncio.sleep(0.1)
+        emit(Tick(loop.time()))
+    running.cancel()
+    await session.close()
+    first = link.orders[0][1]
+    return [(kind, run - first) for kind, run in link.orders]
+
+
+REFUSALS = [
+    StartOutcome.NO_ROOM,
+    StartOutcome.TOO_LATE,
+    StartOutcome.UNHEALTHY,
+    StartOutcome.BAD_TICKET,
+    StartOutcome.REFUSED,
+]
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("lost", [1, 2])
+def test_start_refused_after_a_copy_without_answer_is_stopped_first(
+    refusal, lost
+):
+    """Guards against two runs of a task: the first copy may begin later."""
+    found = run_virtual(orders_for_a_job(RefusingLink(refusal, lost)))
+    assert found == [("start", 0)] * (lost + 1) + [("stop", 0), ("start", 1)]
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_start_that_was_sent_once_and_refused_needs_no_stop(refusal):
+    found = run_virtual(orders_for_a_job(RefusingLink(refusal, 0)))
+    assert found == [("start", 0), ("start", 1)]
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -5,16 +5,20 @@
 
 import msgspec
 import pytest
+from result import Err, Ok
 
+from pomeloarch_core.batch.messages import StartOutcome
 from pomeloarch_core.batch.model import BatchJob, Need, Step
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import JobId, ServiceName
 from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_node.batch.ports import OrderFailure, StartAnswer
 from pomeloarch_node.batch.records import (
     ROSTER_TABLE,
     TERMS_TABLE,
     term_key,
 )
+from pomeloarch_standins.batch_workers import CALL_S, TIMEOUT_S, ModelLink
 from pomeloarch_standins.batch_world import (
     BATCH,
     CATALOGUE,
@@ -358,3 +362,96 @@
     assert left == []
     # The first, and one for each leader that was stopped.
     assert terms == 5
+
+
+def refuse_second_copy(monkeypatch, late_s):
+    """Has the first order to start carried out late, and its copy refused.
+
+    An unhealthy worker gets nothing for a while: the task goes elsewhere.
+    """
+    start_plainly = ModelLink.start
+    copies = []
+
+    async def start(link, order, fence, deadline_ms):
+        worker = link._worker
+        key = order.task, order.run
+        if copies and copies[0] != key:
+            return await start_plainly(link, order, fence, deadline_ms)
+        copies.append(key)
+        if len(copies) > 1:
+            await asyncio.sleep(CALL_S)
+            return Ok(StartAnswer(StartOutcome.UNHEALTHY, worker.clock_ms()))
+        worker.later(
+            late_s,
+            lambda: worker.begin(order, fence, deadline_ms, late=False),
+        )
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "start", start)
+    return copies
+
+
+@pytest.mark.parametrize("late_s", [0.15, 0.4, 1.0, 2.5])
+@pytest.mark.parametrize("steps", [JOBS["single tasks"], (gang(3),)])
+def test_first_copy_of_a_start_that_comes_after_a_refusal_makes_no_second_run(
+    monkeypatch, late_s, steps
+):
+    """Guards against two runs of a task that one leader started."""
+    copies = refuse_second_copy(monkeypatch, late_s)
+
+    async def scenario(world):
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        left = await world.settle(20.0)
+        await asyncio.sleep(late_s)
+        return left, len(copies)
+
+    assert in_world(scenario) == ([], 2)
+
+
+def move_entries(world, names):
+    """Has workers' entries name another address of the same workers."""
+    for worker in [world.workers[each] for each in names]:
+        worker.info = msgspec.structs.replace(
+            worker.info, address=f"{worker.info.address}0"
+        )
+        world.relist(worker.info.worker_id)
+
+
+def test_order_under_way_when_an_address_changes_is_not_forgotten(monkeypatch):
+    """Guards against a task that waits for good for an answer to its start."""
+
+    async def start(link, order, fence, deadline_ms):
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    async def scenario(world):
+        with monkeypatch.context() as patch:
+            patch.setattr(ModelLink, "start", start)
+            await world.submit(make_job(1), world.nodes[0])
+            await asyncio.sleep(0.3)
+            move_entries(world, world.workers)
+            await asyncio.sleep(0.6)
+        return await world.settle(15.0)
+
+    assert in_world(scenario) == []
+
+
+def test_lease_outlasts_a_change_of_address():
+    """Guards against two runs of a task: the old lease still counted."""
+
+    async def scenario(world):
+        await asyncio.sleep(5.0)
+        steps = (Step(count=2, need=SMALL, estimate_s=12.0),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(1.0)
+        (name,) = {each.worker for each in world.ledger.entries}
+        world.workers[name].cut = True
+        move_entries(world, [name])
+        for _ in range(100):
+            # A model that nobody calls looks at its leases only when told.
+            world.workers[name].advance()
+            await asyncio.sleep(0.1)
+        return await world.settle(40.0), len(world.ledger.entries)
+
+    assert in_world(scenario) == ([], 4)
