Compete for the role only once a node could act

Seen by callers: nothing was started for as long as a restarted leader waited for its tables, 4 s for one lost page, though other nodes could have led.

Cause: the role competed from the node's start. A node whose former process held the role takes it back at once, without waiting, and then renewed it while it waited for the configuration and the mirror of the jobs.

Now a node competes once it has its first configuration and has read the jobs. Until then its former process's lease runs out, or is found overdue, and others claim it. Nodes that run compete as before, so the usual takeover isn't changed.

The test's question is patched with the argument that tables are now read with.

Ruled out: giving up a role that has not led to a term in time. Such a node would take it back at once.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -177,10 +177,12 @@
         self._wall = wall
         self._rng = random.Random()
         self._term: _Acting | None = None
+        self._configured = asyncio.Event()
         jobs.subscribe(self._on_jobs)
 
     def catalogue_changed(self, catalogue: Catalogue) -> None:
-        """Tells the scheduler, if it acts here, of a newer configuration."""
+        """Tells the scheduler of a newer configuration."""
+        self._configured.set()
         if self._term is not None:
             self._term.emit(CatalogueChanged(catalogue))
 
@@ -189,12 +191,19 @@
             self._term.on_jobs(changes, whole)
 
     async def run(self) -> None:
-        """Acts whenever the role is held, until it is cancelled."""
+        """Acts whenever the role is held, until it is cancelled.
+
+        A node that has just started does not compete before it could act: it
+        would take the role of its former process back and keep it unused.
+        """
+        if self._catalogue() is None:
+            await self._configured.wait()
+        await self._jobs.loaded.wait()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._role.run())
             while True:
                 epoch = self._role.epoch()
-                if epoch is None or self._catalogue() is None:
+                if epoch is None:
                     await self._wait_for_role()
                     continue
                 await self._serve(Tenure(self._role, epoch))
@@ -232,7 +241,6 @@
                 term=term.number,
                 took_s=round(self._clock() - won_at, 3),
             )
-            await self._jobs.loaded.wait()
             catalogue = self._catalogue()
             assert catalogue is not None
             acting = _Acting(self, tenure, term, catalogue)
--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_role_without_tables.py
@@ -0,0 +1,78 @@
+"""A node that has just started, and the scheduler's role."""
+
+import asyncio
+
+import pytest
+from result import Err
+
+from pomeloarch_core.batch.model import BatchJob, Need, Step
+from pomeloarch_core.ids import JobId
+from pomeloarch_node.batch.records import JOBS_TABLE
+from pomeloarch_node.platform import PlatformError, PlatformFailure
+from pomeloarch_standins.batch_world import (
+    BATCH,
+    CATALOGUE,
+    ORGANISATION,
+    BatchWorld,
+)
+from pomeloarch_standins.virtual_time import run_virtual
+
+# How long the users' adapter waits for a page of a table, in seconds.
+PAGE_S = 4.0
+LOST = PlatformError(PlatformFailure.UNKNOWN, "no answer in time")
+
+
+def make_job(number):
+    return BatchJob(
+        job_id=JobId(f"{number:016x}"),
+        queue=BATCH,
+        organisation=ORGANISATION,
+        accepted_under=CATALOGUE.queues[BATCH],
+        payload="work",
+        steps=(Step(count=1, need=Need(8_000, 8_000, 1), estimate_s=1.0),),
+    )
+
+
+def lose_first_page(link):
+    """Has the answer to a node's next question for the jobs be lost."""
+    snapshot = link.snapshot
+
+    async def lossy(table, ask):
+        if table != JOBS_TABLE:
+            return await snapshot(table, ask)
+        link.snapshot = snapshot
+        await asyncio.sleep(PAGE_S)
+        return Err(LOST)
+
+    link.snapshot = lossy
+
+
+@pytest.mark.parametrize("lost", [False, True], ids=["sound", "a page lost"])
+def test_restarted_leader_without_its_tables_leaves_the_role_to_others(lost):
+    """Guards against a scheduler that stands still for 4 s.
+
+    A node takes the role of its former process back at once, and keeps it
+    while it waits for tables without which it can't act.
+    """
+
+    async def scenario():
+        world = BatchWorld(1)
+        world.start()
+        await asyncio.sleep(3.0)
+        (leader,) = [each for each in world.nodes if each.leads]
+        (other, _) = [each for each in world.nodes if each is not leader]
+        await leader.kill()
+        if lost:
+            lose_first_page(leader.link)
+        leader.start()
+        await asyncio.sleep(0.3)
+        began = world.clock()
+        await world.submit(make_job(1), other)
+        while not world.ledger.entries:
+            await asyncio.sleep(0.05)
+        took_s = world.clock() - began
+        await world.stop()
+        return took_s
+
+    # A change of holder takes this long at most in this world's lease.
+    assert run_virtual(scenario()) < 3.0
