--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -82,10 +82,12 @@
 # How often the list of workers is asked for, in seconds: some workers leave
 # within two seconds of their notice, and moving what they run takes one.
 LIST_PACE_S = 0.3
-SPECS_WAIT_S = 2.0
+# How long the feed of submitted jobs waits for one, in seconds: a lost answer
+# is seen after that, which is to leave an urgent job most of its slack.
+SPECS_WAIT_S = 0.5
+SPECS_PACE_S = 0.02
 # Most entries that one log line names.
 MOST_NAMED = 10
-SPECS_PACE_S = 0.02
 
 ReadWorkers = Callable[[dict[str, object]], tuple[WorkerInfo, ...]]
 
@@ -177,6 +179,7 @@
         self._term: _Acting | None = None
         self._superseded = Epoch(0)
         self._stopping = False
+        self._configured = asyncio.Event()
         jobs.subscribe(self._on_jobs)
 
     def begin_no_more(self) -> None:
@@ -184,7 +187,8 @@
         self._stopping = True
 
     def catalogue_changed(self, catalogue: Catalogue) -> None:
-        """Tells the scheduler, if it acts here, of a newer configuration."""
+        """Tells the scheduler of a newer configuration."""
+        self._configured.set()
         if self._term is not None:
             self._term.emit(CatalogueChanged(catalogue))
 
@@ -193,17 +197,19 @@
             self._term.on_jobs(changes, whole)
 
     async def run(self) -> None:
-        """Acts whenever the role is held, until it is cancelled."""
+        """Acts whenever the role is held, until it is cancelled.
+
+        A node that has just started does not compete before it could act: it
+        would take the role of its former process back and keep it unused.
+        """
+        if self._catalogue() is None:
+            await self._configured.wait()
+        await self._jobs.loaded.wait()
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._role.run())
             while True:
                 epoch = self._role.epoch()
-                if (
-                    epoch is None
-                    or epoch <= self._superseded
-                    or self._stopping
-                    or self._catalogue() is None
-                ):
+                if epoch is None or epoch <= self._superseded or self._stopping:
                     await self._wait_for_role()
                     continue
                 tenure = Tenure(self._role, epoch)
@@ -245,7 +251,6 @@
                 term=term.number,
                 took_s=round(self._clock() - won_at, 3),
             )
-            await self._jobs.loaded.wait()
             catalogue = self._catalogue()
             assert catalogue is not None
             acting = _Acting(self, tenure, term, catalogue)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -189,7 +189,7 @@
         self.stopping = False
         self._stop = asyncio.Event()
         self._configuration = TableMirror(
-            store,
+            repeating,
             sources.configuration_table,
             self.clock,
             self.log,
@@ -197,7 +197,7 @@
             CONFIGURATION_PACE_S,
         )
         self._configuration.subscribe(self._on_configuration)
-        self._nodes = follow_nodes(store, self.clock, self.log)
+        self._nodes = follow_nodes(repeating, self.clock, self.log)
         self._transport = HttpTransport()
         self._peers = Peers(
             settings.node_id,
@@ -218,7 +218,12 @@
             self.log,
         )
         self._jobs = TableMirror(
-            store, JOBS_TABLE, self.clock, self.log, FEED_WAIT_S, JOBS_PACE_S
+            repeating,
+            JOBS_TABLE,
+            self.clock,
+            self.log,
+            FEED_WAIT_S,
+            JOBS_PACE_S,
         )
         self.intake = Intake(
             repeating,
--- a/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/repeating.py
@@ -40,31 +40,28 @@
       clock: monotonic time, in seconds.
       copies: most copies.
       again: called before each further copy; returns whether to send it.
-      held_s: how long the peer may hold its answer back, in seconds. Answers
-        that it may hold back teach nothing.
+      held_s: how long the peer may hold back its answer to the first copy, in
+        seconds. Where it may, answers teach nothing.
 
     Returns:
       The answer that settles it, else the one that came last.
     """
-    under_way: dict[asyncio.Future[_Answer], float] = {}
-    patience_s = held_s + times.patience_s()
-    left = copies
-    late = True
+    under_way = {asyncio.ensure_future(send()): clock()}
+    patience_s = times.patience_s()
+    hold_s = held_s
+    left = copies - 1
     try:
         while True:
-            if late and left and (left == copies or times.try_copy()):
-                if left < copies and not await again():
-                    left = 0
-                else:
-                    under_way[asyncio.ensure_future(send())] = clock()
-                    left -= 1
             done, _ = await asyncio.wait(
                 under_way,
-                timeout=patience_s if left else None,
+                timeout=hold_s + patience_s if left else None,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            late = not done
-            patience_s *= 2 if late else 1
+            if not done:
+                patience_s, hold_s = 2 * patience_s, 0.0
+                if times.try_copy() and await again():
+                    under_way[asyncio.ensure_future(send())] = clock()
+                    left -= 1
             for call in done:
                 sent_at = under_way.pop(call)
                 took_s = clock() - sent_at
