Extend no worker's lease once a successor may have claimed the role

The leader had been cut off together with the worker. Its role was claimed 0.8 s later, overdue, while its own lease went on; until that ended it extended the worker's leases. Its successor counts the longest lease from the beginning of its own term, so that the worker's leases outlasted what it waited for.

A holder knows until when nobody can have claimed its role: for as long after its last renewal as candidates wait, or not at all once it gives the role up. After that it extends no lease.

Ruled out: having successors wait longer, which every loss of a leader would pay with all jobs that are on workers out of reach.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -143,6 +143,7 @@
         self._poll_due = start_after
         self._held: Epoch | None = None
         self._lease_end = 0.0
+        self._alone_until = 0.0
         self._renew_due = 0.0
         self._pending: WriteRow | None = None
         self._pending_since = 0.0
@@ -158,6 +159,15 @@
         # as its lease: its successor takes its time to begin.
         return self._held if self._cfg.fenced or not self._released else None
 
+    def alone(self, now: float) -> bool:
+        """Whether nobody can have claimed the held role yet.
+
+        Where a role may be claimed before its lease ends, a holder is not the
+        only one that acts then. What it grants others for longer than that
+        would outlast what its successor waits for.
+        """
+        return self.epoch(now) is not None and now < self._alone_until
+
     @property
     def lease_end(self) -> float:
         """When the held lease ends unless it is renewed."""
@@ -166,6 +176,7 @@
     def release(self) -> None:
         """Ends the role here; the row says so with the next action."""
         self._released = True
+        self._alone_until = 0.0
         if self._held is not None:
             self._pending = None
 
@@ -265,6 +276,9 @@
             return
         self._held = row.epoch
         self._write_took = now - self._pending_since
+        self._alone_until = (
+            self._pending_since + self._alone_s(row) - self._cfg.drift_bound_s
+        )
         # The row may have changed as soon as the first sending left.
         self._lease_end = (
             self._pending_since + self._lease_s(row) - self._cfg.drift_bound_s
@@ -324,6 +338,13 @@
         usual_s = self._cfg.lease_s
         return usual_s if row is None else max(usual_s, row.lease_s)
 
+    def _alone_s(self, row: LeaseRow) -> float:
+        """Returns how long nobody claims a role after a row, in seconds."""
+        overdue_s = self._cfg.overdue_s
+        if overdue_s is None or row.lease_s > 0:
+            return self._lease_s(row)
+        return overdue_s
+
     def _next_lease_s(self, answer_s: float) -> float:
         """Returns a lease that fits the table's pace, 0 for the usual one."""
         wanted_s = round(_ANSWERS_PER_LEASE * answer_s, 3)
--- a/packages/pomeloarch-core/tests/test_membership_lease.py
+++ b/packages/pomeloarch-core/tests/test_membership_lease.py
@@ -329,3 +329,40 @@
         machine.observed(5, row, now)
         now += 0.01
     assert now == pytest.approx(claimed_s, abs=0.02)
+
+
+@pytest.mark.parametrize(
+    ("overdue_s", "row_lease_s", "alone_s"),
+    [(0.7, 0.0, 0.5), (0.7, 3.3, 3.1), (None, 0.0, 2.2)],
+    ids=["claimed early", "slow for the holder", "claimed after its lease"],
+)
+@pytest.mark.parametrize("released", [False, True])
+def test_holder_knows_how_long_nobody_can_have_claimed_its_role(
+    overdue_s, row_lease_s, alone_s, released
+):
+    """Guards against tasks that run on behind a cut while they run elsewhere.
+
+    The former leader was cut off with some workers, and extended their leases
+    after its successor had begun to wait for the last of them.
+    """
+    cfg = LeaseConfig(2.4, 0.2, 0.3, 0.25, 0.1, overdue_s=overdue_s)
+    machine = LeaseMachine(NodeId("n"), "n", cfg)
+    assert machine.action(0.0) == ReadRow()
+    machine.observed(0, None, 0.0)
+    claim = machine.action(0.0)
+    assert isinstance(claim, WriteRow)
+    machine.confirmed(1, 0.0)
+    assert machine.alone(alone_s - 0.01) == (row_lease_s == 0.0)
+    if row_lease_s:
+        # A renewal took so long that the next one says so.
+        machine.action(0.3)
+        machine.confirmed(2, 0.96)
+        now = machine.due(0.96)
+        renewal = machine.action(now)
+        assert renewal.value.lease_s == row_lease_s
+        machine.confirmed(3, now)
+        alone_s += now
+    if released:
+        machine.release()
+    assert machine.alone(alone_s - 0.01) != released
+    assert not machine.alone(alone_s + 0.01)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -188,7 +188,9 @@
         acknowledged = self._to_acknowledge() if known else 0
         wait_s = self._wait_s() if known else 0.0
         deadline_ms = None
-        if not first:
+        if not first and self._tenure.alone():
+            # A lease that is granted beside a successor would outlast the time
+            # that this one waits for, from its term's beginning.
             deadline_ms = self._deadline_ms(asked_at, self._times.lease_s)
         answer, copies = await self._ask(acknowledged, deadline_ms, wait_s)
         if not self._tenure.held():
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -103,6 +103,10 @@
         """Returns the epoch to act under right now, None when not held."""
         return self._machine.epoch(self._clock())
 
+    def alone(self) -> bool:
+        """Whether it is held here and nobody can have claimed it yet."""
+        return self._machine.alone(self._clock())
+
     async def changed(self) -> None:
         """Waits until the role is gained, lost or gained anew."""
         await self._change.wait()
--- a/packages/pomeloarch-node/src/pomeloarch_node/roles.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/roles.py
@@ -17,6 +17,9 @@
         has run out by this node's own clock, less a bound for drift.
         """
 
+    def alone(self) -> bool:
+        """Whether it is held here and nobody can have claimed it yet."""
+
     async def changed(self) -> None:
         """Waits until the role is gained, lost or gained anew."""
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_tenure.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_tenure.py
@@ -38,6 +38,10 @@
             self.lose("the lease of the role has run out")
         return not self._lost.is_set()
 
+    def alone(self) -> bool:
+        """Whether no successor can have claimed the role yet."""
+        return self.held() and self._role.alone()
+
     def supersede(self, reason: str) -> None:
         """Ends it for good, as a newer holder showed itself."""
         self._superseded.set()
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -85,6 +85,7 @@
     def __init__(self, answers):
         self.answers = list(answers)
         self.acknowledged = []
+        self.leases = []
         self.used_up = asyncio.Event()
 
     async def renew(self, fence, acknowledged, deadline_ms, wait_s):
@@ -92,6 +93,7 @@
             self.used_up.set()
             await asyncio.Event().wait()
         self.acknowledged.append(acknowledged)
+        self.leases.append(deadline_ms)
         return self.answers.pop(0)
 
     async def reset(self):
@@ -104,11 +106,18 @@
 class Held:
     """A role that is never lost."""
 
+    def __init__(self, alone=True):
+        self.is_alone = alone
+
     def held(self):
         return True
 
+    def alone(self):
+        return self.is_alone
+
 
-async def play(answers):
+async def play(answers, alone=True):
+    """Returns what was acknowledged, and which leases were granted."""
     loop = asyncio.get_running_loop()
     scheduler = BatchScheduler(
         Epoch(1), Catalogue(Generation(1), {}, (), {}), 0.0
@@ -119,7 +128,7 @@
     session = WorkerSession(
         INFO,
         link,
-        Held(),
+        Held(alone),
         Epoch(1),
         scheduler,
         lambda event: scheduler.handle(event, loop.time()),
@@ -135,7 +144,7 @@
         pass
     running.cancel()
     await asyncio.gather(running, return_exceptions=True)
-    return link.acknowledged
+    return link.acknowledged, link.leases
 
 
 @pytest.mark.parametrize(
@@ -157,7 +166,20 @@
 def test_only_a_life_that_has_just_answered_is_acknowledged(
     case, answers, acknowledged
 ):
-    assert run_virtual(play(answers)) == acknowledged
+    assert run_virtual(play(answers))[0] == acknowledged
+
+
+@pytest.mark.parametrize("alone", [True, False])
+def test_no_lease_is_granted_once_a_successor_may_have_claimed_the_role(alone):
+    """Guards against tasks that run on behind a cut while they run elsewhere.
+
+    A successor waits for the leases of workers that it can't reach, counted
+    from its own beginning.
+    """
+    reports = [answer(1, 1, 2), answer(1)]
+    _, (first, second) = run_virtual(play(reports, alone))
+    assert first is None
+    assert (second is not None) == alone
 
 
 class Wanted:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
@@ -39,6 +39,10 @@
         """Returns the epoch to act under right now, None when not held."""
         return self._epoch
 
+    def alone(self) -> bool:
+        """Whether it is held here; nobody else claims it."""
+        return self._epoch is not None
+
     async def changed(self) -> None:
         """Waits until the role is gained, lost or gained anew."""
         self._changed.clear()
