Let urgent work take the workers that a gang waits for last

Urgent work now takes free workers that no gang is promised, where there are such, and the others otherwise as before. Nothing is kept from it.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -145,6 +145,7 @@
             wall,
         )
         self._reserve(ready, current)
+        self._promise(ready, current)
         failed: dict[JobEntry, None] = {}
         for group in ready:
             if group.failures >= group.job.queue.max_attempts:
@@ -270,7 +271,7 @@
         far = self._allow_far(group, current, now)
         places = None
         if group.job.queue.priority == 0:
-            places = find_places(group, not_slow(open_to_it), free_room, False)
+            places = self._place_urgent(group, not_slow(open_to_it), current)
         if places is None:
             places = find_places(group, open_to_it, free_room, far)
         if places is None:
@@ -281,6 +282,16 @@
             self._runs.start(group, now)
         return True
 
+    def _place_urgent(
+        self, group: Group, workers: list[Worker], current: PlacingRound
+    ) -> Places | None:
+        """Returns free room, where it can on workers that nobody waits for."""
+        others = [each for each in workers if each not in current.promised]
+        places = find_places(group, others, free_room, False)
+        if places is None and len(others) < len(workers):
+            places = find_places(group, workers, free_room, False)
+        return places
+
     def _allow_far(
         self, group: Group, current: PlacingRound, now: float
     ) -> bool:
@@ -421,6 +432,23 @@
                 if worker is not None:
                     current.reserved[worker] = reserved
 
+    def _promise(self, ready: list[Group], current: PlacingRound) -> None:
+        """Notes which workers gangs wait for that don't go first.
+
+        Urgent work takes them where there are no others: one worker less puts
+        a gang off until as many side by side are free again.
+        """
+        waiting = [
+            group
+            for group in ready
+            if group.kept and group.job.queue.priority != 0
+        ]
+        for group in waiting[:MOST_KEPT]:
+            for worker_id in group.kept:
+                worker = self._fleet.get(worker_id)
+                if worker is not None:
+                    current.promised.add(worker)
+
     def _note_waiting(
         self,
         group: Group,
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
@@ -26,6 +26,7 @@
       kept_for: how many groups workers are kept for.
       reserved: workers that less urgent groups leave alone, though these go
         first: until when, and the priority of the group they are for.
+      promised: workers that gangs wait for which don't go first.
 
     Args:
       guaranteed: jobs that their organisations' guarantees cover.
@@ -48,6 +49,7 @@
         self.kept_until: dict[Worker, float] = {}
         self.kept_for = 0
         self.reserved: dict[Worker, tuple[float, int]] = {}
+        self.promised: set[Worker] = set()
         self._estimate_s = remaining_s
         self._work_out_harm = harm
         self._harm: dict[Group, float] = {}
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -547,6 +547,27 @@
     assert {each.task.job_id for each in fleet.stops} == {young} != {old}
 
 
+def test_urgent_work_takes_workers_that_a_gang_waits_for_last():
+    """Guards against wide gangs whose workers go one by one while they wait.
+
+    Urgent work took the fullest worker with room, though it was the last that
+    a gang waited for, and another was free.
+    """
+    fleet = Fleet(racks=2, per_rack=2)
+    first = fleet.submit(1, NORMAL, step(1, WHOLE, 3.0, label="r0"))
+    second = fleet.submit(2, NORMAL, step(1, WHOLE, 4.0, label="r0"))
+    third = fleet.submit(3, NORMAL, step(2, WHOLE, 30.0, label="r1"))
+    gang = fleet.submit(4, NORMAL, step(2, WHOLE, 3.0, gang=True, label="r0"))
+    fleet.wait(1.5)
+    fleet.end_all(first)
+    fleet.wait(0.1)
+    fleet.end_all(third)
+    urgent = fleet.submit(5, URGENT, step(1, ONE, 2.0))
+    assert {rack_of(each) for each in fleet.places(urgent)} == {"1"}
+    fleet.end_all(second)
+    assert len(fleet.places(gang)) == 2
+
+
 def test_wide_gang_is_not_starved_by_small_tasks():
     """Pattern: small tasks take each place that is left."""
     fleet = Fleet(racks=1, per_rack=2)
