Show that a late answer about a previous run confirms a claimed place

A claimed group keeps the number of its previous run until it is started, and its members are created when it claims its places. The answer to an order about the previous run that comes in between sets started_at or stopped_at of a claimed member. Once the group is started, a report that was asked for before the order to start arrived is taken for proof that the run has ended: the member is dropped without a stop, and the task is started elsewhere while the order is under way.

The cause was read from the code and is not changed here.

--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -241,3 +241,77 @@
     assert harness.starts() == [order]
     rows = [e.row for e in harness.decisions if isinstance(e, WriteRow)]
     assert rows[-1].status is JobStatus.FAILED
+
+
+def claimed_again(harness):
+    """Has a gang claim the place of a run whose stop has no answer yet.
+
+    The run's end is reported before the order to stop it is answered. The gang
+    waits on its claimed place for another group to leave.
+
+    Returns:
+      The order that started the stopped run there, and the other group's.
+    """
+    harness.submit(JOB, URGENT, Step(2, WHOLE, 4.0, gang=True))
+    harness.rows_written()
+    orders = {each.worker_id: each for each in harness.starts()}
+    for each in orders.values():
+        harness.started(each)
+    first, second = WORKERS
+    harness.lose(first)
+    stopped = orders[second]
+    end = EndedTask(1, stopped.task, stopped.run, RunEnd.STOPPED)
+    harness.report(second, end)
+    harness.submit(OTHER_JOB, NORMAL, Step(1, WHOLE, 60.0))
+    harness.rows_written()
+    other = harness.starts()[-1]
+    assert (other.worker_id, other.task.job_id) == (second, OTHER_JOB)
+    harness.started(other)
+    harness.report(first)
+    harness.emit(RosterWritten(frozenset(WORKERS)))
+    harness.now += 0.3
+    harness.emit(Tick(harness.now))
+    assert harness.group().state is GroupState.CLAIMED
+    return stopped, other
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        None,
+        StopAnswered,
+        StartOutcome.STARTED,
+        StartOutcome.OLD_RUN,
+    ],
+)
+def test_late_answer_about_a_previous_run_confirms_nothing_of_the_next_one(
+    answer,
+):
+    """Guards against two runs of a task: a start that is taken for ended.
+
+    The answer to an order about the previous run comes when its group has
+    claimed the same place again. The order to start the next run is then under
+    way, and a report that was asked for before it arrived doesn't list the run.
+    """
+    harness = Harness()
+    stopped, other = claimed_again(harness)
+    key = stopped.worker_id, stopped.task, stopped.run
+    harness.now += 0.01
+    if answer is StopAnswered:
+        harness.emit(StopAnswered(*key))
+    elif answer is not None:
+        harness.emit(StartAnswered(*key, answer, False))
+    harness.now += 0.01
+    asked_at = harness.now
+    harness.now += 0.01
+    harness.emit(StopAnswered(other.worker_id, other.task, other.run))
+    end = EndedTask(2, other.task, other.run, RunEnd.STOPPED)
+    harness.report(other.worker_id, end)
+    starts = [e for e in harness.starts() if e.task.job_id == JOB][2:]
+    assert len(starts) == 2
+    harness.now += 0.01
+    harness.emit(
+        WorkerReported(stopped.worker_id, Incarnation(1), asked_at, (), ())
+    )
+    group = harness.group()
+    assert (group.state, len(group.members)) == (GroupState.STARTED, 2)
