Show which ends a successor doesn't wait for, and runs taken for lost

The roster names what a silent worker may run: the members of groups and runs that no group accounts for. A task whose end was reported but isn't durable is neither, though the worker alone still knows of its end. A successor starts such a task at once, and later acknowledges the end. A worker off the list is forgotten in the same state. Workers report ends in parts of 500; a run whose end is in a later part is taken for lost, by its own leader and by a successor.

Read from the code, not seen in a run.

--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1369,6 +1369,96 @@
     assert fleet.places(later) == [worker]
 
 
+@pytest.mark.parametrize("durable", [True, False])
+def test_successor_waits_for_a_silent_worker_that_keeps_an_end_of_the_task(
+    durable,
+):
+    """Guards against a start of a task that is done.
+
+    A worker reports that a task is done and falls silent. If the leader changes
+    before the task's row is durable, only the worker still knows of the end.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    job_id = fleet.submit(1, BATCH, step(1))
+    (order,) = fleet.starts
+    where = order.worker_id
+    (other,) = fleet.ends.keys() - {where}
+    earlier_row = msgspec.to_builtins(fleet.rows[job_id].row)
+    fleet.end(order.task, order.run)
+    if durable:
+        fleet.emit(RowWritten(job_id, fleet.rows[job_id].change))
+    fleet.emit(WorkerSilent(where, fleet.now + 6.0))
+    entries = fleet.scheduler.roster()
+    fleet.scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
+    fleet.starts.clear()
+    # The row is as it was before the end, so that the roster alone decides.
+    row = msgspec.convert(earlier_row, JobRow)
+    fleet.emit(JobAccepted(fleet.jobs[job_id], row, inherited=True))
+    fleet.emit(RosterLoaded(entries))
+    fleet.emit(WorkersListed(tuple(fleet.workers)))
+    fleet.emit(RosterWritten(frozenset(fleet.ends)))
+    fleet.report(other)
+    assert bool(fleet.starts) == durable
+    fleet.report(where)
+    assert fleet.rows[job_id].row.status is JobStatus.COMPLETED
+
+
+def test_worker_off_the_list_is_kept_until_its_ends_are_durable():
+    """Guards against ends that no successor asks for.
+
+    Entries of the list lapse while the store is away, which is also when rows
+    are written late.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    job_id = fleet.submit(1, BATCH, step(1))
+    (order,) = fleet.starts
+    where = order.worker_id
+    fleet.end(order.task, order.run)
+    listed = tuple(e for e in fleet.workers if e.worker_id != where)
+    fleet.emit(WorkersListed(listed))
+    fleet.wait(0.1)
+    assert where in fleet.scheduler.roster()
+    fleet.emit(RowWritten(job_id, fleet.rows[job_id].change))
+    fleet.emit(WorkersListed(listed))
+    assert where not in fleet.scheduler.roster()
+
+
+# A worker lists its ends in parts of this many.
+MAX_REPORTED_ENDS = 500
+
+
+@pytest.mark.parametrize("inherited", [True, False])
+def test_run_is_not_taken_for_lost_while_a_worker_has_more_ends_to_report(
+    inherited,
+):
+    """Guards against a start of a task that is done.
+
+    The end of the task is in the next part, which is reported once the worker
+    may forget the ends of this one.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    (where,) = fleet.ends
+    fleet.submit(1, BATCH, step(1))
+    (order,) = fleet.starts
+    if inherited:
+        fleet = fleet.succeeded_by(2)
+        fleet.starts.clear()
+    fleet.wait(1.0)
+    other = JobId("f" * 16)
+    part = [
+        EndedTask(number, TaskId(other, 0, 0, number), 1, RunEnd.DONE)
+        for number in range(1, MAX_REPORTED_ENDS + 1)
+    ]
+    done = EndedTask(MAX_REPORTED_ENDS + 1, order.task, order.run, RunEnd.DONE)
+    for ends in (part, [done]):
+        fleet.emit(
+            WorkerReported(where, Incarnation(1), fleet.now, (), tuple(ends))
+        )
+        fleet.wait(0.4)
+    runs = {each.run for each in fleet.starts}
+    assert runs <= {order.run}
+
+
 @pytest.mark.parametrize(
     ("case", "left_s", "step_", "moved"),
     [
