--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -450,3 +450,215 @@
 def test_start_that_was_sent_once_and_refused_needs_no_stop(refusal):
     found = run_virtual(run_job_until_second_start(RefusingLink(refusal, 0)))
     assert found == [("start", 0), ("start", 1)]
+
+
+class LosableTenure(HeldTenure):
+    """A tenure that is lost on request."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_lost = False
+
+    def is_held(self):
+        return not self.is_lost
+
+    def is_sole_holder(self):
+        return not self.is_lost
+
+
+@pytest.mark.parametrize("lost", [True, False])
+def test_no_lease_is_granted_by_an_order_that_was_ready_when_the_role_was_lost(
+    lost,
+):
+    """Guards against a start whose lease a successor doesn't reckon with.
+
+    The process stands still after it has checked its role, just before it
+    sends an order whose deadline is counted from the moment of sending.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        link = LossyLink(0)
+        tenure = LosableTenure()
+        session = WorkerSession(
+            INFO,
+            link,
+            tenure,
+            Epoch(1),
+            PermissiveScheduler(),
+            lambda event: None,
+            loop.time,
+            TIMES,
+            0.0,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(1.0)
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(0)
+        tenure.is_lost = lost
+        await asyncio.sleep(1.0)
+        running.cancel()
+        await session.close()
+        return len(link.started_at)
+
+    assert run_virtual(scenario()) == (0 if lost else 1)
+
+
+class RestartedLink(ScriptedLink):
+    """A worker that restarts under its id and then carries out lost calls.
+
+    It answers until `silent_from`, restarts at `restarts_at` and answers again
+    until `cut_at`. Calls between `silent_from` and `restarts_at` are carried out
+    `late_s` after they were sent.
+
+    Attributes:
+      lease_ends_at: when the last lease of the new incarnation ends, by the
+        loop's clock.
+    """
+
+    silent_from, restarts_at, cut_at = 3.0, 4.0, 9.0
+    max_lease_s = TIMES.lease_s
+    initial_clock_s = 400.0
+
+    def __init__(self, late_s):
+        super().__init__([])
+        self.lease_ends_at = 0.0
+        self._late_s = late_s
+        self._clock = asyncio.get_running_loop().time
+        self._began = self._clock()
+
+    @property
+    def now(self):
+        return self._clock() - self._began
+
+    def _extend(self, deadline_ms):
+        """Extends the lease of the new incarnation."""
+        if deadline_ms is None:
+            return
+        left_s = deadline_ms / 1000 - (self.now - self.restarts_at)
+        self.lease_ends_at = max(
+            self.lease_ends_at,
+            self._clock() + min(left_s, self.max_lease_s),
+        )
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        if self.now >= self.cut_at:
+            await asyncio.sleep(0.7)
+            return NO_ANSWER
+        if self.silent_from <= self.now < self.restarts_at:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self._late_s, self._extend, deadline_ms)
+            await asyncio.sleep(0.7)
+            return NO_ANSWER
+        if self.now < self.silent_from:
+            clock_s = self.initial_clock_s + self.now
+            state = WorkerState(Incarnation(1), int(clock_s * 1000), (), ())
+        else:
+            self._extend(deadline_ms)
+            clock_s = self.now - self.restarts_at
+            state = WorkerState(Incarnation(2), int(clock_s * 1000), (), ())
+        await asyncio.sleep(0.01 + wait_s)
+        return Ok(state)
+
+
+@pytest.mark.parametrize("late_s", [2.0, 8.0, 11.5])
+def test_leases_of_a_restarted_worker_end_as_reported(late_s):
+    """Guards against runs that outlast the reported end of all leases.
+
+    A renewal for an earlier incarnation that a later one carries out grants the
+    longest lease from then on, since the later one's clock started anew.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        link = RestartedLink(late_s)
+        events = []
+        session = WorkerSession(
+            INFO,
+            link,
+            HeldTenure(),
+            Epoch(1),
+            PermissiveScheduler(),
+            events.append,
+            loop.time,
+            TIMES,
+            0.0,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(30.0)
+        running.cancel()
+        await session.close()
+        (silent,) = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent.lapses_at, link.lease_ends_at
+
+    reported, actual = run_virtual(scenario())
+    assert reported >= actual
+
+
+class OvertakenLink(ScriptedLink):
+    """Answers an order to start only after a later report.
+
+    Args:
+      restarts: whether the worker restarts in between.
+    """
+
+    def __init__(self, restarts):
+        super().__init__([])
+        self.start_deadlines = []
+        self._restarts_at = 1.1 if restarts else float("inf")
+        self._clock = asyncio.get_running_loop().time
+        self._began = self._clock()
+
+    def _has_restarted(self):
+        return self._clock() - self._began >= self._restarts_at
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        await asyncio.sleep(0.2 if not self._has_restarted() else wait_s)
+        incarnation, clock_ms = (1, 400_000)
+        if self._has_restarted():
+            incarnation, clock_ms = (2, 500)
+        return Ok(WorkerState(Incarnation(incarnation), clock_ms, (), ()))
+
+    async def start(self, order, fence, deadline_ms):
+        self.start_deadlines.append(deadline_ms)
+        await asyncio.sleep(0.24)
+        return Ok(StartAnswer(StartOutcome.STARTED, 400_000))
+
+
+@pytest.mark.parametrize("restarts", [True, False])
+def test_late_answer_of_an_earlier_incarnation_sets_no_clock(restarts):
+    """Guards against leases that last longer than is reckoned with.
+
+    The answer to an order comes from an incarnation before the one that has
+    reported since. A deadline by its clock is far ahead on the later one's.
+    """
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        link = OvertakenLink(restarts)
+        session = WorkerSession(
+            INFO,
+            link,
+            HeldTenure(),
+            Epoch(1),
+            PermissiveScheduler(),
+            lambda event: None,
+            loop.time,
+            TIMES,
+            0.0,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(1.0)
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(0.4)
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(0.1)
+        running.cancel()
+        await session.close()
+        return link.start_deadlines
+
+    first, *later = run_virtual(scenario())
+    assert first > 400_000
+    # After a restart, a start may also wait until the clock is known.
+    assert later or restarts
+    assert all((each < 400_000) == restarts for each in later)
