--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -508,8 +508,8 @@
     """A worker that restarts under its id and then carries out lost calls.
 
     It answers until `silent_from`, restarts at `restarts_at` and answers again
-    until `cut_at`. Calls between `silent_from` and `restarts_at` are carried out
-    `late_s` after they were sent.
+    until `cut_at`. Calls between the first two are carried out `late_s` after
+    they were sent.
 
     Attributes:
       lease_ends_at: when the last lease of the new incarnation ends, by the
