Show a claim that is started at a new address, and a run stopped for an answer

A claim made before its worker's address changed is started while the roster still has the old address, where a successor would take the worker for gone. A start that gets no answer is stopped even if a report shows its run.

--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -890,6 +890,21 @@
     assert len(fleet.starts) == 2
 
 
+@pytest.mark.parametrize("seen", [True, False])
+def test_run_that_was_reported_needs_no_answer_to_its_start(seen):
+    """Guards against stops of runs of which only the answers were lost."""
+    fleet = UnansweredFleet(racks=1, per_rack=2)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    (order,) = fleet.starts
+    if seen:
+        fleet.running[order.task, order.run] = order.worker_id
+    fleet.wait(0.5)
+    fleet.report(order.worker_id)
+    fleet.wait(1.0)
+    fleet.refuse(order, StartOutcome.NO_ANSWER, settled=False)
+    assert bool(fleet.stops) != seen
+
+
 @pytest.mark.parametrize("refusal", REFUSALS[:-1])
 def test_settled_refused_start_is_repeated_at_once(refusal):
     fleet = UnansweredFleet(racks=1, per_rack=2)
--- a/packages/pomeloarch-core/tests/test_batch_late_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_workers.py
@@ -1,5 +1,6 @@
 """Workers whose answers are late: which groups still start there."""
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.catalogue import Catalogue
@@ -204,3 +205,28 @@
     fleet.report(late)
     assert worker.is_usable(fleet.now)
     assert not fleet.scheduler.needs_polling(late)
+
+
+@pytest.mark.parametrize("moved", [True, False])
+def test_claimed_group_is_started_only_where_the_roster_has_the_worker(moved):
+    """Guards against runs that a successor takes for gone.
+
+    A worker restarts at another address. A successor asks at the address that
+    the roster has, where another worker may answer by now.
+    """
+    fleet = Fleet(zones=1, tasks=1)
+    (place,) = fleet.claimed
+    listed = [each.info for each in fleet.scheduler._fleet]
+    if moved:
+        listed = [
+            msgspec.structs.replace(each, address="elsewhere:1")
+            if each.worker_id == place
+            else each
+            for each in listed
+        ]
+    fleet.now += 0.1
+    fleet.emit(WorkersListed(tuple(listed)))
+    enrolled = set(fleet.zone_of) - ({place} if moved else set())
+    fleet.emit(RosterWritten(frozenset(enrolled)))
+    fleet.rows_written()
+    assert (place in [e.worker_id for e in fleet.starts()]) != moved
