Show orders that act on a later incarnation of their worker

A worker may restart under its id. Its new incarnation has seen no fence, so it carries out orders that were sent to the earlier one and had no answer: a start begins a second run, a renewal makes it forget ends.

--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -0,0 +1,288 @@
+"""Tests of orders that reach a later incarnation of their worker."""
+
+import asyncio
+import random
+
+import pytest
+from result import Err
+
+from pomeloarch_core.batch.messages import (
+    Incarnation,
+    RunNumber,
+    StartTask,
+    TaskId,
+    WorkerInfo,
+    WorkerReported,
+)
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    Queue,
+    QueueName,
+    Resources,
+    Step,
+)
+from pomeloarch_core.ids import (
+    Epoch,
+    JobId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+from pomeloarch_node.batch.ports import OrderFailure
+from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
+from pomeloarch_standins.batch_workers import Ledger, ModelLink, WorkerModel
+from pomeloarch_standins.virtual_time import run_virtual
+
+INFO = WorkerInfo(
+    WorkerId("w"),
+    ServiceName("s"),
+    "a:1",
+    ZoneName("z"),
+    Resources(8_000, 8_000, 8),
+    incarnation=Incarnation(1),
+)
+TASK = TaskId(JobId("1" * 16), 0, 0, 0)
+ORDER = StartTask(INFO.worker_id, TASK, RunNumber(1), "work", "", "")
+QUEUE = Queue(QueueName("q"), INFO.service, 0, 3, 1.5, 0.3)
+JOB = BatchJob(
+    TASK.job_id,
+    QUEUE.name,
+    OrganisationName("o"),
+    QUEUE,
+    "work",
+    (Step(count=1, need=Resources(1_000, 1_000, 1), estimate_s=1.0),),
+)
+TIMES = SessionTimes(lease_s=6.0, wait_s=1.0)
+# Time within which a session contacts a worker that has restarted, in seconds:
+# the wait of a renewal in progress, which the model holds over a restart, and a
+# pause after it.
+CONTACT_S = 1.6
+
+
+class Scheduler:
+    """Wants every start; has nothing else for the worker to do."""
+
+    def __init__(self):
+        self.busy = False
+
+    def is_start_wanted(self, task, run):
+        return True
+
+    def acknowledged_up_to(self, worker_id):
+        return 0
+
+    def needs_polling(self, worker_id):
+        return self.busy
+
+    def needs_frequent_reports(self, worker_id):
+        return False
+
+
+class Tenure:
+    """A tenure that is lost only by its own doing."""
+
+    def __init__(self):
+        self.reason = ""
+        self.superseded = False
+
+    def is_held(self):
+        return not self.reason
+
+    def is_sole_holder(self):
+        return self.is_held()
+
+    def lose(self, reason):
+        self.reason = reason
+
+    def supersede(self, reason):
+        self.superseded = True
+        self.lose(reason)
+
+
+class DelayingLink(ModelLink):
+    """Holds back orders and records how each would be carried out late.
+
+    Attributes:
+      holds_back: whether orders get no answer and are not carried out yet.
+      held_back: carries out each order that was held back.
+    """
+
+    def __init__(self, worker):
+        super().__init__(worker, lambda: True, random.Random(1))
+        self.holds_back = False
+        self.held_back = []
+
+    async def _deliver(self, act):
+        if not self.holds_back:
+            return await super()._deliver(act)
+        self.held_back.append(lambda: act(True))
+        await asyncio.sleep(0.7)
+        return False
+
+
+async def with_session(scenario):
+    """Runs a scenario on a session with a model of a worker."""
+    clock = asyncio.get_running_loop().time
+    worker = WorkerModel(
+        INFO, {JOB.job_id: JOB}, lambda _: 1.0, {}, Ledger(), random.Random(1)
+    )
+    link = DelayingLink(worker)
+    scheduler, tenure, events = Scheduler(), Tenure(), []
+    session = WorkerSession(
+        INFO,
+        link,
+        tenure,
+        Epoch(256),
+        scheduler,
+        events.append,
+        clock,
+        TIMES,
+        0.0,
+    )
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(2.0)
+    try:
+        return await scenario(session, link, worker, scheduler, tenure, events)
+    finally:
+        running.cancel()
+        await session.close()
+
+
+async def start_without_answer(session, link):
+    link.holds_back = True
+    session.start(ORDER)
+    await asyncio.sleep(2.5)
+    link.holds_back = False
+
+
+@pytest.mark.parametrize("restarts", [1, 2, 5])
+@pytest.mark.parametrize("busy", [False, True])
+def test_start_for_an_earlier_incarnation_is_refused(busy, restarts):
+    """Guards against a run of a task that has been started elsewhere."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = busy
+        await start_without_answer(session, link)
+        for _ in range(restarts):
+            worker.crash()
+            await asyncio.sleep(CONTACT_S)
+        assert link.held_back
+        assert tenure.is_held()
+        # The model returns None or False when it refuses an order.
+        return [late() for late in link.held_back]
+
+    assert not any(run_virtual(with_session(scenario)))
+
+
+def test_late_renewal_does_not_acknowledge_ends_of_a_later_incarnation():
+    """Guards against ends that are forgotten before anyone has read them."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        await asyncio.sleep(CONTACT_S)
+        fence = worker._fence
+        worker.crash()
+        await asyncio.sleep(CONTACT_S)
+        assert worker.renew(fence, 57, None) is False
+
+    run_virtual(with_session(scenario))
+
+
+def test_restart_is_no_sign_of_a_newer_scheduler():
+    """Orders that the new incarnation refuses don't end the term."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        await asyncio.sleep(CONTACT_S)
+        worker.crash()
+        session.start(ORDER)
+        await asyncio.sleep(CONTACT_S)
+        worker.crash()
+        session.start(ORDER)
+        await asyncio.sleep(CONTACT_S)
+        return tenure.reason
+
+    assert run_virtual(with_session(scenario)) == ""
+
+
+def test_report_of_a_new_incarnation_is_used_only_after_its_fence_has_risen():
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        fences = {}
+
+        def record(event):
+            if isinstance(event, WorkerReported):
+                fences.setdefault(event.incarnation, worker._fence)
+
+        session._emit = record
+        session.wake()
+        await asyncio.sleep(2 * CONTACT_S)
+        worker.crash()
+        await asyncio.sleep(2 * CONTACT_S)
+        return fences
+
+    assert run_virtual(with_session(scenario)) == {1: 256, 2: 257}
+
+
+@pytest.mark.parametrize("fails", [True, False])
+def test_fences_of_one_term_are_not_exceeded(fails):
+    """Guards against fences of one term that reach into the next one's."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        for _ in range(256 if fails else 255):
+            worker.crash()
+            await asyncio.sleep(CONTACT_S)
+        return tenure.reason, worker._fence
+
+    reason, fence = run_virtual(with_session(scenario))
+    assert bool(reason) == fails
+    assert fence <= 256 + 255
+
+
+def test_new_scheduler_is_recognised_after_a_restart():
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        worker.crash()
+        worker.renew(512, 0, None)
+        await asyncio.sleep(CONTACT_S)
+        return tenure.superseded
+
+    assert run_virtual(with_session(scenario))
+
+
+@pytest.mark.parametrize("listed", [True, False])
+def test_idle_worker_is_contacted_once_the_list_shows_its_restart(listed):
+    """An order of an earlier scheduler could be carried out there."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        worker.crash()
+        if listed:
+            info = WorkerInfo(
+                **{
+                    each: getattr(INFO, each)
+                    for each in INFO.__struct_fields__
+                    if each != "incarnation"
+                },
+                incarnation=Incarnation(2),
+            )
+            session.update_info(info)
+        await asyncio.sleep(CONTACT_S)
+        return worker._fence
+
+    assert run_virtual(with_session(scenario)) == (257 if listed else 0)
+
+
+def test_refused_start_of_an_earlier_incarnation_was_not_carried_out():
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        assert await session._call_fenced(
+            lambda link, fence: _refuse_after_restart(session)
+        ) == Err(OrderFailure.OUTDATED)
+
+    run_virtual(with_session(scenario))
+
+
+async def _refuse_after_restart(session):
+    session._on_restart()
+    return Err(OrderFailure.SUPERSEDED)
