Raise the fence of a worker with each of its restarts

Cause: a worker may restart under its id. Its new incarnation has seen no fence and its clock begins anew, so a start or a renewal that was sent to the earlier incarnation, and is carried out seconds later, acts on the new one: a task runs beside its next run or after it is done, ends are forgotten unread, and a lease lasts up to the longest that the worker grants.

Change: terms are 256 apart, and the numbers between are fences for workers that restart during a term. A session raises its fence when another incarnation answers, or when the clock in an answer is behind the one read before, and uses nothing that the new incarnation reports before it has seen the new fence. Everything sent earlier is refused from then on. A refusal of an order with an outdated fence is told from that of a superseded scheduler. A worker is asked while an order to it may still be under way, and when the list shows another incarnation. Leases are reckoned anew from the restart. An order is checked for its right to grant a lease at the moment of sending.

Ruled out: the header that names the expected instance holds the id, which both incarnations have. A stop of each unanswered order by the new incarnation says the same as the fence, at a call for each, and says nothing of renewals.

Changed ones: the report in which a restart is noticed acknowledges nothing yet, so one more renewal comes first; two test doubles had a clock that stood still, which no worker's does, and one carried out orders whatever fence it had seen; the number of a fifth term is five times the distance between terms.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -67,10 +67,9 @@
 from pomeloarch_node.batch.term_row import Term, begin_term
 from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
 from pomeloarch_node.batch.worker_session import (
-    LEASE_EXPIRY_MARGIN_S,
-    MAX_CLOCK_DRIFT,
     SessionTimes,
     WorkerSession,
+    longest_lease_s,
 )
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_tenure import Tenure
@@ -308,10 +307,8 @@
             leader._wall() - now,
             leader.times.dispatch,
         )
-        self._earlier_leases_end_at = (
-            now
-            + leader.times.max_lease_s / (1 - MAX_CLOCK_DRIFT)
-            + LEASE_EXPIRY_MARGIN_S
+        self._earlier_leases_end_at = now + longest_lease_s(
+            leader.times.max_lease_s
         )
         self._writers = {
             shard: RowWriter(
@@ -549,7 +546,7 @@
             elif known[0].info.address != info.address:
                 self._move_session(info)
             else:
-                known[0].info = info
+                known[0].update_info(info)
         listed = {each.worker_id for each in workers}
         for worker_id in list(self._sessions):
             if worker_id not in listed:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
@@ -83,12 +83,15 @@
     SUPERSEDED: the worker has seen a higher fence.
     OTHER_WORKER: another worker answers at the address, or another
       incarnation of the same worker.
+    OUTDATED: the worker has restarted since the order was sent and refuses
+      orders to its earlier incarnations.
     """
 
     NO_ANSWER = "no_answer"
     NO_LISTENER = "no_listener"
     SUPERSEDED = "superseded"
     OTHER_WORKER = "other_worker"
+    OUTDATED = "outdated"
 
 
 class WorkerState(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
@@ -4,6 +4,9 @@
 regained the role under an epoch that it held before: what it ordered then may
 still be under way. The number is the fence that workers compare, and every
 write of the scheduler is conditional on its shard's row.
+
+The numbers between two terms are fences as well: the fence of a worker rises by
+one with each of its restarts in a term.
 """
 
 from __future__ import annotations
@@ -25,6 +28,9 @@
 from pomeloarch_node.platform import Check, PlatformClient, Row, Write
 from pomeloarch_node.scheduler_tenure import Tenure
 
+# Distance between the numbers of successive terms: the number of fences that a
+# term has for each worker.
+FENCES_PER_TERM = 256
 RETRY_PAUSE_S = 0.2
 _NONCE_BITS = 64
 
@@ -103,7 +109,7 @@
             if found is not None and found.nonce == nonce:
                 return found.number, Check(TERMS_TABLE, key, row.version)
             last = 0 if found is None else found.number
-            wanted = Epoch(last + 1) if number is None else number
+            wanted = _next_number(last) if number is None else number
             if wanted <= last:
                 tenure.supersede(f"term {last} has begun")
                 return None
@@ -114,6 +120,11 @@
     return None
 
 
+def _next_number(last: int) -> Epoch:
+    """Returns the next multiple of the distance between terms."""
+    return Epoch((last // FENCES_PER_TERM + 1) * FENCES_PER_TERM)
+
+
 def _decode(row: Row) -> TermRow | None:
     if row.value is None:
         return None
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -5,6 +5,12 @@
 The session keeps the latest time, on this node's clock, at which any of them
 can end, so that a task of a worker that does not answer is started elsewhere
 only after its lease has certainly ended.
+
+A worker may restart under its id. Its new incarnation knows no fence, its clock
+begins anew, and it would carry out orders that were sent to the earlier one and
+are still under way. The fence of a session therefore rises with each
+incarnation that answers, and nothing that an incarnation reports is used before
+it has seen its own fence.
 """
 
 from __future__ import annotations
@@ -39,6 +45,7 @@
     WorkerLink,
     WorkerState,
 )
+from pomeloarch_node.batch.term_row import FENCES_PER_TERM
 from pomeloarch_node.hedging import first_answer
 from pomeloarch_node.scheduler_tenure import Tenure
 
@@ -70,9 +77,21 @@
 START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
 SILENT_PAUSE_S = 0.5
+# Longest time after which an order without an answer may still be carried out,
+# in seconds.
+MAX_ORDER_DELAY_S = 13.0
 IDLE_PAUSE_S = 0.5
 
 
+def longest_lease_s(lease_s: float) -> float:
+    """Returns how long a lease granted now may last by this node's clock.
+
+    Args:
+      lease_s: its length on the worker's clock, in seconds.
+    """
+    return lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
+
+
 class SessionTimes(msgspec.Struct, frozen=True):
     """Timing settings of a session, in seconds.
 
@@ -93,7 +112,8 @@
       info: the worker.
       link: the link to it.
       tenure: the right to give orders.
-      fence: the number of the scheduler's term.
+      fence: the number of the scheduler's term, which is the first fence of
+        the session.
       scheduler: the scheduler that gives the orders.
       emit: passes an event to the scheduler.
       clock: returns monotonic time, in seconds.
@@ -118,6 +138,7 @@
         self.info = info
         self._link = link
         self._tenure = tenure
+        self._first_fence = fence
         self._fence = fence
         self._scheduler = scheduler
         self._emit = emit
@@ -130,6 +151,7 @@
         self._is_silent = False
         self._may_have_restarted = False
         self._acknowledged = 0
+        self._orders_open_until = 0.0
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
         self._orders: set[asyncio.Task[None]] = set()
@@ -138,6 +160,18 @@
         """Makes the session check at once whether a renewal is due."""
         self._wake.set()
 
+    def update_info(self, info: WorkerInfo) -> None:
+        """Replaces the worker's entry in the platform's list.
+
+        A worker that the list shows to have restarted is asked at once.
+        """
+        self.info = info
+        if self._is_restart_listed():
+            self._wake.set()
+
+    def _is_restart_listed(self) -> bool:
+        return self.info.incarnation > self._incarnation
+
     def move_to(self, info: WorkerInfo, link: WorkerLink) -> WorkerLink:
         """Switches to a link to another address and returns the former link.
 
@@ -175,6 +209,10 @@
             return False
         if self._scheduler.needs_polling(worker_id):
             return False
+        if self._is_restart_listed() or self._clock() < self._orders_open_until:
+            # An order that is still under way could start a task on a new
+            # incarnation that has not seen its fence.
+            return False
         await self._sleep_until_woken(IDLE_PAUSE_S)
         return True
 
@@ -189,7 +227,9 @@
     async def _renew(self) -> None:
         asked_at = self._clock()
         first = self._worker_clock is None or self._is_silent
-        known = not first and not self._may_have_restarted
+        known = not (
+            first or self._may_have_restarted or self._is_restart_listed()
+        )
         acknowledged = self._acknowledgement() if known else 0
         wait_s = self._renewal_wait_s() if known else 0.0
         deadline_ms = None
@@ -206,6 +246,8 @@
         if isinstance(answer, Err):
             await self._on_renewal_failed(answer.err_value)
             return
+        if self._has_restarted(answer.ok_value):
+            return
         if copies == 1:
             self._acknowledged = max(self._acknowledged, acknowledged)
         self._on_report(answer.ok_value, asked_at)
@@ -229,11 +271,13 @@
             nonlocal copies
             copies += 1
             first = copies == 1
-            return await self._link.renew(
-                self._fence,
-                acknowledged if first else 0,
-                deadline_ms,
-                wait_s if first else 0.0,
+            return await self._call_fenced(
+                lambda link, fence: link.renew(
+                    fence,
+                    acknowledged if first else 0,
+                    deadline_ms,
+                    wait_s if first else 0.0,
+                )
             )
 
         answer = await first_answer(
@@ -279,12 +323,39 @@
         )
         return deadline
 
+    def _has_restarted(self, report: WorkerState) -> bool:
+        """Returns whether a report shows a restart; raises the fence if so."""
+        if self._incarnation in (0, report.incarnation):
+            return False
+        self._incarnation = report.incarnation
+        self._on_restart()
+        return True
+
+    def _on_restart(self) -> None:
+        """Raises the fence above that of all orders to earlier incarnations.
+
+        One of these orders may have been carried out by the new incarnation,
+        which then granted it the longest lease.
+        """
+        now = self._clock()
+        self._last_report_at = now
+        self._acknowledged = 0
+        self._worker_clock = None
+        self._leases_end_at = max(
+            self._leases_end_at, now + longest_lease_s(self._times.lease_s)
+        )
+        if self._fence + 1 >= self._first_fence + FENCES_PER_TERM:
+            self._tenure.lose(
+                f"worker {self.info.worker_id} has restarted too often for "
+                "the fences of one term"
+            )
+            return
+        self._fence = Epoch(self._fence + 1)
+
     def _on_report(self, report: WorkerState, asked_at: float) -> None:
         now = self._clock()
         self._last_report_at = now
-        if report.incarnation != self._incarnation:
-            self._incarnation = report.incarnation
-            self._acknowledged = 0
+        self._incarnation = report.incarnation
         self._worker_clock = (report.clock_ms, now)
         self._is_silent = False
         self._may_have_restarted = False
@@ -304,6 +375,8 @@
                 f"worker {self.info.worker_id} has seen a higher fence"
             )
             return
+        if failure is OrderFailure.OUTDATED:
+            return
         now = self._clock()
         if failure is OrderFailure.OTHER_WORKER:
             self._emit(WorkerSilent(self.info.worker_id, now, gone=True))
@@ -346,6 +419,8 @@
             # still be carried out seconds later, when there is room for the
             # task.
             settled = outcome is StartOutcome.STARTED or copies == 1
+        elif answer.err_value is OrderFailure.OUTDATED:
+            outcome, settled = StartOutcome.REFUSED, copies == 1
         elif answer.err_value is OrderFailure.SUPERSEDED:
             self._tenure.supersede("a worker has seen a higher fence")
             return
@@ -368,14 +443,20 @@
 
         async def send() -> Result[StartAnswer, OrderFailure]:
             nonlocal copies
-            if not self._can_grant_lease():
+            if not self._can_grant_lease() or not self._is_still_wanted(order):
                 return Err(OrderFailure.NO_ANSWER)
             copies += 1
+            now = self._clock()
             lease_s = min(START_LEASE_S, self._times.lease_s)
-            deadline_ms = self._grant_until_ms(self._clock(), lease_s)
-            return await self._call_current_link(
-                lambda link: link.start(order, self._fence, deadline_ms)
+            deadline_ms = self._grant_until_ms(now, lease_s)
+            fence = self._fence
+            answer = await self._call_fenced(
+                lambda link, fence: link.start(order, fence, deadline_ms)
             )
+            if isinstance(answer, Ok) and fence < self._fence:
+                # The clock may be that of an earlier incarnation.
+                return Ok(StartAnswer(answer.ok_value.outcome, None))
+            return answer
 
         answer = await first_answer(
             send,
@@ -385,6 +466,8 @@
             MAX_START_COPIES,
             lambda: self._prepare_start_copy(order),
         )
+        if copies > 1 or isinstance(answer, Err):
+            self._orders_open_until = self._clock() + MAX_ORDER_DELAY_S
         return answer, copies
 
     def _is_still_wanted(self, order: StartTask) -> bool:
@@ -416,6 +499,23 @@
             return answer
         return Err(OrderFailure.NO_ANSWER)
 
+    async def _call_fenced(
+        self,
+        call: Callable[
+            [WorkerLink, Epoch], Awaitable[Result[_Answer, OrderFailure]]
+        ],
+    ) -> Result[_Answer, OrderFailure]:
+        """Makes a call under the present fence.
+
+        A worker refuses an order that was sent before its restart was noticed;
+        this is told from the refusal that a newer scheduler causes.
+        """
+        fence = self._fence
+        answer = await self._call_current_link(lambda link: call(link, fence))
+        if answer == Err(OrderFailure.SUPERSEDED) and fence < self._fence:
+            return Err(OrderFailure.OUTDATED)
+        return answer
+
     async def _prepare_copy(self) -> bool:
         """Replaces the connections, since the present ones may be silent."""
         self._may_have_restarted = True
@@ -424,16 +524,37 @@
         return self._tenure.is_held()
 
     def _record_clock(self, answer: StartAnswer) -> StartOutcome:
-        if answer.clock_ms is not None:
-            self._worker_clock = (answer.clock_ms, self._clock())
+        if answer.clock_ms is None:
+            return answer.outcome
+        now = self._clock()
+        if self._is_clock_behind(answer.clock_ms, now):
+            # The incarnation of a worker that has just restarted is known from
+            # its next report.
+            self._incarnation = Incarnation(0)
+            self._on_restart()
+        else:
+            self._worker_clock = (answer.clock_ms, now)
         return answer.outcome
 
+    def _is_clock_behind(self, clock_ms: int, now: float) -> bool:
+        """Returns whether a clock shows less than the one that was read last.
+
+        Answers may overtake each other by the time that a call may take.
+        """
+        if self._worker_clock is None:
+            return False
+        earlier_ms, at = self._worker_clock
+        elapsed_s = (now - at) * (1 - MAX_CLOCK_DRIFT) - CALL_TIMEOUT_S
+        return clock_ms < earlier_ms + elapsed_s * 1000
+
     async def _send_pace(self, order: PaceTask) -> None:
         for _ in range(MAX_PACE_ATTEMPTS):
             if not self._tenure.is_held():
                 return
-            answer = await self._link.pace(
-                str(order.task), order.run, order.percent, self._fence
+            answer = await self._call_fenced(
+                lambda link, fence: link.pace(
+                    str(order.task), order.run, order.percent, fence
+                )
             )
             if isinstance(answer, Ok):
                 return
@@ -444,9 +565,9 @@
     async def _send_stop(self, order: StopTask) -> None:
         while self._tenure.is_held():
             answer = await first_answer(
-                lambda: self._call_current_link(
-                    lambda link: link.stop(
-                        str(order.task), order.run, self._fence
+                lambda: self._call_fenced(
+                    lambda link, fence: link.stop(
+                        str(order.task), order.run, fence
                     )
                 ),
                 _has_answered,
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -83,6 +84,11 @@
     return Ok(WorkerState(Incarnation(incarnation), 1000, (), listed))
 
 
+def running_clock_ms():
+    """Returns the clock of a worker that started with the loop."""
+    return 1000 + int(asyncio.get_running_loop().time() * 1000)
+
+
 class ScriptedLink:
     """Returns prepared answers; records acknowledgements and leases."""
 
@@ -162,8 +168,14 @@
         ),
         (
             "a new incarnation of the same id, which numbers ends anew",
-            [report(1, 1, 2), NO_ANSWER, report(2, 1), report(2)],
-            [0, 2, 0, 1],
+            [
+                report(1, 1, 2),
+                NO_ANSWER,
+                report(2, 1),
+                report(2, 1),
+                report(2),
+            ],
+            [0, 2, 0, 0, 1],
         ),
     ],
 )
@@ -360,7 +372,8 @@
 
     async def renew(self, fence, acknowledged, deadline_ms, wait_s):
         await asyncio.sleep(0.01 + wait_s)
-        return report(1)
+        state = report(1).ok_value
+        return Ok(msgspec.structs.replace(state, clock_ms=running_clock_ms()))
 
     async def start(self, order, fence, deadline_ms):
         self.orders.append(("start", order.run))
@@ -370,7 +383,7 @@
         await asyncio.sleep(0.01)
         first = self.orders[0] == self.orders[-1]
         outcome = self._refusal if first else StartOutcome.STARTED
-        return Ok(StartAnswer(outcome, 1000))
+        return Ok(StartAnswer(outcome, running_clock_ms()))
 
     async def stop(self, task_name, run, fence):
         self.orders.append(("stop", run))
@@ -526,13 +539,17 @@
         self._late_s = late_s
         self._clock = asyncio.get_running_loop().time
         self._began = self._clock()
+        self._fence = 0
 
     @property
     def now(self):
         return self._clock() - self._began
 
-    def _extend(self, deadline_ms):
+    def _extend(self, fence, deadline_ms):
         """Extends the lease of the new incarnation."""
+        if fence < self._fence:
+            return
+        self._fence = fence
         if deadline_ms is None:
             return
         left_s = deadline_ms / 1000 - (self.now - self.restarts_at)
@@ -547,14 +564,14 @@
             return NO_ANSWER
         if self.silent_from <= self.now < self.restarts_at:
             loop = asyncio.get_running_loop()
-            loop.call_later(self._late_s, self._extend, deadline_ms)
+            loop.call_later(self._late_s, self._extend, fence, deadline_ms)
             await asyncio.sleep(0.7)
             return NO_ANSWER
         if self.now < self.silent_from:
             clock_s = self.initial_clock_s + self.now
             state = WorkerState(Incarnation(1), int(clock_s * 1000), (), ())
         else:
-            self._extend(deadline_ms)
+            self._extend(fence, deadline_ms)
             clock_s = self.now - self.restarts_at
             state = WorkerState(Incarnation(2), int(clock_s * 1000), (), ())
         await asyncio.sleep(0.01 + wait_s)
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -18,6 +18,7 @@
     TERMS_TABLE,
     term_key,
 )
+from pomeloarch_node.batch.term_row import FENCES_PER_TERM
 from pomeloarch_standins.batch_workers import (
     CALL_LATENCY_S,
     TIMEOUT_S,
@@ -402,7 +403,7 @@
     unfinished, terms = run_in_world(scenario, seed, nodes=3)
     assert unfinished == []
     # The first term, and one for each leader that was stopped.
-    assert terms == 5
+    assert terms == 5 * FENCES_PER_TERM
 
 
 def refuse_second_copy(monkeypatch, late_s):
