Match answers and reports with the run of each place, not with its group

Cause: a group that has claimed places still has the number of its previous run. A late answer to the order to stop or start that run, when the group has claimed the same worker again, confirmed the claimed place. The next report, asked before the new start arrived, then seemed to show that the run had been lost: its place was freed without an order to stop it, and the task was started elsewhere while the start was carried out. No restart and no order that is carried out late is needed; the gang that is stopped and placed again on the same workers is the usual case.

Change: a place carries the number of the run that it was ordered to start, none while it is only claimed. Answers, reports and ends are compared with it.

Ruled out: to number a run when its places are claimed. A claim that is given back would then use up numbers, and ends of the run before would no longer count for the group.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -55,6 +55,8 @@
 
     Attributes:
       worker_id: the worker that it was placed on.
+      run: the number of the run that it was ordered to start; 0 while its
+        place is only claimed.
       started_at: when its start was confirmed, None before.
       stopped_at: when its stop was confirmed, None before.
       percent: share of its work that was reported as done last, in percent.
@@ -70,6 +72,7 @@
     def __init__(self, worker_id: WorkerId) -> None:
         """Creates a task that was placed on a worker."""
         self.worker_id = worker_id
+        self.run = RunNumber(0)
         self.started_at: float | None = None
         self.stopped_at: float | None = None
         self.percent = 0.0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -92,7 +92,7 @@
                 self._stop_unaccounted_run(worker, reported, now)
                 continue
             member = group.members.get(task.index)
-            if member is None or group.run != run:
+            if member is None or member.run != run:
                 self._process_unknown(group, worker, reported, now)
                 continue
             if member.worker_id != worker.worker_id:
@@ -199,7 +199,7 @@
         held = (
             member is not None
             and member.worker_id == worker.worker_id
-            and group.run == reported.run
+            and member.run == reported.run
         )
         return NO_RESOURCES if held else group.step.allocation
 
@@ -220,7 +220,7 @@
             for index, member in list(group.members.items()):
                 if member.worker_id != worker.worker_id:
                     continue
-                if (group.task(index), group.run) in running:
+                if (group.task(index), member.run) in running:
                     continue
                 confirmed_at = (
                     member.stopped_at
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -121,6 +121,7 @@
             worker = self._fleet.get(member.worker_id)
             assert worker is not None
             worker.commit_claim(group.step.allocation)
+            member.run = group.run
             racks.add(worker.info.rack)
             self._out.append(
                 StartTask(
@@ -166,6 +167,7 @@
             group.started_at = now - ran_s
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
+        member.run = reported.run
         member.started_at = now
         worker.allocate(group, group.step.allocation, claimed=False)
         self._mark_started(group)
@@ -238,16 +240,14 @@
         """Records how a run of a group's task ended.
 
         The run may be one of an earlier scheduler whose end was not seen.
-        Success and failure count for any run. A group that has only claimed its
-        places still has the number of its previous run.
+        Success and failure count for any run.
         """
         assert end.task is not None
         member = group.members.get(end.task.index)
         current = (
             member is not None
-            and group.state is not GroupState.CLAIMED
             and member.worker_id == worker.worker_id
-            and group.run == end.run
+            and member.run == end.run
         )
         if not group.members:
             group.run = max(group.run, end.run)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -427,10 +427,14 @@
     def _on_start_answered(self, event: StartAnswered, now: float) -> None:
         self._clear_late(event.worker_id, event.outcome)
         group = self._jobs.group_of(event.task)
-        if group is None or group.run != event.run:
+        if group is None:
             return
         member = group.members.get(event.task.index)
-        if member is None or member.worker_id != event.worker_id:
+        if (
+            member is None
+            or member.worker_id != event.worker_id
+            or member.run != event.run
+        ):
             return
         if event.outcome is StartOutcome.STARTED:
             self._runs.confirm_member(group, event.task.index, now)
@@ -481,10 +485,14 @@
     def _on_stop_answered(self, event: StopAnswered, now: float) -> None:
         self._clear_late(event.worker_id)
         group = self._jobs.group_of(event.task)
-        if group is None or group.run != event.run:
+        if group is None:
             return
         member = group.members.get(event.task.index)
-        if member is not None and member.worker_id == event.worker_id:
+        if (
+            member is not None
+            and member.worker_id == event.worker_id
+            and member.run == event.run
+        ):
             member.stopped_at = member.stopped_at or now
 
     @_on.register
