Keep a run that was reported although its start had no answer

Cause: an order to start whose answers were all lost had the run stopped, even when a report had shown that the run was in progress.

Change: such an order counts as answered. The run is accounted for: its place is kept, and its end is reported like any other.

Tests: one case of test_batch_dispatch.py failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -439,6 +439,10 @@
         if event.outcome is StartOutcome.STARTED:
             self._runs.confirm_member(group, event.task.index, now)
             return
+        no_answer = event.outcome is StartOutcome.NO_ANSWER
+        if no_answer and member.started_at is not None:
+            # Only the answers were lost: a report has shown the run.
+            return
         self._out.append(
             LogEntry(
                 "start refused",
