Name the tasks of ends that are not durable for a successor

Cause: the roster's entry of a silent worker named the tasks that it might run, and left out a task whose end had been reported but was not durable. If the leader changed then, its successor released the task at once, started it again, and read from the worker later that it had been done before.

Change: such a task is named too, so that the successor waits for the worker or for the end of its leases.

Ruled out: to hold back the roster until all rows are durable. The rows may be late for the same reason for which the worker is silent.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -39,12 +39,12 @@
       groups: groups with tasks on the worker, and the number of these tasks.
       unaccounted_runs: runs on it that no group accounts for, and when each was
         first reported.
-      pending_ends: numbers of ends that may not be forgotten before the row of
-        their job is durable.
+      pending_ends: tasks of the ends that may not be forgotten before the row
+        of their job is durable, by number of the end.
       last_end: the highest number of an end that was processed.
       enrolled: whether the durable roster says that it may run any task.
-      may_run: names of the only tasks that it may run, while it is silent; None
-        for any task.
+      may_run: names of the only tasks that it may run or have run, while it is
+        silent; None for any task.
       evacuated: whether the runs that would end with it were stopped.
       shutting_down: whether its machine is about to go down.
       suspended_until: until when it is given no task after failures or a stall.
@@ -66,7 +66,7 @@
         self.heard_at: float | None = None
         self.groups: dict[Group, int] = {}
         self.unaccounted_runs: dict[tuple[TaskId, RunNumber], float] = {}
-        self.pending_ends: set[int] = set()
+        self.pending_ends: dict[int, TaskId] = {}
         self.last_end = 0
         self.enrolled = False
         self.may_run: tuple[str, ...] | None = None
@@ -129,11 +129,13 @@
         """
         if self.reported and not self.silent:
             self.enrolled = False
-            self.may_run = tuple(sorted(self._ordered_tasks()))
+            self.may_run = tuple(sorted(set(self._possible_tasks())))
         self.silent = True
         self.lapses_at = lapses_at
 
-    def _ordered_tasks(self) -> Iterator[str]:
+    def _possible_tasks(self) -> Iterator[str]:
+        """Yields the tasks that it may run or still has the end of."""
+        yield from (str(task) for task in self.pending_ends.values())
         yield from (str(task) for task, _ in self.unaccounted_runs)
         for group in self.groups:
             for index, member in group.members.items():
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -109,14 +109,14 @@
         )
 
     def hold_end_until_written(
-        self, entry: JobEntry, worker: Worker, number: int
+        self, entry: JobEntry, worker: Worker, number: int, task: TaskId
     ) -> None:
         """Has a worker keep an end until all that it reports is durable.
 
         This includes what another member of the gang reported first.
         """
         if entry.written < entry.change:
-            worker.pending_ends.add(number)
+            worker.pending_ends[number] = task
             held_ends = self._held_ends.setdefault(entry.job.job_id, [])
             held_ends.append(
                 _HeldEnd(worker, worker.incarnation, number, entry.change)
@@ -129,7 +129,7 @@
             # Another incarnation numbers its ends anew.
             same_incarnation = each.worker.incarnation == each.incarnation
             if each.change <= change and same_incarnation:
-                each.worker.pending_ends.discard(each.number)
+                each.worker.pending_ends.pop(each.number, None)
         left = [each for each in held_ends if each.change > change]
         if left:
             self._held_ends[job_id] = left
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -171,8 +171,9 @@
 
     Attributes:
       address: where it takes orders, as `ip:port`.
-      may_run: names of the only tasks that it may run, if it fell silent and
-        was given no task since; None when it may run any task.
+      may_run: names of the only tasks that it may run, or whose ends are not
+        durable yet, if it fell silent and was given no task since; None when
+        it may run any task.
       slow: whether it takes clearly longer than others for the same work.
     """
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -74,7 +74,9 @@
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
-            self._jobs.hold_end_until_written(entry, worker, end.number)
+            self._jobs.hold_end_until_written(
+                entry, worker, end.number, end.task
+            )
             if not entry.row.status.is_final and entry.is_done:
                 self._jobs.finish(
                     entry, JobStatus.COMPLETED, "all tasks done", now
