Keep a worker off the list until its ends are durable

Cause: a worker that had left the list was forgotten once it ran nothing, even while the rows of jobs that had ended on it were not written. It was then not asked for these ends again, and not named to a successor. Entries of the list lapse while the store is away, which is also when rows are late.

Tests: one case of test_batch_dispatch.py failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -412,12 +412,13 @@
                     )
 
     def _forget_if_empty(self, worker: Worker, now: float) -> None:
-        """Forgets a worker off the list, unless it may run something."""
+        """Forgets a worker off the list that runs and reports nothing."""
         known = worker.reported or worker.has_lapsed(now)
         if (
             worker.listed
             or worker.groups
             or worker.unaccounted_runs
+            or worker.pending_ends
             or not known
         ):
             return
