Take no run for lost while a worker has more ends to report

Cause: a worker reports 500 ends at a time. A run whose end was beyond these was in neither list, was taken for lost, and its task was started again though it was done. A successor also counted the worker as heard.

Change: the adapter marks such a report as incomplete. It frees no place, and the worker counts as heard only with a complete report.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -142,9 +142,12 @@
                 if member.worker_id == self.worker_id:
                     yield str(group.task(index))
 
-    def mark_answered(self) -> None:
-        """Records that it answers again."""
-        self.reported = True
+    def mark_answered(self, complete: bool) -> None:
+        """Records that it answers again.
+
+        Until it has reported all ends, it may have more runs than are known.
+        """
+        self.reported = self.reported or complete
         self.silent = False
         self.late_since = None
         if self.may_run is not None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -203,6 +203,8 @@
       asked_at: when the request was sent, by the scheduler's clock.
       running: all runs that it has.
       ended: ends that have not been acknowledged yet.
+      complete: whether `ended` holds all of them; the others follow once these
+        are acknowledged.
     """
 
     worker_id: WorkerId
@@ -210,6 +212,7 @@
     asked_at: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    complete: bool = True
 
 
 class WorkerSilent(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -50,14 +50,15 @@
             worker.pending_ends.clear()
             worker.drop_unaccounted_runs()
         worker.incarnation = event.incarnation
-        worker.mark_answered()
+        worker.mark_answered(event.complete)
         running = {
             (reported.task, reported.run): reported
             for reported in event.running
         }
         self._process_ends(worker, event.ended, now)
         self._process_running(worker, running, now)
-        self._remove_missing(worker, running, event.asked_at, now)
+        if event.complete:
+            self._remove_missing(worker, running, event.asked_at, now)
         worker.heard_at = now
 
     def _process_ends(
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1465,9 +1465,11 @@
         for number in range(1, MAX_REPORTED_ENDS + 1)
     ]
     done = EndedTask(MAX_REPORTED_ENDS + 1, order.task, order.run, RunEnd.DONE)
-    for ends in (part, [done]):
+    for ends, complete in ((part, False), ([done], True)):
         fleet.emit(
-            WorkerReported(where, Incarnation(1), fleet.now, (), tuple(ends))
+            WorkerReported(
+                where, Incarnation(1), fleet.now, (), tuple(ends), complete
+            )
         )
         fleet.wait(0.4)
     runs = {each.run for each in fleet.starts}
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
@@ -102,12 +102,14 @@
       clock_ms: its clock, in milliseconds since its start.
       running: the runs in progress.
       ended: the ends of runs that were not acknowledged yet.
+      complete: whether `ended` holds all of them.
     """
 
     incarnation: Incarnation
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    complete: bool = True
 
 
 class StartAnswer(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -366,6 +366,7 @@
                 asked_at,
                 report.running,
                 report.ended,
+                report.complete,
             )
         )
 
