Show that a superseded holder keeps its role and never leads again

A former holder may begin a term after its successor has, since it acts until its lease ends and terms are numbered without regard to the epoch of the role. The successor is superseded, doesn't act again under its epoch, and goes on renewing the role: nobody schedules for the 40 s of the test.

--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -497,3 +497,30 @@
         return await world.wait_for_jobs(40.0), len(world.ledger.entries)
 
     assert run_in_world(scenario) == ([], 4)
+
+
+@pytest.mark.parametrize("superseded", [True, False])
+def test_holder_whose_predecessor_began_a_term_late_leads_again(superseded):
+    """Guards against a role that is renewed while its holder may not act.
+
+    A former holder acts until its lease ends, also after others have claimed
+    the role. If it begins a term in that time, its term is the newest.
+    """
+
+    async def scenario(world):
+        await world.submit(make_job(1), world.nodes[0])
+        await asyncio.sleep(1.0)
+        shards = [row.key for row in world.tables.rows(TERMS_TABLE)]
+        if superseded:
+            for key in shards:
+                value = world.tables.read(TERMS_TABLE, key).value
+                world.tables.put(
+                    TERMS_TABLE,
+                    key,
+                    value | {"number": value["number"] + 1, "nonce": "late"},
+                )
+        for number in range(2, 5):
+            await world.submit(make_job(number), world.nodes[0])
+        return await world.wait_for_jobs(within_s=40.0)
+
+    assert run_in_world(scenario) == []
