--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -6,6 +6,7 @@
 from pomeloarch_core.batch.catalogue import Catalogue, Tenant
 from pomeloarch_core.batch.estimates import DispatchTimes
 from pomeloarch_core.batch.messages import (
+    CancelRequested,
     EndedTask,
     Incarnation,
     JobAccepted,
@@ -723,6 +724,26 @@
     assert fleet.stops == []
 
 
+@pytest.mark.parametrize("done", [True, False])
+def test_done_gang_is_not_stopped_where_a_report_lists_its_first_end(done):
+    """Guards against members that end as stopped after their job is done.
+
+    A worker answers at the first end that it waits for, and the ends of the
+    other members follow at once.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    job = fleet.submit(1, BATCH, step(3, gang=True))
+    first = fleet.starts[0]
+    fleet.wait(1.0)
+    if done:
+        fleet.end(first.task, first.run)
+    else:
+        fleet.emit(CancelRequested(job))
+        fleet.report(first.worker_id)
+    stopped = {each.task for each in fleet.stops}
+    assert stopped == (set() if done else {e.task for e in fleet.starts})
+
+
 def test_job_fails_once_its_attempts_are_used_up():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1))
