--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -50,14 +50,15 @@
             worker.pending_ends.clear()
             worker.drop_unaccounted_runs()
         worker.incarnation = event.incarnation
-        worker.mark_answered()
+        worker.mark_answered(event.complete)
         running = {
             (reported.task, reported.run): reported
             for reported in event.running
         }
         self._process_ends(worker, event.ended, now)
         self._process_running(worker, running, now)
-        self._remove_missing(worker, running, event.asked_at, now)
+        if event.complete:
+            self._remove_missing(worker, running, event.asked_at, now)
         worker.heard_at = now
 
     def _process_ends(
@@ -74,7 +75,9 @@
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
-            self._jobs.hold_end_until_written(entry, worker, end.number)
+            self._jobs.hold_end_until_written(
+                entry, worker, end.number, end.task
+            )
             if not entry.row.status.is_final and entry.is_done:
                 self._jobs.finish(
                     entry, JobStatus.COMPLETED, "all tasks done", now
@@ -92,7 +95,7 @@
                 self._stop_unaccounted_run(worker, reported, now)
                 continue
             member = group.members.get(task.index)
-            if member is None or group.run != run:
+            if member is None or member.run != run:
                 self._process_unknown(group, worker, reported, now)
                 continue
             if member.worker_id != worker.worker_id:
@@ -199,7 +202,7 @@
         held = (
             member is not None
             and member.worker_id == worker.worker_id
-            and group.run == reported.run
+            and member.run == reported.run
         )
         return NO_RESOURCES if held else group.step.allocation
 
@@ -220,7 +223,7 @@
             for index, member in list(group.members.items()):
                 if member.worker_id != worker.worker_id:
                     continue
-                if (group.task(index), group.run) in running:
+                if (group.task(index), member.run) in running:
                     continue
                 confirmed_at = (
                     member.stopped_at
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -412,12 +412,13 @@
                     )
 
     def _forget_if_empty(self, worker: Worker, now: float) -> None:
-        """Forgets a worker off the list, unless it may run something."""
+        """Forgets a worker off the list that runs and reports nothing."""
         known = worker.reported or worker.has_lapsed(now)
         if (
             worker.listed
             or worker.groups
             or worker.unaccounted_runs
+            or worker.pending_ends
             or not known
         ):
             return
@@ -427,14 +428,22 @@
     def _on_start_answered(self, event: StartAnswered, now: float) -> None:
         self._clear_late(event.worker_id, event.outcome)
         group = self._jobs.group_of(event.task)
-        if group is None or group.run != event.run:
+        if group is None:
             return
         member = group.members.get(event.task.index)
-        if member is None or member.worker_id != event.worker_id:
+        if (
+            member is None
+            or member.worker_id != event.worker_id
+            or member.run != event.run
+        ):
             return
         if event.outcome is StartOutcome.STARTED:
             self._runs.confirm_member(group, event.task.index, now)
             return
+        no_answer = event.outcome is StartOutcome.NO_ANSWER
+        if no_answer and member.started_at is not None:
+            # Only the answers were lost: a report has shown the run.
+            return
         self._out.append(
             LogEntry(
                 "start refused",
@@ -481,10 +490,14 @@
     def _on_stop_answered(self, event: StopAnswered, now: float) -> None:
         self._clear_late(event.worker_id)
         group = self._jobs.group_of(event.task)
-        if group is None or group.run != event.run:
+        if group is None:
             return
         member = group.members.get(event.task.index)
-        if member is not None and member.worker_id == event.worker_id:
+        if (
+            member is not None
+            and member.worker_id == event.worker_id
+            and member.run == event.run
+        ):
             member.stopped_at = member.stopped_at or now
 
     @_on.register
