--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -104,6 +104,8 @@
 
     def update_info(self, info: WorkerInfo) -> None:
         """Replaces the worker's entry in the platform's list."""
+        if info.address != self.info.address:
+            self.enrolled = False
         self.info = info
         self.listed = True
         self.evacuated = self.evacuated and info.draining
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -89,7 +89,8 @@
         """Returns whether a group may start on the places that it has claimed.
 
         A run of one of its tasks that no group accounts for may have been
-        reported since; the group waits for its end.
+        reported since; the group waits for its end. A worker may have moved to
+        another address, which the roster has to name first.
         """
         durable = group.job.written >= group.placement_change
         return (
@@ -101,7 +102,7 @@
     def _has_room(self, group: Group) -> bool:
         for worker_id in {m.worker_id for m in group.members.values()}:
             worker = self._fleet.get(worker_id)
-            if worker is None:
+            if worker is None or not worker.enrolled:
                 return False
             wanted = group.step.allocation * worker.groups[group]
             if not wanted.fits_in(worker.unused):
