Close the gaps around a worker's raised fence

The last fence of a closed session is kept. - A report that was asked for under the former fence was used if a start's answer had shown the restart meanwhile. - The longest lease counted from the moment at which the restart was noticed; orders may extend it until the worker has seen the new fence. - A worker that was reported silent kept its former deadline. - A list that names another incarnation than the one that answers, such as an entry of another writer, had the worker asked without a pause. - Copies of orders counted as open only once the whole call had ended.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -353,6 +353,8 @@
         self._worker_list = self._make_mirror(
             leader._workers_table, 0.0, WORKER_LIST_INTERVAL_S
         )
+        # The last fences of workers whose sessions were closed.
+        self._fences: dict[WorkerId, Epoch] = {}
         # Jobs that the scheduler already knows. A snapshot of the specs table
         # that is read again also contains jobs that ended long ago.
         self._known_jobs: set[JobId] = set()
@@ -571,6 +573,7 @@
 
     def _close_session(self, worker_id: WorkerId) -> None:
         session, task = self._sessions.pop(worker_id)
+        self._fences[worker_id] = session.fence
         task.cancel()
         self._run_in_background(session.close())
 
@@ -610,7 +613,7 @@
             info,
             leader._links.open(info),
             self._tenure,
-            self._term_number,
+            self._fences.get(info.worker_id, self._term_number),
             self._scheduler,
             self.emit,
             self._clock,
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -112,8 +112,8 @@
       info: the worker.
       link: the link to it.
       tenure: the right to give orders.
-      fence: the number of the scheduler's term, which is the first fence of
-        the session.
+      fence: the worker's fence: the number of the scheduler's term, plus one
+        for each restart of the worker that was noticed in this term.
       scheduler: the scheduler that gives the orders.
       emit: passes an event to the scheduler.
       clock: returns monotonic time, in seconds.
@@ -138,7 +138,6 @@
         self.info = info
         self._link = link
         self._tenure = tenure
-        self._first_fence = fence
         self._fence = fence
         self._scheduler = scheduler
         self._emit = emit
@@ -146,12 +145,16 @@
         self._times = times
         self._leases_end_at = earlier_leases_end_at
         self._incarnation = Incarnation(0)
+        # The newest incarnation on the list for which the worker was asked.
+        self._checked_incarnation = Incarnation(0)
         self._worker_clock: tuple[int, float] | None = None
         self._last_report_at = clock()
         self._is_silent = False
         self._may_have_restarted = False
         self._acknowledged = 0
-        self._orders_open_until = 0.0
+        # Copies of starts without an answer, and until when each may still be
+        # carried out.
+        self._open_copies: dict[object, float] = {}
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
         self._orders: set[asyncio.Task[None]] = set()
@@ -160,6 +163,11 @@
         """Makes the session check at once whether a renewal is due."""
         self._wake.set()
 
+    @property
+    def fence(self) -> Epoch:
+        """The fence that the worker's present incarnation has to have seen."""
+        return self._fence
+
     def update_info(self, info: WorkerInfo) -> None:
         """Replaces the worker's entry in the platform's list.
 
@@ -170,7 +178,8 @@
             self._wake.set()
 
     def _is_restart_listed(self) -> bool:
-        return self.info.incarnation > self._incarnation
+        known = max(self._incarnation, self._checked_incarnation)
+        return self.info.incarnation > known
 
     def move_to(self, info: WorkerInfo, link: WorkerLink) -> WorkerLink:
         """Switches to a link to another address and returns the former link.
@@ -209,13 +218,20 @@
             return False
         if self._scheduler.needs_polling(worker_id):
             return False
-        if self._is_restart_listed() or self._clock() < self._orders_open_until:
+        if self._is_restart_listed() or self._has_open_copies():
             # An order that is still under way could start a task on a new
             # incarnation that has not seen its fence.
             return False
         await self._sleep_until_woken(IDLE_PAUSE_S)
         return True
 
+    def _has_open_copies(self) -> bool:
+        now = self._clock()
+        for copy, until in list(self._open_copies.items()):
+            if until <= now:
+                del self._open_copies[copy]
+        return bool(self._open_copies)
+
     async def _sleep_until_woken(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -226,6 +242,7 @@
 
     async def _renew(self) -> None:
         asked_at = self._clock()
+        fence, listed = self._fence, self.info.incarnation
         first = self._worker_clock is None or self._is_silent
         known = not (
             first or self._may_have_restarted or self._is_restart_listed()
@@ -246,7 +263,9 @@
         if isinstance(answer, Err):
             await self._on_renewal_failed(answer.err_value)
             return
-        if self._has_restarted(answer.ok_value):
+        self._checked_incarnation = listed
+        if fence != self._fence or self._has_restarted(answer.ok_value):
+            # Late orders may still change what this report says.
             return
         if copies == 1:
             self._acknowledged = max(self._acknowledged, acknowledged)
@@ -341,10 +360,10 @@
         self._last_report_at = now
         self._acknowledged = 0
         self._worker_clock = None
-        self._leases_end_at = max(
-            self._leases_end_at, now + longest_lease_s(self._times.lease_s)
-        )
-        if self._fence + 1 >= self._first_fence + FENCES_PER_TERM:
+        self._count_longest_lease(now)
+        if self._is_silent:
+            self._emit(WorkerSilent(self.info.worker_id, self._leases_end_at))
+        if (self._fence + 1) % FENCES_PER_TERM == 0:
             self._tenure.lose(
                 f"worker {self.info.worker_id} has restarted too often for "
                 "the fences of one term"
@@ -352,10 +371,18 @@
             return
         self._fence = Epoch(self._fence + 1)
 
+    def _count_longest_lease(self, now: float) -> None:
+        """Notes that an unknown order may have granted a lease until now."""
+        self._leases_end_at = max(
+            self._leases_end_at, now + longest_lease_s(self._times.lease_s)
+        )
+
     def _on_report(self, report: WorkerState, asked_at: float) -> None:
         now = self._clock()
         self._last_report_at = now
         self._incarnation = report.incarnation
+        if self._worker_clock is None:
+            self._count_longest_lease(now)
         self._worker_clock = (report.clock_ms, now)
         self._is_silent = False
         self._may_have_restarted = False
@@ -450,10 +477,13 @@
             now = self._clock()
             lease_s = min(START_LEASE_S, self._times.lease_s)
             deadline_ms = self._grant_until_ms(now, lease_s)
-            fence = self._fence
+            copy, fence = object(), self._fence
+            self._open_copies[copy] = now + MAX_ORDER_DELAY_S
             answer = await self._call_fenced(
                 lambda link, fence: link.start(order, fence, deadline_ms)
             )
+            if _has_answered(answer):
+                del self._open_copies[copy]
             if isinstance(answer, Ok) and fence < self._fence:
                 # The clock may be that of an earlier incarnation.
                 return Ok(StartAnswer(answer.ok_value.outcome, None))
@@ -467,8 +497,6 @@
             MAX_START_COPIES,
             lambda: self._prepare_start_copy(order),
         )
-        if copies > 1 or isinstance(answer, Err):
-            self._orders_open_until = self._clock() + MAX_ORDER_DELAY_S
         return answer, copies
 
     def _is_still_wanted(self, order: StartTask) -> bool:
--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from result import Err
 
@@ -13,6 +14,7 @@
     TaskId,
     WorkerInfo,
     WorkerReported,
+    WorkerSilent,
 )
 from pomeloarch_core.batch.model import (
     BatchJob,
@@ -31,7 +33,13 @@
 )
 from pomeloarch_node.batch.ports import OrderFailure
 from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
-from pomeloarch_standins.batch_workers import Ledger, ModelLink, WorkerModel
+from pomeloarch_standins.batch_workers import (
+    MAX_LEASE_S,
+    Ledger,
+    ModelLink,
+    WorkerModel,
+)
+from pomeloarch_standins.batch_world import BatchWorld
 from pomeloarch_standins.virtual_time import run_virtual
 
 INFO = WorkerInfo(
@@ -259,15 +267,9 @@
     async def scenario(session, link, worker, scheduler, tenure, events):
         worker.crash()
         if listed:
-            info = WorkerInfo(
-                **{
-                    each: getattr(INFO, each)
-                    for each in INFO.__struct_fields__
-                    if each != "incarnation"
-                },
-                incarnation=Incarnation(2),
+            session.update_info(
+                msgspec.structs.replace(INFO, incarnation=Incarnation(2))
             )
-            session.update_info(info)
         await asyncio.sleep(CONTACT_S)
         return worker._fence
 
@@ -286,3 +288,99 @@
 async def _refuse_after_restart(session):
     session._on_restart()
     return Err(OrderFailure.SUPERSEDED)
+
+
+def test_session_that_is_opened_again_goes_on_with_the_last_fence():
+    """Guards against a worker's refusal that seems to be a newer scheduler's.
+
+    A worker restarts, leaves the list while it is idle and comes back.
+    """
+
+    async def scenario():
+        world = BatchWorld(1, nodes=1, workers=1)
+        world.start()
+        await asyncio.sleep(3.0)
+        (worker_id,) = world.workers
+        worker = world.workers[worker_id]
+        fences = []
+        for _ in range(2):
+            worker.crash()
+            worker.info = msgspec.structs.replace(
+                worker.info, incarnation=Incarnation(worker.incarnation)
+            )
+            world.relist(worker_id)
+            await asyncio.sleep(2 * CONTACT_S)
+            fences.append(worker._fence)
+            world.unlist(worker_id)
+            await asyncio.sleep(CONTACT_S)
+            world.relist(worker_id)
+            await asyncio.sleep(CONTACT_S)
+            fences.append(worker._fence)
+        is_leader = world.nodes[0].is_leader
+        await world.stop()
+        return is_leader, [each - fences[0] for each in fences]
+
+    assert run_virtual(scenario()) == (True, [0, 0, 1, 1])
+
+
+def test_report_that_was_asked_for_before_the_fence_rose_is_not_used():
+    """A start's answer shows the restart while a renewal is in progress."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        session.wake()
+        await asyncio.sleep(2 * CONTACT_S)
+        fences = []
+
+        def record(event):
+            if isinstance(event, WorkerReported):
+                fences.append(worker._fence)
+
+        session._emit = record
+        worker.crash()
+        session.start(ORDER)
+        await asyncio.sleep(3 * CONTACT_S)
+        return tenure.reason, min(fences)
+
+    assert run_virtual(with_session(scenario)) == ("", 257)
+
+
+def test_silent_worker_that_has_restarted_keeps_its_tasks_longer():
+    """Guards against a lease that a late order grants to a new incarnation."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        loop = asyncio.get_running_loop()
+        scheduler.busy = True
+        worker.is_cut_off = True
+        await asyncio.sleep(5.0)
+        worker.crash()
+        worker.is_cut_off = False
+        restarted_at = loop.time()
+        while worker._fence < 256:
+            await asyncio.sleep(0.01)
+        worker.is_cut_off = True
+        await asyncio.sleep(1.0)
+        silent = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent[-1].lapses_at - restarted_at
+
+    assert run_virtual(with_session(scenario)) > MAX_LEASE_S
+
+
+@pytest.mark.parametrize("listed", [1, 2, 9])
+def test_listed_restart_that_the_worker_denies_is_asked_about_once(listed):
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        calls = []
+        original = link.renew
+
+        async def renew(*args):
+            calls.append(args)
+            return await original(*args)
+
+        link.renew = renew
+        session.update_info(
+            msgspec.structs.replace(INFO, incarnation=Incarnation(listed))
+        )
+        await asyncio.sleep(10.0)
+        return len(calls)
+
+    assert run_virtual(with_session(scenario)) <= (listed > 1)
