Model workers that restart, clocks that run slow, cut paths and frozen nodes

The model of workers and nodes lacked faults that the platform has: a worker that restarts under its id or under a new one, a clock that is slow, a path between one node and one worker that is cut or that loses answers only, answers that overtake each other, and a node whose process stands still and then sends what it had ready. A run that was due to end ended only with the next call, and an order whose caller gave up within its latency never arrived.

Workers now refuse orders to a former id, advance by themselves, and pass on the fence of an order to set the pace. An answer is lost if the path is cut or the worker crashes meanwhile. All calls of a node pass a gate; one that has left takes effect whatever becomes of its caller.

Ruled out: stopping the tasks of a frozen node, since what they decide while no answer reaches them leaves no earlier than what was ready at the freeze.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -9,10 +9,12 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import itertools
 import random
 from collections import defaultdict
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 from result import Err, Ok, Result
@@ -29,12 +31,15 @@
     WorkerInfo,
 )
 from pomeloarch_core.batch.model import NO_RESOURCES, BatchJob, Resources, Step
-from pomeloarch_core.ids import Epoch, JobId
+from pomeloarch_core.ids import Epoch, JobId, WorkerId
 from pomeloarch_node.batch.ports import (
     OrderFailure,
     StartAnswer,
     WorkerState,
 )
+from pomeloarch_standins.batch_gates import ProcessGate
+
+_Answer = TypeVar("_Answer")
 
 # Time that a member of a gang waits for the other members, in seconds.
 GANG_TIMEOUT_S = 3.0
@@ -46,6 +51,8 @@
 CALL_LATENCY_S = 0.003
 # Time after which a caller gives up a call, in seconds.
 TIMEOUT_S = 0.7
+# Interval at which a worker checks for runs that are due to end, in seconds.
+ADVANCE_INTERVAL_S = 0.02
 # Range of the delay of an order that is carried out late, in seconds.
 LATE_RANGE_S = (2.0, 12.0)
 
@@ -143,7 +150,10 @@
       is_cut_off: whether no call reaches the worker.
       lose_share: the share of orders that are not answered.
       late_share: the share of those that are carried out seconds later.
+      max_answer_delay_s: limit on the additional delay of each answer, in
+        seconds; answers may overtake each other.
       fails_all: whether all of its tasks fail.
+      checks_room: whether it refuses a task that doesn't fit.
       incarnation: how often the worker has started.
 
     Args:
@@ -169,13 +179,16 @@
         self.is_cut_off = False
         self.lose_share = 0.0
         self.late_share = 0.0
+        self.max_answer_delay_s = 0.0
         self.fails_all = False
+        self.checks_room = True
         self._jobs = jobs
         self._duration_s = duration_s
         self._gangs = gangs
         self._ledger = ledger
         self._rng = rng
         self._late: set[asyncio.Task[None]] = set()
+        self._clock_rate = 1.0
         self.incarnation = 0
         self._reset()
 
@@ -187,15 +200,30 @@
         self._ends: list[tuple[EndedTask, LedgerEntry]] = []
         self._end_count = 0
         self._deadline = 0.0
-        self._started_at = self._now()
+        # The worker's clock at one time of the loop, both in seconds.
+        self._clock_reading = (0.0, self._now())
 
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
 
+    @property
+    def clock_rate(self) -> float:
+        """The speed of the worker's clock; 0.98 is 2% slow."""
+        return self._clock_rate
+
+    @clock_rate.setter
+    def clock_rate(self, rate: float) -> None:
+        self._clock_reading = self._clock_s(), self._now()
+        self._clock_rate = rate
+
+    def _clock_s(self) -> float:
+        reading_s, read_at = self._clock_reading
+        return reading_s + (self._now() - read_at) * self._clock_rate
+
     def clock_ms(self) -> int:
         """Returns the worker's own clock, in milliseconds since its start."""
-        return int((self._now() - self._started_at) * 1000)
+        return int(self._clock_s() * 1000)
 
     def crash(self) -> None:
         """Loses all state and starts as a new incarnation."""
@@ -206,8 +234,6 @@
             self._leave_gang(run)
         for run in lost:
             self._break_other_members(run)
-        for _, entry in self._ends:
-            entry.acknowledged = False
         self._reset()
 
     def advance(self) -> None:
@@ -346,6 +372,13 @@
         """The number of runs that ended in this incarnation."""
         return self._end_count
 
+    async def wait_for_end(self, wait_s: float) -> None:
+        """Waits up to `wait_s` seconds for the end of a run."""
+        until, initial_count = self._now() + wait_s, self._end_count
+        while self._now() < until and self._end_count == initial_count:
+            await asyncio.sleep(ADVANCE_INTERVAL_S)
+            self.advance()
+
     def start(
         self, order: StartTask, fence: int, deadline_ms: int, late: bool
     ) -> StartOutcome | None:
@@ -367,7 +400,7 @@
             return StartOutcome.STARTED if same else StartOutcome.OLD_RUN
         if order.run <= self._highest.get(order.task, 0):
             return StartOutcome.OLD_RUN
-        if not self.has_room(order.task):
+        if self.checks_room and not self.has_room(order.task):
             return StartOutcome.NO_ROOM
         entry = LedgerEntry(
             order.task,
@@ -400,6 +433,18 @@
             present.stops_at = present.stops_at or self._now() + STOP_DURATION_S
         return True
 
+    def pace(self, fence: int) -> bool:
+        """Takes note of the fence; tasks have no speed in this model.
+
+        Returns:
+          False when the fence is lower than the highest one seen.
+        """
+        self.advance()
+        if fence < self._fence:
+            return False
+        self._fence = fence
+        return True
+
     def run_later(self, wait_s: float, act: Callable[[], object]) -> None:
         """Carries out an order after its caller has given up.
 
@@ -417,26 +462,45 @@
     act()
 
 
+class Path(enum.Enum):
+    """The state of the network between a node and a worker.
+
+    OPEN: orders arrive and their answers do.
+    DEAF: orders arrive and are carried out, but their answers are lost.
+    CUT: nothing arrives.
+    """
+
+    OPEN = "open"
+    DEAF = "deaf"
+    CUT = "cut"
+
+
 class ModelLink:
     """One node's connection to the model of a worker.
 
     Args:
       worker: the worker.
-      reachable: returns whether this node reaches the worker now.
+      worker_id: the id that the node knows the worker by; under another id, the
+        worker refuses all orders.
+      path: returns the present state of the network between the two.
       rng: draws faults and delays.
+      gate: the node's gate.
     """
 
     def __init__(
         self,
         worker: WorkerModel,
-        reachable: Callable[[], bool],
+        worker_id: WorkerId,
+        path: Callable[[], Path],
         rng: random.Random,
+        gate: ProcessGate,
     ) -> None:
-        """Creates a link to the worker's present incarnation."""
+        """Creates a link to a worker and all its incarnations of this id."""
         self._worker = worker
-        self._incarnation = worker.incarnation
-        self._reachable = reachable
+        self._worker_id = worker_id
+        self._path = path
         self._rng = rng
+        self._gate = gate
 
     async def reset(self) -> None:
         """Does nothing, because there are no connections."""
@@ -444,28 +508,74 @@
     async def close(self) -> None:
         """Does nothing, because there are no connections."""
 
-    async def _deliver(self, act: Callable[[bool], object]) -> bool:
-        """Delivers an order, which may get lost or be carried out late.
+    async def _call(
+        self,
+        act: Callable[[bool], Result[_Answer, OrderFailure]],
+        wait_s: float = 0.0,
+        look_again: Callable[[], _Answer] | None = None,
+    ) -> Result[_Answer, OrderFailure]:
+        """Sends an order, which may get lost or be carried out late.
 
         Args:
           act: carries out the order; its argument says whether late.
-
-        Returns:
-          Whether the order arrives now and its answer will too.
+          wait_s: how long the worker holds back its answer until a run ends,
+            in seconds.
+          look_again: returns the answer after that wait.
         """
-        worker = self._worker
-        if worker.is_cut_off or not self._reachable():
+        return await self._gate.call(
+            lambda: self._transmit(act, wait_s, look_again),
+            TIMEOUT_S + wait_s,
+            Err(OrderFailure.NO_ANSWER),
+        )
+
+    def _current_path(self) -> Path:
+        return Path.CUT if self._worker.is_cut_off else self._path()
+
+    async def _transmit(
+        self,
+        act: Callable[[bool], Result[_Answer, OrderFailure]],
+        wait_s: float,
+        look_again: Callable[[], _Answer] | None,
+    ) -> Result[_Answer, OrderFailure]:
+        worker, loop = self._worker, asyncio.get_running_loop()
+        give_up_at = loop.time() + TIMEOUT_S + wait_s
+        if self._current_path() is Path.CUT:
             await asyncio.sleep(TIMEOUT_S)
-            return False
+            return Err(OrderFailure.NO_ANSWER)
         await asyncio.sleep(CALL_LATENCY_S)
-        if self._rng.random() >= worker.lose_share:
-            return True
-        if self._rng.random() < worker.late_share:
-            worker.run_later(
-                self._rng.uniform(*LATE_RANGE_S), lambda: act(True)
+        if self._rng.random() < worker.lose_share:
+            if self._rng.random() < worker.late_share:
+                worker.run_later(
+                    self._rng.uniform(*LATE_RANGE_S),
+                    lambda: self._carry_out(act, True),
+                )
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(OrderFailure.NO_ANSWER)
+        incarnation = worker.incarnation
+        answer = self._carry_out(act, False)
+        if look_again is not None and isinstance(answer, Ok):
+            await worker.wait_for_end(wait_s)
+            answer = Ok(look_again())
+        if worker.max_answer_delay_s:
+            await asyncio.sleep(
+                self._rng.uniform(0.0, worker.max_answer_delay_s)
             )
-        await asyncio.sleep(TIMEOUT_S)
-        return False
+        has_arrived = (
+            worker.incarnation == incarnation
+            and self._current_path() is Path.OPEN
+            and loop.time() <= give_up_at
+        )
+        if has_arrived:
+            return answer
+        await asyncio.sleep(max(0.0, give_up_at - loop.time()))
+        return Err(OrderFailure.NO_ANSWER)
+
+    def _carry_out(
+        self, act: Callable[[bool], Result[_Answer, OrderFailure]], late: bool
+    ) -> Result[_Answer, OrderFailure]:
+        if self._worker.info.worker_id != self._worker_id:
+            return Err(OrderFailure.OTHER_WORKER)
+        return act(late)
 
     async def renew(
         self,
@@ -478,36 +588,28 @@
 
         It waits up to `wait_s` seconds for the end of a run.
         """
+        worker = self._worker
 
-        def act(_late: bool) -> bool:
-            return self._worker.renew(fence, acknowledged, deadline_ms)
+        def act(_late: bool) -> Result[WorkerState, OrderFailure]:
+            if not worker.renew(fence, acknowledged, deadline_ms):
+                return Err(OrderFailure.SUPERSEDED)
+            return Ok(worker.state())
 
-        if not await self._deliver(act):
-            return Err(OrderFailure.NO_ANSWER)
-        if not act(False):
-            return Err(OrderFailure.SUPERSEDED)
-        initial_count = self._worker.end_count
-        loop = asyncio.get_running_loop()
-        until = loop.time() + wait_s
-        while loop.time() < until and self._worker.end_count == initial_count:
-            await asyncio.sleep(0.02)
-            self._worker.advance()
-        return Ok(self._worker.state())
+        return await self._call(act, wait_s, worker.state)
 
     async def start(
         self, order: StartTask, fence: Epoch, deadline_ms: int
     ) -> Result[StartAnswer, OrderFailure]:
         """Starts a task; a repeated order has no further effect."""
+        worker = self._worker
 
-        def act(late: bool) -> StartOutcome | None:
-            return self._worker.start(order, fence, deadline_ms, late)
+        def act(late: bool) -> Result[StartAnswer, OrderFailure]:
+            outcome = worker.start(order, fence, deadline_ms, late)
+            if outcome is None:
+                return Err(OrderFailure.SUPERSEDED)
+            return Ok(StartAnswer(outcome, worker.clock_ms()))
 
-        if not await self._deliver(act):
-            return Err(OrderFailure.NO_ANSWER)
-        outcome = act(False)
-        if outcome is None:
-            return Err(OrderFailure.SUPERSEDED)
-        return Ok(StartAnswer(outcome, self._worker.clock_ms()))
+        return await self._call(act)
 
     async def stop(
         self, task_name: str, run: RunNumber, fence: Epoch
@@ -516,15 +618,19 @@
         task = TaskId.parse(task_name)
         assert task is not None
 
-        def act(_late: bool) -> bool:
-            return self._worker.stop(task, run, fence)
+        def act(_late: bool) -> Result[None, OrderFailure]:
+            accepted = self._worker.stop(task, run, fence)
+            return Ok(None) if accepted else Err(OrderFailure.SUPERSEDED)
 
-        if not await self._deliver(act):
-            return Err(OrderFailure.NO_ANSWER)
-        return Ok(None) if act(False) else Err(OrderFailure.SUPERSEDED)
+        return await self._call(act)
 
     async def pace(
         self, task_name: str, run: RunNumber, percent: int, fence: Epoch
     ) -> Result[None, OrderFailure]:
-        """Accepts the order without effect; the model has no task speeds."""
-        return Ok(None)
+        """Passes on the fence; the model has no task speeds."""
+
+        def act(_late: bool) -> Result[None, OrderFailure]:
+            accepted = self._worker.pace(fence)
+            return Ok(None) if accepted else Err(OrderFailure.SUPERSEDED)
+
+        return await self._call(act)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -42,13 +42,16 @@
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
+from pomeloarch_standins.batch_gates import GatedStore, ProcessGate
 from pomeloarch_standins.batch_store import FeedTables, StoreLink
 from pomeloarch_standins.batch_workers import (
+    ADVANCE_INTERVAL_S,
     MAX_LEASE_S,
     STOP_DURATION_S,
     GangKey,
     Ledger,
     ModelLink,
+    Path,
     WorkerModel,
 )
 
@@ -77,8 +80,26 @@
 )
 
 
+class _NodeLinks:
+    """Opens one node's links to workers."""
+
+    def __init__(self, world: BatchWorld, node_id: NodeId) -> None:
+        self._world = world
+        self._node_id = node_id
+
+    def open(self, info: WorkerInfo) -> ModelLink:
+        return self._world.open_from(self._node_id, info)
+
+
 class WorldNode:
-    """One simulated node with its link to the store, its intake and leader."""
+    """One simulated node with its link to the store, its intake and leader.
+
+    Attributes:
+      name: its id.
+      link: its link to the store.
+      gate: what its process sends and receives passes through it; each process
+        has its own.
+    """
 
     def __init__(self, world: BatchWorld, number: int) -> None:
         """Builds the node without running it."""
@@ -86,12 +107,14 @@
         self._world = world
         self.link = StoreLink(world.tables, random.Random(world.seed + number))
         self._task: asyncio.Task[None] | None = None
+        self.gate = ProcessGate()
         self._build()
 
     def _build(self) -> None:
         world = self._world
         log = DecisionLog(self.name, Metrics(), world.log_fd, world.clock)
-        store = RepeatingStore(self.link, world.clock)
+        gated_link = GatedStore(self.link, self.gate)
+        store = RepeatingStore(gated_link, world.clock)
         self.jobs = TableMirror(store, JOBS_TABLE, world.clock, log, 1.0, 0.2)
         self.intake = Intake(
             store, self.jobs, world.clock, log, wall=world.clock
@@ -99,7 +122,7 @@
         self.role = LeasedRole(
             ROLE_NAME,
             self.name,
-            self.link,
+            gated_link,
             world.clock,
             Metrics(),
             world.rng,
@@ -108,7 +131,7 @@
         self.leader = Leader(
             store,
             (WORKERS_TABLE, world.read_workers),
-            world,
+            _NodeLinks(world, self.name),
             lambda: world.catalogue,
             self.jobs,
             ExternalServices(WaveSource(lambda: (), _no_status)),
@@ -122,16 +145,30 @@
 
     def start(self) -> None:
         """Starts the node afresh, without the state of earlier runs."""
+        self.gate = ProcessGate()
         self._build()
         self._task = asyncio.create_task(self._run())
 
+    def freeze(self) -> None:
+        """Makes the process stand still: it sends and receives nothing.
+
+        What is ready to be sent waits. The clock goes on, and so does the
+        node's code until it needs an answer.
+        """
+        self.gate.close()
+
+    def thaw(self) -> None:
+        """Makes the process go on and sends what has waited."""
+        self.gate.open()
+
     async def _run(self) -> None:
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self.jobs.run())
             tasks.create_task(self.leader.run())
 
     async def kill(self) -> None:
-        """Ends the node at once."""
+        """Ends the node at once; calls that have left it take effect."""
+        self.gate.end()
         if self._task is not None:
             self._task.cancel()
             await asyncio.gather(self._task, return_exceptions=True)
@@ -153,6 +190,18 @@
 class BatchWorld:
     """Simulated nodes, workers and their store.
 
+    Attributes:
+      workers: the workers by their present id.
+      nodes: the nodes.
+      ledger: the record of all runs.
+      submitted: all jobs that were submitted.
+      accepted: when each accepted job was accepted.
+      cancelled: jobs whose end is not waited for.
+      cancel_acknowledged: when the request to cancel a job was acknowledged.
+      cut_paths: between these nodes and workers, nothing arrives.
+      deaf_paths: from these nodes to these workers, orders arrive and are
+        carried out, but their answers are lost.
+
     Args:
       seed: the seed of all random numbers.
       nodes: the number of nodes.
@@ -169,6 +218,9 @@
         self.submitted: dict[JobId, BatchJob] = {}
         self.accepted: dict[JobId, float] = {}
         self.cancelled: set[JobId] = set()
+        self.cancel_acknowledged: dict[JobId, float] = {}
+        self.cut_paths: set[tuple[NodeId, WorkerId]] = set()
+        self.deaf_paths: set[tuple[NodeId, WorkerId]] = set()
         self.log_fd = os.open(os.devnull, os.O_WRONLY)
         gangs: dict[GangKey, dict[int, WorkerModel]] = {}
         self.workers: dict[WorkerId, WorkerModel] = {}
@@ -183,6 +235,9 @@
                 self.rng,
             )
             self._list(info)
+        # Workers by all ids that they have had.
+        self._by_any_id = dict(self.workers)
+        self._advancing: asyncio.Task[None] | None = None
         self.nodes = [WorldNode(self, number) for number in range(nodes)]
 
     @staticmethod
@@ -200,9 +255,54 @@
             msgspec.convert(each, WorkerInfo) for each in rows.values()
         )
 
-    def open(self, info: WorkerInfo) -> ModelLink:
-        """Opens a link to a worker."""
-        return ModelLink(self.workers[info.worker_id], lambda: True, self.rng)
+    def open_from(self, node_id: NodeId, info: WorkerInfo) -> ModelLink:
+        """Opens a node's link to a worker, which may have left."""
+        worker = self._by_any_id[info.worker_id]
+        node = next(each for each in self.nodes if each.name == node_id)
+
+        def path() -> Path:
+            ids = {info.worker_id, worker.info.worker_id}
+            ends = {(node_id, each) for each in ids}
+            if ends & self.cut_paths:
+                return Path.CUT
+            return Path.DEAF if ends & self.deaf_paths else Path.OPEN
+
+        return ModelLink(worker, info.worker_id, path, self.rng, node.gate)
+
+    def restart_worker(self, worker_id: WorkerId) -> None:
+        """Crashes a worker, which starts again under the same id.
+
+        Its list entry, if there is one, gets the new incarnation. An order to
+        the former incarnation that is carried out late reaches the new one.
+        """
+        worker = self.workers[worker_id]
+        worker.crash()
+        worker.info = msgspec.structs.replace(
+            worker.info, incarnation=Incarnation(worker.incarnation)
+        )
+        if self.tables.read(WORKERS_TABLE, worker_id).version:
+            self.relist(worker_id)
+
+    def replace_worker(self, worker_id: WorkerId) -> WorkerId:
+        """Crashes a worker, which starts again under a new id.
+
+        It keeps its address and refuses orders to its former id from now on.
+        The former list entry goes; `relist` adds the new one.
+
+        Returns:
+          The new id.
+        """
+        worker = self.workers.pop(worker_id)
+        worker.crash()
+        new_id = WorkerId(f"{worker_id.partition('-')[0]}-{worker.incarnation}")
+        worker.info = msgspec.structs.replace(
+            worker.info,
+            worker_id=new_id,
+            incarnation=Incarnation(worker.incarnation),
+        )
+        self.workers[new_id] = self._by_any_id[new_id] = worker
+        self.unlist(worker_id)
+        return new_id
 
     def _list(self, info: WorkerInfo) -> None:
         self.tables.put(
@@ -220,11 +320,25 @@
     async def submit(self, job: BatchJob, node: WorldNode) -> Outcome:
         """Submits a job through a node."""
         self.submitted[job.job_id] = job
+        await node.gate.wait()
         outcome = await node.intake.accept(job, self.clock() + ACCEPT_TIMEOUT_S)
+        await node.gate.wait()
         if outcome is Outcome.DONE:
             self.accepted.setdefault(job.job_id, self.clock())
         return outcome
 
+    async def cancel(self, job_id: JobId, node: WorldNode) -> Outcome:
+        """Cancels a job through a node."""
+        self.cancelled.add(job_id)
+        await node.gate.wait()
+        outcome = await node.intake.cancel(
+            job_id, self.clock() + ACCEPT_TIMEOUT_S
+        )
+        await node.gate.wait()
+        if outcome is Outcome.DONE:
+            self.cancel_acknowledged.setdefault(job_id, self.clock())
+        return outcome
+
     async def status(self, job_id: JobId, node: WorldNode) -> JobStatus | None:
         """Returns a job's status as a node reports it, None when unknown."""
         known = (await node.intake.look_up(job_id)).unwrap_or(None)
@@ -251,12 +365,21 @@
         return status.is_final or job_id in self.cancelled
 
     def start(self) -> None:
-        """Starts all nodes."""
+        """Starts all nodes and workers."""
+        self._advancing = asyncio.create_task(self._advance_workers())
         for node in self.nodes:
             node.start()
 
+    async def _advance_workers(self) -> None:
+        while True:
+            for worker in list(self.workers.values()):
+                worker.advance()
+            await asyncio.sleep(ADVANCE_INTERVAL_S)
+
     async def stop(self) -> None:
-        """Stops all nodes at once."""
+        """Stops all nodes and workers at once."""
+        if self._advancing is not None:
+            self._advancing.cancel()
         for node in self.nodes:
             await node.kill()
         os.close(self.log_fd)
