Check all pairs of runs, late ones included, and add rules for other faults

The check of the ledger left out each run that a delayed order started, and compared a run only with the one before it, so that an overlap beyond the next run was missed. It now compares all pairs of runs of a task, however they were started, and returns structured violations. The ledger has a module of its own.

New rules on the same ledger: order of steps, number of attempts, room on workers, starts after the end of a job, and members of gangs that wait in vain. Late runs are left out only of the one with a time limit.

--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_rules.py
@@ -0,0 +1,199 @@
+"""Rules on the runs of tasks, checked on the ledger of a simulation.
+
+Runs that a delayed order started are left out only of rules with a time limit.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+
+import msgspec
+
+from pomeloarch_core.batch.messages import RunEnd, TaskId
+from pomeloarch_core.batch.model import (
+    NO_RESOURCES,
+    BatchJob,
+    Resources,
+    Step,
+)
+from pomeloarch_core.ids import JobId
+from pomeloarch_standins.batch_ledger import (
+    LedgerEntry,
+    Violation,
+    ViolationKind,
+    by_task,
+    is_speculative,
+)
+
+
+class Disturbance(msgspec.Struct, frozen=True):
+    """A time during which faults excuse some effects.
+
+    Attributes:
+      started_at: the loop's time of its beginning, in seconds.
+      ended_at: the loop's time at which its effects end, in seconds.
+    """
+
+    started_at: float
+    ended_at: float
+
+
+def find_early_starts(
+    entries: Sequence[LedgerEntry], jobs: Mapping[JobId, BatchJob]
+) -> list[Violation]:
+    """Returns the starts before all tasks of an earlier step were done.
+
+    One member of a gang that is done stands for all of them.
+    """
+    done_at = _first_done_at(entries)
+
+    def is_done_by(task: TaskId, gang: bool, at: float) -> bool:
+        if not gang:
+            return done_at.get(task, float("inf")) <= at
+        return any(
+            ended_at <= at
+            for other, ended_at in done_at.items()
+            if _step_key(other) == _step_key(task)
+        )
+
+    def is_early(entry: LedgerEntry) -> bool:
+        steps = jobs[entry.task.job_id].steps
+        return not all(
+            is_done_by(
+                msgspec.structs.replace(entry.task, step=number, index=index),
+                steps[number].gang,
+                entry.started_at,
+            )
+            for number in steps[entry.task.step].after
+            for index in range(steps[number].count)
+        )
+
+    return [
+        Violation(ViolationKind.START_BEFORE_STEP, each)
+        for each in entries
+        if is_early(each)
+    ]
+
+
+def _first_done_at(entries: Iterable[LedgerEntry]) -> dict[TaskId, float]:
+    found: dict[TaskId, float] = {}
+    for each in entries:
+        if each.outcome is RunEnd.DONE and each.ended_at is not None:
+            earliest = found.get(each.task, each.ended_at)
+            found[each.task] = min(earliest, each.ended_at)
+    return found
+
+
+def _step_key(task: TaskId) -> tuple[JobId, int, int]:
+    return task.job_id, task.occurrence, task.step
+
+
+def _step_of(entry: LedgerEntry, jobs: Mapping[JobId, BatchJob]) -> Step:
+    return jobs[entry.task.job_id].steps[entry.task.step]
+
+
+def find_excess_attempts(
+    entries: Sequence[LedgerEntry], jobs: Mapping[JobId, BatchJob]
+) -> list[Violation]:
+    """Returns the starts after as many failed runs as the queue allows.
+
+    Failed runs count whose end was acknowledged, whenever that was. The tasks
+    of long-running steps have no limit; those of speculative ones are left out.
+    """
+    found = []
+    for task, runs in by_task(entries).items():
+        job = jobs[task.job_id]
+        if job.steps[task.step].long_running or is_speculative(task, jobs):
+            continue
+        for number, run in enumerate(runs):
+            failed = [
+                each
+                for each in runs[:number]
+                if each.outcome is RunEnd.FAILED
+                and each.acknowledged
+                and each.has_ended_by(run.started_at)
+            ]
+            if len(failed) >= job.accepted_under.max_attempts:
+                found.append(
+                    Violation(ViolationKind.EXCESS_ATTEMPT, run, failed[-1])
+                )
+    return found
+
+
+def find_overfull_workers(
+    entries: Sequence[LedgerEntry],
+    jobs: Mapping[JobId, BatchJob],
+    capacities: Mapping[str, Resources],
+) -> list[Violation]:
+    """Returns the starts that brought a worker over its capacity.
+
+    A run that is being stopped counts until it has ended.
+
+    Args:
+      entries: the runs.
+      jobs: jobs by id.
+      capacities: the capacity of each worker to check, by the worker's id.
+    """
+    by_worker: dict[str, list[LedgerEntry]] = defaultdict(list)
+    for each in sorted(entries, key=lambda entry: entry.started_at):
+        by_worker[each.worker].append(each)
+    found = []
+    for worker, runs in by_worker.items():
+        if worker not in capacities:
+            continue
+        for number, run in enumerate(runs):
+            used = NO_RESOURCES
+            for each in runs[: number + 1]:
+                if each is run or each.is_running_at(run.started_at):
+                    used += _step_of(each, jobs).allocation
+            if not used.fits_in(capacities[worker]):
+                found.append(Violation(ViolationKind.OVERFULL_WORKER, run))
+    return found
+
+
+def find_starts_after_job(
+    entries: Iterable[LedgerEntry],
+    ended: Mapping[JobId, float],
+    tolerance_s: float,
+) -> list[Violation]:
+    """Returns the starts after the end of the job was acknowledged.
+
+    Args:
+      entries: the runs; those that a delayed order started are left out.
+      ended: when a caller was told that the job was cancelled or has completed.
+      tolerance_s: time after that in which a start is allowed, in seconds.
+    """
+    return [
+        Violation(ViolationKind.START_AFTER_JOB, each)
+        for each in entries
+        if not each.late
+        and each.started_at
+        > ended.get(each.task.job_id, float("inf")) + tolerance_s
+    ]
+
+
+def find_lonely_members(
+    entries: Iterable[LedgerEntry],
+    cancelled: Mapping[JobId, float],
+    disturbances: Sequence[Disturbance],
+) -> list[Violation]:
+    """Returns the runs that ended ALONE for no other reason than an order.
+
+    Args:
+      entries: the runs.
+      cancelled: when the request to cancel a job was sent.
+      disturbances: times of faults; a run that overlaps one is excused.
+    """
+    return [
+        Violation(ViolationKind.LONELY_MEMBER, each)
+        for each in entries
+        if each.outcome is RunEnd.ALONE
+        and each.ended_at is not None
+        and each.ended_at < cancelled.get(each.task.job_id, float("inf"))
+        and not any(
+            fault.started_at <= each.ended_at
+            and each.started_at <= fault.ended_at
+            for fault in disturbances
+        )
+    ]
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -10,13 +10,10 @@
 
 import asyncio
 import enum
-import itertools
 import random
-from collections import defaultdict
 from collections.abc import Callable
 from typing import TypeVar
 
-import msgspec
 from result import Err, Ok, Result
 
 from pomeloarch_core.batch.messages import (
@@ -38,6 +35,7 @@
     WorkerState,
 )
 from pomeloarch_standins.batch_gates import ProcessGate
+from pomeloarch_standins.batch_ledger import Ledger, LedgerEntry
 
 _Answer = TypeVar("_Answer")
 
@@ -60,76 +58,6 @@
 GangKey = tuple[JobId, int, int, int]
 
 
-class LedgerEntry(msgspec.Struct):
-    """One run of a task, from its start to its end.
-
-    Attributes:
-      task: the task.
-      run: the number of the run.
-      worker: the id of the worker.
-      started_at: the loop's time of its start, in seconds.
-      ended_at: the loop's time of its end, in seconds, None while it runs.
-      outcome: how it ended, None when its worker crashed.
-      acknowledged: whether its end was acknowledged.
-      late: whether the order to start it was carried out late.
-      expired: whether the worker's lease ran out before the end was
-        acknowledged.
-    """
-
-    task: TaskId
-    run: int
-    worker: str
-    started_at: float
-    ended_at: float | None = None
-    outcome: RunEnd | None = None
-    acknowledged: bool = False
-    late: bool = False
-    expired: bool = False
-
-
-class Ledger:
-    """The record of all runs that any worker started."""
-
-    def __init__(self) -> None:
-        """Creates an empty record."""
-        self.entries: list[LedgerEntry] = []
-
-    def find_violations(self) -> list[str]:
-        """Returns a sentence for each task that ran twice.
-
-        Runs of one task must not overlap, and a task must not start again
-        after its end was acknowledged. Runs that were started by a delayed
-        order are not counted.
-        """
-        found = []
-        by_task: dict[TaskId, list[LedgerEntry]] = defaultdict(list)
-        for each in self.entries:
-            by_task[each.task].append(each)
-        for task, runs in by_task.items():
-            for first, second in itertools.pairwise(runs):
-                if second.late:
-                    continue
-                if first.ended_at is None or first.ended_at > second.started_at:
-                    found.append(
-                        f"{task}: two runs at {second.started_at:.3f} s"
-                    )
-            done = [
-                r for r in runs if r.outcome is RunEnd.DONE and r.acknowledged
-            ]
-            for each in done:
-                later = [
-                    r
-                    for r in runs
-                    if r.started_at > (each.ended_at or 0.0) and not r.late
-                ]
-                if later:
-                    found.append(
-                        f"{task}: started at {later[0].started_at:.3f} s "
-                        f"after it was done at {each.ended_at:.3f} s"
-                    )
-        return found
-
-
 class _Run:
     """A run on a worker."""
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -43,13 +43,13 @@
 from pomeloarch_node.platform import Write
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_standins.batch_gates import GatedStore, ProcessGate
+from pomeloarch_standins.batch_ledger import Ledger
 from pomeloarch_standins.batch_store import FeedTables, StoreLink
 from pomeloarch_standins.batch_workers import (
     ADVANCE_INTERVAL_S,
     MAX_LEASE_S,
     STOP_DURATION_S,
     GangKey,
-    Ledger,
     ModelLink,
     Path,
     WorkerModel,
