Show orders that reach a restarted worker late

A worker may start again under its id, without its runs, fence and stopped runs and with a clock that starts anew. An order to start that had no answer and is carried out there then starts a second run, at the same time as the first or after its end, whether the leader knows of the restart by then or not. A renewal that is carried out there forgets ends that nobody has read.

--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -497,3 +497,105 @@
         return await world.wait_for_jobs(40.0), len(world.ledger.entries)
 
     assert run_in_world(scenario) == ([], 4)
+
+
+def lose_first_start(monkeypatch):
+    """Leaves all copies of the first order to start a task unanswered.
+
+    Returns:
+      The worker that the order is for and what carries out its first copy, and
+      nothing as long as there is no order.
+    """
+    original_start = ModelLink.start
+    copies, delayed = [], []
+
+    async def start(link, order, fence, deadline_ms):
+        key = order.task, order.run
+        if copies and copies[0] != key:
+            return await original_start(link, order, fence, deadline_ms)
+        if not copies:
+            worker = link._worker
+            delayed.append(worker.info.worker_id)
+            delayed.append(
+                lambda: worker.start(order, fence, deadline_ms, late=True)
+            )
+        copies.append(key)
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "start", start)
+    return delayed
+
+
+# The task runs elsewhere, or is done, when the order arrives, and the leader
+# knows of the restart or can't know of it.
+@pytest.mark.parametrize("duration_s", [6.0, 0.5])
+@pytest.mark.parametrize("since_restart_s", [3.0, 0.01])
+def test_late_start_that_reaches_a_restarted_worker_makes_no_second_run(
+    monkeypatch, duration_s, since_restart_s
+):
+    """Guards against orders that outlast the restart of their worker.
+
+    The stop that follows an unanswered order to start keeps that order from
+    being carried out, but a restarted worker doesn't know it any more.
+    """
+    delayed = lose_first_start(monkeypatch)
+
+    async def scenario(world):
+        steps = (Step(count=1, need=SMALL, estimate_s=duration_s),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(2.5)
+        worker_id, carry_out = delayed
+        world.restart_worker(worker_id)
+        await asyncio.sleep(since_restart_s)
+        carry_out()
+        unfinished = await world.wait_for_jobs(20.0)
+        # Ends are acknowledged once the rows of their jobs are durable.
+        await asyncio.sleep(2.0)
+        return unfinished
+
+    assert run_in_world(scenario, workers=2) == []
+
+
+def test_late_renewal_that_reaches_a_restarted_worker_forgets_no_end(
+    monkeypatch,
+):
+    """Guards against acknowledgements of another incarnation's ends.
+
+    A restarted worker numbers its ends anew. An acknowledgement for the former
+    incarnation that comes late must not make it forget an unread end.
+    """
+    original_renew = ModelLink.renew
+    delayed = []
+
+    async def renew(link, fence, acknowledged, deadline_ms, wait_s):
+        if delayed or not acknowledged:
+            return await original_renew(
+                link, fence, acknowledged, deadline_ms, wait_s
+            )
+        worker = link._worker
+        delayed.append(lambda: worker.renew(fence, acknowledged, deadline_ms))
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "renew", renew)
+
+    async def scenario(world):
+        (worker,) = world.workers.values()
+        steps = (Step(count=1, need=SMALL, estimate_s=1.0),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(3.0)
+        world.restart_worker(worker.info.worker_id)
+        await asyncio.sleep(1.5)
+        await world.submit(make_job(2, steps=steps), world.nodes[0])
+        while len(world.ledger.entries) < 2:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(0.5)
+        worker.is_cut_off = True
+        while world.ledger.entries[1].ended_at is None:
+            await asyncio.sleep(0.05)
+        delayed[0]()
+        worker.is_cut_off = False
+        return await world.wait_for_jobs(20.0), len(world.ledger.entries)
+
+    assert run_in_world(scenario, workers=1) == ([], 2)
