Check the model of workers against the protocol of running work

Table tests hold the model to the protocol: leases never shorten and are taken from refused starts too, deadlines are times of the worker's clock, stops outlast a run that is not there, fences, ends numbered for each incarnation.

What differed: a report listed any number of ends, a long-running task ended by itself, no worker was unhealthy or without a process, and a write to a slow store took as long as it wanted. The model now has these, as faults that are off unless a test sets them.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -154,7 +154,8 @@
     Attributes:
       reachable: whether calls reach the store.
       refusing: whether the store refuses this node's calls.
-      slow_factor: how many times as long calls take.
+      slow_factor: how many times as long calls take; a write that takes longer
+        than its caller waits still takes effect.
       lose_share: the share of writes whose answer is lost.
       late_share: the share of those writes that take effect only seconds later.
       lose_reads_share: the share of reads, table reads and feeds whose answer
@@ -182,7 +183,10 @@
         if not self.reachable:
             await asyncio.sleep(timeout_s)
             return _LOST
-        await asyncio.sleep(CALL_LATENCY_S * self.slow_factor)
+        latency_s = CALL_LATENCY_S * self.slow_factor
+        await asyncio.sleep(min(latency_s, timeout_s))
+        if latency_s > timeout_s:
+            return _LOST
         return _UNAVAILABLE if self.refusing else None
 
     async def _deliver_read(
@@ -198,17 +202,18 @@
         self, checks: Sequence[Check], writes: Sequence[Write]
     ) -> Result[tuple[int, ...], Conflict | PlatformError]:
         """Writes all rows if all checks hold; returns the new versions."""
+        latency_s = CALL_LATENCY_S * self.slow_factor
+        if self.reachable and not self.refusing and 2 * latency_s > TIMEOUT_S:
+            self._write_after(latency_s, checks, writes)
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(_LOST)
         failure = await self._deliver()
         if failure is not None:
             return Err(failure)
         if self._rng.random() < self.lose_share:
             late = self._rng.random() < self.late_share
             wait_s = self._rng.uniform(1.0, MAX_LATE_S) if late else 0.0
-            task = asyncio.create_task(
-                self._write_later(wait_s, checks, writes)
-            )
-            self._late.add(task)
-            task.add_done_callback(self._late.discard)
+            self._write_after(wait_s, checks, writes)
             await asyncio.sleep(TIMEOUT_S)
             return Err(_LOST)
         answer = self._tables.transact(checks, writes)
@@ -217,6 +222,13 @@
             return Err(answer.err_value)
         return answer
 
+    def _write_after(
+        self, wait_s: float, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> None:
+        task = asyncio.create_task(self._write_later(wait_s, checks, writes))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     async def _write_later(
         self, wait_s: float, checks: Sequence[Check], writes: Sequence[Write]
     ) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -43,6 +43,8 @@
 GANG_TIMEOUT_S = 3.0
 # Time between the order to stop a run and its end, in seconds.
 STOP_DURATION_S = 0.2
+# Maximum number of ends in one report.
+MAX_REPORTED_ENDS = 500
 # Longest lease that a worker grants, in seconds.
 MAX_LEASE_S = 6.0
 # Time until a call reaches the worker, in seconds.
@@ -76,8 +78,12 @@
     Attributes:
       info: the worker's entry in the platform's list.
       is_cut_off: whether no call reaches the worker.
+      is_down: whether no process of the worker runs, so that nothing listens at
+        its address; it has no runs then.
       lose_share: the share of orders that are not answered.
       late_share: the share of those that are carried out seconds later.
+      refuse_share: the share of orders to start that it refuses as unhealthy,
+        without any effect.
       max_answer_delay_s: limit on the additional delay of each answer, in
         seconds; answers may overtake each other.
       fails_all: whether all of its tasks fail.
@@ -105,8 +111,10 @@
         """Creates a worker without runs."""
         self.info = info
         self.is_cut_off = False
+        self.is_down = False
         self.lose_share = 0.0
         self.late_share = 0.0
+        self.refuse_share = 0.0
         self.max_answer_delay_s = 0.0
         self.fails_all = False
         self.checks_room = True
@@ -190,6 +198,8 @@
             return
         if now - run.working_since < self._duration_s(run.task):
             return
+        if step.long_running and not self.fails_all:
+            return
         if self.fails_all:
             self._end(run, RunEnd.FAILED)
         elif step.gang:
@@ -288,13 +298,19 @@
         """Returns the present runs and the ends not acknowledged yet."""
         self.advance()
         running = tuple(
-            RunningTask(run.task, run.number) for run in self._runs.values()
+            RunningTask(run.task, run.number, percent=self._percent(run))
+            for run in self._runs.values()
         )
-        ended = tuple(end for end, _ in self._ends)
+        ended = tuple(end for end, _ in self._ends[:MAX_REPORTED_ENDS])
         return WorkerState(
             Incarnation(self.incarnation), self.clock_ms(), running, ended
         )
 
+    def _percent(self, run: _Run) -> float:
+        """Returns 100 for a run that serves, and 0 for any other."""
+        serves = self._step(run.task).long_running and run.working_since
+        return 100.0 if serves else 0.0
+
     @property
     def end_count(self) -> int:
         """The number of runs that ended in this incarnation."""
@@ -501,6 +517,8 @@
     def _carry_out(
         self, act: Callable[[bool], Result[_Answer, OrderFailure]], late: bool
     ) -> Result[_Answer, OrderFailure]:
+        if self._worker.is_down:
+            return Err(OrderFailure.NO_LISTENER)
         if self._worker.info.worker_id != self._worker_id:
             return Err(OrderFailure.OTHER_WORKER)
         return act(late)
@@ -532,6 +550,8 @@
         worker = self._worker
 
         def act(late: bool) -> Result[StartAnswer, OrderFailure]:
+            if self._rng.random() < worker.refuse_share:
+                return Ok(StartAnswer(StartOutcome.UNHEALTHY, None))
             outcome = worker.start(order, fence, deadline_ms, late)
             if outcome is None:
                 return Err(OrderFailure.SUPERSEDED)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -269,6 +269,16 @@
 
         return ModelLink(worker, info.worker_id, path, self.rng, node.gate)
 
+    def crash_worker(self, worker_id: WorkerId) -> None:
+        """Crashes a worker, which stays down until it comes back.
+
+        It stays on the list, and orders that are due to be carried out late in
+        the meantime are lost.
+        """
+        worker = self.workers[worker_id]
+        worker.crash()
+        worker.is_down = True
+
     def restart_worker(self, worker_id: WorkerId) -> None:
         """Crashes a worker, which starts again under the same id.
 
@@ -277,6 +287,7 @@
         """
         worker = self.workers[worker_id]
         worker.crash()
+        worker.is_down = False
         worker.info = msgspec.structs.replace(
             worker.info, incarnation=Incarnation(worker.incarnation)
         )
@@ -294,6 +305,7 @@
         """
         worker = self.workers.pop(worker_id)
         worker.crash()
+        worker.is_down = False
         new_id = WorkerId(f"{worker_id.partition('-')[0]}-{worker.incarnation}")
         worker.info = msgspec.structs.replace(
             worker.info,
--- a/packages/pomeloarch-standins/tests/test_batch_workers.py
+++ b/packages/pomeloarch-standins/tests/test_batch_workers.py
@@ -360,3 +360,292 @@
     assert while_frozen == 0
     assert answer_type is Err
     assert row.value == 1
+
+
+def set_steps(world, number, **settings):
+    """Gives a job one step with these settings."""
+    step = Step(**{"count": 1, "estimate_s": DURATION_S, **settings})
+    world.submitted[job_id(number)] = BatchJob(
+        job_id(number),
+        BATCH,
+        ORGANISATION,
+        CATALOGUE.queues[BATCH],
+        "work",
+        (step,),
+    )
+
+
+# A second order, given 0.5 s after a start with a deadline at 2,000 ms: its
+# kind, the run's number, its task, its deadline, the outcome, and when the
+# first run ends.
+SECOND_ORDERS = {
+    "none": ("", 0, 0, 0, None, 2.0),
+    "renewal": ("renew", 0, 0, 3500, None, 3.5),
+    "renewal with a shorter lease": ("renew", 0, 0, 1000, None, 2.0),
+    "renewal with an expired lease": ("renew", 0, 0, 100, None, 2.0),
+    "renewal without a lease": ("renew", 0, 0, None, None, 2.0),
+    "renewal with too long a lease": ("renew", 0, 0, 30_000, None, 6.5),
+    "repeated start": ("start", 2, 1, 3500, StartOutcome.STARTED, 3.5),
+    "start of an older run": ("start", 1, 1, 3500, StartOutcome.OLD_RUN, 3.5),
+    "start without room": ("start", 1, 2, 3500, StartOutcome.NO_ROOM, 3.5),
+    "start with an expired lease": (
+        "start",
+        1,
+        2,
+        100,
+        StartOutcome.TOO_LATE,
+        2.0,
+    ),
+    "start with an earlier lease": (
+        "start",
+        1,
+        2,
+        1000,
+        StartOutcome.NO_ROOM,
+        2.0,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("kind", "run", "number", "deadline_ms", "outcome", "ends_at"),
+    SECOND_ORDERS.values(),
+    ids=SECOND_ORDERS,
+)
+def test_lease_after_a_second_order(
+    kind, run, number, deadline_ms, outcome, ends_at
+):
+    async def scenario(world):
+        set_steps(world, 1, estimate_s=9.0, need=WHOLE)
+        await start(world, 2000, run=2)
+        await asyncio.sleep(0.5 - world.clock())
+        answered = None
+        if kind == "renew":
+            await link_of(world).renew(FENCE, 0, deadline_ms, 0.0)
+        elif kind == "start":
+            answer = await start(world, deadline_ms, run=run, number=number)
+            answered = answer.ok_value.outcome
+        await asyncio.sleep(8.0)
+        return answered, world.ledger.entries
+
+    answered, (entry,) = run_with_workers(scenario)
+    assert answered is outcome
+    assert entry.outcome is RunEnd.LAPSED
+    assert entry.ended_at == pytest.approx(ends_at, abs=0.04)
+
+
+@pytest.mark.parametrize(
+    ("deadline_ms", "outcome"),
+    [(1150, StartOutcome.TOO_LATE), (1250, StartOutcome.STARTED)],
+)
+def test_deadline_is_a_time_of_the_clock_of_the_worker(deadline_ms, outcome):
+    """The worker's clock is at 1200 ms when the order arrives."""
+
+    async def scenario(world):
+        await asyncio.sleep(1.0)
+        world.restart_worker(W0)
+        await asyncio.sleep(1.2)
+        return (await start(world, deadline_ms)).ok_value.outcome
+
+    assert run_with_workers(scenario) is outcome
+
+
+STOPS = {
+    "a lower run is stopped": (2, 1, StartOutcome.OLD_RUN, 0),
+    "the same run is stopped": (2, 2, StartOutcome.OLD_RUN, 0),
+    "a higher run is stopped": (2, 3, StartOutcome.STARTED, 1),
+}
+
+
+@pytest.mark.parametrize(
+    ("stopped", "started", "outcome", "runs"), STOPS.values(), ids=STOPS
+)
+def test_stop_of_a_run_that_is_not_there(stopped, started, outcome, runs):
+    async def scenario(world):
+        await link_of(world).stop(str(task()), RunNumber(stopped), FENCE)
+        answer = await start(world, run=started)
+        return answer.ok_value.outcome, len(world.ledger.entries)
+
+    assert run_with_workers(scenario) == (outcome, runs)
+
+
+def test_run_that_ended_is_not_started_again_but_a_higher_one_is():
+    async def scenario(world):
+        await start(world, run=2)
+        await asyncio.sleep(DURATION_S + 0.1)
+        answers = [await start(world, run=number) for number in (1, 2, 3)]
+        return [each.ok_value.outcome for each in answers]
+
+    assert run_with_workers(scenario) == [
+        StartOutcome.OLD_RUN,
+        StartOutcome.OLD_RUN,
+        StartOutcome.STARTED,
+    ]
+
+
+LOWER_FENCE = Epoch(6)
+ORDERS = {
+    "start": lambda link: link.start(order(), LOWER_FENCE, 5000),
+    "stop": lambda link: link.stop(str(task()), RunNumber(1), LOWER_FENCE),
+    "renewal": lambda link: link.renew(LOWER_FENCE, 1, 9000, 0.0),
+    "pace": lambda link: link.pace(str(task()), RunNumber(1), 50, LOWER_FENCE),
+}
+FENCING = {
+    "start": lambda link: link.start(order(run=9, number=2), FENCE, 0),
+    "stop": lambda link: link.stop(str(task(3)), RunNumber(1), FENCE),
+    "renewal": lambda link: link.renew(FENCE, 0, None, 0.0),
+    "pace": lambda link: link.pace(str(task(3)), RunNumber(1), 50, FENCE),
+}
+
+
+@pytest.mark.parametrize("fencing", FENCING.values(), ids=FENCING)
+@pytest.mark.parametrize("refused", ORDERS.values(), ids=ORDERS)
+def test_order_with_a_lower_fence_has_no_effect(fencing, refused):
+    async def scenario(world):
+        await fencing(link_of(world))
+        answer = await refused(link_of(world))
+        return answer, len(world.ledger.entries)
+
+    assert run_with_workers(scenario) == (Err(OrderFailure.SUPERSEDED), 0)
+
+
+def test_ends_are_numbered_per_incarnation_and_kept_until_acknowledged():
+    async def report(world, acknowledged):
+        answer = await link_of(world).renew(FENCE, acknowledged, 9000, 0.0)
+        return [each.number for each in answer.ok_value.ended]
+
+    async def scenario(world):
+        for number in (1, 2):
+            await start(world, number=number)
+        await asyncio.sleep(DURATION_S + 0.1)
+        found = [await report(world, each) for each in (0, 1, 1)]
+        world.restart_worker(W0)
+        await start(world, number=3)
+        await asyncio.sleep(DURATION_S + 0.1)
+        found.append(await report(world, 0))
+        return found, [each.acknowledged for each in world.ledger.entries]
+
+    found, acknowledged = run_with_workers(scenario)
+    assert found == [[1, 2], [2], [2], [1]]
+    assert acknowledged == [True, False, False]
+
+
+def test_end_whose_lease_ran_out_before_its_acknowledgement_does_not_count():
+    async def scenario(world):
+        await start(world, 2000)
+        await asyncio.sleep(3.0)
+        await link_of(world).renew(FENCE, 1, None, 0.0)
+        (entry,) = world.ledger.entries
+        return entry.outcome, entry.acknowledged
+
+    assert run_with_workers(scenario) == (RunEnd.DONE, False)
+
+
+def test_report_has_at_most_500_ends():
+    async def scenario(world):
+        set_steps(world, 1, estimate_s=0.0)
+        for number in range(600):
+            world.workers[W0].start(order(run=number + 1), FENCE, 5000, False)
+            world.workers[W0].advance()
+        answers = [
+            await link_of(world).renew(FENCE, acknowledged, 5000, 0.0)
+            for acknowledged in (0, 500)
+        ]
+        return [len(each.ok_value.ended) for each in answers]
+
+    assert run_with_workers(scenario) == [500, 100]
+
+
+def test_unhealthy_worker_refuses_a_start_without_any_effect():
+    async def scenario(world):
+        world.workers[W0].refuse_share = 1.0
+        refused = await start(world)
+        world.workers[W0].refuse_share = 0.0
+        # The refused order has set no fence.
+        accepted = await link_of(world).start(order(), Epoch(1), 5000)
+        return [each.ok_value.outcome for each in (refused, accepted)]
+
+    assert run_with_workers(scenario) == [
+        StartOutcome.UNHEALTHY,
+        StartOutcome.STARTED,
+    ]
+
+
+@pytest.mark.parametrize(
+    ("checks_room", "outcome", "runs"),
+    [(True, StartOutcome.NO_ROOM, 1), (False, StartOutcome.STARTED, 2)],
+)
+def test_worker_may_not_guard_its_room(checks_room, outcome, runs):
+    async def scenario(world):
+        world.workers[W0].checks_room = checks_room
+        await start(world)
+        answer = await start(world, number=2)
+        return answer.ok_value.outcome, len(world.ledger.entries)
+
+    assert run_with_workers(scenario, WHOLE) == (outcome, runs)
+
+
+def test_answers_may_overtake_each_other():
+    async def scenario(world):
+        world.workers[W0].max_answer_delay_s = 0.5
+        answered = []
+
+        async def ask(number):
+            await link_of(world).renew(FENCE, 0, None, 0.0)
+            answered.append(number)
+
+        async with asyncio.TaskGroup() as tasks:
+            for number in range(10):
+                tasks.create_task(ask(number))
+        return answered
+
+    answered = run_with_workers(scenario)
+    assert sorted(answered) == list(range(10)) != answered
+
+
+def test_worker_that_is_down_has_no_listener_and_loses_late_orders():
+    async def scenario(world):
+        worker = world.workers[W0]
+        worker.lose_share = worker.late_share = 1.0
+        await start(world, 30_000)
+        worker.lose_share = 0.0
+        world.crash_worker(W0)
+        answer = await start(world)
+        await asyncio.sleep(13.0)
+        world.restart_worker(W0)
+        accepted = await start(world)
+        return answer, accepted.ok_value.outcome, len(world.ledger.entries)
+
+    assert run_with_workers(scenario) == (
+        Err(OrderFailure.NO_LISTENER),
+        StartOutcome.STARTED,
+        1,
+    )
+
+
+def test_long_running_task_serves_until_it_is_stopped():
+    async def scenario(world):
+        set_steps(world, 1, long_running=True)
+        await start(world)
+        percents = []
+        for _ in range(4):
+            await asyncio.sleep(1.0)
+            clock_ms = world.workers[W0].clock_ms()
+            report = await link_of(world).renew(FENCE, 0, clock_ms + 3000, 0.0)
+            percents += [each.percent for each in report.ok_value.running]
+        await link_of(world).stop(str(task()), RunNumber(1), FENCE)
+        await asyncio.sleep(0.5)
+        return percents, [each.outcome for each in world.ledger.entries]
+
+    assert run_with_workers(scenario) == ([100.0] * 4, [RunEnd.STOPPED])
+
+
+def test_write_that_takes_longer_than_its_caller_waits_takes_effect():
+    async def scenario(world):
+        world.nodes[0].link.slow_factor = 500.0
+        answer = await world.nodes[0].link.transact([], [Write("t", "k", 1)])
+        before = world.tables.read("t", "k").version
+        await asyncio.sleep(1.0)
+        return type(answer), before, world.tables.read("t", "k").value
+
+    assert run_with_workers(scenario) == (Err, 0, 1)
