Draw no random number for a worker that refuses nothing

A share of refused starts of 0 still took a number from the simulation's source, and so shifted all later ones.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -550,7 +550,8 @@
         worker = self._worker
 
         def act(late: bool) -> Result[StartAnswer, OrderFailure]:
-            if self._rng.random() < worker.refuse_share:
+            share = worker.refuse_share
+            if share and self._rng.random() < share:
                 return Ok(StartAnswer(StartOutcome.UNHEALTHY, None))
             outcome = worker.start(order, fence, deadline_ms, late)
             if outcome is None:
