Show what the fence of each incarnation leaves open

A session that is opened again in the same term begins with the term's first fence. A worker that has restarted before refuses it, which is taken for the refusal of a newer scheduler: the role is lost for good and nothing is scheduled for the 40 s of the test. A report that was asked for under the earlier fence is used if the answer to a start has shown the restart meanwhile.

--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -13,6 +13,7 @@
     TaskId,
     WorkerInfo,
     WorkerReported,
+    WorkerSilent,
 )
 from pomeloarch_core.batch.model import (
     BatchJob,
@@ -286,3 +287,69 @@
 async def _refuse_after_restart(session):
     session._on_restart()
     return Err(OrderFailure.SUPERSEDED)
+
+
+def test_report_asked_for_before_a_restart_was_noticed_is_not_used():
+    """Guards against late orders that act after the report.
+
+    The answer to a start shows the restart while the new incarnation holds back
+    its answer to a renewal that came under the earlier fence.
+    """
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        scheduler.busy = True
+        fences = {}
+
+        def record(event):
+            if isinstance(event, WorkerReported):
+                fences.setdefault(event.incarnation, worker._fence)
+
+        session._emit = record
+        session.wake()
+        await asyncio.sleep(2 * CONTACT_S + 0.1)
+        worker.crash()
+        session.start(ORDER)
+        await asyncio.sleep(2 * CONTACT_S)
+        return fences
+
+    assert run_virtual(with_session(scenario)) == {1: 256, 2: 257}
+
+
+@pytest.mark.parametrize("late_s", [0.1, 1.0, 2.0, 3.0])
+def test_lease_is_reckoned_until_a_new_incarnation_has_seen_its_fence(late_s):
+    """Guards against runs that outlast the reported end of all leases.
+
+    The restart is noticed, but the renewal that brings the higher fence is
+    lost. A renewal for the earlier incarnation is carried out meanwhile.
+    """
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        clock = asyncio.get_running_loop().time
+        scheduler.busy = True
+        session.wake()
+        await asyncio.sleep(20.0)
+        link.holds_back = True
+        while not link.held_back:
+            await asyncio.sleep(0.01)
+        renewal = link.held_back[0]
+        worker.crash()
+        link.holds_back = False
+        notice_restart = session._on_restart
+
+        def lose_next_renewal():
+            notice_restart()
+            link.holds_back = True
+
+        session._on_restart = lose_next_renewal
+        while not link.holds_back:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(late_s)
+        renewal()
+        ends_at = worker._started_at + worker._deadline
+        assert ends_at > clock()
+        await asyncio.sleep(5.0)
+        silent = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent[-1].lapses_at, ends_at
+
+    reported, actual = run_virtual(with_session(scenario))
+    assert reported >= actual
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -525,3 +525,36 @@
         return await world.wait_for_jobs(within_s=40.0)
 
     assert run_in_world(scenario) == []
+
+
+@pytest.mark.parametrize("restarted", [True, False])
+def test_role_is_kept_when_a_worker_that_restarted_is_listed_again(restarted):
+    """Guards against a refusal that is taken for one by a newer scheduler.
+
+    The session of an idle worker is closed when it leaves the list. The worker
+    has seen a higher fence than the one with which a new session begins.
+    """
+
+    async def scenario(world):
+        worker_id, worker = next(iter(world.workers.items()))
+        await world.submit(make_job(1, steps=JOBS["a gang"]), world.nodes[0])
+        await world.wait_for_jobs(within_s=20.0)
+        if restarted:
+            worker.crash()
+            worker.info = msgspec.structs.replace(
+                worker.info, incarnation=worker.incarnation
+            )
+            world.relist(worker_id)
+        await asyncio.sleep(3.0)
+        world.unlist(worker_id)
+        await asyncio.sleep(3.0)
+        world.relist(worker_id)
+        await asyncio.sleep(3.0)
+        for number in range(2, 5):
+            await world.submit(make_job(number), world.nodes[0])
+        left = await world.wait_for_jobs(within_s=40.0)
+        terms = world.tables.read(TERMS_TABLE, term_key(0)).value["number"]
+        return left, terms
+
+    left, terms = run_in_world(scenario)
+    assert (left, terms) == ([], 256)
