Show that a session opened again keeps the fence of the one before

A worker that restarts while it is off the list and idle is asked by nobody. Its new session begins with the last fence, so orders that are still under way from before the restart are carried out by the new incarnation also after it has answered.

--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -558,3 +558,29 @@
 
     left, terms = run_in_world(scenario)
     assert (left, terms) == ([], 256)
+
+
+def test_worker_that_restarts_off_the_list_refuses_earlier_orders():
+    """Guards against orders that act on a worker that nobody asked meanwhile.
+
+    The session of an idle worker is closed when it leaves the list. Copies of
+    its orders may still be under way when the worker is listed again.
+    """
+
+    async def scenario(world):
+        worker_id, worker = next(iter(world.workers.items()))
+        await world.submit(make_job(1, steps=JOBS["a gang"]), world.nodes[0])
+        await world.wait_for_jobs(within_s=20.0)
+        await asyncio.sleep(3.0)
+        fence = worker._fence
+        world.unlist(worker_id)
+        await asyncio.sleep(3.0)
+        worker.crash()
+        worker.info = msgspec.structs.replace(
+            worker.info, incarnation=worker.incarnation
+        )
+        world.relist(worker_id)
+        await asyncio.sleep(3.0)
+        return worker.renew(fence, 0, None)
+
+    assert run_in_world(scenario) is False
