--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -144,6 +144,9 @@
         self._clock = clock
         self._times = times
         self._leases_end_at = earlier_leases_end_at
+        # When the last lease ends that an order to an earlier incarnation may
+        # grant to one that has not seen its fence.
+        self._unfenced_leases_end_at = 0.0
         self._incarnation = Incarnation(0)
         # The newest incarnation on the list for which the worker was asked.
         self._checked_incarnation = Incarnation(0)
@@ -353,16 +356,25 @@
     def _on_restart(self) -> None:
         """Raises the fence above that of all orders to earlier incarnations.
 
-        One of these orders may have been carried out by the new incarnation,
-        which then granted it the longest lease.
+        Until the new incarnation has seen it, it may carry out one of these
+        orders, which then gets the longest lease.
         """
         now = self._clock()
         self._last_report_at = now
         self._acknowledged = 0
         self._worker_clock = None
-        self._count_longest_lease(now)
+        self._unfenced_leases_end_at = (
+            now + MAX_ORDER_DELAY_S + longest_lease_s(self._times.lease_s)
+        )
         if self._is_silent:
-            self._emit(WorkerSilent(self.info.worker_id, self._leases_end_at))
+            self._report_silent()
+        self.raise_fence()
+
+    def raise_fence(self) -> None:
+        """Has the worker refuse all orders that were sent before.
+
+        The term ends when its fences are used up.
+        """
         if (self._fence + 1) % FENCES_PER_TERM == 0:
             self._tenure.lose(
                 f"worker {self.info.worker_id} has restarted too often for "
@@ -371,6 +383,10 @@
             return
         self._fence = Epoch(self._fence + 1)
 
+    def _report_silent(self) -> None:
+        lapses_at = max(self._leases_end_at, self._unfenced_leases_end_at)
+        self._emit(WorkerSilent(self.info.worker_id, lapses_at))
+
     def _count_longest_lease(self, now: float) -> None:
         """Notes that an unknown order may have granted a lease until now."""
         self._leases_end_at = max(
@@ -381,6 +397,7 @@
         now = self._clock()
         self._last_report_at = now
         self._incarnation = report.incarnation
+        self._unfenced_leases_end_at = 0.0
         if self._worker_clock is None:
             self._count_longest_lease(now)
         self._worker_clock = (report.clock_ms, now)
@@ -414,7 +431,7 @@
         self._may_have_restarted = True
         if not self._is_silent and now - self._last_report_at > SILENT_AFTER_S:
             self._is_silent = True
-            self._emit(WorkerSilent(self.info.worker_id, self._leases_end_at))
+            self._report_silent()
         if self._is_silent:
             await asyncio.sleep(SILENT_PAUSE_S)
 
--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -328,7 +328,7 @@
         await world.stop()
         return is_leader, [each - fences[0] for each in fences]
 
-    assert run_virtual(scenario()) == (True, [0, 0, 1, 1])
+    assert run_virtual(scenario()) == (True, [0, 1, 2, 3])
 
 
 def test_report_that_was_asked_for_before_the_fence_rose_is_not_used():
@@ -392,3 +392,43 @@
         return len(calls)
 
     assert run_virtual(with_session(scenario)) <= (listed > 1)
+
+
+@pytest.mark.parametrize("late_s", [0.1, 1.0, 2.0, 3.0])
+def test_lease_is_reckoned_until_a_new_incarnation_has_seen_its_fence(late_s):
+    """Guards against runs that outlast the reported end of all leases.
+
+    The restart is noticed, but the renewal that brings the higher fence is
+    lost. A renewal for the earlier incarnation is carried out meanwhile.
+    """
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        clock = asyncio.get_running_loop().time
+        scheduler.busy = True
+        session.wake()
+        await asyncio.sleep(20.0)
+        link.holds_back = True
+        while not link.held_back:
+            await asyncio.sleep(0.01)
+        renewal = link.held_back[0]
+        worker.crash()
+        link.holds_back = False
+        notice_restart = session._on_restart
+
+        def lose_next_renewal():
+            notice_restart()
+            link.holds_back = True
+
+        session._on_restart = lose_next_renewal
+        while not link.holds_back:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(late_s)
+        renewal()
+        ends_at = clock() + worker._deadline - worker.clock_ms() / 1000
+        assert ends_at > clock()
+        await asyncio.sleep(5.0)
+        silent = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent[-1].lapses_at, ends_at
+
+    reported, actual = run_virtual(with_session(scenario))
+    assert reported >= actual
