Play random jobs and faults on the models of nodes, store and workers

Tests of whole nodes inject one fault after the other, so that what only two faults together bring about has no test. The driver draws jobs and overlapping faults from a seed, plays them in virtual time and judges the record of all runs; the models take a file for the nodes' log and jobs that always fail.

--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
@@ -0,0 +1,140 @@
+"""Draws a plan of jobs and faults from a seed."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection
+
+from pomeloarch_standins.batch_fuzz.faults import KINDS, SLOW_CLOCKS
+from pomeloarch_standins.batch_fuzz.plan import (
+    Plan,
+    PlannedFault,
+    PlannedJob,
+    PlannedStep,
+    PlannedWorld,
+)
+from pomeloarch_standins.batch_world import BATCH, URGENT
+
+# When the first job is submitted and the last one at the latest, in seconds.
+# Before that, the nodes elect their leader.
+FIRST_JOB_S = 3.0
+LAST_JOB_S = 30.0
+# Range of the time between two submissions, in seconds.
+_JOB_INTERVAL_S = (0.2, 1.2)
+# Faults begin between these times, in seconds.
+_FAULTS_S = (3.5, 27.0)
+# Range of the time between the beginnings of two faults, in seconds. Most last
+# longer, so that several hold at once.
+_FAULT_INTERVAL_S = (0.4, 2.4)
+# A plan has faults of a few kinds only. With all of them, those that matter
+# together would seldom hold at the same time.
+_MAX_KINDS_PER_PLAN = 5
+_CANCELLED_SHARE = 0.1
+_FAILING_SHARE = 0.05
+_SLOW_CLOCK_SHARE = 0.5
+
+
+def draw_plan(seed: int, kinds: Collection[str]) -> Plan:
+    """Returns the plan of a seed.
+
+    Args:
+      seed: the seed of all random choices.
+      kinds: the names of the kinds of faults to draw from.
+    """
+    rng = random.Random(seed)
+    nodes, workers = 3, rng.choice((4, 4, 6))
+    slow: tuple[int, ...] = ()
+    if SLOW_CLOCKS in kinds:
+        slow = tuple(
+            w for w in range(workers) if rng.random() < _SLOW_CLOCK_SHARE
+        )
+    world = PlannedWorld(seed, nodes, workers, slow, rng.random() < 0.5)
+    return Plan(world, _draw_jobs(rng, nodes), _draw_faults(rng, kinds, world))
+
+
+def _draw_jobs(rng: random.Random, nodes: int) -> tuple[PlannedJob, ...]:
+    jobs: list[PlannedJob] = []
+    at_s = FIRST_JOB_S
+    while at_s < LAST_JOB_S:
+        jobs.append(_draw_job(rng, len(jobs) + 1, at_s, nodes))
+        at_s += rng.uniform(*_JOB_INTERVAL_S)
+    return tuple(jobs)
+
+
+def _draw_job(
+    rng: random.Random, number: int, at_s: float, nodes: int
+) -> PlannedJob:
+    steps = rng.choices(tuple(_SHAPES), tuple(_SHAPES.values()))[0](rng)
+    occurrences, interval_s = 0, 0.0
+    if not any(step.long_running for step in steps) and rng.random() < 0.1:
+        occurrences, interval_s = rng.randint(2, 4), rng.uniform(0.5, 3.0)
+    cancelled = rng.random() < _CANCELLED_SHARE
+    return PlannedJob(
+        number,
+        round(at_s, 3),
+        rng.randrange(nodes),
+        rng.choice((BATCH, URGENT, BATCH)),
+        steps,
+        occurrences,
+        round(interval_s, 3),
+        round(rng.uniform(0.0, 4.0), 3) if cancelled else None,
+        rng.random() < _FAILING_SHARE,
+    )
+
+
+def _draw_single_tasks(rng: random.Random) -> tuple[PlannedStep, ...]:
+    run_s = rng.choice((0.3, 1.0, 2.0, 6.0))
+    checkpointing = rng.random() < 0.3
+    step = PlannedStep(rng.randint(1, 5), 1, run_s, checkpointing=checkpointing)
+    return (step,)
+
+
+def _draw_gang(rng: random.Random) -> tuple[PlannedStep, ...]:
+    run_s = rng.choice((0.5, 1.0, 2.0, 5.0))
+    checkpointing = rng.random() < 0.3
+    step = PlannedStep(
+        rng.randint(2, 4),
+        rng.choice((2, 4)),
+        run_s,
+        gang=True,
+        checkpointing=checkpointing,
+    )
+    return (step,)
+
+
+def _draw_ordered_steps(rng: random.Random) -> tuple[PlannedStep, ...]:
+    return (
+        PlannedStep(rng.randint(1, 3), 1, rng.choice((0.3, 1.0))),
+        PlannedStep(rng.randint(2, 3), 2, 1.5, gang=True, after=(0,)),
+        PlannedStep(rng.randint(1, 2), 1, rng.choice((0.3, 2.0)), after=(0, 1)),
+    )
+
+
+def _draw_endless(rng: random.Random) -> tuple[PlannedStep, ...]:
+    # The workers' models end a run only after this time, which no play reaches.
+    return (PlannedStep(rng.randint(1, 2), 1, 1e6, long_running=True),)
+
+
+_SHAPES = {
+    _draw_single_tasks: 0.45,
+    _draw_gang: 0.3,
+    _draw_ordered_steps: 0.2,
+    _draw_endless: 0.05,
+}
+
+
+def _draw_faults(
+    rng: random.Random, kinds: Collection[str], world: PlannedWorld
+) -> tuple[PlannedFault, ...]:
+    known = sorted(set(kinds) - {SLOW_CLOCKS})
+    if not known:
+        return ()
+    count = rng.randint(1, _MAX_KINDS_PER_PLAN)
+    wanted = rng.sample(known, min(len(known), count))
+    faults: list[PlannedFault] = []
+    at_s, last_s = _FAULTS_S
+    while at_s < last_s:
+        kind = rng.choice(wanted)
+        faults.append(KINDS[kind].draw(rng, kind, round(at_s, 3), world))
+        at_s += rng.uniform(*_FAULT_INTERVAL_S)
+    return tuple(faults)
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -0,0 +1,454 @@
+"""The kinds of faults: how each is drawn and how it strikes."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from pomeloarch_core.ids import NodeId, WorkerId
+from pomeloarch_standins.batch_fuzz.plan import PlannedFault, PlannedWorld
+from pomeloarch_standins.batch_fuzz.stage import Stage
+from pomeloarch_standins.batch_world import WorldNode
+
+# Workers whose clocks are slow all the time: the only kind that isn't drawn
+# with a beginning and an end.
+SLOW_CLOCKS = "slow-clocks"
+# Share of the unanswered orders and writes that take effect late.
+_LATE_ORDERS_SHARE = 0.8
+_LATE_WRITES_SHARE = 0.5
+# Share of the pairs of a node and a worker that a cut of some paths strikes.
+_CUT_PATHS_SHARE = 0.35
+# Share of a fault's time for which it waits for its moment; the node that it
+# kills is down for the rest.
+_AWAIT_SHARE = 0.6
+
+Strike = Callable[[Stage, PlannedFault], Awaitable[None]]
+Draw = Callable[[random.Random, str, float, PlannedWorld], PlannedFault]
+
+
+class FaultKind(msgspec.Struct, frozen=True):
+    """A kind of faults.
+
+    Attributes:
+      draw: draws one from random numbers, its kind, its beginning and the
+        world.
+      strike: brings it about and ends it.
+    """
+
+    draw: Draw
+    strike: Strike
+
+
+def _draw_with(
+    for_s: tuple[float, float], amount: tuple[float, float] = (0.0, 0.0)
+) -> Draw:
+    """Draws faults of a duration and an amount in these ranges."""
+
+    def draw(
+        rng: random.Random, kind: str, at_s: float, world: PlannedWorld
+    ) -> PlannedFault:
+        return PlannedFault(
+            kind,
+            at_s,
+            round(rng.uniform(*for_s), 3),
+            amount=round(rng.uniform(*amount), 4),
+        )
+
+    return draw
+
+
+def _draw_on_workers(
+    for_s: tuple[float, float],
+    amount: tuple[float, float] = (0.0, 0.0),
+    all_share: float = 0.0,
+) -> Draw:
+    """Draws faults of one worker, or with a given probability of all."""
+    draw_rest = _draw_with(for_s, amount)
+
+    def draw(
+        rng: random.Random, kind: str, at_s: float, world: PlannedWorld
+    ) -> PlannedFault:
+        targets: tuple[int, ...] = (rng.randrange(world.workers),)
+        if rng.random() < all_share:
+            targets = tuple(range(world.workers))
+        return msgspec.structs.replace(
+            draw_rest(rng, kind, at_s, world), targets=targets
+        )
+
+    return draw
+
+
+def _draw_on_node(for_s: tuple[float, float]) -> Draw:
+    draw_rest = _draw_with(for_s)
+
+    def draw(
+        rng: random.Random, kind: str, at_s: float, world: PlannedWorld
+    ) -> PlannedFault:
+        return msgspec.structs.replace(
+            draw_rest(rng, kind, at_s, world),
+            targets=(rng.randrange(world.nodes),),
+        )
+
+    return draw
+
+
+def _draw_on_paths(for_s: tuple[float, float]) -> Draw:
+    """Draws faults of some pairs, or of all paths of one node."""
+    draw_rest = _draw_with(for_s)
+
+    def draw(
+        rng: random.Random, kind: str, at_s: float, world: PlannedWorld
+    ) -> PlannedFault:
+        pairs = [
+            (node, worker)
+            for node in range(world.nodes)
+            for worker in range(world.workers)
+        ]
+        if rng.random() < 0.3:
+            number = rng.randrange(world.nodes)
+            struck = [each for each in pairs if each[0] == number]
+        else:
+            struck = [p for p in pairs if rng.random() < _CUT_PATHS_SHARE]
+        return msgspec.structs.replace(
+            draw_rest(rng, kind, at_s, world), paths=tuple(struck)
+        )
+
+    return draw
+
+
+async def _leave_orders(stage: Stage, fault: PlannedFault, late: float) -> None:
+    workers = [stage.worker(number) for number in fault.targets]
+
+    def begin() -> None:
+        for each in workers:
+            each.lose_share, each.late_share = fault.amount, late
+
+    def end() -> None:
+        for each in workers:
+            each.lose_share = each.late_share = 0.0
+
+    await stage.hold("orders", fault.for_s, begin, end)
+
+
+async def _late_orders(stage: Stage, fault: PlannedFault) -> None:
+    await _leave_orders(stage, fault, _LATE_ORDERS_SHARE)
+
+
+async def _lost_orders(stage: Stage, fault: PlannedFault) -> None:
+    await _leave_orders(stage, fault, 0.0)
+
+
+async def _slow_answers(stage: Stage, fault: PlannedFault) -> None:
+    workers = [stage.worker(number) for number in fault.targets]
+
+    def begin() -> None:
+        for each in workers:
+            each.max_answer_delay_s = fault.amount
+
+    def end() -> None:
+        for each in workers:
+            each.max_answer_delay_s = 0.0
+
+    await stage.hold(f"slow {fault.targets}", fault.for_s, begin, end)
+
+
+async def _cut_worker(stage: Stage, number: int, for_s: float) -> None:
+    worker = stage.worker(number)
+
+    def begin() -> None:
+        worker.is_cut_off = True
+
+    def end() -> None:
+        worker.is_cut_off = False
+
+    await stage.hold(f"cut worker {number}", for_s, begin, end)
+
+
+async def _cut_workers(stage: Stage, fault: PlannedFault) -> None:
+    await asyncio.gather(
+        *(_cut_worker(stage, each, fault.for_s) for each in fault.targets)
+    )
+
+
+async def _restart(stage: Stage, fault: PlannedFault) -> None:
+    (number,) = fault.targets
+    before_s = fault.for_s * fault.amount
+    await _go_down(stage, number, fault.kind, before_s)
+    stage.world.restart_worker(stage.worker_id(number))
+    await _cut_worker(stage, number, fault.for_s - before_s)
+
+
+async def _replace(stage: Stage, fault: PlannedFault) -> None:
+    (number,) = fault.targets
+    before_s = fault.for_s * fault.amount
+    await _go_down(stage, number, fault.kind, before_s)
+    stage.replace_worker(number)
+    await _cut_worker(stage, number, fault.for_s - before_s)
+    stage.world.relist(stage.worker_id(number))
+
+
+async def _go_down(stage: Stage, number: int, kind: str, for_s: float) -> None:
+    """Cuts a worker off, or ends its process, for some time."""
+    if kind.startswith("cut-"):
+        await _cut_worker(stage, number, for_s)
+    else:
+        stage.world.crash_worker(stage.worker_id(number))
+        await asyncio.sleep(for_s)
+
+
+async def _move(stage: Stage, fault: PlannedFault) -> None:
+    """Changes the address in a worker's list entry; the worker stays."""
+    worker_id = stage.worker_id(fault.targets[0])
+    worker = stage.world.workers[worker_id]
+    worker.info = msgspec.structs.replace(
+        worker.info, address=f"{worker.info.address}0"
+    )
+    stage.world.relist(worker_id)
+
+
+async def _refuse_starts(stage: Stage, fault: PlannedFault) -> None:
+    workers = [stage.worker(number) for number in fault.targets]
+
+    def begin() -> None:
+        for each in workers:
+            each.refuse_share = fault.amount
+
+    def end() -> None:
+        for each in workers:
+            each.refuse_share = 0.0
+
+    await stage.hold(f"refuse {fault.targets}", fault.for_s, begin, end)
+
+
+async def _unlist(stage: Stage, fault: PlannedFault) -> None:
+    def begin() -> None:
+        for each in fault.targets:
+            stage.world.unlist(stage.worker_id(each))
+
+    def end() -> None:
+        for each in fault.targets:
+            stage.world.relist(stage.worker_id(each))
+
+    await stage.hold(f"unlist {fault.targets}", fault.for_s, begin, end)
+
+
+async def _fail_tasks(stage: Stage, fault: PlannedFault) -> None:
+    workers = [stage.worker(number) for number in fault.targets]
+
+    def begin() -> None:
+        for each in workers:
+            each.fails_all = True
+
+    def end() -> None:
+        for each in workers:
+            each.fails_all = False
+
+    await stage.hold(f"fail {fault.targets}", fault.for_s, begin, end)
+
+
+async def _strike_paths(
+    stage: Stage, fault: PlannedFault, struck: set[tuple[NodeId, WorkerId]]
+) -> None:
+    pairs = {
+        (stage.node(node).name, stage.worker_id(worker))
+        for node, worker in fault.paths
+    }
+    added = pairs - struck
+    struck |= added
+    await asyncio.sleep(fault.for_s)
+    struck -= added
+
+
+async def _cut_paths(stage: Stage, fault: PlannedFault) -> None:
+    await _strike_paths(stage, fault, stage.world.cut_paths)
+
+
+async def _deaf_paths(stage: Stage, fault: PlannedFault) -> None:
+    await _strike_paths(stage, fault, stage.world.deaf_paths)
+
+
+async def _kill_node(stage: Stage, fault: PlannedFault) -> None:
+    await stage.kill(stage.node(fault.targets[0]), fault.for_s)
+
+
+async def _kill_leader(stage: Stage, fault: PlannedFault) -> None:
+    await stage.kill(stage.leader(), fault.for_s)
+
+
+async def _kill_at(
+    stage: Stage,
+    fault: PlannedFault,
+    condition: Callable[[], bool],
+    node: Callable[[], WorldNode],
+) -> None:
+    """Kills a node shortly after a condition comes about."""
+    if await stage.wait_until(condition, fault.for_s * _AWAIT_SHARE):
+        struck = node()
+        await asyncio.sleep(fault.amount)
+        await stage.kill(struck, fault.for_s * (1 - _AWAIT_SHARE))
+
+
+async def _kill_at_start(stage: Stage, fault: PlannedFault) -> None:
+    entries = stage.world.ledger.entries
+    known = len(entries)
+    await _kill_at(stage, fault, lambda: len(entries) > known, stage.leader)
+
+
+async def _kill_at_end(stage: Stage, fault: PlannedFault) -> None:
+    running = [e for e in stage.world.ledger.entries if e.ended_at is None]
+    await _kill_at(
+        stage,
+        fault,
+        lambda: any(each.ended_at is not None for each in running),
+        stage.leader,
+    )
+
+
+async def _kill_at_acceptance(stage: Stage, fault: PlannedFault) -> None:
+    await _kill_at(
+        stage,
+        fault,
+        lambda: stage.accepting_node() is not None,
+        lambda: stage.accepting_node() or stage.leader(),
+    )
+
+
+async def _stop_leader(stage: Stage, fault: PlannedFault) -> None:
+    await stage.stop(stage.leader(), fault.for_s)
+
+
+async def _freeze_leader(stage: Stage, fault: PlannedFault) -> None:
+    await stage.freeze(stage.leader(), fault.for_s)
+
+
+async def _freeze_node(stage: Stage, fault: PlannedFault) -> None:
+    await stage.freeze(stage.node(fault.targets[0]), fault.for_s)
+
+
+async def _lose_writes(stage: Stage, fault: PlannedFault) -> None:
+    def begin() -> None:
+        for node in stage.world.nodes:
+            node.link.lose_share = fault.amount
+            node.link.late_share = _LATE_WRITES_SHARE
+
+    def end() -> None:
+        for node in stage.world.nodes:
+            node.link.lose_share = node.link.late_share = 0.0
+
+    await stage.hold("lose writes", fault.for_s, begin, end)
+
+
+async def _lose_reads(stage: Stage, fault: PlannedFault) -> None:
+    def begin() -> None:
+        for node in stage.world.nodes:
+            node.link.lose_reads_share = fault.amount
+
+    def end() -> None:
+        for node in stage.world.nodes:
+            node.link.lose_reads_share = 0.0
+
+    await stage.hold("lose reads", fault.for_s, begin, end)
+
+
+async def _slow_store(stage: Stage, fault: PlannedFault) -> None:
+    def begin() -> None:
+        for node in stage.world.nodes:
+            node.link.slow_factor = fault.amount
+
+    def end() -> None:
+        for node in stage.world.nodes:
+            node.link.slow_factor = 1.0
+
+    await stage.hold("slow store", fault.for_s, begin, end)
+
+
+async def _cut_store(
+    stage: Stage, fault: PlannedFault, nodes: list[WorldNode]
+) -> None:
+    def set_reachable(node: WorldNode, reachable: bool) -> None:
+        node.link.reachable = reachable
+
+    await asyncio.gather(
+        *(
+            stage.hold(
+                f"store of {node.name}",
+                fault.for_s,
+                functools.partial(set_reachable, node, False),
+                functools.partial(set_reachable, node, True),
+            )
+            for node in nodes
+        )
+    )
+
+
+async def _cut_leader_from_store(stage: Stage, fault: PlannedFault) -> None:
+    await _cut_store(stage, fault, [stage.leader()])
+
+
+async def _cut_all_from_store(stage: Stage, fault: PlannedFault) -> None:
+    await _cut_store(stage, fault, stage.world.nodes)
+
+
+async def _drop_history(stage: Stage, fault: PlannedFault) -> None:
+    stage.world.tables.compact()
+
+
+async def _nothing(stage: Stage, fault: PlannedFault) -> None:
+    return
+
+
+KINDS: dict[str, FaultKind] = {
+    "late-orders": FaultKind(
+        _draw_on_workers((1.0, 5.0), (0.1, 0.5), 0.7), _late_orders
+    ),
+    "lost-orders": FaultKind(
+        _draw_on_workers((1.0, 5.0), (0.1, 0.5), 0.7), _lost_orders
+    ),
+    "slow-answers": FaultKind(
+        _draw_on_workers((1.0, 8.0), (0.02, 0.65), 0.5), _slow_answers
+    ),
+    "restart": FaultKind(_draw_on_workers((0.0, 6.0), (0.0, 1.0)), _restart),
+    "replace": FaultKind(_draw_on_workers((0.0, 6.0), (0.0, 1.0)), _replace),
+    "cut-restart": FaultKind(
+        _draw_on_workers((0.0, 6.0), (0.0, 1.0)), _restart
+    ),
+    "cut-replace": FaultKind(
+        _draw_on_workers((0.0, 6.0), (0.0, 1.0)), _replace
+    ),
+    "move": FaultKind(_draw_on_workers((0.0, 0.0)), _move),
+    "refusals": FaultKind(
+        _draw_on_workers((0.5, 5.0), (0.2, 1.0), 0.5), _refuse_starts
+    ),
+    "unlist": FaultKind(_draw_on_workers((0.1, 8.0), (0.0, 0.0), 0.2), _unlist),
+    "failing-worker": FaultKind(_draw_on_workers((0.5, 4.0)), _fail_tasks),
+    "cut-worker": FaultKind(
+        _draw_on_workers((0.5, 9.0), (0.0, 0.0), 0.1), _cut_workers
+    ),
+    "cut-paths": FaultKind(_draw_on_paths((0.5, 8.0)), _cut_paths),
+    "deaf-paths": FaultKind(_draw_on_paths((0.5, 8.0)), _deaf_paths),
+    SLOW_CLOCKS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
+    "kill-node": FaultKind(_draw_on_node((0.05, 4.0)), _kill_node),
+    "kill-leader": FaultKind(_draw_with((0.05, 4.0)), _kill_leader),
+    "kill-at-start": FaultKind(
+        _draw_with((1.0, 5.0), (0.0, 0.03)), _kill_at_start
+    ),
+    "kill-at-end": FaultKind(_draw_with((1.0, 5.0), (0.0, 0.05)), _kill_at_end),
+    "kill-at-acceptance": FaultKind(
+        _draw_with((1.0, 5.0), (0.0, 0.02)), _kill_at_acceptance
+    ),
+    "stop-leader": FaultKind(_draw_with((0.1, 1.0)), _stop_leader),
+    "freeze-leader": FaultKind(_draw_with((0.2, 9.0)), _freeze_leader),
+    "freeze-node": FaultKind(_draw_on_node((0.2, 9.0)), _freeze_node),
+    "store-writes": FaultKind(_draw_with((1.0, 6.0), (0.1, 0.5)), _lose_writes),
+    "store-reads": FaultKind(_draw_with((1.0, 6.0), (0.1, 0.5)), _lose_reads),
+    "store-slow": FaultKind(_draw_with((1.0, 5.0), (10.0, 60.0)), _slow_store),
+    "store-cut-leader": FaultKind(
+        _draw_with((0.5, 7.0)), _cut_leader_from_store
+    ),
+    "store-cut": FaultKind(_draw_with((0.5, 6.0)), _cut_all_from_store),
+    "store-history": FaultKind(_draw_with((0.0, 0.0)), _drop_history),
+}
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
@@ -0,0 +1,99 @@
+"""Judges a play by the record of its runs."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping, Sequence
+
+import msgspec
+
+from pomeloarch_core.batch.model import BatchJob
+from pomeloarch_core.ids import JobId
+from pomeloarch_standins.batch_ledger import LedgerEntry, Violation
+from pomeloarch_standins.batch_rules import (
+    find_early_starts,
+    find_excess_attempts,
+    find_overfull_workers,
+    find_starts_after_job,
+)
+from pomeloarch_standins.batch_world import BatchWorld
+
+# Time after the cancellation of a job in which its tasks may start while no
+# fault holds, in seconds.
+_CANCEL_DELAY_S = 6.0
+# How much too early an occurrence may start, in seconds.
+_EARLY_S = 0.05
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """Something wrong in a play.
+
+    Attributes:
+      kind: the rule that was broken, and whether by a late order.
+      text: what was seen.
+    """
+
+    kind: str
+    text: str
+
+    @classmethod
+    def from_violation(cls, violation: Violation) -> Finding:
+        """Returns the finding of a rule on the runs of tasks."""
+        late = " (late order)" if violation.involves_late_order else ""
+        return cls(violation.kind.value + late, str(violation))
+
+
+def find_violations(
+    world: BatchWorld,
+    calm_at: float,
+    unfinished: Sequence[JobId],
+    idle: Sequence[JobId],
+) -> list[Finding]:
+    """Returns all that is wrong in a play.
+
+    Args:
+      world: the simulation, after its end.
+      calm_at: the time at which the last fault had ended, in seconds.
+      unfinished: accepted jobs that haven't ended in time.
+      idle: endless jobs of which a task wasn't running in time.
+    """
+    entries, jobs = world.ledger.entries, world.submitted
+    capacities = {
+        str(each): world.workers[each].info.capacity for each in world.workers
+    }
+    ended = {
+        job_id: max(at, calm_at)
+        for job_id, at in world.cancel_acknowledged.items()
+    }
+    violations = [
+        *world.ledger.find_violations(jobs),
+        *find_early_starts(entries, jobs),
+        *find_excess_attempts(entries, jobs),
+        *find_overfull_workers(entries, jobs, capacities),
+        *find_starts_after_job(entries, ended, _CANCEL_DELAY_S),
+    ]
+    return [
+        *map(Finding.from_violation, violations),
+        *_find_early_occurrences(entries, jobs),
+        *_find_left_runs(entries),
+        *(Finding("unfinished", f"{each} hasn't ended") for each in unfinished),
+        *(Finding("idle", f"{each} isn't running") for each in idle),
+    ]
+
+
+def _find_early_occurrences(
+    entries: Sequence[LedgerEntry], jobs: Mapping[JobId, BatchJob]
+) -> Iterator[Finding]:
+    for each in entries:
+        due_at = jobs[each.task.job_id].due_at(each.task.occurrence)
+        if each.started_at < due_at - _EARLY_S:
+            yield Finding(
+                "started before it was due",
+                f"{each.task}: {each}; due at {due_at:.3f} s",
+            )
+
+
+def _find_left_runs(entries: Sequence[LedgerEntry]) -> Iterator[Finding]:
+    """Yields the runs that go on although all jobs have ended."""
+    for each in entries:
+        if each.ended_at is None:
+            yield Finding("runs on after its job", f"{each.task}: {each}")
--- /dev/null
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
@@ -0,0 +1,117 @@
+"""Plays a plan in virtual time and judges the record of its runs."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Sequence
+
+import msgspec
+
+from pomeloarch_core.ids import JobId
+from pomeloarch_standins.batch_fuzz.faults import KINDS
+from pomeloarch_standins.batch_fuzz.judging import Finding, find_violations
+from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedFault, PlannedJob
+from pomeloarch_standins.batch_fuzz.stage import Stage
+from pomeloarch_standins.batch_ledger import LedgerEntry
+from pomeloarch_standins.virtual_time import run_virtual
+
+# Time for the accepted jobs to end once all is calm, in seconds. In the
+# meantime late orders are carried out, leases run out, the scheduler's role
+# changes hands and the jobs run.
+_SETTLE_TIMEOUT_S = 60.0
+# Time that follows the last end, for orders that are still under way, and the
+# time after a cancellation for its runs to be gone, in seconds.
+_REST_S = 15.0
+# How often a condition is checked while all is calm, in seconds.
+_CHECK_INTERVAL_S = 0.1
+
+
+class Result(msgspec.Struct, frozen=True):
+    """The result of a play.
+
+    Attributes:
+      findings: the violations.
+      entries: the record of all runs.
+      log: the nodes' decisions, one JSON object a line.
+    """
+
+    findings: tuple[Finding, ...]
+    entries: tuple[LedgerEntry, ...]
+    log: bytes
+
+
+def play(plan: Plan) -> Result:
+    """Plays a plan and judges it."""
+    with tempfile.NamedTemporaryFile() as log_file:
+        stage_entries, findings = run_virtual(_play(plan, log_file.name))
+        log = log_file.read()
+    return Result(tuple(findings), tuple(stage_entries), log)
+
+
+async def _play(
+    plan: Plan, log_path: str
+) -> tuple[Sequence[LedgerEntry], list[Finding]]:
+    stage = Stage(plan, log_path)
+    world = stage.world
+    world.start()
+    try:
+        await asyncio.gather(
+            *(_submit(stage, each) for each in plan.jobs),
+            *(_strike(stage, each) for each in plan.faults),
+        )
+        endless = {each.job_id for each in plan.jobs if each.is_endless}
+        unfinished = await _wait_for_jobs(stage, endless)
+        idle = await _wait_for_endless(stage, endless)
+        await asyncio.gather(
+            *(stage.cancel(each) for each in plan.jobs if each.is_endless)
+        )
+        await asyncio.sleep(_REST_S)
+    finally:
+        await world.stop()
+    findings = find_violations(world, plan.calm_at_s, unfinished, idle)
+    return world.ledger.entries, findings
+
+
+async def _submit(stage: Stage, planned: PlannedJob) -> None:
+    await asyncio.sleep(planned.at_s)
+    await stage.submit(planned)
+
+
+async def _strike(stage: Stage, fault: PlannedFault) -> None:
+    await asyncio.sleep(fault.at_s)
+    await KINDS[fault.kind].strike(stage, fault)
+
+
+async def _wait_for_jobs(stage: Stage, endless: set[JobId]) -> list[JobId]:
+    """Waits for all accepted jobs that end; returns those that did not."""
+    world = stage.world
+    until = world.clock() + _SETTLE_TIMEOUT_S
+    while world.clock() < until:
+        left = set(await world.wait_for_jobs(0.0)) - endless
+        if not left:
+            return []
+        await asyncio.sleep(_CHECK_INTERVAL_S)
+    return sorted(left)
+
+
+async def _wait_for_endless(stage: Stage, endless: set[JobId]) -> list[JobId]:
+    """Waits for the endless jobs to run; returns those that do not."""
+    world = stage.world
+    until = world.clock() + _SETTLE_TIMEOUT_S
+    wanted = (endless & world.accepted.keys()) - world.cancelled
+    while True:
+        idle = [each for each in sorted(wanted) if not _runs_whole(stage, each)]
+        if not idle or world.clock() >= until:
+            return idle
+        await asyncio.sleep(_CHECK_INTERVAL_S)
+
+
+def _runs_whole(stage: Stage, job_id: JobId) -> bool:
+    running = {
+        each.task
+        for each in stage.world.ledger.entries
+        if each.task.job_id == job_id and each.ended_at is None
+    }
+    steps = stage.world.submitted[job_id].steps
+    return len(running) >= sum(step.count for step in steps)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -11,7 +11,7 @@
 import asyncio
 import enum
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from typing import TypeVar
 
 from result import Err, Ok, Result
@@ -97,6 +97,7 @@
       gangs: the present members of each gang, shared by all workers.
       ledger: records the runs.
       rng: draws faults and delays.
+      failing_jobs: jobs of which all runs fail.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         gangs: dict[GangKey, dict[int, WorkerModel]],
         ledger: Ledger,
         rng: random.Random,
+        failing_jobs: Container[JobId] = (),
     ) -> None:
         """Creates a worker without runs."""
         self.info = info
@@ -123,6 +125,7 @@
         self._gangs = gangs
         self._ledger = ledger
         self._rng = rng
+        self._failing_jobs = failing_jobs
         self._late: set[asyncio.Task[None]] = set()
         self._clock_rate = 1.0
         self.incarnation = 0
@@ -198,9 +201,10 @@
             return
         if now - run.working_since < self._duration_s(run.task):
             return
-        if step.long_running and not self.fails_all:
+        fails = self.fails_all or run.task.job_id in self._failing_jobs
+        if step.long_running and not fails:
             return
-        if self.fails_all:
+        if fails:
             self._end(run, RunEnd.FAILED)
         elif step.gang:
             for worker in list(self._members(run).values()):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -198,6 +198,7 @@
       accepted: when each accepted job was accepted.
       cancelled: jobs whose end is not waited for.
       cancel_acknowledged: when the request to cancel a job was acknowledged.
+      failing_jobs: jobs of which all runs fail.
       cut_paths: between these nodes and workers, nothing arrives.
       deaf_paths: from these nodes to these workers, orders arrive and are
         carried out, but their answers are lost.
@@ -206,9 +207,16 @@
       seed: the seed of all random numbers.
       nodes: the number of nodes.
       workers: the number of workers, half of them in each of two racks.
+      log_path: the file to which the nodes write their decisions.
     """
 
-    def __init__(self, seed: int, nodes: int = 3, workers: int = 4) -> None:
+    def __init__(
+        self,
+        seed: int,
+        nodes: int = 3,
+        workers: int = 4,
+        log_path: str = os.devnull,
+    ) -> None:
         """Builds the simulation without running it."""
         self.seed = seed
         self.rng = random.Random(seed)
@@ -219,9 +227,10 @@
         self.accepted: dict[JobId, float] = {}
         self.cancelled: set[JobId] = set()
         self.cancel_acknowledged: dict[JobId, float] = {}
+        self.failing_jobs: set[JobId] = set()
         self.cut_paths: set[tuple[NodeId, WorkerId]] = set()
         self.deaf_paths: set[tuple[NodeId, WorkerId]] = set()
-        self.log_fd = os.open(os.devnull, os.O_WRONLY)
+        self.log_fd = os.open(log_path, os.O_WRONLY)
         gangs: dict[GangKey, dict[int, WorkerModel]] = {}
         self.workers: dict[WorkerId, WorkerModel] = {}
         for number in range(workers):
@@ -233,6 +242,7 @@
                 gangs,
                 self.ledger,
                 self.rng,
+                self.failing_jobs,
             )
             self._list(info)
         # Workers by all ids that they have had.
