Log on which evidence a task becomes free to be started again

Cause: two runs of a task could not be explained from the logs. Of a run that ended without success they held a reason as text, for the first member of a gang only, and nothing once the group was being stopped. They did not say which incarnation of the worker the start was sent to, how many copies of the order had no answer, whether a new leader had taken the run over, or whether a worker that a new leader waited for had answered or only had no lease left.

Change: `remove_member` takes the evidence, an Enum, and logs `task released` with its age, the incarnations at the start and of the evidence, and the number of unanswered copies. New are also `group running`, `run adopted`, `worker restarted` and `unaccounted run released`; `group started`, `group done`, `start refused` and `doubts cleared` get the fields that go with them. No decision changes.

Ruled out: a line for each end of a group that is done (`group done` has it), and the names of all tasks that a restarted worker loses, which are without bound; each has its own `task released`.

Conclusion: each place at which the scheduler takes a run for gone writes a line. What a leader that is killed had sent and not seen answered is shown by `group started` without `group running` only.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -34,8 +34,10 @@
       silent: whether it doesn't answer at present.
       late_since: when an answer was first found late, None while it answers.
       lapses_at: while silent, when its runs have been killed at the latest.
+      gone: while silent, whether another worker answers at its address.
       incarnation: the incarnation that answered last.
       heard_at: when its last report was processed, None before the first.
+      asked_at: when its last report was asked for, None before the first.
       groups: groups with tasks on the worker, and the number of these tasks.
       unaccounted_runs: runs on it that no group accounts for, and when each was
         first reported.
@@ -62,8 +64,10 @@
         self.silent = False
         self.late_since: float | None = None
         self.lapses_at = 0.0
+        self.gone = False
         self.incarnation = Incarnation(0)
         self.heard_at: float | None = None
+        self.asked_at: float | None = None
         self.groups: dict[Group, int] = {}
         self.unaccounted_runs: dict[tuple[TaskId, RunNumber], float] = {}
         self.pending_ends: set[int] = set()
@@ -122,7 +126,7 @@
             and self.suspended_until <= now
         )
 
-    def mark_silent(self, lapses_at: float) -> None:
+    def mark_silent(self, lapses_at: float, gone: bool = False) -> None:
         """Records that it doesn't answer; it is given nothing from now on.
 
         Which tasks it may run is known only if it has answered this scheduler.
@@ -132,6 +136,7 @@
             self.may_run = tuple(sorted(self._ordered_tasks()))
         self.silent = True
         self.lapses_at = lapses_at
+        self.gone = gone
 
     def _ordered_tasks(self) -> Iterator[str]:
         yield from (str(task) for task, _ in self.unaccounted_runs)
@@ -180,11 +185,6 @@
         self._unaccounted_needs.pop((task, run), None)
         self._free = None
 
-    def drop_unaccounted_runs(self) -> None:
-        """Removes all runs that no group accounts for."""
-        for task, run in list(self.unaccounted_runs):
-            self.drop_unaccounted_run(task, run)
-
     def commit_claim(self, need: Resources) -> None:
         """Turns claimed resources into used ones."""
         self._claimed -= need
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -5,7 +5,12 @@
 import enum
 
 from pomeloarch_core.batch.catalogue import Queue
-from pomeloarch_core.batch.messages import RunNumber, StepId, TaskId
+from pomeloarch_core.batch.messages import (
+    Incarnation,
+    RunNumber,
+    StepId,
+    TaskId,
+)
 from pomeloarch_core.batch.model import BatchJob, Step
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.ids import WorkerId
@@ -57,6 +62,9 @@
       worker_id: the worker that it was placed on.
       started_at: when its start was confirmed, None before.
       stopped_at: when its stop was confirmed, None before.
+      incarnation: the worker's incarnation when its start was ordered, or that
+        reported the run when it was adopted.
+      unanswered: number of copies of the order to start it without an answer.
       percent: share of its work that was reported as done last, in percent.
       load: tail latency in milliseconds of a serving task, otherwise processor
         use.
@@ -72,6 +80,8 @@
         self.worker_id = worker_id
         self.started_at: float | None = None
         self.stopped_at: float | None = None
+        self.incarnation = Incarnation(0)
+        self.unanswered = 0
         self.percent = 0.0
         self.load = 0.0
         self.pace_percent = 100
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -258,6 +258,26 @@
     NO_ANSWER = "no_answer"
 
 
+class Evidence(enum.Enum):
+    """What shows that a run is on its worker no longer.
+
+    END_REPORTED: a report has the run's end.
+    NOT_REPORTED: a report doesn't list the run, though its start or its stop
+      was answered before.
+    RESTARTED: the same from another incarnation than the run was ordered from.
+    START_REFUSED: the only copy of the order to start it was refused.
+    LEASE_LAPSED: its worker is silent and the last lease has run out.
+    WORKER_GONE: another worker answers at the address.
+    """
+
+    END_REPORTED = "end_reported"
+    NOT_REPORTED = "not_reported"
+    RESTARTED = "restarted"
+    START_REFUSED = "start_refused"
+    LEASE_LAPSED = "lease_lapsed"
+    WORKER_GONE = "worker_gone"
+
+
 class StartAnswered(msgspec.Struct, frozen=True):
     """An order to start a task was answered or given up on.
 
@@ -268,6 +288,7 @@
       outcome: the worker's answer.
       settled: whether the answer is final. A refusal isn't while another copy
         of the order may still be carried out.
+      unanswered: number of copies of the order that had no answer, for the log.
     """
 
     worker_id: WorkerId
@@ -275,6 +296,7 @@
     run: RunNumber
     outcome: StartOutcome
     settled: bool
+    unanswered: int = 0
 
 
 class StopAnswered(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
@@ -112,11 +112,17 @@
                     "groups_left": len(self._pending),
                     "workers_unheard": sorted(self._unheard or ()),
                     "awaited_last": sorted(awaited),
+                    "lapsed": sorted(filter(self._has_lapsed, awaited)),
                     "took_s": round(now - self._began_at, 3),
                 },
             )
         )
 
+    def _has_lapsed(self, worker_id: WorkerId) -> bool:
+        """Returns whether a worker is not awaited since its leases ended."""
+        worker = self._fleet.get(worker_id)
+        return worker is None or not worker.reported
+
     def _release(self, group: Group, now: float) -> None:
         """Releases a group; one of which tasks are missing is stopped."""
         group.recovery_pending = False
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -9,6 +9,8 @@
 from pomeloarch_core.batch.messages import (
     Decision,
     EndedTask,
+    Evidence,
+    Incarnation,
     LogEntry,
     RunningTask,
     RunNumber,
@@ -42,14 +44,17 @@
         self, worker: Worker, event: WorkerReported, now: float
     ) -> None:
         """Processes a worker's running and ended runs."""
-        if worker.incarnation not in (0, event.incarnation):
+        previous = worker.incarnation
+        worker.incarnation = event.incarnation
+        worker.asked_at = event.asked_at
+        if previous not in (0, event.incarnation):
             # A new incarnation knows no ends of the previous one. The runs that
             # it has were started since, and those that it doesn't have are
             # found missing below.
+            self._log_restart(worker, previous, now)
             worker.last_end = 0
             worker.pending_ends.clear()
-            worker.drop_unaccounted_runs()
-        worker.incarnation = event.incarnation
+            self._runs.drop_unaccounted_runs(worker, Evidence.RESTARTED, now)
         worker.mark_answered()
         running = {
             (reported.task, reported.run): reported
@@ -60,6 +65,26 @@
         self._remove_missing(worker, running, event.asked_at, now)
         worker.heard_at = now
 
+    def _log_restart(
+        self, worker: Worker, previous: Incarnation, now: float
+    ) -> None:
+        """Logs how much a worker had that its new incarnation doesn't know."""
+        assert worker.asked_at is not None
+        self._out.append(
+            LogEntry(
+                "worker restarted",
+                {
+                    "worker": worker.worker_id,
+                    "old_incarnation": previous,
+                    "incarnation": worker.incarnation,
+                    "asked_s_ago": round(now - worker.asked_at, 3),
+                    "tasks_lost": sum(worker.groups.values()),
+                    "unaccounted_runs_lost": len(worker.unaccounted_runs),
+                    "ends_not_durable": len(worker.pending_ends),
+                },
+            )
+        )
+
     def _process_ends(
         self, worker: Worker, ended: tuple[EndedTask, ...], now: float
     ) -> None:
@@ -69,7 +94,9 @@
             worker.last_end = end.number
             group = self._jobs.group_of(end.task)
             if end.task is not None:
-                worker.drop_unaccounted_run(end.task, end.run)
+                self._runs.drop_unaccounted_run(
+                    worker, end.task, end.run, Evidence.END_REPORTED, now
+                )
             if group is None or end.task is None:
                 continue
             self._runs.handle_end(group, worker, end, now)
@@ -213,7 +240,9 @@
         """Frees the resources of runs that a worker no longer has."""
         for key in [k for k in worker.unaccounted_runs if k not in running]:
             if worker.unaccounted_runs[key] < asked_at:
-                worker.drop_unaccounted_run(*key)
+                self._runs.drop_unaccounted_run(
+                    worker, *key, Evidence.NOT_REPORTED, now
+                )
         for group in list(worker.groups):
             if group.state is GroupState.CLAIMED:
                 continue
@@ -228,6 +257,13 @@
                     else member.started_at
                 )
                 if confirmed_at is not None and confirmed_at < asked_at:
+                    restarted = member.incarnation != worker.incarnation
                     self._runs.remove_member(
-                        group, index, "its worker no longer has it", now
+                        group,
+                        index,
+                        Evidence.RESTARTED
+                        if restarted
+                        else Evidence.NOT_REPORTED,
+                        "its worker no longer has it",
+                        now,
                     )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -9,12 +9,15 @@
 from pomeloarch_core.batch.messages import (
     Decision,
     EndedTask,
+    Evidence,
+    Incarnation,
     LogEntry,
     RunEnd,
     RunningTask,
     RunNumber,
     StartTask,
     StopTask,
+    TaskId,
     WriteRow,
 )
 from pomeloarch_core.batch.objectives import RunTimes
@@ -22,7 +25,7 @@
 from pomeloarch_core.batch.ready import ready_since
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.speeds import SpeedTracker
-from pomeloarch_core.ids import Epoch
+from pomeloarch_core.ids import Epoch, WorkerId
 
 # Limit on a group's runs within one term. The numbers of runs in a term start
 # at a multiple of it, so they exceed those of all earlier terms and nothing has
@@ -117,11 +120,14 @@
         group.resumed = bool(group.checkpoint)
         group.compared = False
         racks: set[str] = set()
+        incarnations: dict[WorkerId, Incarnation] = {}
         for index, member in group.members.items():
             worker = self._fleet.get(member.worker_id)
             assert worker is not None
             worker.commit_claim(group.step.allocation)
             racks.add(worker.info.rack)
+            member.incarnation = worker.incarnation
+            incarnations[worker.worker_id] = worker.incarnation
             self._out.append(
                 StartTask(
                     member.worker_id,
@@ -136,7 +142,10 @@
             "group started",
             group,
             run=group.run,
-            workers=sorted({m.worker_id for m in group.members.values()}),
+            term=self._term,
+            tasks=len(group.members),
+            workers=sorted(incarnations),
+            incarnations=[incarnations[each] for each in sorted(incarnations)],
             waited_s=round(now - group.ready_at, 3),
             age_s=round(now - group.job.accepted_at, 3),
             racks=sorted(racks),
@@ -167,8 +176,19 @@
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
         member.started_at = now
+        member.incarnation = worker.incarnation
         worker.allocate(group, group.step.allocation, claimed=False)
         self._mark_started(group)
+        self.log(
+            "run adopted",
+            group,
+            index,
+            run=group.run,
+            term=self._term,
+            worker=worker.worker_id,
+            incarnation=worker.incarnation,
+            percent=reported.percent,
+        )
 
     def confirm_member(self, group: Group, index: int, now: float) -> None:
         """Records that a worker has started a task."""
@@ -176,6 +196,17 @@
         if member.started_at is None:
             member.started_at = now
             self._mark_started(group)
+            if group.is_running:
+                self._log_running(group, now)
+
+    def _log_running(self, group: Group, now: float) -> None:
+        self.log(
+            "group running",
+            group,
+            run=group.run,
+            took_s=round(now - group.started_at, 3),
+            unanswered=sum(m.unanswered for m in group.members.values()),
+        )
 
     def _mark_started(self, group: Group) -> None:
         row = group.job.row
@@ -210,7 +241,12 @@
         group.state = GroupState.READY
 
     def remove_member(
-        self, group: Group, index: int, reason: str, now: float
+        self,
+        group: Group,
+        index: int,
+        evidence: Evidence,
+        reason: str,
+        now: float,
     ) -> None:
         """Removes a task of the current run that is certainly not running."""
         if group.state is GroupState.CLAIMED:
@@ -220,12 +256,77 @@
         worker = self._fleet.get(member.worker_id)
         if worker is not None:
             worker.release(group, group.step.allocation, claimed=False)
+            if group.state is not GroupState.ENDED:
+                self._log_released(group, index, member, worker, evidence, now)
         if group.state is GroupState.STARTED:
             where = f"task {index} on worker {member.worker_id}"
             self.stop_run(group, f"{where}: {reason}", now)
         else:
             self._complete_stop(group, now)
 
+    def _log_released(
+        self,
+        group: Group,
+        index: int,
+        member: Member,
+        worker: Worker,
+        evidence: Evidence,
+        now: float,
+    ) -> None:
+        since = (
+            group.started_at
+            if evidence is Evidence.START_REFUSED
+            else _obtained_at(worker, evidence)
+        )
+        self.log(
+            "task released",
+            group,
+            index,
+            run=group.run,
+            worker=worker.worker_id,
+            incarnation=member.incarnation,
+            evidence=evidence.value,
+            evidence_incarnation=worker.incarnation,
+            evidence_age_s=_elapsed_s(since, now),
+            unanswered=member.unanswered,
+            tasks_left=len(group.members),
+        )
+
+    def drop_unaccounted_runs(
+        self, worker: Worker, evidence: Evidence, now: float
+    ) -> None:
+        """Removes all runs of a worker that no group accounts for."""
+        for task, run in list(worker.unaccounted_runs):
+            self.drop_unaccounted_run(worker, task, run, evidence, now)
+
+    def drop_unaccounted_run(
+        self,
+        worker: Worker,
+        task: TaskId,
+        run: RunNumber,
+        evidence: Evidence,
+        now: float,
+    ) -> None:
+        """Removes a run that no group accounts for, if there is one."""
+        if (task, run) not in worker.unaccounted_runs:
+            return
+        worker.drop_unaccounted_run(task, run)
+        self._out.append(
+            LogEntry(
+                "unaccounted run released",
+                {
+                    "task": str(task),
+                    "run": run,
+                    "worker": worker.worker_id,
+                    "evidence": evidence.value,
+                    "evidence_incarnation": worker.incarnation,
+                    "evidence_age_s": _elapsed_s(
+                        _obtained_at(worker, evidence), now
+                    ),
+                },
+            )
+        )
+
     def _complete_stop(self, group: Group, now: float) -> None:
         """Makes a stopped group ready again once all its tasks have ended."""
         if group.state is GroupState.STOPPING and not group.members:
@@ -262,7 +363,9 @@
             self._handle_failure(group, worker, end, now)
         if current and end.task.index in group.members:
             reason = f"its run ended as {end.how.value}"
-            self.remove_member(group, end.task.index, reason, now)
+            self.remove_member(
+                group, end.task.index, Evidence.END_REPORTED, reason, now
+            )
 
     def _save_checkpoint(self, group: Group, checkpoint: str) -> None:
         if group.state is GroupState.ENDED:
@@ -297,6 +400,8 @@
             group,
             run=end.run,
             worker=worker.worker_id,
+            incarnation=worker.incarnation,
+            unanswered=sum(m.unanswered for m in group.members.values()),
             ran_s=None if ran_s is None else round(ran_s, 3),
             unheard_s=_elapsed_s(worker.heard_at, now),
         )
@@ -338,9 +443,23 @@
             WriteRow(entry.job.job_id, entry.row, entry.change, urgent)
         )
 
-    def log(self, event: str, group: Group, **fields: object) -> None:
-        """Logs a decision about a group."""
-        self._out.append(LogEntry(event, {"task": group.name, **fields}))
+    def log(
+        self,
+        event: str,
+        group: Group,
+        index: int | None = None,
+        **fields: object,
+    ) -> None:
+        """Logs a decision about a group, or about one of its tasks."""
+        task = group.name if index is None else str(group.task(index))
+        self._out.append(LogEntry(event, {"task": task, **fields}))
+
+
+def _obtained_at(worker: Worker, evidence: Evidence) -> float | None:
+    """Returns the earliest time at which a worker's evidence can be from."""
+    if evidence in (Evidence.LEASE_LAPSED, Evidence.WORKER_GONE):
+        return worker.lapses_at
+    return worker.asked_at
 
 
 def _elapsed_s(moment: float | None, now: float) -> float | None:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -29,6 +29,7 @@
     CatalogueChanged,
     Decision,
     Event,
+    Evidence,
     JobAccepted,
     LogEntry,
     RosterEntry,
@@ -351,7 +352,7 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        worker.mark_silent(event.lapses_at)
+        worker.mark_silent(event.lapses_at, event.gone)
         self._roster_changed = True
         self._out.append(
             LogEntry(
@@ -400,7 +401,10 @@
 
     def _remove_lost_runs(self, worker: Worker, now: float) -> None:
         """Removes all runs of a worker: none of them exists any longer."""
-        worker.drop_unaccounted_runs()
+        evidence = (
+            Evidence.WORKER_GONE if worker.gone else Evidence.LEASE_LAPSED
+        )
+        self._runs.drop_unaccounted_runs(worker, evidence, now)
         for group in list(worker.groups):
             if group.state is GroupState.CLAIMED:
                 self._runs.stop_run(group, "its worker has ended", now)
@@ -408,7 +412,7 @@
             for index, member in list(group.members.items()):
                 if member.worker_id == worker.worker_id:
                     self._runs.remove_member(
-                        group, index, "its lease has run out", now
+                        group, index, evidence, "its lease has run out", now
                     )
 
     def _forget_if_empty(self, worker: Worker, now: float) -> None:
@@ -432,6 +436,7 @@
         member = group.members.get(event.task.index)
         if member is None or member.worker_id != event.worker_id:
             return
+        member.unanswered = event.unanswered
         if event.outcome is StartOutcome.STARTED:
             self._runs.confirm_member(group, event.task.index, now)
             return
@@ -444,6 +449,8 @@
                     "worker": event.worker_id,
                     "outcome": event.outcome.value,
                     "settled": event.settled,
+                    "incarnation": member.incarnation,
+                    "unanswered": event.unanswered,
                 },
             )
         )
@@ -456,7 +463,9 @@
         self._avoid_on_retry(group, event, now)
         reason = f"its start was answered with {event.outcome.value}"
         if event.settled:
-            self._runs.remove_member(group, event.task.index, reason, now)
+            self._runs.remove_member(
+                group, event.task.index, Evidence.START_REFUSED, reason, now
+            )
         elif group.state is GroupState.STARTED:
             # The run may still begin. The task keeps its place until the order
             # to stop it is answered and a later report doesn't list the run.
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -212,6 +212,10 @@
         self.now += seconds
         self.emit(Tick(self.now))
 
+    def logged(self, event):
+        """Returns the fields of an event's log entries."""
+        return [each.fields for each in self.log_entries if each.event == event]
+
     def places(self, job_id):
         return [
             where
@@ -900,6 +904,239 @@
     assert (len(fleet.starts), fleet.stops) == (2, [])
 
 
+# How a task becomes free to be started again: what happens, each 0.1 s after
+# the other, whether the start was answered before, and the evidence in the log.
+RELEASES = {
+    "a stop": (["ends"], True, "end_reported", 1, 0.0),
+    "a report that doesn't list it": (
+        ["lost", "report"],
+        True,
+        "not_reported",
+        1,
+        0.0,
+    ),
+    "a report that was asked for before": (
+        ["lost", "older report"],
+        True,
+        "not_reported",
+        1,
+        0.05,
+    ),
+    "a report of a new incarnation": (
+        ["restarts"],
+        True,
+        "restarted",
+        2,
+        0.0,
+    ),
+    "its lease": (["silent", "lapses"], True, "lease_lapsed", 1, 0.25),
+    "another worker in its place": (["gone"], True, "worker_gone", 1, 0.0),
+    "a refusal": (["refused"], False, "start_refused", 1, 0.1),
+    "a refused copy and a stop": (
+        ["refused once of twice", "stop answered", "report"],
+        False,
+        "not_reported",
+        1,
+        0.0,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("steps", "started", "evidence", "incarnation", "age_s"),
+    RELEASES.values(),
+    ids=RELEASES.keys(),
+)
+def test_log_says_on_which_evidence_a_task_is_free_again(
+    steps, started, evidence, incarnation, age_s
+):
+    fleet = Fleet(racks=1, per_rack=2)
+    fleet.answers_starts = started
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    (order,) = fleet.starts
+    where, task, run = order.worker_id, order.task, order.run
+    refused = StartOutcome.NO_ROOM
+
+    def answer(settled, unanswered):
+        fleet.emit(
+            StartAnswered(where, task, run, refused, settled, unanswered)
+        )
+
+    def report(asked_s_ago=0.0, incarnation=1):
+        asked_at = fleet.now - asked_s_ago
+        fleet.emit(
+            WorkerReported(where, Incarnation(incarnation), asked_at, (), ())
+        )
+
+    actions = {
+        "ends": lambda: fleet.end(task, run, RunEnd.STOPPED),
+        "lost": lambda: fleet.running.clear(),
+        "report": report,
+        "older report": lambda: report(asked_s_ago=0.05),
+        "restarts": lambda: report(incarnation=2),
+        "silent": lambda: fleet.emit(WorkerSilent(where, fleet.now + 1.0)),
+        "lapses": lambda: fleet.wait(1.15),
+        "gone": lambda: fleet.emit(WorkerSilent(where, fleet.now, gone=True)),
+        "refused": lambda: answer(settled=True, unanswered=0),
+        "refused once of twice": lambda: answer(settled=False, unanswered=1),
+        "stop answered": lambda: fleet.emit(StopAnswered(where, task, run)),
+    }
+    for each in steps:
+        assert fleet.logged("task released") == []
+        fleet.wait(0.1)
+        actions[each]()
+    (fields,) = fleet.logged("task released")
+    assert fields.pop("evidence_age_s") == pytest.approx(age_s)
+    assert fields == {
+        "task": str(task),
+        "run": run,
+        "worker": where,
+        "incarnation": 1,
+        "evidence": evidence,
+        "evidence_incarnation": incarnation,
+        "unanswered": steps.count("refused once of twice"),
+        "tasks_left": 0,
+    }
+
+
+UNACCOUNTED_RELEASES = {
+    "its end": ("ends", "end_reported", 0.0),
+    "a report that doesn't list it": ("lost", "not_reported", 0.0),
+    "a new incarnation": ("restarts", "restarted", 0.0),
+    "its lease": ("lapses", "lease_lapsed", 0.1),
+    "another worker in its place": ("gone", "worker_gone", 0.0),
+}
+
+
+@pytest.mark.parametrize(
+    ("what", "evidence", "age_s"),
+    UNACCOUNTED_RELEASES.values(),
+    ids=UNACCOUNTED_RELEASES.keys(),
+)
+def test_log_says_on_which_evidence_an_unaccounted_run_is_gone(
+    what, evidence, age_s
+):
+    fleet = Fleet(racks=1, per_rack=1)
+    where = fleet.workers[0].worker_id
+    key = TaskId(JobId("e" * 16), 0, 0, 0), 3
+    fleet.running[key] = where
+    fleet.report(where)
+    fleet.now += 0.1
+    if what == "ends":
+        fleet.end(*key, RunEnd.STOPPED)
+    elif what == "lost":
+        fleet.running.clear()
+        fleet.report(where)
+    elif what == "restarts":
+        fleet.emit(WorkerReported(where, Incarnation(2), fleet.now, (), ()))
+    else:
+        gone = what == "gone"
+        fleet.emit(WorkerSilent(where, fleet.now, gone))
+        if not gone:
+            fleet.wait(0.1)
+    (fields,) = fleet.logged("unaccounted run released")
+    assert fields.pop("evidence_age_s") == pytest.approx(age_s)
+    assert fields == {
+        "task": str(key[0]),
+        "run": 3,
+        "worker": where,
+        "evidence": evidence,
+        "evidence_incarnation": 2 if what == "restarts" else 1,
+    }
+
+
+def test_log_says_what_a_restarted_worker_has_lost():
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(2, ONE))
+    where = fleet.workers[0].worker_id
+    unknown = TaskId(JobId("e" * 16), 0, 0, 0), 3
+    fleet.running[unknown] = where
+    fleet.end(*next(iter(fleet.running)))
+    fleet.now += 0.1
+    fleet.emit(WorkerReported(where, Incarnation(2), fleet.now - 0.05, (), ()))
+    (fields,) = fleet.logged("worker restarted")
+    assert fields == {
+        "worker": where,
+        "old_incarnation": 1,
+        "incarnation": 2,
+        "asked_s_ago": 0.05,
+        "tasks_lost": 1,
+        "unaccounted_runs_lost": 1,
+        "ends_not_durable": 1,
+    }
+
+
+def test_log_says_what_a_gang_was_started_on_and_when_it_ran():
+    fleet = UnansweredFleet(racks=1, per_rack=2, term=5)
+    fleet.submit(1, BATCH, step(2, WHOLE, gang=True))
+    (started,) = fleet.logged("group started")
+    assert started["term"] == 5
+    assert started["tasks"] == 2
+    assert started["workers"] == ["w0-0", "w0-1"]
+    assert started["incarnations"] == [1, 1]
+    for order, unanswered in zip(fleet.starts, (0, 2), strict=True):
+        assert fleet.logged("group running") == []
+        fleet.now += 0.2
+        fleet.emit(
+            StartAnswered(
+                order.worker_id,
+                order.task,
+                order.run,
+                StartOutcome.STARTED,
+                True,
+                unanswered,
+            )
+        )
+    assert fleet.logged("group running") == [
+        {
+            "task": started["task"],
+            "run": fleet.starts[0].run,
+            "took_s": 0.4,
+            "unanswered": 2,
+        }
+    ]
+    for order in fleet.starts:
+        fleet.running[order.task, order.run] = order.worker_id
+    fleet.end(fleet.starts[0].task, fleet.starts[0].run)
+    (done,) = fleet.logged("group done")
+    assert (done["incarnation"], done["unanswered"]) == (1, 2)
+    assert fleet.logged("task released") == []
+
+
+def test_log_says_which_runs_a_successor_adopts():
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    ((task, run),) = fleet.running
+    successor = fleet.succeeded_by(2)
+    successor.report(fleet.workers[0].worker_id, percent=40.0)
+    assert successor.logged("run adopted") == [
+        {
+            "task": str(task),
+            "run": run,
+            "term": 2,
+            "worker": fleet.workers[0].worker_id,
+            "incarnation": 1,
+            "percent": 40.0,
+        }
+    ]
+
+
+@pytest.mark.parametrize("lapses", [True, False])
+def test_log_says_on_which_evidence_doubts_are_cleared(lapses):
+    fleet = UnansweredFleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    where = fleet.workers[0].worker_id
+    successor = fleet.succeeded_by(2)
+    successor.now += 0.5
+    if lapses:
+        successor.emit(WorkerSilent(where, successor.now))
+    else:
+        successor.report(where)
+    (fields,) = successor.logged("doubts cleared")
+    assert fields["awaited_last"] == [where]
+    assert fields["lapsed"] == ([where] if lapses else [])
+
+
 def test_claimed_place_is_not_used_while_an_unaccounted_run_is_stopped():
     """Guards against two runs of a task.
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -355,7 +355,12 @@
                 return
         self._emit(
             StartAnswered(
-                self.info.worker_id, order.task, order.run, outcome, settled
+                self.info.worker_id,
+                order.task,
+                order.run,
+                outcome,
+                settled,
+                copies if outcome is StartOutcome.NO_ANSWER else copies - 1,
             )
         )
         self._wake.set()
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -291,6 +291,31 @@
     assert took_s < URGENT_SLACK_S
 
 
+@pytest.mark.parametrize(
+    ("lost", "outcome"),
+    [
+        (0, StartOutcome.STARTED),
+        (1, StartOutcome.STARTED),
+        (2, StartOutcome.STARTED),
+        (3, StartOutcome.NO_ANSWER),
+    ],
+)
+def test_copies_of_a_start_that_had_no_answer_are_counted(lost, outcome):
+    async def scenario():
+        session, link, events = make_lossy_session(0)
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(5.0)
+        link.left["start"] = lost
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(5.0)
+        running.cancel()
+        await session.close()
+        return [e for _, e in events if isinstance(e, StartAnswered)]
+
+    (answered,) = run_virtual(scenario())
+    assert (answered.outcome, answered.unanswered) == (outcome, lost)
+
+
 @pytest.mark.parametrize("lost", [0, 1])
 def test_renewal_without_an_answer_is_repeated_soon(lost):
     """Guards against ends that one lost answer delayed by 1.7 s."""
