Name the groups that a new leader releases in `doubts cleared`

Cause: the entry named the jobs only. A job whose groups are released one after the other has several such lines, so it could not be told which of them was about a task.

Change: the names of the released groups, at most 50, and their number.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
@@ -9,6 +9,9 @@
 from pomeloarch_core.batch.runs import RunController
 from pomeloarch_core.ids import WorkerId
 
+# Maximum number of released groups that one log entry names.
+MAX_LOGGED_GROUPS = 50
+
 
 class RecoveryTracker:
     """Releases groups once no run of an earlier scheduler can be unknown.
@@ -109,6 +112,10 @@
                 "doubts cleared",
                 {
                     "jobs": sorted({each.job.job.job_id for each in released}),
+                    "groups": [
+                        each.name for each in released[:MAX_LOGGED_GROUPS]
+                    ],
+                    "groups_released": len(released),
                     "groups_left": len(self._pending),
                     "workers_unheard": sorted(self._unheard or ()),
                     "awaited_last": sorted(awaited),
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1135,6 +1135,8 @@
     (fields,) = successor.logged("doubts cleared")
     assert fields["awaited_last"] == [where]
     assert fields["lapsed"] == ([where] if lapses else [])
+    assert fields["groups"] == [str(fleet.starts[0].task)]
+    assert fields["groups_released"] == 1
 
 
 def test_claimed_place_is_not_used_while_an_unaccounted_run_is_stopped():
