Print the runs of a task and the evidence between them from the logs

Cause: whether a task was free when it was started again had to be put together by hand from the lines of several leaders.

It finds pairs of runs that the evidence doesn't order: started before the earlier one was free, without any evidence, after a success, by a former leader, or while copies of the earlier order had no answer. All later starts are compared with each run, not only the next one. Lines that nodes omitted and lines that can't be read are counted, since a missing line is no proof.

Ruled out: evidence by order of the lines. Times of several nodes are compared as they are, so an overlap of a few milliseconds between two nodes may be the difference of their clocks.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/story_command.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/story_command.py
@@ -11,7 +11,13 @@
 import msgspec
 
 from pomeloarch_cli.exit_codes import ExitCode
+from pomeloarch_cli.output import Output
 from pomeloarch_cli.session import add_command, make_output, output_options
+from pomeloarch_cli.task_runs import (
+    RUN_EVENTS,
+    format_task_story,
+    trace_tasks,
+)
 
 # Fields that are printed at the start of a line, in this order.
 _LEADING_FIELDS = ("time", "node", "event")
@@ -57,6 +63,14 @@
         help="also print starts and stops of nodes, changes of the scheduler "
         "and lost connections to the tables of the store",
     )
+    parser.add_argument(
+        "--runs",
+        action="store_true",
+        help="print the runs of a task, or of each task of a job, instead: "
+        "where each was started, on which evidence it was taken to be over, "
+        "and which runs that evidence doesn't order; exit code 1 if there are "
+        "such runs",
+    )
     parser.set_defaults(run=_story)
 
 
@@ -67,6 +81,8 @@
     except OSError as exc:
         return out.print_usage_error(str(exc))
     events, unreadable = parse_events(lines)
+    if args.runs:
+        return _print_runs(out, events, unreadable, args.id)
     found = select_events(events, args.id, args.context)
     out.print_result(
         [*map(format_event, found), *_summary_lines(found, unreadable)],
@@ -75,6 +91,26 @@
     return ExitCode.OK if found else ExitCode.REFUSED
 
 
+def _print_runs(
+    out: Output, events: list[dict[str, Any]], unreadable: int, subject_id: str
+) -> ExitCode:
+    stories = trace_tasks(events, subject_id)
+    # A line that a node omitted can't be assigned to a task.
+    used = [each for each in events if each["event"] in RUN_EVENTS]
+    lines = [line for each in stories for line in format_task_story(each)]
+    findings = sum(len(each.findings) for each in stories)
+    lines.append(f"{len(stories)} tasks, {findings} findings")
+    out.print_result(
+        [*lines, *_summary_lines(used, unreadable)],
+        {
+            "tasks": stories,
+            "left_out": _count_left_out(used),
+            "unreadable": unreadable,
+        },
+    )
+    return ExitCode.OK if stories and not findings else ExitCode.REFUSED
+
+
 def _read_lines(paths: list[pathlib.Path]) -> Iterator[str]:
     if not paths:
         yield from sys.stdin
@@ -162,7 +198,7 @@
 
 def _summary_lines(found: list[dict[str, Any]], unreadable: int) -> list[str]:
     lines = []
-    left_out = sum(event.get("left_out", 0) for event in found)
+    left_out = _count_left_out(found)
     if left_out:
         lines.append(f"{left_out} lines of these kinds were omitted by nodes")
     if unreadable:
@@ -170,3 +206,7 @@
     if not found:
         lines.append("no line mentions this id")
     return lines
+
+
+def _count_left_out(events: list[dict[str, Any]]) -> int:
+    return sum(event.get("left_out", 0) for event in events)
--- /dev/null
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -0,0 +1,291 @@
+"""Tests of `pomelo story --runs`: what orders the runs of a task."""
+
+import json
+
+import pytest
+
+from pomeloarch_cli.main import main
+from pomeloarch_cli.task_runs import trace_tasks
+
+JOB = "5c0e7a21d94b36f8"
+TASK = f"{JOB}.0.0.0"
+FIRST, SECOND = 4097, 8193
+
+
+def line(time, event, node="a", task=TASK, run=FIRST, **fields):
+    return {
+        "time": time,
+        "node": node,
+        "event": event,
+        "task": task,
+        "run": run,
+        **fields,
+    }
+
+
+def started(time, run=FIRST, **fields):
+    where = {"term": 1, "tasks": 1, "workers": ["i-1"], "incarnations": [7]}
+    return line(time, "group started", run=run, **(where | fields))
+
+
+def running(time, run=FIRST, unanswered=0):
+    return line(time, "group running", run=run, unanswered=unanswered)
+
+
+def done(time, run=FIRST):
+    return line(time, "group done", run=run, unanswered=0)
+
+
+def released(time, run=FIRST, evidence="end_reported", **fields):
+    return line(
+        time,
+        "task released",
+        run=run,
+        worker="i-1",
+        evidence=evidence,
+        evidence_age_s=0.02,
+        evidence_incarnation=7,
+        **fields,
+    )
+
+
+def unaccounted(time, run=FIRST, evidence="end_reported"):
+    return released(time, run, evidence) | {"event": "unaccounted run released"}
+
+
+def refused(time, unanswered):
+    return line(
+        time,
+        "start refused",
+        outcome="no_room",
+        settled=not unanswered,
+        unanswered=unanswered,
+    )
+
+
+def term_begins(time, term, node="b"):
+    return {
+        "time": time,
+        "node": node,
+        "event": "scheduler term begins",
+        "term": term,
+    }
+
+
+def adopted(time, term=2, node="b"):
+    return line(
+        time,
+        "run adopted",
+        node=node,
+        term=term,
+        worker="i-1",
+        incarnation=7,
+    )
+
+
+def doubts_cleared(time, groups=(TASK,), released_groups=None, node="b"):
+    return {
+        "time": time,
+        "node": node,
+        "event": "doubts cleared",
+        "jobs": [JOB],
+        "groups": list(groups),
+        "groups_released": released_groups or len(groups),
+        "lapsed": ["i-1"],
+    }
+
+
+AGAIN = started(9.0, SECOND, term=2, workers=["i-2"])
+ORDERED = {
+    "an end that was seen": [running(1.1), released(3.0)],
+    "a lease that has run out": [
+        running(1.1),
+        released(3.0, evidence="lease_lapsed"),
+    ],
+    "a run that no group accounted for": [unaccounted(8.0)],
+    "a later leader that heard from all workers or waited": [
+        term_begins(5.0, 2),
+        doubts_cleared(7.0),
+    ],
+    "a later leader that released more groups than it names": [
+        term_begins(5.0, 2),
+        doubts_cleared(7.0, [f"{JOB}.0.0.9"], released_groups=80),
+    ],
+    "a later leader that took the run over and saw its end": [
+        term_begins(5.0, 2),
+        adopted(6.0),
+        doubts_cleared(7.0),
+        released(8.0) | {"node": "b"},
+    ],
+}
+
+
+@pytest.mark.parametrize("between", ORDERED.values(), ids=ORDERED.keys())
+def test_runs_that_evidence_orders_have_no_finding(between):
+    (story,) = trace_tasks([AGAIN, *between, started(1.0)], TASK)
+    assert [each.run for each in story.runs] == [FIRST, SECOND]
+    assert story.runs[0].free_at is not None
+    assert story.findings == []
+
+
+UNORDERED = {
+    "nothing between them": ([], "no_evidence", None),
+    "a stop without an end": (
+        [line(5.0, "group stopped", reason="preempted by x")],
+        "no_evidence",
+        None,
+    ),
+    "evidence of another task": (
+        [released(3.0, task=f"{JOB}.0.0.1")],
+        "no_evidence",
+        None,
+    ),
+    "evidence of another run": ([released(9.5, SECOND)], "no_evidence", None),
+    "evidence after the second start": ([released(9.5)], "not_free", 0.5),
+    "success after the second start": ([done(10.0)], "not_free", 1.0),
+    "success before the second start": ([done(8.5)], "done_before", 0.5),
+    "a copy without an answer": (
+        [running(1.4, unanswered=1), released(3.0)],
+        "unanswered",
+        None,
+    ),
+    "a refused copy and one without an answer": (
+        [refused(1.4, 1), released(3.0, unanswered=1)],
+        "unanswered",
+        None,
+    ),
+    "doubts cleared about other groups": (
+        [term_begins(5.0, 2), doubts_cleared(7.0, [f"{JOB}.0.0.9"])],
+        "no_evidence",
+        None,
+    ),
+    "doubts cleared by the leader that took the run over": (
+        [term_begins(5.0, 2), adopted(6.0), doubts_cleared(7.0)],
+        "no_evidence",
+        None,
+    ),
+    "doubts cleared by the leader that started the run": (
+        [term_begins(0.5, 1, node="a"), doubts_cleared(7.0, node="a")],
+        "no_evidence",
+        None,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("between", "doubt", "by_s"), UNORDERED.values(), ids=UNORDERED.keys()
+)
+def test_runs_that_no_evidence_orders_are_found(between, doubt, by_s):
+    (story,) = trace_tasks([started(1.0), *between, AGAIN], TASK)
+    (finding,) = [f for f in story.findings if f.run == FIRST]
+    assert (finding.doubt.value, finding.by_s) == (doubt, by_s)
+    assert finding.next_run == SECOND
+
+
+def test_run_with_a_lower_number_than_an_earlier_one_is_found():
+    events = [started(1.0, SECOND), released(2.0, SECOND), started(3.0)]
+    (story,) = trace_tasks(events, TASK)
+    (finding,) = story.findings
+    assert (finding.doubt.value, finding.run) == ("lower_number", SECOND)
+
+
+def test_overlap_of_runs_that_are_not_neighbours_is_found():
+    events = [
+        started(1.0),
+        started(2.0, FIRST + 1),
+        released(3.0, FIRST + 1),
+        started(4.0, FIRST + 2),
+        released(5.0),
+    ]
+    (story,) = trace_tasks(events, TASK)
+    pairs = [(each.run, each.next_run) for each in story.findings]
+    assert pairs == [(FIRST, FIRST + 1), (FIRST, FIRST + 2)]
+
+
+@pytest.mark.parametrize(
+    ("index", "runs"), [(0, 1), (2, 1), (3, 0)], ids=["first", "last", "no"]
+)
+def test_members_of_a_gang_share_the_lines_of_their_group(index, runs):
+    task = f"{JOB}.0.0.{index}"
+    events = [started(1.0, tasks=3), running(1.1), released(2.0, task=task)]
+    found = trace_tasks(events[: 2 if not runs else 3], task)
+    assert sum(len(each.runs) for each in found) == runs
+    for story in found:
+        assert story.runs[0].answered_at == 1.1
+        assert story.runs[0].free_at == 2.0
+
+
+@pytest.mark.parametrize(
+    ("subject_id", "tasks"),
+    [
+        (JOB, [f"{JOB}.0.0.{index}" for index in (0, 2, 10)]),
+        (f"{JOB}.0.0.10", [f"{JOB}.0.0.10"]),
+        (f"{JOB}.0.0.1", []),
+        ("0" * 16, []),
+    ],
+)
+def test_all_tasks_of_a_job_are_found_in_order(subject_id, tasks):
+    events = [started(1.0, task=f"{JOB}.0.0.{index}") for index in (10, 0, 2)]
+    assert [each.task for each in trace_tasks(events, subject_id)] == tasks
+
+
+@pytest.mark.parametrize(
+    ("events", "code", "words"),
+    [
+        (
+            [started(1.0), running(1.1), released(3.0), AGAIN],
+            0,
+            [
+                "1.000 started by a in term 1 on i-1 (7), answered after "
+                "0.100 s, 0 copies without an answer",
+                "3.000 free: end_reported of i-1 (7), 0.020 s old, seen by a",
+                "no line shows that it is over",
+                "1 tasks, 0 findings",
+            ],
+        ),
+        (
+            [started(1.0), AGAIN, released(9.5) | {"left_out": 4}],
+            1,
+            [
+                f"! run {SECOND} began 0.500 s before run {FIRST} was free",
+                "1 tasks, 1 findings",
+                "4 lines of these kinds were omitted",
+            ],
+        ),
+        (
+            [
+                started(1.0),
+                term_begins(5.0, 2),
+                doubts_cleared(7.0),
+                AGAIN,
+            ],
+            0,
+            ["7.000 free: doubts_cleared, leases ended on i-1, seen by b"],
+        ),
+        ([], 1, ["0 tasks, 0 findings"]),
+    ],
+)
+def test_command_prints_runs_and_findings(
+    tmp_path, capsys, events, code, words
+):
+    path = tmp_path / "log"
+    path.write_text("\n".join([*map(json.dumps, events), "oops"]))
+    assert main(["story", TASK, str(path), "--runs"]) == code
+    out = capsys.readouterr().out
+    for each in [*words, "1 lines could not be read"]:
+        assert each in out
+
+
+def test_command_prints_runs_as_json(tmp_path, capsys):
+    path = tmp_path / "log"
+    events = [started(1.0), AGAIN, released(9.5) | {"left_out": 4}]
+    path.write_text("\n".join([*map(json.dumps, events), "oops"]))
+    main(["story", TASK, str(path), "--runs", "--format", "json"])
+    found = json.loads(capsys.readouterr().out)
+    assert (found["left_out"], found["unreadable"]) == (4, 1)
+    (task,) = found["tasks"]
+    assert [each["run"] for each in task["runs"]] == [FIRST, SECOND]
+    assert task["runs"][0]["releases"][0]["evidence"] == "end_reported"
+    assert task["findings"] == [
+        {"doubt": "not_free", "run": FIRST, "next_run": SECOND, "by_s": 0.5}
+    ]
