Log whether a released task's start was answered, and ends of former runs

Change: `task released` says whether the start was answered. `unaccounted run stopped` names the incarnation. `former run ended` is a new entry for the end of a run that its group doesn't have.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -204,6 +204,7 @@
                         "task": str(reported.task),
                         "run": reported.run,
                         "worker": worker.worker_id,
+                        "incarnation": worker.incarnation,
                     },
                 )
             )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -288,6 +288,7 @@
             evidence=evidence.value,
             evidence_incarnation=worker.incarnation,
             evidence_age_s=_elapsed_s(since, now),
+            start_answered=member.started_at is not None,
             unanswered=member.unanswered,
             tasks_left=len(group.members),
         )
@@ -350,6 +351,16 @@
             and member.worker_id == worker.worker_id
             and group.run == end.run
         )
+        if not current:
+            self.log(
+                "former run ended",
+                group,
+                end.task.index,
+                run=end.run,
+                worker=worker.worker_id,
+                incarnation=worker.incarnation,
+                how=end.how.value,
+            )
         if not group.members:
             group.run = max(group.run, end.run)
         if end.checkpoint and group.run == end.run:
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -994,6 +994,7 @@
         "incarnation": 1,
         "evidence": evidence,
         "evidence_incarnation": incarnation,
+        "start_answered": started,
         "unanswered": steps.count("refused once of twice"),
         "tasks_left": 0,
     }
@@ -1021,6 +1022,9 @@
     key = TaskId(JobId("e" * 16), 0, 0, 0), 3
     fleet.running[key] = where
     fleet.report(where)
+    assert fleet.logged("unaccounted run stopped") == [
+        {"task": str(key[0]), "run": 3, "worker": where, "incarnation": 1}
+    ]
     fleet.now += 0.1
     if what == "ends":
         fleet.end(*key, RunEnd.STOPPED)
@@ -1045,6 +1049,27 @@
     }
 
 
+@pytest.mark.parametrize("how", list(RunEnd))
+def test_log_says_that_a_run_ended_after_it_was_taken_for_gone(how):
+    fleet = Fleet(racks=1, per_rack=1)
+    fleet.submit(1, BATCH, step(1, WHOLE))
+    (order,) = fleet.starts
+    where = order.worker_id
+    fleet.emit(WorkerSilent(where, fleet.now))
+    fleet.wait(0.1)
+    assert fleet.logged("former run ended") == []
+    fleet.end(order.task, order.run, how)
+    assert fleet.logged("former run ended") == [
+        {
+            "task": str(order.task),
+            "run": order.run,
+            "worker": where,
+            "incarnation": 1,
+            "how": how.value,
+        }
+    ]
+
+
 def test_log_says_what_a_restarted_worker_has_lost():
     fleet = Fleet(racks=1, per_rack=1)
     fleet.submit(1, BATCH, step(2, ONE))
