Find runs that are seen again after they were taken for gone

Cause: a late order that a new incarnation carries out has the number of the first run, so no second start is to be seen in the logs.

It is a finding when another incarnation has the run, when the run is still there, or when the evidence was that the worker had neither the run nor its end. Members of a gang that has succeeded, ends that a new leader is told again, and ends of lapsed runs are none. A start that had no answer before the run was released counts as an unanswered copy, and such copies are a finding for the next run only.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
@@ -19,6 +19,7 @@
 RUN_EVENTS = frozenset(
     {
         "doubts cleared",
+        "former run ended",
         "group done",
         "group running",
         "group started",
@@ -28,24 +29,32 @@
         "start refused",
         "task released",
         "unaccounted run released",
+        "unaccounted run stopped",
     }
 )
 # Evidence of a leader that has heard from each worker on which a run of an
 # earlier leader could be, or has waited until its leases had ended.
 _DOUBTS_CLEARED = "doubts_cleared"
+_START_REFUSED = "start_refused"
+# Evidence of a worker that had neither the run nor an end of it.
+_RULES_OUT_AN_END = frozenset({_START_REFUSED, "not_reported", "restarted"})
 
 
 class Doubt(enum.Enum):
     """What the logs leave open about two runs of a task.
 
+    SEEN_AGAIN: a worker had the earlier run after it was taken for gone, or
+      another incarnation than the one ordered had it after its success. The
+      later run is the last one that had been started by then, perhaps the same.
     NOT_FREE: the later run was started before the earlier one was free.
     NO_EVIDENCE: no line shows that the earlier run was free.
     DONE_BEFORE: the earlier run had succeeded when the later one was started.
     LOWER_NUMBER: the later run has a lower number: a former leader started it.
     UNANSWERED: copies of the order to start the earlier run had no answer when
-      it was taken for gone, so they may have been carried out later.
+      it was taken for gone, so they could still be carried out.
     """
 
+    SEEN_AGAIN = "seen_again"
     NOT_FREE = "not_free"
     NO_EVIDENCE = "no_evidence"
     DONE_BEFORE = "done_before"
@@ -86,6 +95,24 @@
     incarnation: int
 
 
+class Sighting(msgspec.Struct, frozen=True):
+    """A worker's report of a run that the leader didn't account for.
+
+    Attributes:
+      time: when the leader saw it, in seconds of the wall clock.
+      node: the leader.
+      worker: the worker.
+      incarnation: the incarnation that reported it, None when not logged.
+      how: how it had ended; empty when it was running.
+    """
+
+    time: float
+    node: str
+    worker: str
+    incarnation: int | None
+    how: str = ""
+
+
 class TaskRun(msgspec.Struct):
     """A run of a task.
 
@@ -100,11 +127,13 @@
       answered_at: when the starts of all members had been answered, None when
         that isn't logged.
       unanswered: number of copies of the order that had no answer.
+      answer_unknown: whether it was taken for gone before any answer.
       outcome: the refusal of the start; empty without one.
       adoptions: later leaders that took it over.
       stopped_at: when it was ordered to stop, None when it wasn't.
       reason: why it was ordered to stop.
       done_at: when its success was seen, None when it wasn't.
+      sightings: reports of it when it was not accounted for.
       releases: the evidence of its end, the oldest first.
     """
 
@@ -116,11 +145,13 @@
     incarnations: tuple[int, ...] = ()
     answered_at: float | None = None
     unanswered: int = 0
+    answer_unknown: bool = False
     outcome: str = ""
     adoptions: list[Adoption] = msgspec.field(default_factory=list)
     stopped_at: float | None = None
     reason: str = ""
     done_at: float | None = None
+    sightings: list[Sighting] = msgspec.field(default_factory=list)
     releases: list[Release] = msgspec.field(default_factory=list)
 
     @property
@@ -140,7 +171,8 @@
       run: the number of the earlier run.
       next_run: the number of the later run.
       by_s: for how long, in seconds: from the later start to the end of the
-        earlier run, or from the earlier run's success to the later start.
+        earlier run; from the earlier run's success to the later start; from
+        the time when a run was taken for gone to that when it was seen again.
     """
 
     doubt: Doubt
@@ -225,6 +257,7 @@
         self._group = group
         self._terms: dict[str, int] = {}
         self._handlers = {
+            "former run ended": self._on_sighted,
             "group started": self._on_started,
             "group running": self._on_running,
             "group stopped": self._on_stopped,
@@ -233,6 +266,7 @@
             "run adopted": self._on_adopted,
             "task released": self._on_released,
             "unaccounted run released": self._on_released,
+            "unaccounted run stopped": self._on_sighted,
         }
 
     def add(self, event: Event) -> None:
@@ -284,8 +318,22 @@
             )
         )
 
+    def _on_sighted(self, event: Event, run: TaskRun) -> None:
+        run.sightings.append(
+            Sighting(
+                event["time"],
+                event.get("node", ""),
+                event.get("worker", ""),
+                event.get("incarnation"),
+                event.get("how", ""),
+            )
+        )
+
     def _on_released(self, event: Event, run: TaskRun) -> None:
         run.unanswered = max(run.unanswered, event.get("unanswered", 0))
+        refused = event.get("evidence") == _START_REFUSED
+        if not event.get("start_answered", True) and not refused:
+            run.answer_unknown = True
         run.releases.append(
             Release(
                 event["time"],
@@ -346,6 +394,11 @@
     if run.done_at is not None:
         lines.append(f"    {run.done_at:.3f} done")
     lines += [f"    {_format_release(each)}" for each in run.releases]
+    lines += [
+        f"    {each.time:.3f} {each.how or 'running'} on {each.worker} "
+        f"({each.incarnation}), not accounted for, seen by {each.node}"
+        for each in run.sightings
+    ]
     if run.free_at is None:
         lines.append("    no line shows that it is over")
     return lines
@@ -385,6 +438,8 @@
     by_s = "" if finding.by_s is None else f"{finding.by_s:.3f} s "
     run, later = finding.run, finding.next_run
     return {
+        Doubt.SEEN_AGAIN: f"run {run} was seen again {by_s}after it was taken "
+        f"for gone or done; run {later} had been started last",
         Doubt.NOT_FREE: f"run {later} began {by_s}before run {run} was free",
         Doubt.NO_EVIDENCE: f"run {later} began and no line shows that run "
         f"{run} was over",
@@ -399,13 +454,55 @@
 def _find_doubts(runs: list[TaskRun]) -> list[Finding]:
     found = []
     for number, run in enumerate(runs):
+        seen_again = _first_seen_again(run)
+        if seen_again is not None:
+            found.append(_finding_seen_again(run, seen_again, runs))
         for later in runs[number + 1 :]:
             doubt = _doubt_between(run, later)
             if doubt is not None:
                 found.append(doubt)
+        if number + 1 < len(runs) and (run.unanswered or run.answer_unknown):
+            following = runs[number + 1].run
+            found.append(Finding(Doubt.UNANSWERED, run.run, following))
     return found
 
 
+def _first_seen_again(run: TaskRun) -> Sighting | None:
+    """Returns the first report of a run that had been taken for gone.
+
+    The incarnation that was ordered to start the run may still report it for a
+    moment after its gang has succeeded, and its end to each new leader.
+    """
+    incarnations = dict(zip(run.workers, run.incarnations, strict=False))
+    incarnations |= {each.worker: each.incarnation for each in run.adoptions}
+    for seen in run.sightings:
+        expected = incarnations.get(seen.worker, seen.incarnation)
+        evidence = {
+            each.evidence for each in run.releases if each.time < seen.time
+        }
+        was_done = run.done_at is not None and run.done_at < seen.time
+        if seen.incarnation != expected:
+            again = was_done or bool(evidence)
+        elif seen.how:
+            again = not evidence.isdisjoint(_RULES_OUT_AN_END)
+        else:
+            again = bool(evidence)
+        if again:
+            return seen
+    return None
+
+
+def _finding_seen_again(
+    run: TaskRun, seen: Sighting, runs: list[TaskRun]
+) -> Finding:
+    last = max(
+        (each for each in runs if _began_at(each) <= seen.time), key=_began_at
+    )
+    assert run.free_at is not None
+    by_s = round(seen.time - run.free_at, 3)
+    return Finding(Doubt.SEEN_AGAIN, run.run, last.run, by_s)
+
+
 def _doubt_between(run: TaskRun, later: TaskRun) -> Finding | None:
     """Returns the gravest doubt about a run and one that began after it."""
     free_at, began_at = run.free_at, _began_at(later)
@@ -419,6 +516,4 @@
         return Finding(Doubt.NOT_FREE, *numbers, round(free_at - began_at, 3))
     if later.run < run.run:
         return Finding(Doubt.LOWER_NUMBER, *numbers)
-    if run.unanswered:
-        return Finding(Doubt.UNANSWERED, *numbers)
     return None
--- a/packages/pomeloarch-cli/tests/test_task_runs.py
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -95,6 +95,13 @@
     }
 
 
+def sighted(time, incarnation, how="", worker="i-1"):
+    """Returns a report of the first run that a leader didn't account for."""
+    event = "former run ended" if how else "unaccounted run stopped"
+    fields = {"how": how} if how else {}
+    return line(time, event, worker=worker, incarnation=incarnation, **fields)
+
+
 AGAIN = started(9.0, SECOND, term=2, workers=["i-2"])
 ORDERED = {
     "an end that was seen": [running(1.1), released(3.0)],
@@ -103,6 +110,9 @@
         released(3.0, evidence="lease_lapsed"),
     ],
     "a run that no group accounted for": [unaccounted(8.0)],
+    "a start that was refused": (
+        [released(3.0, evidence="start_refused", start_answered=False)]
+    ),
     "a later leader that heard from all workers or waited": [
         term_begins(5.0, 2),
         doubts_cleared(7.0),
@@ -154,6 +164,11 @@
         "unanswered",
         None,
     ),
+    "a start that was not answered before a stop was": (
+        [released(3.0, evidence="not_reported", start_answered=False)],
+        "unanswered",
+        None,
+    ),
     "doubts cleared about other groups": (
         [term_begins(5.0, 2), doubts_cleared(7.0, [f"{JOB}.0.0.9"])],
         "no_evidence",
@@ -182,6 +197,79 @@
     assert finding.next_run == SECOND
 
 
+def evidence(kind):
+    return [running(1.1), released(3.0, evidence=kind)]
+
+
+SIGHTINGS = {
+    "running after its end": (evidence("end_reported"), (8.0, 7), 5.0),
+    "running after its lease": (evidence("lease_lapsed"), (8.0, 7), 5.0),
+    "running after it was missing": (evidence("not_reported"), (8.0, 7), 5.0),
+    "running before it was free": (evidence("end_reported"), (2.0, 7), None),
+    "ended after its lease": (
+        evidence("lease_lapsed"),
+        (8.0, 7, "lapsed"),
+        None,
+    ),
+    "its end told to a later leader": (
+        evidence("end_reported"),
+        (8.0, 7, "stopped"),
+        None,
+    ),
+    "ended after it was missing": (
+        evidence("not_reported"),
+        (8.0, 7, "lapsed"),
+        5.0,
+    ),
+    "ended after a refusal": (
+        evidence("start_refused"),
+        (8.0, 7, "done"),
+        5.0,
+    ),
+    "ended in another incarnation": (
+        evidence("lease_lapsed"),
+        (8.0, 8, "done"),
+        5.0,
+    ),
+    "running in another incarnation": (
+        evidence("worker_gone"),
+        (8.0, 8),
+        5.0,
+    ),
+    "a member of a gang that has succeeded": ([done(3.0)], (3.1, 7), None),
+    "running after a success, in another incarnation": (
+        [done(3.0)],
+        (8.0, 8),
+        5.0,
+    ),
+    "running in the incarnation of its adoption": (
+        [adopted(2.0), done(3.0)],
+        (8.0, 7),
+        None,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("before", "seen", "by_s"), SIGHTINGS.values(), ids=SIGHTINGS.keys()
+)
+def test_run_that_is_seen_after_it_was_taken_for_gone_is_found(
+    before, seen, by_s
+):
+    events = [started(1.0), *before, sighted(*seen)]
+    (story,) = trace_tasks(events, TASK)
+    found = [(f.doubt.value, f.run, f.by_s) for f in story.findings]
+    assert found == ([] if by_s is None else [("seen_again", FIRST, by_s)])
+
+
+def test_run_that_is_seen_again_names_the_last_start_before():
+    events = [started(1.0), released(3.0), started(4.0, SECOND)]
+    events += [sighted(5.0, 8), released(6.0, SECOND), started(7.0, 9000)]
+    (story,) = trace_tasks(events, TASK)
+    (finding,) = story.findings
+    assert (finding.run, finding.next_run) == (FIRST, SECOND)
+
+
 def test_run_with_a_lower_number_than_an_earlier_one_is_found():
     events = [started(1.0, SECOND), released(2.0, SECOND), started(3.0)]
     (story,) = trace_tasks(events, TASK)
