Give lines about the runs of tasks a larger budget in the log

Change: 1,000 lines and 200 a second for the kinds that tell where a run was. Other kinds keep their budget. The test of the flood has a row for each of these kinds, with ten times as many lines as before, and also checks the rate.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/decision_log.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/decision_log.py
@@ -1,7 +1,8 @@
 """A log of decisions as JSON lines on standard output that never blocks.
 
-Each kind of event has a budget of lines. Lines over the budget, and lines that
-a full pipe does not accept, are dropped and counted. The next line of that kind
+Each kind of event has a budget of lines, which is larger for the kinds that
+tell where each run of a task was. Lines over the budget, and lines that a full
+pipe does not accept, are dropped and counted. The next line of that kind
 reports the count.
 """
 
@@ -20,19 +21,41 @@
 # on a busy day; only a flood of one kind is cut.
 BURST_LINES = 100.0
 LINES_PER_S = 20.0
+# The same for each kind of event about the runs of tasks. A leader of a hundred
+# workers starts some hundred tasks at once, and one missing line leaves it open
+# why a task was free to be started again.
+RUN_BURST_LINES = 1000.0
+RUN_LINES_PER_S = 200.0
+RUN_EVENTS = frozenset(
+    {
+        "former run ended",
+        "group done",
+        "group running",
+        "group started",
+        "group stopped",
+        "run adopted",
+        "start refused",
+        "task released",
+        "unaccounted run released",
+        "unaccounted run stopped",
+    }
+)
 
 
 class _LineBudget:
     """A token bucket that limits the lines of one kind of event."""
 
-    def __init__(self, now: float) -> None:
-        self.tokens = BURST_LINES
+    def __init__(self, event: str, now: float) -> None:
+        about_run = event in RUN_EVENTS
+        self._burst = RUN_BURST_LINES if about_run else BURST_LINES
+        self._per_s = RUN_LINES_PER_S if about_run else LINES_PER_S
+        self.tokens = self._burst
         self.refilled_at = now
         self.dropped = 0
 
     def take(self, now: float) -> bool:
-        gained = (now - self.refilled_at) * LINES_PER_S
-        self.tokens = min(BURST_LINES, self.tokens + gained)
+        gained = (now - self.refilled_at) * self._per_s
+        self.tokens = min(self._burst, self.tokens + gained)
         self.refilled_at = now
         if self.tokens < 1:
             self.dropped += 1
@@ -76,7 +99,9 @@
         """
         now = self._wall()
         self._metrics.count("events_total", event=event)
-        budget = self._budgets.setdefault(event, _LineBudget(now))
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = self._budgets[event] = _LineBudget(event, now)
         if not budget.take(now):
             return
         line: dict[str, object] = {
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -9,7 +9,14 @@
 from pomeloarch_core.batch.model import BatchJob, Step
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.ids import JobId, OrganisationName
-from pomeloarch_node.batch.decision_log import BURST_LINES, DecisionLog
+from pomeloarch_node.batch.decision_log import (
+    BURST_LINES,
+    LINES_PER_S,
+    RUN_BURST_LINES,
+    RUN_EVENTS,
+    RUN_LINES_PER_S,
+    DecisionLog,
+)
 from pomeloarch_node.batch.intake import REACHABILITY_CHECK_S, Intake, Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.peer_forwarding import CONNECT_TIMEOUT_S
@@ -50,22 +57,35 @@
         data += chunk
 
 
-def test_flood_of_one_kind_is_limited_and_counted():
+@pytest.mark.parametrize(
+    ("event", "burst", "per_s"),
+    [
+        ("placed", BURST_LINES, LINES_PER_S),
+        *(
+            (each, RUN_BURST_LINES, RUN_LINES_PER_S)
+            for each in sorted(RUN_EVENTS)
+        ),
+    ],
+)
+def test_flood_of_one_kind_is_limited_and_counted(event, burst, per_s):
     reader, writer = os.pipe()
     now = [1000.0]
     metrics = Metrics()
     log = DecisionLog("n", metrics, writer, lambda: now[0])
-    for number in range(500):
-        log.write("placed", number=number)
+    lines = []
+    for number in range(5000):
+        log.write(event, number=number)
+        lines += read_lines(reader)
     log.write("lost")
     now[0] += 1.0
-    log.write("placed", number=500)
-    lines = read_lines(reader)
-    placed = [each for each in lines if each["event"] == "placed"]
-    assert len(placed) == BURST_LINES + 1
-    assert placed[-1]["left_out"] == 500 - BURST_LINES
-    assert lines[-2]["event"] == "lost"
-    assert 'events_total{event="placed"} 501' in metrics.render()
+    for number in range(5000):
+        log.write(event, number=number)
+        lines += read_lines(reader)
+    (lost,) = [n for n, each in enumerate(lines) if each["event"] == "lost"]
+    assert lost == burst
+    assert len(lines) == burst + 1 + per_s
+    assert lines[lost + 1]["left_out"] == 5000 - burst
+    assert f'events_total{{event="{event}"}} 10000' in metrics.render()
 
 
 def test_full_pipe_drops_lines_and_never_blocks():
