--- a/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
@@ -481,7 +481,7 @@
             each.evidence for each in run.releases if each.time < seen.time
         }
         was_done = run.done_at is not None and run.done_at < seen.time
-        if seen.incarnation != expected:
+        if seen.incarnation not in (None, expected):
             again = was_done or bool(evidence)
         elif seen.how:
             again = not evidence.isdisjoint(_RULES_OUT_AN_END)
--- a/packages/pomeloarch-cli/tests/test_task_runs.py
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -242,6 +242,11 @@
         (8.0, 8),
         5.0,
     ),
+    "running after a success, in an incarnation that isn't logged": (
+        [done(3.0)],
+        (8.0, None),
+        None,
+    ),
     "running in the incarnation of its adoption": (
         [adopted(2.0), done(3.0)],
         (8.0, 7),
