Log ends of runs whose job is no longer known

Cause: a late order that a new incarnation carries out after its job had ended and been forgotten left no line at all when the run ended between two reports.

Change: `former run ended` is written for unknown jobs as well.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -98,6 +98,8 @@
                     worker, end.task, end.run, Evidence.END_REPORTED, now
                 )
             if group is None or end.task is None:
+                if end.task is not None:
+                    self._runs.log_former_end(end.task, worker, end)
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -352,15 +352,7 @@
             and group.run == end.run
         )
         if not current:
-            self.log(
-                "former run ended",
-                group,
-                end.task.index,
-                run=end.run,
-                worker=worker.worker_id,
-                incarnation=worker.incarnation,
-                how=end.how.value,
-            )
+            self.log_former_end(end.task, worker, end)
         if not group.members:
             group.run = max(group.run, end.run)
         if end.checkpoint and group.run == end.run:
@@ -378,6 +370,19 @@
                 group, end.task.index, Evidence.END_REPORTED, reason, now
             )
 
+    def log_former_end(
+        self, task: TaskId, worker: Worker, end: EndedTask
+    ) -> None:
+        """Logs the end of a run that no group has at present."""
+        fields = {
+            "task": str(task),
+            "run": end.run,
+            "worker": worker.worker_id,
+            "incarnation": worker.incarnation,
+            "how": end.how.value,
+        }
+        self._out.append(LogEntry("former run ended", fields))
+
     def _save_checkpoint(self, group: Group, checkpoint: str) -> None:
         if group.state is GroupState.ENDED:
             return
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1070,6 +1070,18 @@
     ]
 
 
+def test_log_says_that_a_run_of_an_unknown_job_ended():
+    fleet = Fleet(racks=1, per_rack=1)
+    where = fleet.workers[0].worker_id
+    task = TaskId(JobId("e" * 16), 0, 0, 0)
+    fleet.running[task, 3] = where
+    fleet.end(task, 3)
+    fleet.report(where)
+    (fields,) = fleet.logged("former run ended")
+    assert (fields["task"], fields["run"]) == (str(task), 3)
+    assert (fields["worker"], fields["how"]) == (where, "done")
+
+
 def test_log_says_what_a_restarted_worker_has_lost():
     fleet = Fleet(racks=1, per_rack=1)
     fleet.submit(1, BATCH, step(2, ONE))
