Find runs whose end was forgotten before it was read

Cause: when a worker is told to forget ends that nobody has read, the run is taken for gone by a report that has neither the run nor its end, and is started again though it may have succeeded. The command showed this as ordinary evidence.

Change: evidence `not_reported` for a run whose start was answered by the same incarnation is the finding `end_lost`.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
@@ -36,8 +36,9 @@
 # earlier leader could be, or has waited until its leases had ended.
 _DOUBTS_CLEARED = "doubts_cleared"
 _START_REFUSED = "start_refused"
+_NOT_REPORTED = "not_reported"
 # Evidence of a worker that had neither the run nor an end of it.
-_RULES_OUT_AN_END = frozenset({_START_REFUSED, "not_reported", "restarted"})
+_RULES_OUT_AN_END = frozenset({_START_REFUSED, _NOT_REPORTED, "restarted"})
 
 
 class Doubt(enum.Enum):
@@ -47,6 +48,9 @@
       another incarnation than the one ordered had it after its success. The
       later run is the last one that had been started by then, perhaps the same.
     NOT_FREE: the later run was started before the earlier one was free.
+    END_LOST: a worker had answered the start of the earlier run, and later the
+      same incarnation had neither the run nor its end, which was forgotten
+      before it was read. The run may have succeeded.
     NO_EVIDENCE: no line shows that the earlier run was free.
     DONE_BEFORE: the earlier run had succeeded when the later one was started.
     LOWER_NUMBER: the later run has a lower number: a former leader started it.
@@ -56,6 +60,7 @@
 
     SEEN_AGAIN = "seen_again"
     NOT_FREE = "not_free"
+    END_LOST = "end_lost"
     NO_EVIDENCE = "no_evidence"
     DONE_BEFORE = "done_before"
     LOWER_NUMBER = "lower_number"
@@ -128,6 +133,8 @@
         that isn't logged.
       unanswered: number of copies of the order that had no answer.
       answer_unknown: whether it was taken for gone before any answer.
+      end_lost: whether it was gone, without an end, from the incarnation that
+        had answered its start.
       outcome: the refusal of the start; empty without one.
       adoptions: later leaders that took it over.
       stopped_at: when it was ordered to stop, None when it wasn't.
@@ -146,6 +153,7 @@
     answered_at: float | None = None
     unanswered: int = 0
     answer_unknown: bool = False
+    end_lost: bool = False
     outcome: str = ""
     adoptions: list[Adoption] = msgspec.field(default_factory=list)
     stopped_at: float | None = None
@@ -334,6 +342,11 @@
         refused = event.get("evidence") == _START_REFUSED
         if not event.get("start_answered", True) and not refused:
             run.answer_unknown = True
+        if (
+            event.get("start_answered", False)
+            and event.get("evidence") == _NOT_REPORTED
+        ):
+            run.end_lost = True
         run.releases.append(
             Release(
                 event["time"],
@@ -412,14 +425,14 @@
         f"{worker} ({incarnation})"
         for worker, incarnation in zip(run.workers, incarnations, strict=False)
     )
-    answer = "no answer logged"
+    answer = "no answer to all starts logged"
     if run.outcome:
         answer = f"answered with {run.outcome}"
     elif run.answered_at is not None:
         answer = f"answered after {run.answered_at - run.started_at:.3f} s"
     return (
         f"{run.started_at:.3f} started by {run.node} in term {run.term} on "
-        f"{places}, {answer}, {run.unanswered} copies without an answer"
+        f"{places}, {answer}, copies without an answer: {run.unanswered}"
     )
 
 
@@ -441,6 +454,8 @@
         Doubt.SEEN_AGAIN: f"run {run} was seen again {by_s}after it was taken "
         f"for gone or done; run {later} had been started last",
         Doubt.NOT_FREE: f"run {later} began {by_s}before run {run} was free",
+        Doubt.END_LOST: f"run {later} began and the end of run {run}, whose "
+        "start had been answered, was not seen",
         Doubt.NO_EVIDENCE: f"run {later} began and no line shows that run "
         f"{run} was over",
         Doubt.DONE_BEFORE: f"run {later} began {by_s}after run {run} was done",
@@ -516,4 +531,6 @@
         return Finding(Doubt.NOT_FREE, *numbers, round(free_at - began_at, 3))
     if later.run < run.run:
         return Finding(Doubt.LOWER_NUMBER, *numbers)
+    if run.end_lost:
+        return Finding(Doubt.END_LOST, *numbers)
     return None
--- a/packages/pomeloarch-cli/tests/test_task_runs.py
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -110,6 +110,9 @@
         released(3.0, evidence="lease_lapsed"),
     ],
     "a run that no group accounted for": [unaccounted(8.0)],
+    "another incarnation that has neither the run nor its end": (
+        [running(1.1), released(3.0, evidence="restarted", start_answered=True)]
+    ),
     "a start that was refused": (
         [released(3.0, evidence="start_refused", start_answered=False)]
     ),
@@ -169,6 +172,14 @@
         "unanswered",
         None,
     ),
+    "a worker that has neither the run nor its end": (
+        [
+            running(1.1),
+            released(3.0, evidence="not_reported", start_answered=True),
+        ],
+        "end_lost",
+        None,
+    ),
     "doubts cleared about other groups": (
         [term_begins(5.0, 2), doubts_cleared(7.0, [f"{JOB}.0.0.9"])],
         "no_evidence",
@@ -330,7 +341,7 @@
             0,
             [
                 "1.000 started by a in term 1 on i-1 (7), answered after "
-                "0.100 s, 0 copies without an answer",
+                "0.100 s, copies without an answer: 0",
                 "3.000 free: end_reported of i-1 (7), 0.020 s old, seen by a",
                 "no line shows that it is over",
                 "1 tasks, 0 findings",
