Begin no term above one of a higher epoch of the role

Cause: a node whose role another node has claimed acts until its lease ends, up to 2.2 s later. If the store was slow to it, it took the next number for its term after its successor had begun one. The successor was superseded and never began another term under its epoch, but went on renewing the role; the former holder's lease ended. Nobody scheduled from then on.

Change: the rows of the terms contain the epoch of the role. A node that finds a higher one than its own is superseded. A row of an earlier version counts as epoch 0.

Ruled out: a late copy of the successor's own write. It carries the row's former version as its condition and is refused.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
@@ -5,6 +5,10 @@
 still be under way. The number is the fence that workers compare, and every
 write of the scheduler is conditional on its shard's row.
 
+A node whose role another node has claimed still acts until its lease ends. It
+must not end the term of its successor, so the row also contains the epoch of
+the role, and no term begins above one of a higher epoch.
+
 The numbers between two terms are fences as well: the fence of a worker rises by
 one with each of its restarts in a term.
 """
@@ -42,10 +46,13 @@
       number: the newest term.
       nonce: identifies the writer of the row, in case the answer to its write
         is lost.
+      role_epoch: the epoch of the role under which the term began; 0 in a row
+        that an earlier version wrote.
     """
 
     number: Epoch
     nonce: str
+    role_epoch: Epoch = Epoch(0)
 
 
 class Term(msgspec.Struct, frozen=True):
@@ -65,7 +72,8 @@
 ) -> Term | None:
     """Begins a term under the next number; returns None if the role is lost.
 
-    The first shard decides the number. Once this returns, no older term can
+    The role is also lost if a term has begun under a higher epoch of it. The
+    first shard decides the number. Once this returns, no older term can
     write in any shard.
 
     Args:
@@ -110,10 +118,13 @@
                 return found.number, Check(TERMS_TABLE, key, row.version)
             last = 0 if found is None else found.number
             wanted = _next_number(last) if number is None else number
-            if wanted <= last:
+            last_epoch = 0 if found is None else found.role_epoch
+            if wanted <= last or last_epoch > tenure.epoch:
                 tenure.supersede(f"term {last} has begun")
                 return None
-            written = await _write(store, row, TermRow(wanted, nonce))
+            written = await _write(
+                store, row, TermRow(wanted, nonce, tenure.epoch)
+            )
             if written is not None:
                 return wanted, written
         await asyncio.sleep(RETRY_PAUSE_S)
--- a/packages/pomeloarch-node/tests/test_repeating_store.py
+++ b/packages/pomeloarch-node/tests/test_repeating_store.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err, Ok
 
+from pomeloarch_core.ids import Epoch
 from pomeloarch_node.batch.ports import TableChanges
 from pomeloarch_node.batch.repeating_store import RepeatingStore
 from pomeloarch_node.batch.term_row import begin_term
@@ -31,6 +32,8 @@
 class HeldTenure:
     """A tenure that is never lost."""
 
+    epoch = Epoch(1)
+
     def is_held(self):
         return True
 
