--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -33,10 +33,12 @@
 )
 from pomeloarch_node.batch.ports import OrderFailure
 from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
+from pomeloarch_standins.batch_gates import ProcessGate
+from pomeloarch_standins.batch_ledger import Ledger
 from pomeloarch_standins.batch_workers import (
     MAX_LEASE_S,
-    Ledger,
     ModelLink,
+    Path,
     WorkerModel,
 )
 from pomeloarch_standins.batch_world import BatchWorld
@@ -113,20 +115,26 @@
 
     Attributes:
       holds_back: whether orders get no answer and are not carried out yet.
-      held_back: carries out each order that was held back.
+      held_back: carries out each order that was held back; returns its answer.
     """
 
     def __init__(self, worker):
-        super().__init__(worker, lambda: True, random.Random(1))
+        super().__init__(
+            worker,
+            INFO.worker_id,
+            lambda: Path.OPEN,
+            random.Random(1),
+            ProcessGate(),
+        )
         self.holds_back = False
         self.held_back = []
 
-    async def _deliver(self, act):
+    async def _transmit(self, act, wait_s, look_again):
         if not self.holds_back:
-            return await super()._deliver(act)
-        self.held_back.append(lambda: act(True))
+            return await super()._transmit(act, wait_s, look_again)
+        self.held_back.append(lambda: self._carry_out(act, True))
         await asyncio.sleep(0.7)
-        return False
+        return Err(OrderFailure.NO_ANSWER)
 
 
 async def with_session(scenario):
@@ -177,10 +185,10 @@
             await asyncio.sleep(CONTACT_S)
         assert link.held_back
         assert tenure.is_held()
-        # The model returns None or False when it refuses an order.
-        return [late() for late in link.held_back]
+        return {str(late()) for late in link.held_back}
 
-    assert not any(run_virtual(with_session(scenario)))
+    refusal = Err(OrderFailure.SUPERSEDED)
+    assert run_virtual(with_session(scenario)) == {str(refusal)}
 
 
 def test_late_renewal_does_not_acknowledge_ends_of_a_later_incarnation():
