Let a superseded holder of the role claim the next epoch

Cause: a leader that is superseded begins no other term under its epoch, but its lease went on renewing the role. If no successor holds the role, because a former holder raised the fence, nobody led until the lease was lost.

Change: the leader abandons the epoch. Its next write claims the next epoch under the version that it knows; if another node holds the role, the write is refused and the node is a candidate like the others. A release under way is kept.

--- a/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/membership/lease.py
@@ -186,6 +186,16 @@
         if self._held_epoch is not None:
             self._pending_write = None
 
+    def abandon(self, epoch: Epoch) -> None:
+        """Stops acting under an epoch that is of no more use to the holder.
+
+        Unless another node has claimed the role, this one claims it again under
+        the next epoch.
+        """
+        if self._held_epoch == epoch and not self._release_requested:
+            self._held_epoch = None
+            self._pending_write = None
+
     @property
     def is_released(self) -> bool:
         """Whether nothing is left to do after `release`."""
--- a/packages/pomeloarch-core/tests/test_membership_lease.py
+++ b/packages/pomeloarch-core/tests/test_membership_lease.py
@@ -141,6 +141,13 @@
     def release_role(self, index):
         self.candidates[index].machine.release()
 
+    @rule(index=INDEX)
+    def abandon_epoch(self, index):
+        candidate = self.candidates[index]
+        epoch = candidate.machine.epoch(candidate.clock(self.now))
+        if epoch is not None:
+            candidate.machine.abandon(epoch)
+
     @rule(index=INDEX)
     def restart(self, index):
         """Starts another process under the same node's name."""
@@ -257,6 +264,57 @@
     assert machine.epoch(10.0) == 2
 
 
+OTHER = LeaseRow(NodeId("o"), "o/1", 2)
+
+
+@pytest.mark.parametrize(
+    ("renews", "found", "next_epoch"),
+    [
+        (False, None, 2),
+        (True, None, 2),
+        (True, LeaseRow(NodeId("n"), "n/1", 1, 1), 2),
+        (False, OTHER, None),
+        (True, OTHER, None),
+    ],
+    ids=[
+        "its row is unchanged",
+        "a renewal is under way",
+        "a renewal has taken effect",
+        "another node has claimed the role",
+        "another node has claimed the role instead of a renewal",
+    ],
+)
+def test_holder_that_abandons_its_epoch_claims_the_next_one(
+    renews, found, next_epoch
+):
+    """Guards against a role that is renewed while its holder may not act."""
+    machine = holder()
+    if renews:
+        machine.action(1.0)
+    machine.abandon(1)
+    assert machine.epoch(1.0) is None
+    if renews:
+        machine.unanswered(1.1)
+    claim = machine.action(1.4)
+    assert claim.value.epoch == 2
+    if found is None:
+        machine.confirmed(2, 1.4)
+    else:
+        machine.refused(2, found, 1.4)
+        again = machine.action(1.4)
+        if next_epoch is not None:
+            assert (again.version, again.value.epoch) == (2, 2)
+            machine.confirmed(3, 1.4)
+    assert machine.epoch(1.4) == next_epoch
+
+
+@pytest.mark.parametrize("epoch", [1, 2])
+def test_only_the_held_epoch_is_abandoned(epoch):
+    machine = holder()
+    machine.abandon(epoch)
+    assert (machine.epoch(1.0) is None) == (epoch == 1)
+
+
 def test_release_during_a_renewal_frees_the_row():
     machine = holder()
     renewal = machine.action(1.0)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -235,6 +235,9 @@
                     # Another term under this epoch would end the successor's
                     # term.
                     self._superseded_epoch = epoch
+                    # A raised fence doesn't prove that a successor holds the
+                    # role.
+                    self._role.abandon(epoch)
 
     async def _wait_for_role(self) -> None:
         try:
--- a/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/role_lease.py
@@ -124,6 +124,12 @@
         await self._changed.wait()
         self._changed.clear()
 
+    def abandon(self, epoch: Epoch) -> None:
+        """Stops acting under an epoch; competes for the role under the next."""
+        self._machine.abandon(epoch)
+        self._report_change()
+        self._wake.set()
+
     async def release(self) -> None:
         """Gives the role up.
 
