--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -356,7 +356,7 @@
         self._worker_list = self._make_mirror(
             leader._workers_table, 0.0, WORKER_LIST_INTERVAL_S
         )
-        # The last fences of workers whose sessions were closed.
+        # The first fences of further sessions with the same workers.
         self._fences: dict[WorkerId, Epoch] = {}
         # Jobs that the scheduler already knows. A snapshot of the specs table
         # that is read again also contains jobs that ended long ago.
@@ -576,6 +576,8 @@
 
     def _close_session(self, worker_id: WorkerId) -> None:
         session, task = self._sessions.pop(worker_id)
+        # The worker may restart before another session asks it.
+        session.raise_fence()
         self._fences[worker_id] = session.fence
         task.cancel()
         self._run_in_background(session.close())
