Show that renewals which were never sent count as leases

Once a worker has left, its host refuses connections, and later nothing answers at its address. The leases of the worker still count until 10 s after the last of these renewals, although no renewal can have arrived.

--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -52,7 +52,11 @@
     StartAnswer,
     WorkerState,
 )
-from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
+from pomeloarch_node.batch.worker_session import (
+    SessionTimes,
+    WorkerSession,
+    longest_lease_s,
+)
 from pomeloarch_standins.virtual_time import run_virtual
 
 INFO = WorkerInfo(
@@ -679,3 +683,82 @@
     # After a restart, a start may also wait until the clock is known.
     assert later or restarts
     assert all((each < 400_000) == restarts for each in later)
+
+
+class DepartedLink(ScriptedLink):
+    """Answers until the worker leaves; then each call fails.
+
+    Args:
+      failures: how calls fail in turn, with the time that each takes, in
+        seconds; the last one repeats.
+    """
+
+    LEFT_AT_S = 3.0
+
+    def __init__(self, failures):
+        super().__init__([])
+        self._failures = list(failures)
+        self.answered_at = 0.0
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        now = asyncio.get_running_loop().time()
+        if now < self.LEFT_AT_S:
+            self.answered_at = now
+            await asyncio.sleep(0.01 + wait_s)
+            return Ok(WorkerState(Incarnation(1), running_clock_ms(), (), ()))
+        failure, took_s = self._failures[0]
+        if len(self._failures) > 1:
+            del self._failures[0]
+        await asyncio.sleep(took_s)
+        return Err(failure)
+
+
+async def lease_counted_after(failures):
+    """Returns for how long a lease counts after the last answered renewal.
+
+    Args:
+      failures: how renewals fail once the worker has left.
+    """
+    loop = asyncio.get_running_loop()
+    link = DepartedLink(failures)
+    events = []
+    session = WorkerSession(
+        INFO,
+        link,
+        HeldTenure(),
+        Epoch(1),
+        PermissiveScheduler(),
+        events.append,
+        loop.time,
+        TIMES,
+        0.0,
+    )
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(10.0)
+    running.cancel()
+    await session.close()
+    (silent,) = [e for e in events if isinstance(e, WorkerSilent)]
+    return silent.lapses_at - link.answered_at
+
+
+# What a lease counts for after its renewal was sent, with what the worker's
+# clock may be slow by since it was read, in seconds.
+LEASE_COUNTED_S = longest_lease_s(TIMES.lease_s) + 0.05
+LOST = (OrderFailure.NO_ANSWER, 0.7)
+REFUSED = (OrderFailure.NO_LISTENER, 0.01)
+
+
+@pytest.mark.parametrize(
+    ("failures", "grants"),
+    [([REFUSED], 0), ([LOST, REFUSED], 1), ([LOST], 3)],
+    ids=["all refused", "the first lost", "all lost"],
+)
+def test_only_renewals_that_may_have_arrived_count_as_leases(failures, grants):
+    """Guards against tasks that wait for leases that nobody was granted."""
+    counted_s = run_virtual(lease_counted_after(failures))
+    if grants <= 1:
+        latest_s = grants * (TIMES.wait_s + 0.05) + LEASE_COUNTED_S
+        assert counted_s <= latest_s
+        assert counted_s > latest_s - 0.2
+    else:
+        assert counted_s > LEASE_COUNTED_S + 2.0
