Count no lease for a renewal that was never sent

Cause: the end of a worker's leases was recorded before each renewal was sent. When a worker has left, its host refuses connections for a while and then nothing answers; each of these renewals postponed the end until the worker was reported as silent, though none can have arrived.

A renewal of which no copy may have arrived counts as no lease. A copy of a start that was not sent is not open any more.

Ruled out: taking a refused connection, or a worker that is off the list, for the end of its runs. Entries lapse while workers live, and a refusal was not shown to come from the worker's own host alone.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/ports.py
@@ -79,7 +79,8 @@
     """Why an order to a worker has no valid answer.
 
     NO_ANSWER: it may have been carried out, or may be later.
-    NO_LISTENER: nothing listens at the worker's address.
+    NO_CONNECTION: no connection was made, so it was not sent.
+    NO_LISTENER: nothing listens at the worker's address, so it was not sent.
     SUPERSEDED: the worker has seen a higher fence.
     OTHER_WORKER: another worker answers at the address, or another
       incarnation of the same worker.
@@ -88,6 +89,7 @@
     """
 
     NO_ANSWER = "no_answer"
+    NO_CONNECTION = "no_connection"
     NO_LISTENER = "no_listener"
     SUPERSEDED = "superseded"
     OTHER_WORKER = "other_worker"
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -144,6 +144,8 @@
         self._clock = clock
         self._times = times
         self._leases_end_at = earlier_leases_end_at
+        # When the lease of the renewal in progress ends.
+        self._renewal_ends_at = 0.0
         # When the last lease ends that an order to an earlier incarnation may
         # grant to one that has not seen its fence.
         self._unfenced_leases_end_at = 0.0
@@ -252,15 +254,22 @@
         )
         acknowledged = self._acknowledgement() if known else 0
         wait_s = self._renewal_wait_s() if known else 0.0
-        deadline_ms = None
+        deadline_ms, ends_at = None, 0.0
         if not first and self._tenure.is_sole_holder():
             # No lease is granted once a successor may have claimed the role:
             # the lease could outlast the time that the successor waits, counted
             # from the beginning of its term.
-            deadline_ms = self._grant_until_ms(asked_at, self._times.lease_s)
-        answer, copies = await self._send_renewal(
-            acknowledged, deadline_ms, wait_s
-        )
+            deadline_ms, ends_at = self._lease_end(
+                asked_at, self._times.lease_s
+            )
+        may_have_arrived = True
+        try:
+            answer, copies, may_have_arrived = await self._send_renewal(
+                acknowledged, deadline_ms, wait_s
+            )
+        finally:
+            if may_have_arrived:
+                self._leases_end_at = max(self._leases_end_at, ends_at)
         if not self._tenure.is_held():
             return
         if isinstance(answer, Err):
@@ -278,22 +287,24 @@
 
     async def _send_renewal(
         self, acknowledged: int, deadline_ms: int | None, wait_s: float
-    ) -> tuple[Result[WorkerState, OrderFailure], int]:
+    ) -> tuple[Result[WorkerState, OrderFailure], int, bool]:
         """Renews the leases and asks for a report; repeats a late call.
 
         Only the first copy waits for the end of a run and acknowledges ends:
         when the second arrives, the worker may have restarted.
 
         Returns:
-          The answer, and the number of copies that were sent.
+          The answer, the number of copies, and whether any of them may have
+          reached the worker.
         """
         copies = 0
+        unsent = 0
 
         async def send() -> Result[WorkerState, OrderFailure]:
-            nonlocal copies
+            nonlocal copies, unsent
             copies += 1
             first = copies == 1
-            return await self._call_fenced(
+            answer = await self._call_fenced(
                 lambda link, fence: link.renew(
                     fence,
                     acknowledged if first else 0,
@@ -301,6 +312,8 @@
                     wait_s if first else 0.0,
                 )
             )
+            unsent += not _may_have_arrived(answer)
+            return answer
 
         answer = await first_answer(
             send,
@@ -311,7 +324,7 @@
             self._prepare_copy,
             wait_s,
         )
-        return answer, copies
+        return answer, copies, unsent < copies
 
     def _acknowledgement(self) -> int:
         """Returns the number up to which the worker may forget ends, or 0.
@@ -329,21 +342,19 @@
             return min(PACED_WAIT_S, self._times.wait_s)
         return self._times.wait_s
 
-    def _grant_until_ms(self, now: float, lease_s: float) -> int:
-        """Returns the deadline of a lease that is granted now.
+    def _lease_end(self, now: float, lease_s: float) -> tuple[int, float]:
+        """Returns when a lease that is granted now ends.
 
-        It is a time on the worker's clock. The latest time at which the lease
-        can end by this node's clock is recorded as well.
+        Returns:
+          Its deadline, which is a time on the worker's clock, and the latest
+          time at which it can end by this node's clock.
         """
         assert self._worker_clock is not None
         clock_ms, at = self._worker_clock
         elapsed_s = (now - at) * (1 - MAX_CLOCK_DRIFT)
         deadline = clock_ms + int((elapsed_s + lease_s) * 1000)
         ends_at = at + (deadline - clock_ms) / 1000 / (1 - MAX_CLOCK_DRIFT)
-        self._leases_end_at = max(
-            self._leases_end_at, ends_at + LEASE_EXPIRY_MARGIN_S
-        )
-        return deadline
+        return deadline, ends_at + LEASE_EXPIRY_MARGIN_S
 
     def _has_restarted(self, report: WorkerState) -> bool:
         """Returns whether a report shows a restart; raises the fence if so."""
@@ -493,13 +504,14 @@
             copies += 1
             now = self._clock()
             lease_s = min(START_LEASE_S, self._times.lease_s)
-            deadline_ms = self._grant_until_ms(now, lease_s)
+            deadline_ms, ends_at = self._lease_end(now, lease_s)
+            self._leases_end_at = max(self._leases_end_at, ends_at)
             copy, fence = object(), self._fence
             self._open_copies[copy] = now + MAX_ORDER_DELAY_S
             answer = await self._call_fenced(
                 lambda link, fence: link.start(order, fence, deadline_ms)
             )
-            if _has_answered(answer):
+            if _has_answered(answer) or not _may_have_arrived(answer):
                 del self._open_copies[copy]
             if isinstance(answer, Ok) and fence < self._fence:
                 # The clock may be that of an earlier incarnation.
@@ -636,6 +648,15 @@
 
 def _has_answered(answer: Result[Any, OrderFailure]) -> bool:
     """Returns whether the worker or its host answered."""
-    return (
-        isinstance(answer, Ok) or answer.err_value is not OrderFailure.NO_ANSWER
+    return isinstance(answer, Ok) or answer.err_value not in (
+        OrderFailure.NO_ANSWER,
+        OrderFailure.NO_CONNECTION,
+    )
+
+
+def _may_have_arrived(answer: Result[Any, OrderFailure]) -> bool:
+    """Returns whether a call may reach the worker, at once or later."""
+    return isinstance(answer, Ok) or answer.err_value not in (
+        OrderFailure.NO_CONNECTION,
+        OrderFailure.NO_LISTENER,
     )
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -746,12 +746,27 @@
 LEASE_COUNTED_S = longest_lease_s(TIMES.lease_s) + 0.05
 LOST = (OrderFailure.NO_ANSWER, 0.7)
 REFUSED = (OrderFailure.NO_LISTENER, 0.01)
+UNREACHABLE = (OrderFailure.NO_CONNECTION, 0.6)
 
 
 @pytest.mark.parametrize(
     ("failures", "grants"),
-    [([REFUSED], 0), ([LOST, REFUSED], 1), ([LOST], 3)],
-    ids=["all refused", "the first lost", "all lost"],
+    [
+        ([REFUSED], 0),
+        ([UNREACHABLE], 0),
+        ([REFUSED, UNREACHABLE], 0),
+        ([LOST, REFUSED], 1),
+        ([LOST, UNREACHABLE], 1),
+        ([LOST], 3),
+    ],
+    ids=[
+        "all refused",
+        "no connection",
+        "refused, then no connection",
+        "the first lost",
+        "the first lost, then no connection",
+        "all lost",
+    ],
 )
 def test_only_renewals_that_may_have_arrived_count_as_leases(failures, grants):
     """Guards against tasks that wait for leases that nobody was granted."""
