Keep the last fence of a term in its row

Cause, found by review: a node of the version before takes the number after the row's. With the term's first fence in the row, that number may be one that a restarted worker has already seen, whose late orders then aren't barred, or one that it refuses.

Change: the row holds the last fence of the term's range.

Tests: a new one of test_batch_terms.py; three others read the row accordingly.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/term_row.py
@@ -10,7 +10,8 @@
 the role, and no term begins above one of a higher epoch.
 
 The numbers between two terms are fences as well: the fence of a worker rises by
-one with each of its restarts in a term.
+one with each of its restarts in a term. The row holds the last of them, so that
+a node of an earlier version, which takes the next number, begins above all.
 """
 
 from __future__ import annotations
@@ -43,7 +44,7 @@
     """The value of the row.
 
     Attributes:
-      number: the newest term.
+      number: the last fence of the newest term.
       nonce: identifies the writer of the row, in case the answer to its write
         is lost.
       role_epoch: the epoch of the role under which the term began; 0 in a row
@@ -115,15 +116,17 @@
             row = answer.ok_value[0]
             found = _decode(row)
             if found is not None and found.nonce == nonce:
-                return found.number, Check(TERMS_TABLE, key, row.version)
+                check = Check(TERMS_TABLE, key, row.version)
+                return _first_fence(found.number), check
             last = 0 if found is None else found.number
             wanted = _next_number(last) if number is None else number
             last_epoch = 0 if found is None else found.role_epoch
             if wanted <= last or last_epoch > tenure.epoch:
-                tenure.supersede(f"term {last} has begun")
+                tenure.supersede(f"term {_first_fence(last)} has begun")
                 return None
+            last_fence = Epoch(wanted + FENCES_PER_TERM - 1)
             written = await _write(
-                store, row, TermRow(wanted, nonce, tenure.epoch)
+                store, row, TermRow(last_fence, nonce, tenure.epoch)
             )
             if written is not None:
                 return wanted, written
@@ -136,6 +139,11 @@
     return Epoch((last // FENCES_PER_TERM + 1) * FENCES_PER_TERM)
 
 
+def _first_fence(number: int) -> Epoch:
+    """Returns the number of the term that a fence belongs to."""
+    return Epoch(number // FENCES_PER_TERM * FENCES_PER_TERM)
+
+
 def _decode(row: Row) -> TermRow | None:
     if row.value is None:
         return None
