Pause after a renewal that failed at once

Cause, found by review: until a worker counted as silent, a refused connection or another answer without a report was followed by the next call without a pause.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -77,6 +77,9 @@
 START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
 SILENT_PAUSE_S = 0.5
+# Pause after a renewal that failed at once, in seconds. The shorter it is, the
+# sooner a worker that restarts has seen its new fence.
+RECONNECT_PAUSE_S = 0.05
 # Longest time after which an order without an answer may still be carried out,
 # in seconds.
 MAX_ORDER_DELAY_S = 13.0
@@ -273,7 +276,7 @@
         if not self._tenure.is_held():
             return
         if isinstance(answer, Err):
-            await self._on_renewal_failed(answer.err_value)
+            await self._on_renewal_failed(answer.err_value, asked_at)
             return
         self._checked_incarnation = listed
         if fence != self._fence or self._has_restarted(answer.ok_value):
@@ -425,7 +428,9 @@
             )
         )
 
-    async def _on_renewal_failed(self, failure: OrderFailure) -> None:
+    async def _on_renewal_failed(
+        self, failure: OrderFailure, asked_at: float
+    ) -> None:
         if failure is OrderFailure.SUPERSEDED:
             self._tenure.supersede(
                 f"worker {self.info.worker_id} has seen a higher fence"
@@ -445,6 +450,8 @@
             self._report_silent()
         if self._is_silent:
             await asyncio.sleep(SILENT_PAUSE_S)
+        elif now - asked_at < RECONNECT_PAUSE_S:
+            await asyncio.sleep(RECONNECT_PAUSE_S)
 
     def start(self, order: StartTask) -> None:
         """Sends an order to start a task."""
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -802,3 +802,40 @@
         assert counted_s > latest_s - 0.2
     else:
         assert counted_s > LEASE_COUNTED_S + 2.0
+
+
+@pytest.mark.parametrize(
+    "failure", [OrderFailure.NO_LISTENER, OrderFailure.NO_ANSWER]
+)
+def test_worker_that_fails_renewals_at_once_is_asked_after_a_pause(failure):
+    """Guards against a flood of calls to a worker that is down."""
+
+    async def scenario():
+        link = DepartedLink([(failure, 0.001)])
+        calls = []
+        original = link.renew
+
+        async def renew(*args):
+            calls.append(asyncio.get_running_loop().time())
+            return await original(*args)
+
+        link.renew = renew
+        session = WorkerSession(
+            INFO,
+            link,
+            HeldTenure(),
+            Epoch(1),
+            PermissiveScheduler(),
+            lambda event: None,
+            asyncio.get_running_loop().time,
+            TIMES,
+            0.0,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(10.0)
+        running.cancel()
+        await session.close()
+        late = [at for at in calls if at >= DepartedLink.LEFT_AT_S]
+        return max(sum(a <= at < a + 1.0 for at in late) for a in late)
+
+    assert run_virtual(scenario()) <= 20
