Count a run of unknown needs against the room of a worker once it is listed

A run of an unknown job that the worker reported before then was given the worker's capacity at that moment, which was none, so that the worker got more than it has room for while the run was stopped.

Change: the need of such a run is kept as unknown, and is all of the worker's capacity whenever the room is worked out.

Tests: one case of test_batch_dispatch.py failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -83,7 +83,9 @@
         self.speed_samples = 0
         self._used = NO_RESOURCES
         self._claimed = NO_RESOURCES
-        self._unaccounted_needs: dict[tuple[TaskId, RunNumber], Resources] = {}
+        self._unaccounted_needs: dict[
+            tuple[TaskId, RunNumber], Resources | None
+        ] = {}
         self._free: Resources | None = None
 
     @property
@@ -103,7 +105,7 @@
         """Resources that no run uses, claimed or not."""
         room = self.info.capacity - self._used
         for need in self._unaccounted_needs.values():
-            room = room - need
+            room = room - (self.info.capacity if need is None else need)
         return room
 
     def update_info(self, info: WorkerInfo) -> None:
@@ -179,9 +181,12 @@
             self._used += need
 
     def add_unaccounted_run(
-        self, task: TaskId, run: RunNumber, need: Resources, now: float
+        self, task: TaskId, run: RunNumber, need: Resources | None, now: float
     ) -> None:
-        """Adds a run that no group accounts for, with its resources."""
+        """Adds a run that no group accounts for, with its resources.
+
+        A run of unknown resources, given as None, may use all of the worker's.
+        """
         self.unaccounted_runs[task, run] = now
         self._unaccounted_needs[task, run] = need
         self._free = None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -219,15 +219,16 @@
 
     def _unaccounted_need(
         self, worker: Worker, reported: RunningTask
-    ) -> Resources:
+    ) -> Resources | None:
         """Returns the resources that an unaccounted run takes from its worker.
 
-        A member of a group that has ended still holds its own resources. A run
-        of an unknown job may use everything.
+        A member of a group that has ended still holds its own resources. Those
+        of a run of an unknown job aren't known. The worker's capacity may not
+        be known yet either.
         """
         group = self._jobs.group_of(reported.task)
         if group is None:
-            return worker.info.capacity
+            return None
         member = group.members.get(reported.task.index)
         held = (
             member is not None
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1236,6 +1236,36 @@
     assert len(fleet.starts) == 1
 
 
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_room_of_an_unknown_run_on_a_worker_that_is_not_listed_yet(
+    listed_first,
+):
+    """Guards against a worker that is given more than it has room for.
+
+    A successor knows only the address of a worker until it has the list, and
+    may have its report before.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    (info,) = fleet.workers
+    where = info.worker_id
+    fleet.running[TaskId(JobId("e" * 16), 0, 0, 0), 7] = where
+    fleet.scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
+    events = [
+        RosterLoaded({where: RosterEntry(info.address)}),
+        WorkersListed((info,)),
+    ]
+    if not listed_first:
+        fleet.emit(events.pop(0))
+        fleet.report(where)
+    for each in events:
+        fleet.emit(each)
+    fleet.emit(RosterWritten(frozenset({where})))
+    fleet.report(where)
+    fleet.submit(1, BATCH, step(1))
+    fleet.wait(0.1)
+    assert fleet.starts == []
+
+
 @pytest.mark.parametrize(
     "known", [True, False], ids=["of a known job", "of an unknown job"]
 )
