--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -18,6 +18,10 @@
     TERMS_TABLE,
     term_key,
 )
+from pomeloarch_standins.batch_rules import (
+    find_early_starts,
+    find_excess_attempts,
+)
 from pomeloarch_standins.batch_workers import (
     CALL_LATENCY_S,
     TIMEOUT_S,
@@ -55,6 +59,15 @@
     )
 
 
+def find_violations(world):
+    entries, jobs = world.ledger.entries, world.submitted
+    return [
+        *world.ledger.find_violations(jobs),
+        *find_early_starts(entries, jobs),
+        *find_excess_attempts(entries, jobs),
+    ]
+
+
 def run_in_world(scenario, seed=1, **size):
     """Runs a scenario in a started world; returns the scenario's result."""
 
@@ -66,7 +79,7 @@
             return await scenario(world)
         finally:
             await world.stop()
-            assert world.ledger.find_violations() == []
+            assert find_violations(world) == []
 
     return run_virtual(run())
 
