--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -67,10 +67,9 @@
 from pomeloarch_node.batch.term_row import Term, begin_term
 from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
 from pomeloarch_node.batch.worker_session import (
-    LEASE_EXPIRY_MARGIN_S,
-    MAX_CLOCK_DRIFT,
     SessionTimes,
     WorkerSession,
+    longest_lease_s,
 )
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_tenure import Tenure
@@ -308,10 +307,8 @@
             leader._wall() - now,
             leader.times.dispatch,
         )
-        self._earlier_leases_end_at = (
-            now
-            + leader.times.max_lease_s / (1 - MAX_CLOCK_DRIFT)
-            + LEASE_EXPIRY_MARGIN_S
+        self._earlier_leases_end_at = now + longest_lease_s(
+            leader.times.max_lease_s
         )
         self._writers = {
             shard: RowWriter(
@@ -356,6 +353,8 @@
         self._worker_list = self._make_mirror(
             leader._workers_table, 0.0, WORKER_LIST_INTERVAL_S
         )
+        # The last fences of workers whose sessions were closed.
+        self._fences: dict[WorkerId, Epoch] = {}
         # Jobs that the scheduler already knows. A snapshot of the specs table
         # that is read again also contains jobs that ended long ago.
         self._known_jobs: set[JobId] = set()
@@ -549,7 +548,7 @@
             elif known[0].info.address != info.address:
                 self._move_session(info)
             else:
-                known[0].info = info
+                known[0].update_info(info)
         listed = {each.worker_id for each in workers}
         for worker_id in list(self._sessions):
             if worker_id not in listed:
@@ -574,6 +573,7 @@
 
     def _close_session(self, worker_id: WorkerId) -> None:
         session, task = self._sessions.pop(worker_id)
+        self._fences[worker_id] = session.fence
         task.cancel()
         self._run_in_background(session.close())
 
@@ -613,7 +613,7 @@
             info,
             leader._links.open(info),
             self._tenure,
-            self._term_number,
+            self._fences.get(info.worker_id, self._term_number),
             self._scheduler,
             self.emit,
             self._clock,
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -303,7 +303,11 @@
         )
         ended = tuple(end for end, _ in self._ends[:MAX_REPORTED_ENDS])
         return WorkerState(
-            Incarnation(self.incarnation), self.clock_ms(), running, ended
+            Incarnation(self.incarnation),
+            self.clock_ms(),
+            running,
+            ended,
+            complete=len(ended) < MAX_REPORTED_ENDS,
         )
 
     def _percent(self, run: _Run) -> float:
