Let a crash of a worker close its connections at once

A call in progress when a worker crashed waited for its time-out, as if the whole host had gone. A process that crashes closes its connections, so that its callers know within a round trip. The model now has both; silence remains the default.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -80,6 +80,8 @@
       is_cut_off: whether no call reaches the worker.
       is_down: whether no process of the worker runs, so that nothing listens at
         its address; it has no runs then.
+      crashes_silently: whether calls in progress at a crash get no answer until
+        their time-out; otherwise their connections are closed at once.
       lose_share: the share of orders that are not answered.
       late_share: the share of those that are carried out seconds later.
       refuse_share: the share of orders to start that it refuses as unhealthy,
@@ -112,6 +114,7 @@
         self.info = info
         self.is_cut_off = False
         self.is_down = False
+        self.crashes_silently = True
         self.lose_share = 0.0
         self.late_share = 0.0
         self.refuse_share = 0.0
@@ -322,8 +325,12 @@
 
     async def wait_for_end(self, wait_s: float) -> None:
         """Waits up to `wait_s` seconds for the end of a run."""
-        until, initial_count = self._now() + wait_s, self._end_count
-        while self._now() < until and self._end_count == initial_count:
+        until = self._now() + wait_s
+        initial = self.incarnation, self._end_count
+        while (
+            self._now() < until
+            and (self.incarnation, self._end_count) == initial
+        ):
             await asyncio.sleep(ADVANCE_INTERVAL_S)
             self.advance()
 
@@ -508,12 +515,11 @@
             await asyncio.sleep(
                 self._rng.uniform(0.0, worker.max_answer_delay_s)
             )
-        has_arrived = (
-            worker.incarnation == incarnation
-            and self._current_path() is Path.OPEN
-            and loop.time() <= give_up_at
-        )
-        if has_arrived:
+        is_open = self._current_path() is Path.OPEN
+        has_crashed = worker.incarnation != incarnation
+        if has_crashed and is_open and not worker.crashes_silently:
+            return Err(OrderFailure.NO_ANSWER)
+        if not has_crashed and is_open and loop.time() <= give_up_at:
             return answer
         await asyncio.sleep(max(0.0, give_up_at - loop.time()))
         return Err(OrderFailure.NO_ANSWER)
--- a/packages/pomeloarch-standins/tests/test_batch_workers.py
+++ b/packages/pomeloarch-standins/tests/test_batch_workers.py
@@ -268,16 +268,24 @@
     assert ended_at == pytest.approx(TIMEOUT_S + 0.5)
 
 
-def test_worker_that_crashes_while_it_holds_back_an_answer_gives_none():
+@pytest.mark.parametrize(
+    ("silently", "ends_at"), [(True, TIMEOUT_S + 0.5), (False, 0.1)]
+)
+def test_worker_that_crashes_while_it_holds_back_an_answer_gives_none(
+    silently, ends_at
+):
     async def scenario(world):
+        world.workers[W0].crashes_silently = silently
         renewal = asyncio.create_task(
             link_of(world).renew(FENCE, 0, None, wait_s=0.5)
         )
         await asyncio.sleep(0.1)
         world.restart_worker(W0)
-        return await renewal
+        return await renewal, world.clock()
 
-    assert run_with_workers(scenario) == Err(OrderFailure.NO_ANSWER)
+    answer, ended_at = run_with_workers(scenario)
+    assert answer == Err(OrderFailure.NO_ANSWER)
+    assert ended_at == pytest.approx(ends_at, abs=0.03)
 
 
 def test_order_of_a_caller_that_gave_up_is_carried_out():
