--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/command.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/command.py
@@ -36,12 +36,14 @@
     for name, plan in _plans(args):
         result = play(plan)
         played, runs = played + 1, runs + len(result.entries)
-        if result.findings:
-            failed += 1
-            _report(name, plan, result, args.shrink)
         if args.trace is not None:
             for line in trace(args.trace, result.entries, result.log):
                 print(line)
+        if result.findings:
+            failed += 1
+            _report(name, plan, result, args.shrink)
+            if args.until_failure:
+                break
     print(f"{played} plans, {runs} runs of tasks, {failed} plans failed")
     return 1 if failed else 0
 
@@ -100,6 +102,11 @@
         action="store_true",
         help="reduce each plan that fails to a few lines, and print them",
     )
+    parser.add_argument(
+        "--until-failure",
+        action="store_true",
+        help="stop at the first plan that fails",
+    )
     parser.add_argument(
         "--trace",
         type=_task,
