--- a/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
@@ -53,6 +53,8 @@
       before it was read. The run may have succeeded.
     NO_EVIDENCE: no line shows that the earlier run was free.
     DONE_BEFORE: the earlier run had succeeded when the later one was started.
+    DONE_IN_EARLIER_TERM: the same, but a leader of an earlier term had seen the
+      success, and may have ended before it was durable.
     LOWER_NUMBER: the later run has a lower number: a former leader started it.
     UNANSWERED: copies of the order to start the earlier run had no answer when
       it was taken for gone, so they could still be carried out.
@@ -63,6 +65,7 @@
     END_LOST = "end_lost"
     NO_EVIDENCE = "no_evidence"
     DONE_BEFORE = "done_before"
+    DONE_IN_EARLIER_TERM = "done_in_earlier_term"
     LOWER_NUMBER = "lower_number"
     UNANSWERED = "unanswered"
 
@@ -140,6 +143,7 @@
       stopped_at: when it was ordered to stop, None when it wasn't.
       reason: why it was ordered to stop.
       done_at: when its success was seen, None when it wasn't.
+      done_term: the term in which it was seen, None when that isn't logged.
       sightings: reports of it when it was not accounted for.
       releases: the evidence of its end, the oldest first.
     """
@@ -159,6 +163,7 @@
     stopped_at: float | None = None
     reason: str = ""
     done_at: float | None = None
+    done_term: int | None = None
     sightings: list[Sighting] = msgspec.field(default_factory=list)
     releases: list[Release] = msgspec.field(default_factory=list)
 
@@ -309,6 +314,7 @@
     def _on_done(self, event: Event, run: TaskRun) -> None:
         if run.done_at is None:
             run.done_at = event["time"]
+            run.done_term = self._terms.get(event.get("node", ""), run.term)
         run.unanswered = max(run.unanswered, event.get("unanswered", 0))
 
     def _on_refused(self, event: Event, run: TaskRun) -> None:
@@ -454,6 +460,8 @@
         Doubt.SEEN_AGAIN: f"run {run} was seen again {by_s}after it was taken "
         f"for gone or done; run {later} had been started last",
         Doubt.NOT_FREE: f"run {later} began {by_s}before run {run} was free",
+        Doubt.DONE_IN_EARLIER_TERM: f"run {later} began {by_s}after the leader "
+        f"of an earlier term had seen that run {run} was done",
         Doubt.END_LOST: f"run {later} began and the end of run {run}, whose "
         "start had been answered, was not seen",
         Doubt.NO_EVIDENCE: f"run {later} began and no line shows that run "
@@ -524,7 +532,10 @@
     numbers = run.run, later.run
     if run.done_at is not None and run.done_at <= began_at:
         by_s = round(began_at - run.done_at, 3)
-        return Finding(Doubt.DONE_BEFORE, *numbers, by_s)
+        terms = run.done_term, later.term
+        earlier = None not in terms and run.done_term != later.term
+        doubt = Doubt.DONE_IN_EARLIER_TERM if earlier else Doubt.DONE_BEFORE
+        return Finding(doubt, *numbers, by_s)
     if free_at is None:
         return Finding(Doubt.NO_EVIDENCE, *numbers)
     if free_at > began_at:
