Show answers and silence that are taken for something else

A review of the raised fences asked where else an answer, or the lack of one, about one run, copy or incarnation is taken for another's.

No logic is changed.

--- /dev/null
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -0,0 +1,107 @@
+"""Tests of what is concluded about workers before they have reported."""
+
+import pytest
+
+from pomeloarch_core.batch.catalogue import Catalogue
+from pomeloarch_core.batch.messages import (
+    AdviceGiven,
+    Incarnation,
+    JobAccepted,
+    RequestAdvice,
+    RosterWritten,
+    RowWritten,
+    StartTask,
+    WorkerInfo,
+    WorkerReported,
+    WorkersListed,
+    WriteRow,
+)
+from pomeloarch_core.batch.model import (
+    BatchJob,
+    Queue,
+    QueueName,
+    Resources,
+    Step,
+)
+from pomeloarch_core.batch.rows import JobRow
+from pomeloarch_core.batch.scheduler import BatchScheduler
+from pomeloarch_core.ids import (
+    Epoch,
+    Generation,
+    JobId,
+    OrganisationName,
+    ServiceName,
+    WorkerId,
+    ZoneName,
+)
+
+NOW = 100.0
+QUEUE = Queue(QueueName("q"), ServiceName("s"), advised=True)
+CATALOGUE = Catalogue(Generation(1), {QUEUE.name: QUEUE}, (), {})
+INFO = WorkerInfo(
+    WorkerId("w"),
+    ServiceName("s"),
+    "",
+    ZoneName("z"),
+    Resources(64_000, 64_000, 8),
+)
+JOB = BatchJob(
+    JobId("0" * 16),
+    QUEUE.name,
+    OrganisationName("o"),
+    QUEUE,
+    "work",
+    (Step(count=1, need=Resources(8_000, 8_000, 1), estimate_s=4.0),),
+    accepted_at=NOW,
+)
+
+
+def make_scheduler():
+    scheduler = BatchScheduler(Epoch(256), CATALOGUE, 0.0)
+    scheduler.handle(WorkersListed((INFO,)), NOW)
+    scheduler.handle(RosterWritten(frozenset({INFO.worker_id})), NOW)
+    return scheduler
+
+
+def report(scheduler, incarnation, now, complete=True):
+    event = WorkerReported(
+        INFO.worker_id, Incarnation(incarnation), now, (), (), complete
+    )
+    return scheduler.handle(event, now)
+
+
+@pytest.mark.parametrize("reports", [None, False, True])
+def test_worker_may_be_taken_down_only_once_its_runs_are_known(reports):
+    """Guards against an upkeep that ends runs that a successor hasn't seen.
+
+    Nothing is known of a worker that has not reported, or not everything.
+    """
+    scheduler = make_scheduler()
+    if reports is not None:
+        report(scheduler, 1, NOW, complete=reports)
+    assert scheduler.can_end_tasks(INFO.worker_id) == bool(reports)
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_ticket_is_for_the_incarnation_that_was_asked_about(restarts):
+    """Guards against a ticket that a restarted worker refuses."""
+    scheduler = make_scheduler()
+    report(scheduler, 1, NOW)
+    scheduler.handle(JobAccepted(JOB, JobRow.from_job(JOB)), NOW)
+    asked = [
+        each for each in scheduler.place(NOW) if isinstance(each, RequestAdvice)
+    ]
+    assert [each.worker_ids for each in asked] == [(INFO.worker_id,)]
+    if restarts:
+        report(scheduler, 2, NOW + 0.1)
+    answer = AdviceGiven(
+        asked[0].step, asked[0].worker_ids, {INFO.worker_id: "t"}, NOW + 9.0
+    )
+    scheduler.handle(answer, NOW + 0.2)
+    placed = scheduler.place(NOW + 0.2)
+    for each in [d for d in placed if isinstance(d, WriteRow)]:
+        placed += scheduler.handle(
+            RowWritten(each.job_id, each.change), NOW + 0.3
+        )
+    started = [each for each in placed if isinstance(each, StartTask)]
+    assert bool(started) != restarts
--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -274,3 +274,30 @@
 
     unknown = [OrderOutcome.UNKNOWN] * 2
     assert run(main) == [*unknown, OrderOutcome.DONE]
+
+
+def test_refused_copy_of_an_order_says_nothing_about_an_unanswered_one():
+    """Guards against a second start of a job that may not be repeated.
+
+    The worker starts the task, its answer is lost, and it restarts without
+    knowing the attempt any more.
+    """
+
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.order(OrderKind.RESERVE, accelerators=(0,), memory_gb=1.0)
+        await asyncio.sleep(0.5)
+        holder.client.faults[WORKER] = FaultMode.LOSE
+        holder.order(OrderKind.START, command="run_s=60")
+        await asyncio.sleep(1.0)
+        worker = fleet.workers[WORKER]
+        worker.restart(asyncio.get_running_loop().time())
+        worker._tasks.clear()
+        worker._reported.clear()
+        del holder.client.faults[WORKER]
+        await asyncio.sleep(10.0)
+        starts = fleet.ledger.counts(0.0).member_starts.get("a", 0)
+        return holder.outcomes()[-1], starts
+
+    assert run(main) == (OrderOutcome.UNKNOWN, 1)
