Show a lease that outlasts its reported end, and a restart that is not noticed

- A start carries 3 s on the clock that was read last.
An incarnation that nobody has noticed carries it out at once, finds the deadline far ahead and grants the longest lease.
- A restart is looked for only if its start is later than the known one.
The wall clock of a worker may step back.

No logic is changed.

--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -432,3 +432,68 @@
 
     reported, actual = run_virtual(with_session(scenario))
     assert reported >= actual
+
+
+@pytest.mark.parametrize(
+    ("carried_out", "after_s"), [(1, 0.0), (1, 1.9), (2, 1.8), (3, 1.6)]
+)
+def test_lease_of_a_start_is_reckoned_for_a_restart_that_nobody_noticed(
+    carried_out, after_s
+):
+    """Guards against runs that outlast the reported end of all leases.
+
+    A worker restarts, and no answer of its new incarnation arrives. A copy of a
+    start is carried out at once. Its deadline is far ahead on the new clock, so
+    it gets the longest lease.
+    """
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        clock = asyncio.get_running_loop().time
+        copies, ends = [], []
+
+        async def start(order, fence, deadline_ms):
+            copies.append(order)
+            if len(copies) == carried_out:
+                worker.start(order, fence, deadline_ms, False)
+                left_s = worker._deadline - worker.clock_ms() / 1000
+                ends.append(clock() + left_s)
+            await asyncio.sleep(0.7)
+            return Err(OrderFailure.NO_ANSWER)
+
+        scheduler.busy = True
+        session.wake()
+        await asyncio.sleep(20.0)
+        link.start = start
+        link.holds_back = True
+        worker.crash()
+        await asyncio.sleep(after_s)
+        session.start(ORDER)
+        await asyncio.sleep(5.0)
+        silent = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent[-1].lapses_at - ends[0]
+
+    assert run_virtual(with_session(scenario)) >= 0
+
+
+@pytest.mark.parametrize("incarnation", [4, 6])
+def test_restart_is_noticed_although_its_start_seems_to_be_earlier(incarnation):
+    """The wall clock of a worker, which gives its incarnation, may step back.
+
+    Without contact, the new incarnation would carry out earlier orders.
+    """
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        known = Incarnation(5)
+        worker.incarnation = known
+        session.update_info(msgspec.structs.replace(INFO, incarnation=known))
+        await asyncio.sleep(CONTACT_S)
+        fence = worker._fence
+        worker.crash()
+        worker.incarnation = incarnation
+        session.update_info(
+            msgspec.structs.replace(INFO, incarnation=Incarnation(incarnation))
+        )
+        await asyncio.sleep(CONTACT_S)
+        return worker._fence - fence
+
+    assert run_virtual(with_session(scenario)) == 1
