Contact a silent worker soon while an order to it is open

Cause: a worker that was down for some seconds was asked every half second. An order to its earlier incarnation could be carried out before the first contact brought the higher fence.

Change: while a copy of a start has no answer, a silent worker is asked without that pause, but for the first one, after which its silence is reported.

The time that its tests allow for a contact is now made of its parts.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -147,8 +147,6 @@
         self._clock = clock
         self._times = times
         self._leases_end_at = earlier_leases_end_at
-        # When the lease of the renewal in progress ends.
-        self._renewal_ends_at = 0.0
         # When the last lease ends that an order to an earlier incarnation may
         # grant to one that has not seen its fence.
         self._unfenced_leases_end_at = 0.0
@@ -448,10 +446,13 @@
             return
         await self._link.reset()
         self._may_have_restarted = True
-        if not self._is_silent and now - self._last_report_at > SILENT_AFTER_S:
+        falls_silent = (
+            not self._is_silent and now - self._last_report_at > SILENT_AFTER_S
+        )
+        if falls_silent:
             self._is_silent = True
             self._report_silent()
-        if self._is_silent:
+        if falls_silent or (self._is_silent and not self._has_open_copies()):
             await asyncio.sleep(SILENT_PAUSE_S)
         elif now - asked_at < RECONNECT_PAUSE_S:
             await asyncio.sleep(RECONNECT_PAUSE_S)
--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -32,7 +32,12 @@
     ZoneName,
 )
 from pomeloarch_node.batch.ports import OrderFailure
-from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
+from pomeloarch_node.batch.worker_session import (
+    CALL_TIMEOUT_S,
+    RECONNECT_PAUSE_S,
+    SessionTimes,
+    WorkerSession,
+)
 from pomeloarch_standins.batch_gates import ProcessGate
 from pomeloarch_standins.batch_ledger import Ledger
 from pomeloarch_standins.batch_workers import (
@@ -65,9 +70,9 @@
 )
 TIMES = SessionTimes(lease_s=6.0, wait_s=1.0)
 # Time within which a session contacts a worker that has restarted, in seconds:
-# the wait of a renewal in progress, which the model holds over a restart, and a
-# pause after it.
-CONTACT_S = 1.6
+# the time-out of a renewal in progress, which the restart leaves unanswered,
+# and a pause after it.
+CONTACT_S = TIMES.wait_s + CALL_TIMEOUT_S + RECONNECT_PAUSE_S + 0.05
 
 
 class Scheduler:
@@ -497,3 +502,25 @@
         return worker._fence - fence
 
     assert run_virtual(with_session(scenario)) == 1
+
+
+@pytest.mark.parametrize("unanswered", [True, False])
+def test_worker_with_an_open_order_is_contacted_soon_after_it_is_up(unanswered):
+    """Guards against orders that are carried out before the first contact."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        loop = asyncio.get_running_loop()
+        scheduler.busy = True
+        if unanswered:
+            await start_without_answer(session, link)
+        worker.is_down = True
+        await asyncio.sleep(4.0)
+        worker.crash()
+        worker.is_down = False
+        began = loop.time()
+        while not worker._fence:
+            await asyncio.sleep(0.001)
+        return loop.time() - began
+
+    took_s = run_virtual(with_session(scenario))
+    assert took_s < (0.1 if unanswered else 0.6)
