--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -171,8 +171,9 @@
 
     Attributes:
       address: where it takes orders, as `ip:port`.
-      may_run: names of the only tasks that it may run, if it fell silent and
-        was given no task since; None when it may run any task.
+      may_run: names of the only tasks that it may run, or whose ends are not
+        durable yet, if it fell silent and was given no task since; None when
+        it may run any task.
       slow: whether it takes clearly longer than others for the same work.
     """
 
@@ -202,6 +203,8 @@
       asked_at: when the request was sent, by the scheduler's clock.
       running: all runs that it has.
       ended: ends that have not been acknowledged yet.
+      complete: whether `ended` holds all of them; the others follow once these
+        are acknowledged.
     """
 
     worker_id: WorkerId
@@ -209,6 +212,7 @@
     asked_at: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    complete: bool = True
 
 
 class WorkerSilent(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -55,14 +55,15 @@
             worker.last_end = 0
             worker.pending_ends.clear()
             self._runs.drop_unaccounted_runs(worker, Evidence.RESTARTED, now)
-        worker.mark_answered()
+        worker.mark_answered(event.complete)
         running = {
             (reported.task, reported.run): reported
             for reported in event.running
         }
         self._process_ends(worker, event.ended, now)
         self._process_running(worker, running, now)
-        self._remove_missing(worker, running, event.asked_at, now)
+        if event.complete:
+            self._remove_missing(worker, running, event.asked_at, now)
         worker.heard_at = now
 
     def _log_restart(
@@ -103,7 +104,9 @@
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
-            self._jobs.hold_end_until_written(entry, worker, end.number)
+            self._jobs.hold_end_until_written(
+                entry, worker, end.number, end.task
+            )
             if not entry.row.status.is_final and entry.is_done:
                 self._jobs.finish(
                     entry, JobStatus.COMPLETED, "all tasks done", now
@@ -121,7 +124,7 @@
                 self._stop_unaccounted_run(worker, reported, now)
                 continue
             member = group.members.get(task.index)
-            if member is None or group.run != run:
+            if member is None or member.run != run:
                 self._process_unknown(group, worker, reported, now)
                 continue
             if member.worker_id != worker.worker_id:
@@ -229,7 +232,7 @@
         held = (
             member is not None
             and member.worker_id == worker.worker_id
-            and group.run == reported.run
+            and member.run == reported.run
         )
         return NO_RESOURCES if held else group.step.allocation
 
@@ -252,7 +255,7 @@
             for index, member in list(group.members.items()):
                 if member.worker_id != worker.worker_id:
                     continue
-                if (group.task(index), group.run) in running:
+                if (group.task(index), member.run) in running:
                     continue
                 confirmed_at = (
                     member.stopped_at
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -92,7 +92,8 @@
         """Returns whether a group may start on the places that it has claimed.
 
         A run of one of its tasks that no group accounts for may have been
-        reported since; the group waits for its end.
+        reported since; the group waits for its end. A worker may have moved to
+        another address, which the roster has to name first.
         """
         durable = group.job.written >= group.placement_change
         return (
@@ -104,7 +105,7 @@
     def _has_room(self, group: Group) -> bool:
         for worker_id in {m.worker_id for m in group.members.values()}:
             worker = self._fleet.get(worker_id)
-            if worker is None:
+            if worker is None or not worker.enrolled:
                 return False
             wanted = group.step.allocation * worker.groups[group]
             if not wanted.fits_in(worker.unused):
@@ -125,6 +126,7 @@
             worker = self._fleet.get(member.worker_id)
             assert worker is not None
             worker.commit_claim(group.step.allocation)
+            member.run = group.run
             racks.add(worker.info.rack)
             member.incarnation = worker.incarnation
             incarnations[worker.worker_id] = worker.incarnation
@@ -175,6 +177,7 @@
             group.started_at = now - ran_s
             group.resumed = True
         member = group.members[index] = Member(worker.worker_id)
+        member.run = reported.run
         member.started_at = now
         member.incarnation = worker.incarnation
         worker.allocate(group, group.step.allocation, claimed=False)
@@ -340,16 +343,14 @@
         """Records how a run of a group's task ended.
 
         The run may be one of an earlier scheduler whose end was not seen.
-        Success and failure count for any run. A group that has only claimed its
-        places still has the number of its previous run.
+        Success and failure count for any run.
         """
         assert end.task is not None
         member = group.members.get(end.task.index)
         current = (
             member is not None
-            and group.state is not GroupState.CLAIMED
             and member.worker_id == worker.worker_id
-            and group.run == end.run
+            and member.run == end.run
         )
         if not current:
             self.log_former_end(end.task, worker, end)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -5,6 +5,12 @@
 The session keeps the latest time, on this node's clock, at which any of them
 can end, so that a task of a worker that does not answer is started elsewhere
 only after its lease has certainly ended.
+
+A worker may restart under its id. Its new incarnation knows no fence, its clock
+begins anew, and it would carry out orders that were sent to the earlier one and
+are still under way. The fence of a session therefore rises with each
+incarnation that answers, and nothing that an incarnation reports is used before
+it has seen its own fence.
 """
 
 from __future__ import annotations
@@ -39,6 +45,7 @@
     WorkerLink,
     WorkerState,
 )
+from pomeloarch_node.batch.term_row import FENCES_PER_TERM
 from pomeloarch_node.hedging import first_answer
 from pomeloarch_node.scheduler_tenure import Tenure
 
@@ -70,9 +77,21 @@
 START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
 SILENT_PAUSE_S = 0.5
+# Longest time after which an order without an answer may still be carried out,
+# in seconds.
+MAX_ORDER_DELAY_S = 13.0
 IDLE_PAUSE_S = 0.5
 
 
+def longest_lease_s(lease_s: float) -> float:
+    """Returns how long a lease granted now may last by this node's clock.
+
+    Args:
+      lease_s: its length on the worker's clock, in seconds.
+    """
+    return lease_s / (1 - MAX_CLOCK_DRIFT) + LEASE_EXPIRY_MARGIN_S
+
+
 class SessionTimes(msgspec.Struct, frozen=True):
     """Timing settings of a session, in seconds.
 
@@ -93,7 +112,8 @@
       info: the worker.
       link: the link to it.
       tenure: the right to give orders.
-      fence: the number of the scheduler's term.
+      fence: the worker's fence: the number of the scheduler's term, plus one
+        for each restart of the worker that was noticed in this term.
       scheduler: the scheduler that gives the orders.
       emit: passes an event to the scheduler.
       clock: returns monotonic time, in seconds.
@@ -124,12 +144,20 @@
         self._clock = clock
         self._times = times
         self._leases_end_at = earlier_leases_end_at
+        # When the last lease ends that an order to an earlier incarnation may
+        # grant to one that has not seen its fence.
+        self._unfenced_leases_end_at = 0.0
         self._incarnation = Incarnation(0)
+        # The newest incarnation on the list for which the worker was asked.
+        self._checked_incarnation = Incarnation(0)
         self._worker_clock: tuple[int, float] | None = None
         self._last_report_at = clock()
         self._is_silent = False
         self._may_have_restarted = False
         self._acknowledged = 0
+        # Copies of starts without an answer, and until when each may still be
+        # carried out.
+        self._open_copies: dict[object, float] = {}
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
         self._orders: set[asyncio.Task[None]] = set()
@@ -138,6 +166,24 @@
         """Makes the session check at once whether a renewal is due."""
         self._wake.set()
 
+    @property
+    def fence(self) -> Epoch:
+        """The fence that the worker's present incarnation has to have seen."""
+        return self._fence
+
+    def update_info(self, info: WorkerInfo) -> None:
+        """Replaces the worker's entry in the platform's list.
+
+        A worker that the list shows to have restarted is asked at once.
+        """
+        self.info = info
+        if self._is_restart_listed():
+            self._wake.set()
+
+    def _is_restart_listed(self) -> bool:
+        known = max(self._incarnation, self._checked_incarnation)
+        return self.info.incarnation > known
+
     def move_to(self, info: WorkerInfo, link: WorkerLink) -> WorkerLink:
         """Switches to a link to another address and returns the former link.
 
@@ -175,9 +221,20 @@
             return False
         if self._scheduler.needs_polling(worker_id):
             return False
+        if self._is_restart_listed() or self._has_open_copies():
+            # An order that is still under way could start a task on a new
+            # incarnation that has not seen its fence.
+            return False
         await self._sleep_until_woken(IDLE_PAUSE_S)
         return True
 
+    def _has_open_copies(self) -> bool:
+        now = self._clock()
+        for copy, until in list(self._open_copies.items()):
+            if until <= now:
+                del self._open_copies[copy]
+        return bool(self._open_copies)
+
     async def _sleep_until_woken(self, seconds: float) -> None:
         try:
             async with asyncio.timeout(seconds):
@@ -188,8 +245,11 @@
 
     async def _renew(self) -> None:
         asked_at = self._clock()
+        fence, listed = self._fence, self.info.incarnation
         first = self._worker_clock is None or self._is_silent
-        known = not first and not self._may_have_restarted
+        known = not (
+            first or self._may_have_restarted or self._is_restart_listed()
+        )
         acknowledged = self._acknowledgement() if known else 0
         wait_s = self._renewal_wait_s() if known else 0.0
         deadline_ms = None
@@ -206,6 +266,10 @@
         if isinstance(answer, Err):
             await self._on_renewal_failed(answer.err_value)
             return
+        self._checked_incarnation = listed
+        if fence != self._fence or self._has_restarted(answer.ok_value):
+            # Late orders may still change what this report says.
+            return
         if copies == 1:
             self._acknowledged = max(self._acknowledged, acknowledged)
         self._on_report(answer.ok_value, asked_at)
@@ -229,11 +293,13 @@
             nonlocal copies
             copies += 1
             first = copies == 1
-            return await self._link.renew(
-                self._fence,
-                acknowledged if first else 0,
-                deadline_ms,
-                wait_s if first else 0.0,
+            return await self._call_fenced(
+                lambda link, fence: link.renew(
+                    fence,
+                    acknowledged if first else 0,
+                    deadline_ms,
+                    wait_s if first else 0.0,
+                )
             )
 
         answer = await first_answer(
@@ -279,12 +345,61 @@
         )
         return deadline
 
+    def _has_restarted(self, report: WorkerState) -> bool:
+        """Returns whether a report shows a restart; raises the fence if so."""
+        if self._incarnation in (0, report.incarnation):
+            return False
+        self._incarnation = report.incarnation
+        self._on_restart()
+        return True
+
+    def _on_restart(self) -> None:
+        """Raises the fence above that of all orders to earlier incarnations.
+
+        Until the new incarnation has seen it, it may carry out one of these
+        orders, which then gets the longest lease.
+        """
+        now = self._clock()
+        self._last_report_at = now
+        self._acknowledged = 0
+        self._worker_clock = None
+        self._unfenced_leases_end_at = (
+            now + MAX_ORDER_DELAY_S + longest_lease_s(self._times.lease_s)
+        )
+        if self._is_silent:
+            self._report_silent()
+        self.raise_fence()
+
+    def raise_fence(self) -> None:
+        """Has the worker refuse all orders that were sent before.
+
+        The term ends when its fences are used up.
+        """
+        if (self._fence + 1) % FENCES_PER_TERM == 0:
+            self._tenure.lose(
+                f"worker {self.info.worker_id} has restarted too often for "
+                "the fences of one term"
+            )
+            return
+        self._fence = Epoch(self._fence + 1)
+
+    def _report_silent(self) -> None:
+        lapses_at = max(self._leases_end_at, self._unfenced_leases_end_at)
+        self._emit(WorkerSilent(self.info.worker_id, lapses_at))
+
+    def _count_longest_lease(self, now: float) -> None:
+        """Notes that an unknown order may have granted a lease until now."""
+        self._leases_end_at = max(
+            self._leases_end_at, now + longest_lease_s(self._times.lease_s)
+        )
+
     def _on_report(self, report: WorkerState, asked_at: float) -> None:
         now = self._clock()
         self._last_report_at = now
-        if report.incarnation != self._incarnation:
-            self._incarnation = report.incarnation
-            self._acknowledged = 0
+        self._incarnation = report.incarnation
+        self._unfenced_leases_end_at = 0.0
+        if self._worker_clock is None:
+            self._count_longest_lease(now)
         self._worker_clock = (report.clock_ms, now)
         self._is_silent = False
         self._may_have_restarted = False
@@ -295,6 +410,7 @@
                 asked_at,
                 report.running,
                 report.ended,
+                report.complete,
             )
         )
 
@@ -304,6 +420,8 @@
                 f"worker {self.info.worker_id} has seen a higher fence"
             )
             return
+        if failure is OrderFailure.OUTDATED:
+            return
         now = self._clock()
         if failure is OrderFailure.OTHER_WORKER:
             self._emit(WorkerSilent(self.info.worker_id, now, gone=True))
@@ -313,7 +431,7 @@
         self._may_have_restarted = True
         if not self._is_silent and now - self._last_report_at > SILENT_AFTER_S:
             self._is_silent = True
-            self._emit(WorkerSilent(self.info.worker_id, self._leases_end_at))
+            self._report_silent()
         if self._is_silent:
             await asyncio.sleep(SILENT_PAUSE_S)
 
@@ -346,6 +464,8 @@
             # still be carried out seconds later, when there is room for the
             # task.
             settled = outcome is StartOutcome.STARTED or copies == 1
+        elif answer.err_value is OrderFailure.OUTDATED:
+            outcome, settled = StartOutcome.REFUSED, copies == 1
         elif answer.err_value is OrderFailure.SUPERSEDED:
             self._tenure.supersede("a worker has seen a higher fence")
             return
@@ -373,14 +493,23 @@
 
         async def send() -> Result[StartAnswer, OrderFailure]:
             nonlocal copies
-            if not self._can_grant_lease():
+            if not self._can_grant_lease() or not self._is_still_wanted(order):
                 return Err(OrderFailure.NO_ANSWER)
             copies += 1
+            now = self._clock()
             lease_s = min(START_LEASE_S, self._times.lease_s)
-            deadline_ms = self._grant_until_ms(self._clock(), lease_s)
-            return await self._call_current_link(
-                lambda link: link.start(order, self._fence, deadline_ms)
+            deadline_ms = self._grant_until_ms(now, lease_s)
+            copy, fence = object(), self._fence
+            self._open_copies[copy] = now + MAX_ORDER_DELAY_S
+            answer = await self._call_fenced(
+                lambda link, fence: link.start(order, fence, deadline_ms)
             )
+            if _has_answered(answer):
+                del self._open_copies[copy]
+            if isinstance(answer, Ok) and fence < self._fence:
+                # The clock may be that of an earlier incarnation.
+                return Ok(StartAnswer(answer.ok_value.outcome, None))
+            return answer
 
         answer = await first_answer(
             send,
@@ -421,6 +550,23 @@
             return answer
         return Err(OrderFailure.NO_ANSWER)
 
+    async def _call_fenced(
+        self,
+        call: Callable[
+            [WorkerLink, Epoch], Awaitable[Result[_Answer, OrderFailure]]
+        ],
+    ) -> Result[_Answer, OrderFailure]:
+        """Makes a call under the present fence.
+
+        A worker refuses an order that was sent before its restart was noticed;
+        this is told from the refusal that a newer scheduler causes.
+        """
+        fence = self._fence
+        answer = await self._call_current_link(lambda link: call(link, fence))
+        if answer == Err(OrderFailure.SUPERSEDED) and fence < self._fence:
+            return Err(OrderFailure.OUTDATED)
+        return answer
+
     async def _prepare_copy(self) -> bool:
         """Replaces the connections, since the present ones may be silent."""
         self._may_have_restarted = True
@@ -429,16 +575,37 @@
         return self._tenure.is_held()
 
     def _record_clock(self, answer: StartAnswer) -> StartOutcome:
-        if answer.clock_ms is not None:
-            self._worker_clock = (answer.clock_ms, self._clock())
+        if answer.clock_ms is None:
+            return answer.outcome
+        now = self._clock()
+        if self._is_clock_behind(answer.clock_ms, now):
+            # The incarnation of a worker that has just restarted is known from
+            # its next report.
+            self._incarnation = Incarnation(0)
+            self._on_restart()
+        else:
+            self._worker_clock = (answer.clock_ms, now)
         return answer.outcome
 
+    def _is_clock_behind(self, clock_ms: int, now: float) -> bool:
+        """Returns whether a clock shows less than the one that was read last.
+
+        Answers may overtake each other by the time that a call may take.
+        """
+        if self._worker_clock is None:
+            return False
+        earlier_ms, at = self._worker_clock
+        elapsed_s = (now - at) * (1 - MAX_CLOCK_DRIFT) - CALL_TIMEOUT_S
+        return clock_ms < earlier_ms + elapsed_s * 1000
+
     async def _send_pace(self, order: PaceTask) -> None:
         for _ in range(MAX_PACE_ATTEMPTS):
             if not self._tenure.is_held():
                 return
-            answer = await self._link.pace(
-                str(order.task), order.run, order.percent, self._fence
+            answer = await self._call_fenced(
+                lambda link, fence: link.pace(
+                    str(order.task), order.run, order.percent, fence
+                )
             )
             if isinstance(answer, Ok):
                 return
@@ -449,9 +616,9 @@
     async def _send_stop(self, order: StopTask) -> None:
         while self._tenure.is_held():
             answer = await first_answer(
-                lambda: self._call_current_link(
-                    lambda link: link.stop(
-                        str(order.task), order.run, self._fence
+                lambda: self._call_fenced(
+                    lambda link, fence: link.stop(
+                        str(order.task), order.run, fence
                     )
                 ),
                 _has_answered,
