--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
@@ -9,6 +9,9 @@
 from pomeloarch_core.batch.runs import RunController
 from pomeloarch_core.ids import WorkerId
 
+# Maximum number of released groups that one log entry names.
+MAX_LOGGED_GROUPS = 50
+
 
 class RecoveryTracker:
     """Releases groups once no run of an earlier scheduler can be unknown.
@@ -109,14 +112,24 @@
                 "doubts cleared",
                 {
                     "jobs": sorted({each.job.job.job_id for each in released}),
+                    "groups": [
+                        each.name for each in released[:MAX_LOGGED_GROUPS]
+                    ],
+                    "groups_released": len(released),
                     "groups_left": len(self._pending),
                     "workers_unheard": sorted(self._unheard or ()),
                     "awaited_last": sorted(awaited),
+                    "lapsed": sorted(filter(self._has_lapsed, awaited)),
                     "took_s": round(now - self._began_at, 3),
                 },
             )
         )
 
+    def _has_lapsed(self, worker_id: WorkerId) -> bool:
+        """Returns whether a worker is not awaited since its leases ended."""
+        worker = self._fleet.get(worker_id)
+        return worker is None or not worker.reported
+
     def _release(self, group: Group, now: float) -> None:
         """Releases a group; one of which tasks are missing is stopped."""
         group.recovery_pending = False
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -9,6 +9,8 @@
 from pomeloarch_core.batch.messages import (
     Decision,
     EndedTask,
+    Evidence,
+    Incarnation,
     LogEntry,
     RunningTask,
     RunNumber,
@@ -42,14 +44,17 @@
         self, worker: Worker, event: WorkerReported, now: float
     ) -> None:
         """Processes a worker's running and ended runs."""
-        if worker.incarnation not in (0, event.incarnation):
+        previous = worker.incarnation
+        worker.incarnation = event.incarnation
+        worker.asked_at = event.asked_at
+        if previous not in (0, event.incarnation):
             # A new incarnation knows no ends of the previous one. The runs that
             # it has were started since, and those that it doesn't have are
             # found missing below.
+            self._log_restart(worker, previous, now)
             worker.last_end = 0
             worker.pending_ends.clear()
-            worker.drop_unaccounted_runs()
-        worker.incarnation = event.incarnation
+            self._runs.drop_unaccounted_runs(worker, Evidence.RESTARTED, now)
         worker.mark_answered(event.complete)
         running = {
             (reported.task, reported.run): reported
@@ -61,6 +66,26 @@
             self._remove_missing(worker, running, event.asked_at, now)
         worker.heard_at = now
 
+    def _log_restart(
+        self, worker: Worker, previous: Incarnation, now: float
+    ) -> None:
+        """Logs how much a worker had that its new incarnation doesn't know."""
+        assert worker.asked_at is not None
+        self._out.append(
+            LogEntry(
+                "worker restarted",
+                {
+                    "worker": worker.worker_id,
+                    "old_incarnation": previous,
+                    "incarnation": worker.incarnation,
+                    "asked_s_ago": round(now - worker.asked_at, 3),
+                    "tasks_lost": sum(worker.groups.values()),
+                    "unaccounted_runs_lost": len(worker.unaccounted_runs),
+                    "ends_not_durable": len(worker.pending_ends),
+                },
+            )
+        )
+
     def _process_ends(
         self, worker: Worker, ended: tuple[EndedTask, ...], now: float
     ) -> None:
@@ -70,8 +95,12 @@
             worker.last_end = end.number
             group = self._jobs.group_of(end.task)
             if end.task is not None:
-                worker.drop_unaccounted_run(end.task, end.run)
+                self._runs.drop_unaccounted_run(
+                    worker, end.task, end.run, Evidence.END_REPORTED, now
+                )
             if group is None or end.task is None:
+                if end.task is not None:
+                    self._runs.log_former_end(end.task, worker, end)
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
@@ -180,6 +209,7 @@
                         "task": str(reported.task),
                         "run": reported.run,
                         "worker": worker.worker_id,
+                        "incarnation": worker.incarnation,
                     },
                 )
             )
@@ -189,15 +219,16 @@
 
     def _unaccounted_need(
         self, worker: Worker, reported: RunningTask
-    ) -> Resources:
+    ) -> Resources | None:
         """Returns the resources that an unaccounted run takes from its worker.
 
-        A member of a group that has ended still holds its own resources. A run
-        of an unknown job may use everything.
+        A member of a group that has ended still holds its own resources. Those
+        of a run of an unknown job aren't known. The worker's capacity may not
+        be known yet either.
         """
         group = self._jobs.group_of(reported.task)
         if group is None:
-            return worker.info.capacity
+            return None
         member = group.members.get(reported.task.index)
         held = (
             member is not None
@@ -216,7 +247,9 @@
         """Frees the resources of runs that a worker no longer has."""
         for key in [k for k in worker.unaccounted_runs if k not in running]:
             if worker.unaccounted_runs[key] < asked_at:
-                worker.drop_unaccounted_run(*key)
+                self._runs.drop_unaccounted_run(
+                    worker, *key, Evidence.NOT_REPORTED, now
+                )
         for group in list(worker.groups):
             if group.state is GroupState.CLAIMED:
                 continue
@@ -231,6 +264,13 @@
                     else member.started_at
                 )
                 if confirmed_at is not None and confirmed_at < asked_at:
+                    restarted = member.incarnation != worker.incarnation
                     self._runs.remove_member(
-                        group, index, "its worker no longer has it", now
+                        group,
+                        index,
+                        Evidence.RESTARTED
+                        if restarted
+                        else Evidence.NOT_REPORTED,
+                        "its worker no longer has it",
+                        now,
                     )
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -52,7 +52,11 @@
     StartAnswer,
     WorkerState,
 )
-from pomeloarch_node.batch.worker_session import SessionTimes, WorkerSession
+from pomeloarch_node.batch.worker_session import (
+    SessionTimes,
+    WorkerSession,
+    longest_lease_s,
+)
 from pomeloarch_standins.virtual_time import run_virtual
 
 INFO = WorkerInfo(
@@ -303,6 +307,31 @@
     assert took_s < URGENT_SLACK_S
 
 
+@pytest.mark.parametrize(
+    ("lost", "outcome"),
+    [
+        (0, StartOutcome.STARTED),
+        (1, StartOutcome.STARTED),
+        (2, StartOutcome.STARTED),
+        (3, StartOutcome.NO_ANSWER),
+    ],
+)
+def test_copies_of_a_start_that_had_no_answer_are_counted(lost, outcome):
+    async def scenario():
+        session, link, events = make_lossy_session(0)
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(5.0)
+        link.left["start"] = lost
+        session.start(ORDERS[StartAnswered])
+        await asyncio.sleep(5.0)
+        running.cancel()
+        await session.close()
+        return [e for _, e in events if isinstance(e, StartAnswered)]
+
+    (answered,) = run_virtual(scenario())
+    assert (answered.outcome, answered.unanswered) == (outcome, lost)
+
+
 @pytest.mark.parametrize("lost", [0, 1])
 def test_renewal_without_an_answer_is_repeated_soon(lost):
     """Guards against ends that one lost answer delayed by 1.7 s."""
@@ -679,3 +708,134 @@
     # After a restart, a start may also wait until the clock is known.
     assert later or restarts
     assert all((each < 400_000) == restarts for each in later)
+
+
+class DepartedLink(ScriptedLink):
+    """Answers until the worker leaves; then each call fails.
+
+    Args:
+      failures: how calls fail in turn, with the time that each takes, in
+        seconds; the last one repeats.
+    """
+
+    LEFT_AT_S = 3.0
+
+    def __init__(self, failures):
+        super().__init__([])
+        self._failures = list(failures)
+        self.answered_at = 0.0
+
+    async def renew(self, fence, acknowledged, deadline_ms, wait_s):
+        now = asyncio.get_running_loop().time()
+        if now < self.LEFT_AT_S:
+            self.answered_at = now
+            await asyncio.sleep(0.01 + wait_s)
+            return Ok(WorkerState(Incarnation(1), running_clock_ms(), (), ()))
+        failure, took_s = self._failures[0]
+        if len(self._failures) > 1:
+            del self._failures[0]
+        await asyncio.sleep(took_s)
+        return Err(failure)
+
+
+async def lease_counted_after(failures):
+    """Returns for how long a lease counts after the last answered renewal.
+
+    Args:
+      failures: how renewals fail once the worker has left.
+    """
+    loop = asyncio.get_running_loop()
+    link = DepartedLink(failures)
+    events = []
+    session = WorkerSession(
+        INFO,
+        link,
+        HeldTenure(),
+        Epoch(1),
+        PermissiveScheduler(),
+        events.append,
+        loop.time,
+        TIMES,
+        0.0,
+    )
+    running = asyncio.create_task(session.run())
+    await asyncio.sleep(10.0)
+    running.cancel()
+    await session.close()
+    (silent,) = [e for e in events if isinstance(e, WorkerSilent)]
+    return silent.lapses_at - link.answered_at
+
+
+# What a lease counts for after its renewal was sent, with what the worker's
+# clock may be slow by since it was read, in seconds.
+LEASE_COUNTED_S = longest_lease_s(TIMES.lease_s) + 0.05
+LOST = (OrderFailure.NO_ANSWER, 0.7)
+REFUSED = (OrderFailure.NO_LISTENER, 0.01)
+UNREACHABLE = (OrderFailure.NO_CONNECTION, 0.6)
+
+
+@pytest.mark.parametrize(
+    ("failures", "grants"),
+    [
+        ([REFUSED], 0),
+        ([UNREACHABLE], 0),
+        ([REFUSED, UNREACHABLE], 0),
+        ([LOST, REFUSED], 1),
+        ([LOST, UNREACHABLE], 1),
+        ([LOST], 3),
+    ],
+    ids=[
+        "all refused",
+        "no connection",
+        "refused, then no connection",
+        "the first lost",
+        "the first lost, then no connection",
+        "all lost",
+    ],
+)
+def test_only_renewals_that_may_have_arrived_count_as_leases(failures, grants):
+    """Guards against tasks that wait for leases that nobody was granted."""
+    counted_s = run_virtual(lease_counted_after(failures))
+    if grants <= 1:
+        latest_s = grants * (TIMES.wait_s + 0.05) + LEASE_COUNTED_S
+        assert counted_s <= latest_s
+        assert counted_s > latest_s - 0.2
+    else:
+        assert counted_s > LEASE_COUNTED_S + 2.0
+
+
+@pytest.mark.parametrize(
+    "failure", [OrderFailure.NO_LISTENER, OrderFailure.NO_ANSWER]
+)
+def test_worker_that_fails_renewals_at_once_is_asked_after_a_pause(failure):
+    """Guards against a flood of calls to a worker that is down."""
+
+    async def scenario():
+        link = DepartedLink([(failure, 0.001)])
+        calls = []
+        original = link.renew
+
+        async def renew(*args):
+            calls.append(asyncio.get_running_loop().time())
+            return await original(*args)
+
+        link.renew = renew
+        session = WorkerSession(
+            INFO,
+            link,
+            HeldTenure(),
+            Epoch(1),
+            PermissiveScheduler(),
+            lambda event: None,
+            asyncio.get_running_loop().time,
+            TIMES,
+            0.0,
+        )
+        running = asyncio.create_task(session.run())
+        await asyncio.sleep(10.0)
+        running.cancel()
+        await session.close()
+        late = [at for at in calls if at >= DepartedLink.LEFT_AT_S]
+        return max(sum(a <= at < a + 1.0 for at in late) for a in late)
+
+    assert run_virtual(scenario()) <= 20
