Show machines that a successor does not count as down

A leader acts until its lease ends, also after others have claimed the role. A machine that it takes down then is still down when the successor, whose plan of the wave begins with no machine down, gives its first order. In the model two machines of a wave that allows one are down at once if the last order is carried out 2.5 or 3.4 s after the successor's term has begun; not at 0 or 1 s.

No logic is changed.

--- /dev/null
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -0,0 +1,118 @@
+"""Tests of the upkeep of machines when the leader changes, in virtual time."""
+
+import asyncio
+import random
+
+import pytest
+from result import Ok
+
+from pomeloarch_core.batch.upkeep import MachineId, UpkeepOutcome, Wave
+from pomeloarch_core.ids import Epoch, NodeId, WorkerId
+from pomeloarch_node.batch.ports import Machine
+from pomeloarch_node.batch.upkeep_task import UpkeepTask, WaveSource
+from pomeloarch_node.platform import Write
+from pomeloarch_standins.batch_store import FeedTables, StoreLink
+from pomeloarch_standins.virtual_time import run_virtual
+
+UPKEEP_S = 2.0
+# Earliest order of a leader after the beginning of its term, in seconds.
+HANDOVER_S = 3.5
+WAVE = Wave(1, (MachineId("m1"), MachineId("m2"), MachineId("m3")), 60.0, 1)
+
+
+class Machines:
+    """A machine service that records how many machines are down at once.
+
+    Attributes:
+      max_down: the maximum number of machines that were down at a time.
+    """
+
+    def __init__(self):
+        self.max_down = 0
+        self._down_until = {}
+        self._done = set()
+
+    def _is_down(self, machine):
+        now = asyncio.get_running_loop().time()
+        return self._down_until.get(machine, 0.0) > now
+
+    async def machines(self):
+        found = []
+        for each in WAVE.machines:
+            down = self._is_down(each)
+            worker_id = None if down else WorkerId(f"w-{each}")
+            found.append(Machine(each, worker_id, not down))
+        return Ok(tuple(found))
+
+    async def upkeep(self, machine, wave, holder, fence):
+        if machine not in self._done:
+            self._done.add(machine)
+            now = asyncio.get_running_loop().time()
+            self._down_until[machine] = now + UPKEEP_S
+            down = sum(map(self._is_down, WAVE.machines))
+            self.max_down = max(self.max_down, down)
+        return UpkeepOutcome.DONE
+
+
+class Tenure:
+    """A tenure that is not lost."""
+
+    def is_held(self):
+        return True
+
+    def is_sole_holder(self):
+        return True
+
+
+class Scheduler:
+    """Knows no tasks on any worker."""
+
+    def can_end_tasks(self, worker_id):
+        return True
+
+    def busy_s(self, worker_id, now):
+        return 0.0
+
+
+# The former leader acts until its lease ends, some 2 s after the role was
+# claimed, and its last order may take 1.5 s.
+@pytest.mark.parametrize("last_order_s", [0.0, 1.0, 2.5, 3.4])
+def test_successor_counts_machines_that_its_predecessor_took_down(last_order_s):
+    """Guards against more machines down at once than a wave allows."""
+
+    async def scenario():
+        machines = Machines()
+        loop = asyncio.get_running_loop()
+        source = WaveSource(
+            lambda: (WAVE,),
+            lambda number, done: Write("status", str(number), {"done": done}),
+        )
+        task = UpkeepTask(
+            source,
+            machines,
+            StoreLink(FeedTables(), random.Random(1)),
+            Scheduler(),
+            lambda event: None,
+            Tenure(),
+            NodeId("n"),
+            Epoch(512),
+            loop.time,
+            loop.time() + HANDOVER_S,
+            UPKEEP_S,
+            Log(),
+        )
+        running = asyncio.create_task(task.run())
+        await asyncio.sleep(last_order_s)
+        await machines.upkeep(WAVE.machines[0], 1, NodeId("former"), Epoch(256))
+        await asyncio.sleep(30.0)
+        running.cancel()
+        return machines.max_down, len(machines._done)
+
+    assert run_virtual(scenario()) == (1, 3)
+
+
+class Log:
+    """Drops all events."""
+
+    def write(self, event, **fields):
+        pass
