Show leases of the gang scheduler that outlast their reported end

- An unlisted worker's tasks are given up after 30 s.
Leases grow with the zone: at 1,455 workers they last 87 s.
The task still runs after 30 s; at 1, 120 and 400 workers it has ended.
- A renewal grants its lease from when it arrives.
Calls are reckoned to arrive within their time-out of 2 s.
One that is carried out 4.9 s late, just before the earlier lease runs out, keeps the task running when its worker is reported as unreachable; at 1.5, 3.5 and 8 s it has ended.

No logic is changed.

--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -12,6 +12,7 @@
     WorkerReported,
     WorkerUnreachable,
 )
+from pomeloarch_core.gang.scheduler import UNLISTED_WORKER_GRACE_S
 from pomeloarch_core.ids import Epoch
 from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.scheduler_tenure import Tenure
@@ -301,3 +302,65 @@
         return holder.outcomes()[-1], starts
 
     assert run(main) == (OrderOutcome.UNKNOWN, 1)
+
+
+@pytest.mark.parametrize("hosts_per_rack", [1, 120, 400, 1455])
+def test_tasks_of_an_unlisted_worker_end_before_they_count_as_ended(
+    hosts_per_rack,
+):
+    """Guards against a second run of a job in a zone with many workers.
+
+    The more workers, the longer their leases; the time after which an unlisted
+    worker's tasks are given up has to exceed them.
+    """
+
+    async def main():
+        hosts = worker_hosts(
+            "127.0.0.1:1", ["patan"], hosts_per_rack=hosts_per_rack
+        )
+        fleet = WorkerFleet.from_hosts(hosts)
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(15.0)
+        running = task_states(fleet)
+        holder.directory.replace(tuple(h for h in hosts if h.id != WORKER))
+        await asyncio.sleep(UNLISTED_WORKER_GRACE_S)
+        return running, task_states(fleet)
+
+    found = run_virtual(main())
+    assert found == ([TaskState.RUNNING], [TaskState.STOPPED])
+
+
+@pytest.mark.parametrize("late_s", [1.5, 3.5, 4.9, 8.0])
+def test_late_renewal_does_not_outlast_the_reported_end_of_the_leases(late_s):
+    """Guards against a second run on a day on which calls arrive late.
+
+    The last call before the worker can't be reached has no answer and is
+    carried out late. The lease that it grants begins only then, unless the
+    earlier one has run out before.
+    """
+
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(5.0)
+        states_at_event = []
+        holder.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        worker = fleet.workers[WORKER]
+
+        def delay(_worker_id, req):
+            holder.client.on_post = None
+            loop.call_later(late_s, lambda: worker.handle(req, loop.time()))
+            return FaultMode.STALL
+
+        holder.client.faults[WORKER] = FaultMode.DOWN
+        holder.client.on_post = delay
+        await asyncio.sleep(60.0)
+        return states_at_event
+
+    assert run(main) == [TaskState.STOPPED]
