--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -153,7 +153,7 @@
         # grant to one that has not seen its fence.
         self._unfenced_leases_end_at = 0.0
         self._incarnation = Incarnation(0)
-        # The newest incarnation on the list for which the worker was asked.
+        # The last incarnation on the list for which the worker was asked.
         self._checked_incarnation = Incarnation(0)
         self._worker_clock: tuple[int, float] | None = None
         self._last_report_at = clock()
@@ -186,8 +186,11 @@
             self._wake.set()
 
     def _is_restart_listed(self) -> bool:
-        known = max(self._incarnation, self._checked_incarnation)
-        return self.info.incarnation > known
+        return self.info.incarnation not in (
+            0,
+            self._incarnation,
+            self._checked_incarnation,
+        )
 
     def move_to(self, info: WorkerInfo, link: WorkerLink) -> WorkerLink:
         """Switches to a link to another address and returns the former link.
@@ -524,7 +527,7 @@
                 lambda link, fence: link.start(order, fence, deadline_ms)
             )
             if _has_answered(answer) or not _may_have_arrived(answer):
-                del self._open_copies[copy]
+                self._open_copies.pop(copy, None)
             if isinstance(answer, Ok) and fence < self._fence:
                 # The clock may be that of an earlier incarnation.
                 return Ok(StartAnswer(answer.ok_value.outcome, None))
