--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 PACKAGES := $(wildcard packages/*) platform
 ARGS ?=
 
-.PHONY: demo drill soak test measure fuzz format lint types unit clean
+.PHONY: demo drill soak test measure fuzz format lint types unit check-install \
+  clean
 
 # The environment is rebuilt when a version or a package's metadata changes.
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -47,6 +48,10 @@
 fuzz: $(VENV)/.installed
 	POMELOARCH_FUZZ=1 $(BIN)/python -m pytest -n 4 packages -k "machine or fuzz" $(ARGS)
 
+# Needs the network; takes some minutes.
+check-install:
+	bash tools/check_install.sh
+
 format: $(VENV)/.installed
 	$(BIN)/ruff format packages platform conftest.py
 	$(BIN)/ruff check --fix packages platform conftest.py
