--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,8 @@
 PACKAGES := $(wildcard packages/*) platform
 ARGS ?=
 
-.PHONY: demo drill soak test measure fuzz fuzz-batch format lint types unit clean
+.PHONY: demo drill soak test measure fuzz fuzz-batch format lint types unit \
+  check-install clean
 
 # The environment is rebuilt when a version or a package's metadata changes.
 $(VENV)/.installed: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
@@ -51,6 +52,10 @@
 fuzz-batch: $(VENV)/.installed
 	PYTHONHASHSEED=0 $(BIN)/python -m pomeloarch_standins.batch_fuzz $(ARGS)
 
+# Needs the network; takes some minutes.
+check-install:
+	bash tools/check_install.sh
+
 format: $(VENV)/.installed
 	$(BIN)/ruff format packages platform conftest.py
 	$(BIN)/ruff check --fix packages platform conftest.py
