Don't ask idle workers only since an order to them is open

Cause: an idle worker was asked over and over while a copy of a start had no answer. Where many orders and answers are lost, such a worker soon counted as late or silent, and its zone was given nothing meanwhile.

Change: an idle worker is asked once the list shows another incarnation. A silent one that has tasks is still asked soon while a copy is open.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -227,7 +227,7 @@
             return False
         if self._scheduler.needs_polling(worker_id):
             return False
-        if self._is_restart_listed() or self._has_open_copies():
+        if self._is_restart_listed():
             # An order that is still under way could start a task on a new
             # incarnation that has not seen its fence.
             return False
