--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -218,6 +218,21 @@
         return False
 
 
+def make_session(link, emit, tenure=None):
+    """Returns a session whose scheduler still wants every start."""
+    return WorkerSession(
+        INFO,
+        link,
+        tenure or HeldTenure(),
+        Epoch(1),
+        PermissiveScheduler(),
+        emit,
+        asyncio.get_running_loop().time,
+        TIMES,
+        0.0,
+    )
+
+
 class LossyLink(ScriptedLink):
     """Loses the first answers to each kind of call."""
 
@@ -267,17 +282,7 @@
     clock = asyncio.get_running_loop().time
     events = []
     link = LossyLink(answers)
-    session = WorkerSession(
-        INFO,
-        link,
-        HeldTenure(),
-        Epoch(1),
-        PermissiveScheduler(),
-        lambda event: events.append((clock(), event)),
-        clock,
-        TIMES,
-        0.0,
-    )
+    session = make_session(link, lambda event: events.append((clock(), event)))
     return session, link, events
 
 
@@ -519,20 +524,9 @@
     """
 
     async def scenario():
-        loop = asyncio.get_running_loop()
         link = LossyLink(0)
         tenure = LosableTenure()
-        session = WorkerSession(
-            INFO,
-            link,
-            tenure,
-            Epoch(1),
-            PermissiveScheduler(),
-            lambda event: None,
-            loop.time,
-            TIMES,
-            0.0,
-        )
+        session = make_session(link, lambda event: None, tenure)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(1.0)
         session.start(ORDERS[StartAnswered])
@@ -616,20 +610,9 @@
     """
 
     async def scenario():
-        loop = asyncio.get_running_loop()
         link = RestartedLink(late_s)
         events = []
-        session = WorkerSession(
-            INFO,
-            link,
-            HeldTenure(),
-            Epoch(1),
-            PermissiveScheduler(),
-            events.append,
-            loop.time,
-            TIMES,
-            0.0,
-        )
+        session = make_session(link, events.append)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(30.0)
         running.cancel()
@@ -680,19 +663,8 @@
     """
 
     async def scenario():
-        loop = asyncio.get_running_loop()
         link = OvertakenLink(restarts)
-        session = WorkerSession(
-            INFO,
-            link,
-            HeldTenure(),
-            Epoch(1),
-            PermissiveScheduler(),
-            lambda event: None,
-            loop.time,
-            TIMES,
-            0.0,
-        )
+        session = make_session(link, lambda event: None)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(1.0)
         session.start(ORDERS[StartAnswered])
@@ -744,20 +716,9 @@
     Args:
       failures: how renewals fail once the worker has left.
     """
-    loop = asyncio.get_running_loop()
     link = DepartedLink(failures)
     events = []
-    session = WorkerSession(
-        INFO,
-        link,
-        HeldTenure(),
-        Epoch(1),
-        PermissiveScheduler(),
-        events.append,
-        loop.time,
-        TIMES,
-        0.0,
-    )
+    session = make_session(link, events.append)
     running = asyncio.create_task(session.run())
     await asyncio.sleep(10.0)
     running.cancel()
@@ -820,17 +781,7 @@
             return await original(*args)
 
         link.renew = renew
-        session = WorkerSession(
-            INFO,
-            link,
-            HeldTenure(),
-            Epoch(1),
-            PermissiveScheduler(),
-            lambda event: None,
-            asyncio.get_running_loop().time,
-            TIMES,
-            0.0,
-        )
+        session = make_session(link, lambda event: None)
         running = asyncio.create_task(session.run())
         await asyncio.sleep(10.0)
         running.cancel()
