Keep tasks and ends from late orders to restarted workers

Who freed the task or acknowledged the end didn't know of the order: the session kept it for its own polling only.

Change: one record of the orders to start without an answer (OpenStarts), to which sessions add each copy before it is sent. From it follow - when an end that forbids later starts may be acknowledged: the job completes at once, as before, and the worker keeps the end. If it crashes, the end was never taken note of, and the late order breaks nothing; - where a task may run: elsewhere only when no copy is open. A single task may start again on the worker that may still carry out the order, since a restart ends its run there; a gang waits. Long-running tasks don't wait; - for a successor, that any order of an earlier scheduler may be open for 13 s after the last moment at which that one can have sent it, so the ends of inherited and unknown jobs are kept until then. No writes are added. The answer to a copy is awaited after that to another copy too, so that a repeated order in a calm moment is settled as soon as it is answered.

Ruled out: the header that names the instance holds the id, which both incarnations have. Barring by the present incarnation's fence or a stop lasts only until its next restart.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -27,6 +27,7 @@
 from pomeloarch_core.batch.messages import Decision
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.objectives import Standing
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.batch.placing import (
     Placement,
     exclude_slow,
@@ -86,6 +87,7 @@
       runs: starts and stops groups.
       estimator: estimates how long runs and jobs will take.
       advice: which workers may run a step, where an outside service decides.
+      open_starts: the orders to start without an answer.
       out: list to which questions for advice are added.
       cfg: time limits of the deployment.
     """
@@ -96,6 +98,7 @@
         runs: RunController,
         estimator: RunEstimator,
         advice: AdviceCache,
+        open_starts: OpenStarts,
         out: list[Decision],
         cfg: DispatchTimes,
     ) -> None:
@@ -104,6 +107,7 @@
         self._runs = runs
         self._estimator = estimator
         self._advice = advice
+        self._open_starts = open_starts
         self._out = out
         self._cfg = cfg
         self._headroom = UrgentHeadroom()
@@ -147,6 +151,7 @@
             now,
             wall,
         )
+        ready = self._exclude_open_starts(ready, placing_round, now)
         self._protect_late_gangs(ready, placing_round)
         self._collect_awaited(ready, placing_round)
         failed: dict[JobEntry, None] = {}
@@ -157,6 +162,33 @@
                 self._place_or_make_room(group, placing_round, now, wall)
         return list(failed)
 
+    def _exclude_open_starts(
+        self, groups: list[Group], placing_round: PlacingRound, now: float
+    ) -> list[Group]:
+        """Returns the groups that can't be started twice by earlier orders.
+
+        A single task may run on the worker that may still carry out the
+        earlier order: whatever starts it there, it has one run. A long-running
+        task that waited would be away for longer than it may, and copies of a
+        speculative one may run at the same time.
+        """
+        open_tasks = self._open_starts.tasks(now)
+        if not open_tasks:
+            return groups
+        free = []
+        for group in groups:
+            exempt = group.step.long_running or group.step.speculative
+            if exempt or open_tasks.isdisjoint(group.tasks()):
+                free.append(group)
+                continue
+            workers = self._open_starts.workers(group.tasks()[0], now)
+            if len(group.indices) == 1 and len(workers) == 1:
+                placing_round.only_workers[group] = workers.pop()
+                free.append(group)
+                continue
+            self._log_waiting(group, WaitReason.OPEN_START, None, False, now)
+        return free
+
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
         for group in entry.all_groups():
@@ -173,6 +205,8 @@
             group, stragglers, run_s, self._preemption_delay_s()
         ):
             return
+        if any(self._open_starts.is_open(each, now) for each in group.tasks()):
+            return
 
         def room(worker: Worker) -> Resources:
             own = group.step.allocation * worker.groups.get(group, 0)
@@ -199,14 +233,15 @@
     ) -> None:
         covered = group.job.job.job_id in placing_round.guaranteed
         key = placing_key(group, covered)
-        if key in placing_round.keys_without_room:
+        is_bound = group in placing_round.only_workers
+        if key in placing_round.keys_without_room and not is_bound:
             return
         self._load_usable(group, placing_round, now)
         if placing_round.may_have_room(group):
             candidates = self._find_candidates(group, placing_round, now)
             if self._place(group, candidates, placing_round, now):
                 return
-        if not group.failures and not group.failed_on:
+        if not group.failures and not group.failed_on and not is_bound:
             # No worker was excluded for failures of this group, so that the
             # result holds for other groups with this key as well.
             placing_round.keys_without_room.add(key)
@@ -226,10 +261,14 @@
     ) -> list[Worker]:
         siblings = self._count_siblings(group)
         usable = placing_round.usable[group.job.queue.service]
-        found = filter_suitable(group, usable, siblings)
-        if (group.failures or group.failed_on) and not _would_fit_empty(
-            group, found
-        ):
+        only = placing_round.only_workers.get(group)
+        if only is not None:
+            usable = [each for each in usable if each.worker_id == only]
+        found = filter_suitable(
+            group, usable, siblings, ignore_failures=only is not None
+        )
+        avoids_workers = only is None and (group.failures or group.failed_on)
+        if avoids_workers and not _would_fit_empty(group, found):
             found = self._ignore_failures(group, usable, siblings) or found
         if group.job.queue.advised:
             return self._filter_advised(group, found, now)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -42,7 +42,8 @@
       unaccounted_runs: runs on it that no group accounts for, and when each was
         first reported.
       pending_ends: tasks of the ends that may not be forgotten before the row
-        of their job is durable, by number of the end.
+        of their job is durable and their open starts are settled, by number of
+        the end.
       last_end: the highest number of an end that was processed.
       enrolled: whether the durable roster says that it may run any task.
       may_run: names of the only tasks that it may run or have run, while it is
@@ -214,7 +215,7 @@
             self._used -= need
 
     def acknowledged_up_to(self) -> int:
-        """Returns the number up to which all ends are durable."""
+        """Returns the number up to which all ends may be forgotten."""
         return min(self.pending_ends, default=self.last_end + 1) - 1
 
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -43,12 +43,14 @@
 class WaitReason(enum.Enum):
     """Why a ready group has no places.
 
+    OPEN_START: an earlier order to start it may still be carried out.
     ROOM: enough workers will be free in time without preemption.
     VICTIMS: no groups can be preempted that would make enough room.
     COST: preemption would cost more than the group is worth.
     ANY_ROOM: no room is in sight.
     """
 
+    OPEN_START = "open_start"
     ROOM = "room"
     VICTIMS = "victims"
     COST = "cost"
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -10,22 +10,44 @@
 from pomeloarch_core.batch.groups import Group, GroupState, JobEntry
 from pomeloarch_core.batch.messages import (
     Decision,
+    EndedTask,
     Incarnation,
     LogEntry,
+    RunEnd,
     TaskId,
 )
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import RunController
 from pomeloarch_core.ids import JobId
 
+# Ends that forbid further starts of their task once they are acknowledged.
+_COUNTED_ENDS = frozenset({RunEnd.DONE, RunEnd.FAILED})
+
 
 class _HeldEnd(NamedTuple):
-    """An end that a worker keeps until a change of its job's row is durable."""
+    """An end that a worker keeps until it may be acknowledged.
+
+    Attributes:
+      worker: the worker.
+      incarnation: the incarnation that listed it.
+      number: its number there.
+      change: the change of the job's row that has to be durable first.
+      awaited: the tasks whose open starts have to be settled first.
+      until: the earliest time at which it may be acknowledged.
+    """
 
     worker: Worker
     incarnation: Incarnation
     number: int
     change: int
+    awaited: frozenset[TaskId]
+    until: float
+
+    def release(self) -> None:
+        """Lets the worker forget the end; another incarnation has no such."""
+        if self.worker.incarnation == self.incarnation:
+            self.worker.pending_ends.pop(self.number, None)
 
 
 class JobRegistry:
@@ -38,6 +60,7 @@
     Args:
       runs: starts and stops groups.
       advice: advice about the steps of jobs.
+      open_starts: the orders to start without an answer.
       out: list to which decisions are added.
       wall_offset: time of the wall clock minus time of the scheduler's clock,
         in seconds.
@@ -47,16 +70,20 @@
         self,
         runs: RunController,
         advice: AdviceCache,
+        open_starts: OpenStarts,
         out: list[Decision],
         wall_offset: float,
     ) -> None:
         """Creates a registry without jobs."""
+        self._open_starts = open_starts
         self.wall_offset = wall_offset
         self._runs = runs
         self._advice = advice
         self._out = out
         self._entries: dict[JobId, JobEntry] = {}
         self._held_ends: dict[JobId, list[_HeldEnd]] = {}
+        # Ends whose rows are durable, while a start of their task is open.
+        self._guarded_ends: list[_HeldEnd] = []
 
     def __iter__(self) -> Iterator[JobEntry]:
         """Iterates over the jobs in the order in which they were added."""
@@ -108,36 +135,89 @@
             )
         )
 
-    def hold_end_until_written(
-        self, entry: JobEntry, worker: Worker, number: int, task: TaskId
+    def hold_end(
+        self,
+        entry: JobEntry | None,
+        worker: Worker,
+        end: EndedTask,
+        now: float,
     ) -> None:
-        """Has a worker keep an end until all that it reports is durable.
+        """Has a worker keep an end until it may be acknowledged.
 
-        This includes what another member of the gang reported first.
+        All that it reports has to be durable, which includes what another
+        member of the gang reported first. No start of its group may be open:
+        carried out after the acknowledgement, it would be a second run.
         """
-        if entry.written < entry.change:
-            worker.pending_ends[number] = task
-            held_ends = self._held_ends.setdefault(entry.job.job_id, [])
-            held_ends.append(
-                _HeldEnd(worker, worker.incarnation, number, entry.change)
+        assert end.task is not None
+        awaited: frozenset[TaskId] = frozenset()
+        until = 0.0
+        if end.how in _COUNTED_ENDS:
+            group = self.group_of(end.task)
+            awaited = frozenset([end.task] if group is None else group.tasks())
+            if entry is None or entry.maybe_started:
+                until = self._open_starts.earlier_until
+        change = 0 if entry is None else entry.change
+        held = _HeldEnd(
+            worker, worker.incarnation, end.number, change, awaited, until
+        )
+        is_open = self._is_start_open(held, now)
+        if entry is not None and entry.written < change:
+            self._held_ends.setdefault(entry.job.job_id, []).append(held)
+        elif is_open:
+            self._guarded_ends.append(held)
+        else:
+            return
+        worker.pending_ends[end.number] = end.task
+        if is_open:
+            self._log_kept(end, worker)
+
+    def _log_kept(self, end: EndedTask, worker: Worker) -> None:
+        self._out.append(
+            LogEntry(
+                "end kept while a start is open",
+                {
+                    "task": str(end.task),
+                    "run": end.run,
+                    "how": end.how.value,
+                    "worker": worker.worker_id,
+                    "incarnation": worker.incarnation,
+                    "end": end.number,
+                },
             )
+        )
 
-    def record_written(self, job_id: JobId, change: int) -> JobEntry | None:
+    def _is_start_open(self, held: _HeldEnd, now: float) -> bool:
+        return now < held.until or any(
+            self._open_starts.is_open(task, now) for task in held.awaited
+        )
+
+    def record_written(
+        self, job_id: JobId, change: int, now: float
+    ) -> JobEntry | None:
         """Records that a row is durable up to a change; returns the job."""
         held_ends = self._held_ends.pop(job_id, [])
-        for each in held_ends:
-            # Another incarnation numbers its ends anew.
-            same_incarnation = each.worker.incarnation == each.incarnation
-            if each.change <= change and same_incarnation:
-                each.worker.pending_ends.pop(each.number, None)
+        self._guarded_ends += [
+            each for each in held_ends if each.change <= change
+        ]
         left = [each for each in held_ends if each.change > change]
         if left:
             self._held_ends[job_id] = left
+        self.release_ends(now)
         entry = self.get(job_id)
         if entry is not None:
             entry.written = change
         return entry
 
+    def release_ends(self, now: float) -> None:
+        """Lets workers forget the durable ends whose starts are settled."""
+        guarded = []
+        for each in self._guarded_ends:
+            if self._is_start_open(each, now):
+                guarded.append(each)
+            else:
+                each.release()
+        self._guarded_ends = guarded
+
     def forget_if_finished(self, entry: JobEntry) -> None:
         """Forgets a job that has ended and has nothing left on a worker."""
         if (
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
@@ -8,7 +8,7 @@
 from pomeloarch_core.batch.groups import Group, GroupState
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.placing import Placement, RoomOf
-from pomeloarch_core.ids import JobId, ServiceName
+from pomeloarch_core.ids import JobId, ServiceName, WorkerId
 
 # States of groups whose resources will be free again.
 _RELEASING_STATES = (GroupState.STARTED, GroupState.STOPPING)
@@ -27,6 +27,8 @@
       protected: workers that groups of lower priority than a late gang must
         leave alone, although they go first: until when, and the gang's
         priority.
+      only_workers: the only worker that a group may be placed on, where there
+        is such.
       awaited_workers: workers that are reserved for gangs which are not urgent.
 
     Args:
@@ -53,6 +55,7 @@
         self.reserved_until: dict[Worker, float] = {}
         self.reservation_count = 0
         self.protected: dict[Worker, tuple[float, int]] = {}
+        self.only_workers: dict[Group, WorkerId] = {}
         self.awaited_workers: set[Worker] = set()
         self._estimate_remaining_s = remaining_s
         self._estimate_stop_cost = stop_cost
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -101,12 +101,11 @@
             if group is None or end.task is None:
                 if end.task is not None:
                     self._runs.log_former_end(end.task, worker, end)
+                    self._jobs.hold_end(None, worker, end, now)
                 continue
             self._runs.handle_end(group, worker, end, now)
             entry = group.job
-            self._jobs.hold_end_until_written(
-                entry, worker, end.number, end.task
-            )
+            self._jobs.hold_end(entry, worker, end, now)
             if not entry.row.status.is_final and entry.is_done:
                 self._jobs.finish(
                     entry, JobStatus.COMPLETED, "all tasks done", now
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -54,6 +54,7 @@
     critical_path_s,
     objective_s,
 )
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.batch.pacing import Pacer
 from pomeloarch_core.batch.recovery import RecoveryTracker
 from pomeloarch_core.batch.reports import ReportProcessor
@@ -74,6 +75,10 @@
 class BatchScheduler:
     """Decides for all services during one term.
 
+    Attributes:
+      open_starts: the orders to start without an answer, which those who send
+        the orders keep up to date.
+
     Args:
       term: number of this scheduler's term; part of the number of each run.
       catalogue: the configuration in force.
@@ -95,6 +100,7 @@
         self._fleet = Fleet()
         self._times = RunTimes()
         self._advice = AdviceCache()
+        self.open_starts = OpenStarts()
         self._pacer = Pacer()
         self._runs = RunController(
             term, self._fleet, self._times, self._advice, self._out
@@ -106,11 +112,12 @@
             self._runs,
             self._estimator,
             self._advice,
+            self.open_starts,
             self._out,
             cfg,
         )
         self._jobs = JobRegistry(
-            self._runs, self._advice, self._out, wall_offset
+            self._runs, self._advice, self.open_starts, self._out, wall_offset
         )
         self._reports = ReportProcessor(self._jobs, self._runs, self._out)
         self._recovery = RecoveryTracker(
@@ -538,7 +545,7 @@
 
     @_on.register
     def _on_written(self, event: RowWritten, now: float) -> None:
-        entry = self._jobs.record_written(event.job_id, event.change)
+        entry = self._jobs.record_written(event.job_id, event.change, now)
         if entry is not None:
             self._dispatcher.start_claimed(entry, now)
             self._jobs.forget_if_finished(entry)
@@ -546,6 +553,7 @@
     @_on.register
     def _on_tick(self, event: Tick, now: float) -> None:
         self._jobs.wall_offset = event.wall - now
+        self._jobs.release_ends(now)
         for worker in list(self._fleet):
             if worker.has_lapsed(now):
                 self._remove_lost_runs(worker, now)
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -1,4 +1,4 @@
-"""Ends that are reported only after the task has claimed another place."""
+"""Ends that are reported late, and orders to start whose answers are lost."""
 
 import pytest
 
@@ -11,10 +11,12 @@
     RosterWritten,
     RowWritten,
     RunEnd,
+    RunNumber,
     StartAnswered,
     StartOutcome,
     StartTask,
     StopAnswered,
+    TaskId,
     Tick,
     WorkerInfo,
     WorkerReported,
@@ -30,6 +32,7 @@
     Resources,
     Step,
 )
+from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import (
@@ -315,3 +318,109 @@
     )
     group = harness.group()
     assert (group.state, len(group.members)) == (GroupState.STARTED, 2)
+
+
+def ordered(harness, **step):
+    """Starts a job of one task.
+
+    Returns:
+      The order to start it, and the copy of it that has no answer.
+    """
+    harness.submit(JOB, NORMAL, Step(1, WHOLE, 4.0, **step))
+    harness.rows_written()
+    (order,) = harness.starts()
+    copy = harness.scheduler.open_starts.add(
+        order.task, order.worker_id, harness.now
+    )
+    harness.started(order)
+    return order, copy
+
+
+# An end that forbids later starts counts once it is acknowledged.
+@pytest.mark.parametrize(
+    ("how", "held"),
+    [
+        (RunEnd.DONE, True),
+        (RunEnd.FAILED, True),
+        (RunEnd.STOPPED, False),
+    ],
+)
+@pytest.mark.parametrize("settled", [True, False])
+def test_end_is_acknowledged_only_when_no_start_of_its_task_is_open(
+    how, held, settled
+):
+    """Guards against late orders that start a task after it was done."""
+    harness = Harness()
+    order, copy = ordered(harness)
+    harness.now += 1.0
+    end = EndedTask(1, order.task, order.run, how)
+    harness.report(order.worker_id, end)
+    harness.rows_written()
+    numbers = [harness.scheduler.acknowledged_up_to(order.worker_id)]
+    if settled:
+        harness.scheduler.open_starts.settle(copy)
+    else:
+        harness.now += MAX_ORDER_DELAY_S - 1.0
+    harness.emit(Tick(harness.now))
+    numbers.append(harness.scheduler.acknowledged_up_to(order.worker_id))
+    assert numbers == ([0, 1] if held else [1, 1])
+
+
+@pytest.mark.parametrize("how", [RunEnd.DONE, RunEnd.FAILED])
+def test_end_of_an_unknown_job_is_kept_while_earlier_orders_are_open(how):
+    """Guards against orders of an earlier scheduler that come after the end."""
+    harness = Harness()
+    harness.scheduler.open_starts.earlier_until = harness.now + 5.0
+    task = TaskId(OTHER_JOB, 0, 0, 0)
+    harness.report(WORKERS[0], EndedTask(1, task, RunNumber(1), how))
+    before = harness.scheduler.acknowledged_up_to(WORKERS[0])
+    harness.now += 5.0
+    harness.emit(Tick(harness.now))
+    after = harness.scheduler.acknowledged_up_to(WORKERS[0])
+    assert (before, after) == (0, 1)
+
+
+# A long-running task may not be away for long; of a speculative one, copies may
+# run at the same time.
+@pytest.mark.parametrize(
+    ("step", "waits"),
+    [
+        ({}, True),
+        ({"gang": True}, True),
+        ({"long_running": True}, False),
+        ({"speculative": True}, False),
+    ],
+)
+def test_task_runs_elsewhere_only_when_no_earlier_start_of_it_is_open(
+    step, waits
+):
+    """Guards against late orders that act on a restarted worker."""
+    harness = Harness()
+    order, _ = ordered(harness, **step)
+    until = harness.now + MAX_ORDER_DELAY_S
+    harness.lose(order.worker_id)
+    harness.rows_written()
+    assert (len(harness.starts()) == 1) == waits
+    harness.now = until - 0.1
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    assert (len(harness.starts()) == 1) == waits
+    harness.now = until
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    assert [each.worker_id for each in harness.starts()] == list(WORKERS)
+
+
+@pytest.mark.parametrize("step", [{}, {"gang": True}])
+def test_single_task_may_start_again_where_an_earlier_start_is_open(step):
+    """Guards against tasks that wait though they can't run twice."""
+    harness = Harness()
+    order, _ = ordered(harness, **step)
+    harness.now += 0.1
+    end = EndedTask(1, order.task, order.run, RunEnd.STOPPED)
+    harness.report(order.worker_id, end)
+    harness.now += 0.5
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    workers = [each.worker_id for each in harness.starts()]
+    assert workers == [order.worker_id] * 2
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -37,6 +37,7 @@
     WorkersListed,
     WriteRow,
 )
+from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import (
     BatchScheduler,
@@ -82,6 +83,9 @@
 # A round of placing that took longer than this, in seconds, is logged: it
 # delays lease renewals and worker reports by a tenth of the role's lease.
 SLOW_PLACING_S = 0.1
+# Longest time after the beginning of a term for which a former leader may send
+# orders to start, in seconds.
+EARLIER_STARTS_S = 2.2
 LOAD_RETRY_PAUSE_S = 0.3
 # Minimum time between two reads of the list of workers, in seconds. Some
 # workers leave within two seconds of their notice, and moving what they run
@@ -313,6 +317,9 @@
         self._earlier_leases_end_at = now + longest_lease_s(
             leader.times.max_lease_s
         )
+        self._scheduler.open_starts.earlier_until = (
+            now + EARLIER_STARTS_S + MAX_ORDER_DELAY_S
+        )
         self._writers = {
             shard: RowWriter(
                 leader._store, tenure, check, self._on_row_written, leader._log
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -36,6 +36,7 @@
     WorkerReported,
     WorkerSilent,
 )
+from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S, CopyId
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import Epoch
 from pomeloarch_core.response_times import ResponseTimeEstimator
@@ -80,9 +81,6 @@
 # Pause after a renewal that failed at once, in seconds. The shorter it is, the
 # sooner a worker that restarts has seen its new fence.
 RECONNECT_PAUSE_S = 0.05
-# Longest time after which an order without an answer may still be carried out,
-# in seconds.
-MAX_ORDER_DELAY_S = 13.0
 IDLE_PAUSE_S = 0.5
 
 
@@ -158,12 +156,9 @@
         self._is_silent = False
         self._may_have_restarted = False
         self._acknowledged = 0
-        # Copies of starts without an answer, and until when each may still be
-        # carried out.
-        self._open_copies: dict[object, float] = {}
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
-        self._orders: set[asyncio.Task[None]] = set()
+        self._orders: set[asyncio.Task[Any]] = set()
 
     def wake(self) -> None:
         """Makes the session check at once whether a renewal is due."""
@@ -235,11 +230,9 @@
         return True
 
     def _has_open_copies(self) -> bool:
-        now = self._clock()
-        for copy, until in list(self._open_copies.items()):
-            if until <= now:
-                del self._open_copies[copy]
-        return bool(self._open_copies)
+        return self._scheduler.open_starts.has_open_copies_on(
+            self.info.worker_id, self._clock()
+        )
 
     async def _sleep_until_woken(self, seconds: float) -> None:
         try:
@@ -469,11 +462,14 @@
         """Sends an order to run a task at a share of its full speed."""
         self._spawn(self._send_pace(order))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(
+        self, work: Coroutine[None, None, _Answer]
+    ) -> asyncio.Task[_Answer]:
         task = asyncio.create_task(work)
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
         self._wake.set()
+        return task
 
     async def _send_start(self, order: StartTask) -> None:
         if not self._is_still_wanted(order):
@@ -522,17 +518,13 @@
             lease_s = min(START_LEASE_S, self._times.lease_s)
             deadline_ms, ends_at = self._lease_end(now, lease_s)
             self._leases_end_at = max(self._leases_end_at, ends_at)
-            copy, fence = object(), self._fence
-            self._open_copies[copy] = now + MAX_ORDER_DELAY_S
-            answer = await self._call_fenced(
-                lambda link, fence: link.start(order, fence, deadline_ms)
+            # The answer to a copy is awaited after that to another copy, too:
+            # it shows that the copy can't be carried out later.
+            copy_id = self._scheduler.open_starts.add(
+                order.task, order.worker_id, now
             )
-            if _has_answered(answer) or not _may_have_arrived(answer):
-                self._open_copies.pop(copy, None)
-            if isinstance(answer, Ok) and fence < self._fence:
-                # The clock may be that of an earlier incarnation.
-                return Ok(StartAnswer(answer.ok_value.outcome, None))
-            return answer
+            call = self._send_start_copy(order, copy_id, deadline_ms)
+            return await asyncio.shield(self._spawn(call))
 
         answer = await first_answer(
             send,
@@ -544,6 +536,20 @@
         )
         return answer, copies
 
+    async def _send_start_copy(
+        self, order: StartTask, copy_id: CopyId, deadline_ms: int
+    ) -> Result[StartAnswer, OrderFailure]:
+        fence = self._fence
+        answer = await self._call_fenced(
+            lambda link, fence: link.start(order, fence, deadline_ms)
+        )
+        if _has_answered(answer) or not _may_have_arrived(answer):
+            self._scheduler.open_starts.settle(copy_id)
+        if isinstance(answer, Ok) and fence < self._fence:
+            # The clock may be that of an earlier incarnation.
+            return Ok(StartAnswer(answer.ok_value.outcome, None))
+        return answer
+
     def _is_still_wanted(self, order: StartTask) -> bool:
         return self._tenure.is_held() and self._scheduler.is_start_wanted(
             order.task, order.run
--- a/packages/pomeloarch-node/tests/test_batch_beliefs.py
+++ b/packages/pomeloarch-node/tests/test_batch_beliefs.py
@@ -13,6 +13,7 @@
     WorkerInfo,
 )
 from pomeloarch_core.batch.model import Resources
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
@@ -61,6 +62,9 @@
 class Scheduler:
     """Has the worker asked all the time and gives it no task."""
 
+    def __init__(self):
+        self.open_starts = OpenStarts()
+
     def is_start_wanted(self, task, run):
         return True
 
--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -23,6 +23,7 @@
     Resources,
     Step,
 )
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
@@ -80,6 +81,7 @@
 
     def __init__(self):
         self.busy = False
+        self.open_starts = OpenStarts()
 
     def is_start_wanted(self, task, run):
         return True
--- a/packages/pomeloarch-node/tests/test_batch_session.py
+++ b/packages/pomeloarch-node/tests/test_batch_session.py
@@ -36,6 +36,7 @@
     Resources,
     Step,
 )
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.batch.rows import JobRow
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import (
@@ -205,6 +206,9 @@
 class PermissiveScheduler:
     """A scheduler that still wants every start."""
 
+    def __init__(self):
+        self.open_starts = OpenStarts()
+
     def is_start_wanted(self, task, run):
         return True
 
