Ask workers that keep ends less often

Cause: a worker that lists an end answers a renewal at once, so it was asked every 0.2 s, and each durable row woke all sessions.

Change: a worker that keeps ends is asked every 0.5 s, or every 0.2 s while it has urgent runs, and a durable row wakes only the sessions that can acknowledge an end now.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -542,7 +542,7 @@
     def _on_row_written(self, job_id: JobId, change: int) -> None:
         self.emit(RowWritten(job_id, change))
         for session, _ in self._sessions.values():
-            session.wake()
+            session.wake_to_acknowledge()
 
     def _on_worker_list(
         self, _changes: TableChanges, _is_snapshot: bool
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -77,6 +77,9 @@
 # known to have ended.
 START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
+# Pause between renewals at a worker that keeps ends which may not be
+# acknowledged yet, in seconds: such a worker answers at once.
+KEPT_END_PAUSE_S = 0.5
 SILENT_PAUSE_S = 0.5
 # Pause after a renewal that failed at once, in seconds. The shorter it is, the
 # sooner a worker that restarts has seen its new fence.
@@ -164,6 +167,11 @@
         """Makes the session check at once whether a renewal is due."""
         self._wake.set()
 
+    def wake_to_acknowledge(self) -> None:
+        """Makes the session renew at once if there are ends to acknowledge."""
+        if self._acknowledgement():
+            self.wake()
+
     @property
     def fence(self) -> Epoch:
         """The fence that the worker's present incarnation has to have seen."""
@@ -280,7 +288,10 @@
             self._acknowledged = max(self._acknowledged, acknowledged)
         self._on_report(answer.ok_value, asked_at)
         if answer.ok_value.ended:
-            await self._sleep_until_woken(RETRY_PAUSE_S)
+            urgent = self._scheduler.needs_frequent_reports(self.info.worker_id)
+            await self._sleep_until_woken(
+                RETRY_PAUSE_S if urgent else KEPT_END_PAUSE_S
+            )
 
     async def _send_renewal(
         self, acknowledged: int, deadline_ms: int | None, wait_s: float
