--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -36,6 +36,7 @@
     WorkerReported,
     WorkerSilent,
 )
+from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S, CopyId
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import Epoch
 from pomeloarch_core.response_times import ResponseTimeEstimator
@@ -76,13 +77,13 @@
 # known to have ended.
 START_LEASE_S = 3.0
 RETRY_PAUSE_S = 0.2
+# Pause between renewals at a worker that keeps ends which may not be
+# acknowledged yet, in seconds: such a worker answers at once.
+KEPT_END_PAUSE_S = 0.5
 SILENT_PAUSE_S = 0.5
 # Pause after a renewal that failed at once, in seconds. The shorter it is, the
 # sooner a worker that restarts has seen its new fence.
 RECONNECT_PAUSE_S = 0.05
-# Longest time after which an order without an answer may still be carried out,
-# in seconds.
-MAX_ORDER_DELAY_S = 13.0
 IDLE_PAUSE_S = 0.5
 
 
@@ -158,17 +159,19 @@
         self._is_silent = False
         self._may_have_restarted = False
         self._acknowledged = 0
-        # Copies of starts without an answer, and until when each may still be
-        # carried out.
-        self._open_copies: dict[object, float] = {}
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
-        self._orders: set[asyncio.Task[None]] = set()
+        self._orders: set[asyncio.Task[Any]] = set()
 
     def wake(self) -> None:
         """Makes the session check at once whether a renewal is due."""
         self._wake.set()
 
+    def wake_to_acknowledge(self) -> None:
+        """Makes the session renew at once if there are ends to acknowledge."""
+        if self._acknowledgement():
+            self.wake()
+
     @property
     def fence(self) -> Epoch:
         """The fence that the worker's present incarnation has to have seen."""
@@ -235,11 +238,9 @@
         return True
 
     def _has_open_copies(self) -> bool:
-        now = self._clock()
-        for copy, until in list(self._open_copies.items()):
-            if until <= now:
-                del self._open_copies[copy]
-        return bool(self._open_copies)
+        return self._scheduler.open_starts.has_open_copies_on(
+            self.info.worker_id, self._clock()
+        )
 
     async def _sleep_until_woken(self, seconds: float) -> None:
         try:
@@ -287,7 +288,10 @@
             self._acknowledged = max(self._acknowledged, acknowledged)
         self._on_report(answer.ok_value, asked_at)
         if answer.ok_value.ended:
-            await self._sleep_until_woken(RETRY_PAUSE_S)
+            urgent = self._scheduler.needs_frequent_reports(self.info.worker_id)
+            await self._sleep_until_woken(
+                RETRY_PAUSE_S if urgent else KEPT_END_PAUSE_S
+            )
 
     async def _send_renewal(
         self, acknowledged: int, deadline_ms: int | None, wait_s: float
@@ -469,11 +473,14 @@
         """Sends an order to run a task at a share of its full speed."""
         self._spawn(self._send_pace(order))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+    def _spawn(
+        self, work: Coroutine[None, None, _Answer]
+    ) -> asyncio.Task[_Answer]:
         task = asyncio.create_task(work)
         self._orders.add(task)
         task.add_done_callback(self._orders.discard)
         self._wake.set()
+        return task
 
     async def _send_start(self, order: StartTask) -> None:
         if not self._is_still_wanted(order):
@@ -522,17 +529,13 @@
             lease_s = min(START_LEASE_S, self._times.lease_s)
             deadline_ms, ends_at = self._lease_end(now, lease_s)
             self._leases_end_at = max(self._leases_end_at, ends_at)
-            copy, fence = object(), self._fence
-            self._open_copies[copy] = now + MAX_ORDER_DELAY_S
-            answer = await self._call_fenced(
-                lambda link, fence: link.start(order, fence, deadline_ms)
+            # The answer to a copy is awaited after that to another copy, too:
+            # it shows that the copy can't be carried out later.
+            copy_id = self._scheduler.open_starts.add(
+                order.task, order.worker_id, now
             )
-            if _has_answered(answer) or not _may_have_arrived(answer):
-                self._open_copies.pop(copy, None)
-            if isinstance(answer, Ok) and fence < self._fence:
-                # The clock may be that of an earlier incarnation.
-                return Ok(StartAnswer(answer.ok_value.outcome, None))
-            return answer
+            call = self._send_start_copy(order, copy_id, deadline_ms)
+            return await asyncio.shield(self._spawn(call))
 
         answer = await first_answer(
             send,
@@ -544,6 +547,20 @@
         )
         return answer, copies
 
+    async def _send_start_copy(
+        self, order: StartTask, copy_id: CopyId, deadline_ms: int
+    ) -> Result[StartAnswer, OrderFailure]:
+        fence = self._fence
+        answer = await self._call_fenced(
+            lambda link, fence: link.start(order, fence, deadline_ms)
+        )
+        if _has_answered(answer) or not _may_have_arrived(answer):
+            self._scheduler.open_starts.settle(copy_id)
+        if isinstance(answer, Ok) and fence < self._fence:
+            # The clock may be that of an earlier incarnation.
+            return Ok(StartAnswer(answer.ok_value.outcome, None))
+        return answer
+
     def _is_still_wanted(self, order: StartTask) -> bool:
         return self._tenure.is_held() and self._scheduler.is_start_wanted(
             order.task, order.run
