--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -699,3 +699,57 @@
         return worker.renew(fence, 0, None)
 
     assert run_in_world(scenario) is False
+
+
+def test_late_acknowledgement_to_a_restarted_worker_forgets_no_end(monkeypatch):
+    """Guards against starts after an end that nobody has read.
+
+    A restarted worker that nobody has contacted carries out a late order to
+    start, and then a late acknowledgement of an end of its earlier incarnation,
+    which has the number of the end of this run.
+    """
+    original_renew = ModelLink.renew
+    acknowledgements = []
+
+    async def renew(link, fence, acknowledged, deadline_ms, wait_s):
+        if acknowledgements or not acknowledged:
+            return await original_renew(
+                link, fence, acknowledged, deadline_ms, wait_s
+            )
+        worker = link._worker
+        acknowledgements.append(
+            lambda: worker.renew(fence, acknowledged, deadline_ms)
+        )
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "renew", renew)
+
+    async def scenario(world):
+        steps = (Step(count=1, need=SMALL, estimate_s=0.5),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        while not acknowledgements:
+            await asyncio.sleep(0.05)
+        (first,) = world.ledger.entries
+        delayed = lose_first_start(monkeypatch)
+        for each in world.workers.values():
+            each.is_cut_off = str(each.info.worker_id) != first.worker
+        await world.submit(make_job(2, steps=steps), world.nodes[0])
+        while not delayed:
+            await asyncio.sleep(0.05)
+        worker_id, carry_out = delayed
+        worker = world.workers[worker_id]
+        for each in world.workers.values():
+            each.is_cut_off = each is worker
+        await asyncio.sleep(1.0)
+        world.restart_worker(worker_id)
+        carry_out()
+        await asyncio.sleep(1.0)
+        acknowledgements[0]()
+        await asyncio.sleep(3.0)
+        worker.is_cut_off = False
+        unfinished = await world.wait_for_jobs(30.0)
+        await asyncio.sleep(2.0)
+        return unfinished
+
+    assert run_in_world(scenario, workers=2) == []
