Let the members of a gang that is done end by themselves

Seen: a report that lists the first end of a gang and its other members as running had these members stopped, since their group had ended. Where the stop overtook the end, the member was reported as stopped, and its work counted as stopped work.

Cause: every running run of a group that has ended counted as one that no group accounts for.

Change: a member of the very run that succeeded, on the incarnation that was ordered to start it, is left alone in reports that were asked for up to 0.5 s after the first end was seen. It keeps its room until its end or its absence is reported. A report that was asked for later shows that it runs on, and has it stopped. A run of another incarnation or another run number, and the members left of a job that was cancelled or has failed, are stopped at once; so that the cancellation of a job doesn't depend on the next report any more, it stops the members of gangs that are done, too.

Why it works: the members of a gang are done at the same moment, so only a report that was on its way by then can list them as running. The time at which a report was asked for says that, not the time at which it was processed.

Ruled out: a grace period counted from the arrival of a report, which a node that stands still would use up; and to take the members for done at the first end, which would give their room away.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -135,6 +135,8 @@
       not_before: earliest time of the next placement.
       ready_at: when it became ready.
       started_at: when its current run was ordered to start.
+      done_at: when the first member's success in its current run was seen, None
+        when none was.
       resumed: whether the current run began from a checkpoint or was adopted.
       compared: whether the progress of its members was compared in this run.
       move_count: how often it was moved off stragglers.
@@ -169,6 +171,7 @@
         self.not_before = 0.0
         self.ready_at = 0.0
         self.started_at = 0.0
+        self.done_at: float | None = None
         self.resumed = False
         self.compared = False
         self.move_count = 0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -90,7 +90,11 @@
         if status is JobStatus.COMPLETED:
             entry.row.started = True
         for group in entry.all_groups():
-            if group.members and group.state is not GroupState.ENDED:
+            is_ending = (
+                group.state is GroupState.ENDED
+                and status is JobStatus.COMPLETED
+            )
+            if group.members and not is_ending:
                 self._runs.stop_run(group, f"its job is {status.value}", now)
             group.state = GroupState.ENDED
         self._runs.request_write(entry, urgent=True)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -22,6 +22,10 @@
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import RunController
 
+# The members of a gang are done at the same moment. Within this time, in
+# seconds, their workers report it.
+GANG_END_SPREAD_S = 0.5
+
 
 class ReportProcessor:
     """Processes the reports of workers.
@@ -121,7 +125,8 @@
         for (task, run), reported in running.items():
             group = self._jobs.group_of(task)
             if group is None or group.state is GroupState.ENDED:
-                self._stop_unaccounted_run(worker, reported, now)
+                if group is None or not _is_ending(group, worker, reported):
+                    self._stop_unaccounted_run(worker, reported, now)
                 continue
             member = group.members.get(task.index)
             if member is None or member.run != run:
@@ -274,3 +279,24 @@
                         "its worker no longer has it",
                         now,
                     )
+
+
+def _is_ending(group: Group, worker: Worker, reported: RunningTask) -> bool:
+    """Returns whether a reported run is about to end with its gang.
+
+    A worker reports as soon as one member has ended, and may then still list
+    others as running. A run that goes on is shown by a report that was asked
+    for later. One of a new incarnation was started by a late order.
+    """
+    member = group.members.get(reported.task.index)
+    status = group.job.row.status
+    return (
+        member is not None
+        and member.worker_id == worker.worker_id
+        and member.run == reported.run
+        and member.incarnation == worker.incarnation
+        and group.done_at is not None
+        and worker.asked_at is not None
+        and worker.asked_at < group.done_at + GANG_END_SPREAD_S
+        and status not in (JobStatus.CANCELLED, JobStatus.FAILED)
+    )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -408,6 +408,8 @@
         if group.state is GroupState.CLAIMED:
             self._release_claim(group)
         group.state = GroupState.ENDED
+        if group.run == end.run:
+            group.done_at = now
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
         step_row.checkpoints.pop(str(group.indices[0]), None)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -748,6 +748,79 @@
     assert stopped == (set() if done else {e.task for e in fleet.starts})
 
 
+def gang_with_its_first_end(*steps, racks=1, per_rack=1):
+    """Returns a fleet, a job and the member of its gang whose end is seen."""
+    fleet = Fleet(racks=racks, per_rack=per_rack)
+    job = fleet.submit(1, BATCH, *steps)
+    first = fleet.starts[0]
+    fleet.wait(1.0)
+    fleet.end(first.task, first.run)
+    return fleet, job, first
+
+
+@pytest.mark.parametrize(
+    ("asked_s", "incarnation", "stops"),
+    [
+        (-0.7, 1, False),
+        (0.0, 1, False),
+        (0.3, 1, False),
+        (0.6, 1, True),
+        (-0.7, 2, True),
+        (0.3, 2, True),
+    ],
+)
+def test_member_that_runs_on_after_its_gang_is_done_is_stopped(
+    asked_s, incarnation, stops
+):
+    """Guards against a run that goes on after its job is done.
+
+    A report that was asked for before the other member's end was seen doesn't
+    show that, whenever it arrives. A run of a new incarnation doesn't end.
+    """
+    fleet, job, _ = gang_with_its_first_end(
+        step(2, WHOLE, gang=True), per_rack=2
+    )
+    (((task, run), worker),) = fleet.running.items()
+    done_at = fleet.now
+    fleet.wait(1.0)
+    fleet.emit(
+        WorkerReported(
+            worker,
+            Incarnation(incarnation),
+            done_at + asked_s,
+            (RunningTask(task, run),),
+            (),
+        )
+    )
+    assert fleet.rows[job].row.status is JobStatus.COMPLETED
+    expected = [StopTask(worker, task, run)] if stops else []
+    assert fleet.stops == expected
+
+
+def test_member_that_is_about_to_end_keeps_its_room():
+    """Guards against a worker that is given more than it has room for."""
+    half = Resources(16_000, 32_000, 4)
+    fleet, _, first = gang_with_its_first_end(step(2, half, gang=True))
+    other = fleet.submit(2, URGENT, step(1, WHOLE))
+    assert fleet.places(other) == []
+    fleet.end(fleet.starts[1].task, first.run)
+    assert len(fleet.places(other)) == 1
+
+
+def test_cancelled_job_stops_the_members_of_a_gang_that_is_done():
+    """Guards against runs that outlast a cancelled job."""
+    fleet, job, first = gang_with_its_first_end(
+        step(2, gang=True), step(1, after=(0,))
+    )
+    fleet.stops.clear()
+    fleet.emit(CancelRequested(job))
+    stopped = {(each.task, each.run) for each in fleet.stops}
+    assert stopped == set(fleet.running)
+    fleet.stops.clear()
+    fleet.report(first.worker_id)
+    assert {(each.task, each.run) for each in fleet.stops} == stopped
+
+
 def test_job_fails_once_its_attempts_are_used_up():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1))
