Count the longest lease for a start without an answer

Would be seen: a worker restarts under its id, its new incarnation carries out a copy of a start, all its answers are lost, and it is silent from then on.

Cause: an order to start was counted with the 3 s that it grants by the clock of the known incarnation. By a clock that began anew, its deadline is far ahead, so the worker shortens the lease to the longest one only. As a rule a renewal that was sent later covers that, but not where the start was the last order.

Change: when a worker falls silent, the longest lease is counted from the moment at which the last start without an answer was sent. Starts that were answered, and those that found no connection or no listener, don't count.

Why it works: only a start makes a new incarnation run anything, and while the worker is silent none is sent. A restart that is noticed counts more already.

Ruled out: to count the longest lease whenever a start is sent, answered or not.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -399,9 +399,24 @@
         self._fence = Epoch(self._fence + 1)
 
     def _report_silent(self) -> None:
-        lapses_at = max(self._leases_end_at, self._unfenced_leases_end_at)
+        lapses_at = max(
+            self._leases_end_at,
+            self._unfenced_leases_end_at,
+            self._open_copies_lease_end(),
+        )
         self._emit(WorkerSilent(self.info.worker_id, lapses_at))
 
+    def _open_copies_lease_end(self) -> float:
+        """Returns when the last lease of a start without an answer can end.
+
+        A new incarnation may have carried it out. By its clock, which began
+        anew, the deadline is so far ahead that the lease has its full length.
+        """
+        if not self._open_copies:
+            return 0.0
+        sent_at = max(self._open_copies.values()) - MAX_ORDER_DELAY_S
+        return sent_at + longest_lease_s(self._times.lease_s)
+
     def _count_longest_lease(self, now: float) -> None:
         """Notes that an unknown order may have granted a lease until now."""
         self._leases_end_at = max(
--- a/packages/pomeloarch-node/tests/test_batch_restarts.py
+++ b/packages/pomeloarch-node/tests/test_batch_restarts.py
@@ -37,6 +37,7 @@
     RECONNECT_PAUSE_S,
     SessionTimes,
     WorkerSession,
+    longest_lease_s,
 )
 from pomeloarch_standins.batch_gates import ProcessGate
 from pomeloarch_standins.batch_ledger import Ledger
@@ -487,6 +488,44 @@
     assert run_virtual(with_session(scenario)) >= 0
 
 
+@pytest.mark.parametrize(
+    ("failure", "counts"),
+    [
+        (OrderFailure.NO_ANSWER, True),
+        (OrderFailure.NO_CONNECTION, False),
+        (OrderFailure.NO_LISTENER, False),
+    ],
+)
+def test_only_a_start_that_may_have_arrived_delays_the_end_of_leases(
+    failure, counts
+):
+    """Guards against tasks that wait for a silent worker without need."""
+
+    async def scenario(session, link, worker, scheduler, tenure, events):
+        clock = asyncio.get_running_loop().time
+        sent_at = []
+
+        async def start(order, fence, deadline_ms):
+            sent_at.append(clock())
+            await asyncio.sleep(0.01)
+            return Err(failure)
+
+        scheduler.busy = True
+        session.wake()
+        await asyncio.sleep(20.0)
+        link.start = start
+        link.holds_back = True
+        await asyncio.sleep(2.2)
+        session.start(ORDER)
+        await asyncio.sleep(5.0)
+        silent = [e for e in events if isinstance(e, WorkerSilent)]
+        return silent[-1].lapses_at - sent_at[-1]
+
+    lease_s = run_virtual(with_session(scenario))
+    longest_s = longest_lease_s(TIMES.lease_s)
+    assert (round(lease_s - longest_s, 6) >= 0) == counts
+
+
 @pytest.mark.parametrize("incarnation", [4, 6])
 def test_restart_is_noticed_although_its_start_seems_to_be_earlier(incarnation):
     """The wall clock of a worker, which gives its incarnation, may step back.
