Name findings on the order of runs by their reason

The usual terms are that two runs are out of order, or that their order is unknown: Doubt is UnorderedReason now, and a finding's `doubt` is its `reason`, also with `--format json`. docs/OPERATIONS.md says what a finding is.

The values, the text output and the exit codes are as before: all eight reasons, with and without a time, print the same lines as on the commit before. The log event `doubts cleared` and the evidence named after it keep their names.

--- a/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
+++ b/packages/pomeloarch-cli/src/pomeloarch_cli/task_runs.py
@@ -2,7 +2,7 @@
 
 A run is followed through all nodes' log events: the order to start it, its
 adoption by later leaders, and the evidence on which a leader took it for gone.
-Two runs that no evidence orders are doubts, since both may have run at once.
+Two runs that no evidence orders may have run at once, which is a finding.
 """
 
 from __future__ import annotations
@@ -41,8 +41,8 @@
 _RULES_OUT_AN_END = frozenset({_START_REFUSED, _NOT_REPORTED, "restarted"})
 
 
-class Doubt(enum.Enum):
-    """What the logs leave open about two runs of a task.
+class UnorderedReason(enum.Enum):
+    """Why two runs of a task are out of order, or why their order is unknown.
 
     SEEN_AGAIN: a worker had the earlier run after it was taken for gone, or
       another incarnation than the one ordered had it after its success. The
@@ -80,8 +80,8 @@
       worker: the worker of which it is evidence; empty when that isn't logged.
       age_s: how old it was at most, in seconds; None when that isn't logged.
       incarnation: the incarnation of the worker that gave it.
-      lapsed: workers that the leader didn't hear from before it cleared its
-        doubts, because their leases had ended.
+      lapsed: workers that the leader didn't hear from before it took the runs
+        of earlier leaders for gone, because their leases had ended.
     """
 
     time: float
@@ -177,10 +177,10 @@
 
 
 class Finding(msgspec.Struct, frozen=True):
-    """Two runs of a task whose order the logs leave in doubt.
+    """Two runs of a task that are out of order, or whose order is unknown.
 
     Attributes:
-      doubt: what they leave open.
+      reason: why.
       run: the number of the earlier run.
       next_run: the number of the later run.
       by_s: for how long, in seconds: from the later start to the end of the
@@ -188,14 +188,14 @@
         the time when a run was taken for gone to that when it was seen again.
     """
 
-    doubt: Doubt
+    reason: UnorderedReason
     run: int
     next_run: int
     by_s: float | None = None
 
 
 class TaskStory(msgspec.Struct, frozen=True):
-    """The runs of a task, in the order of their starts, and the doubts."""
+    """The runs of a task, in the order of their starts, and the findings."""
 
     task: str
     runs: list[TaskRun]
@@ -241,7 +241,7 @@
     for event in events:
         tracer.add(event)
     runs = sorted(tracer.runs.values(), key=_began_at)
-    return TaskStory(task, runs, _find_doubts(runs))
+    return TaskStory(task, runs, _find_unordered_runs(runs))
 
 
 def _group_name(events: list[Event], task: str) -> str:
@@ -394,7 +394,7 @@
 
 
 def format_task_story(story: TaskStory) -> list[str]:
-    """Formats the runs of a task and the doubts about them as text."""
+    """Formats the runs of a task and the findings about them as text."""
     lines = [f"task {story.task}"]
     for run in story.runs:
         lines += _run_lines(run)
@@ -456,37 +456,56 @@
 def _format_finding(finding: Finding) -> str:
     by_s = "" if finding.by_s is None else f"{finding.by_s:.3f} s "
     run, later = finding.run, finding.next_run
-    return {
-        Doubt.SEEN_AGAIN: f"run {run} was seen again {by_s}after it was taken "
-        f"for gone or done; run {later} had been started last",
-        Doubt.NOT_FREE: f"run {later} began {by_s}before run {run} was free",
-        Doubt.DONE_IN_EARLIER_TERM: f"run {later} began {by_s}after the leader "
-        f"of an earlier term had seen that run {run} was done",
-        Doubt.END_LOST: f"run {later} began and the end of run {run}, whose "
-        "start had been answered, was not seen",
-        Doubt.NO_EVIDENCE: f"run {later} began and no line shows that run "
-        f"{run} was over",
-        Doubt.DONE_BEFORE: f"run {later} began {by_s}after run {run} was done",
-        Doubt.LOWER_NUMBER: f"run {later} began after run {run}, which has a "
-        "higher number",
-        Doubt.UNANSWERED: f"run {later} began though copies of the order to "
-        f"start run {run} had no answer",
-    }[finding.doubt]
-
-
-def _find_doubts(runs: list[TaskRun]) -> list[Finding]:
+    match finding.reason:
+        case UnorderedReason.SEEN_AGAIN:
+            return (
+                f"run {run} was seen again {by_s}after it was taken for gone "
+                f"or done; run {later} had been started last"
+            )
+        case UnorderedReason.NOT_FREE:
+            return f"run {later} began {by_s}before run {run} was free"
+        case UnorderedReason.DONE_IN_EARLIER_TERM:
+            return (
+                f"run {later} began {by_s}after the leader of an earlier term "
+                f"had seen that run {run} was done"
+            )
+        case UnorderedReason.END_LOST:
+            return (
+                f"run {later} began and the end of run {run}, whose start had "
+                "been answered, was not seen"
+            )
+        case UnorderedReason.NO_EVIDENCE:
+            return (
+                f"run {later} began and no line shows that run {run} was over"
+            )
+        case UnorderedReason.DONE_BEFORE:
+            return f"run {later} began {by_s}after run {run} was done"
+        case UnorderedReason.LOWER_NUMBER:
+            return (
+                f"run {later} began after run {run}, which has a higher number"
+            )
+        case UnorderedReason.UNANSWERED:
+            return (
+                f"run {later} began though copies of the order to start run "
+                f"{run} had no answer"
+            )
+
+
+def _find_unordered_runs(runs: list[TaskRun]) -> list[Finding]:
     found = []
     for number, run in enumerate(runs):
         seen_again = _first_seen_again(run)
         if seen_again is not None:
             found.append(_finding_seen_again(run, seen_again, runs))
         for later in runs[number + 1 :]:
-            doubt = _doubt_between(run, later)
-            if doubt is not None:
-                found.append(doubt)
+            finding = _compare_runs(run, later)
+            if finding is not None:
+                found.append(finding)
         if number + 1 < len(runs) and (run.unanswered or run.answer_unknown):
             following = runs[number + 1].run
-            found.append(Finding(Doubt.UNANSWERED, run.run, following))
+            found.append(
+                Finding(UnorderedReason.UNANSWERED, run.run, following)
+            )
     return found
 
 
@@ -523,25 +542,31 @@
     )
     assert run.free_at is not None
     by_s = round(seen.time - run.free_at, 3)
-    return Finding(Doubt.SEEN_AGAIN, run.run, last.run, by_s)
+    return Finding(UnorderedReason.SEEN_AGAIN, run.run, last.run, by_s)
 
 
-def _doubt_between(run: TaskRun, later: TaskRun) -> Finding | None:
-    """Returns the gravest doubt about a run and one that began after it."""
+def _compare_runs(run: TaskRun, later: TaskRun) -> Finding | None:
+    """Returns the gravest finding on a run and one that began after it."""
     free_at, began_at = run.free_at, _began_at(later)
     numbers = run.run, later.run
     if run.done_at is not None and run.done_at <= began_at:
         by_s = round(began_at - run.done_at, 3)
         terms = run.done_term, later.term
         earlier = None not in terms and run.done_term != later.term
-        doubt = Doubt.DONE_IN_EARLIER_TERM if earlier else Doubt.DONE_BEFORE
-        return Finding(doubt, *numbers, by_s)
+        reason = (
+            UnorderedReason.DONE_IN_EARLIER_TERM
+            if earlier
+            else UnorderedReason.DONE_BEFORE
+        )
+        return Finding(reason, *numbers, by_s)
     if free_at is None:
-        return Finding(Doubt.NO_EVIDENCE, *numbers)
+        return Finding(UnorderedReason.NO_EVIDENCE, *numbers)
     if free_at > began_at:
-        return Finding(Doubt.NOT_FREE, *numbers, round(free_at - began_at, 3))
+        return Finding(
+            UnorderedReason.NOT_FREE, *numbers, round(free_at - began_at, 3)
+        )
     if later.run < run.run:
-        return Finding(Doubt.LOWER_NUMBER, *numbers)
+        return Finding(UnorderedReason.LOWER_NUMBER, *numbers)
     if run.end_lost:
-        return Finding(Doubt.END_LOST, *numbers)
+        return Finding(UnorderedReason.END_LOST, *numbers)
     return None
--- a/packages/pomeloarch-cli/tests/test_task_runs.py
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -7,7 +7,7 @@
 
 from pomeloarch_cli.main import main
 from pomeloarch_cli.story_command import parse_events
-from pomeloarch_cli.task_runs import Doubt, trace_tasks
+from pomeloarch_cli.task_runs import UnorderedReason, trace_tasks
 from pomeloarch_standins.batch_fuzz.drawing import draw_plan
 from pomeloarch_standins.batch_fuzz.faults import KINDS
 from pomeloarch_standins.batch_fuzz.playing import play
@@ -218,12 +218,12 @@
 
 
 @pytest.mark.parametrize(
-    ("between", "doubt", "by_s"), UNORDERED.values(), ids=UNORDERED.keys()
+    ("between", "reason", "by_s"), UNORDERED.values(), ids=UNORDERED.keys()
 )
-def test_runs_that_no_evidence_orders_are_found(between, doubt, by_s):
+def test_runs_that_no_evidence_orders_are_found(between, reason, by_s):
     (story,) = trace_tasks([started(1.0), *between, AGAIN], TASK)
     (finding,) = [f for f in story.findings if f.run == FIRST]
-    assert (finding.doubt.value, finding.by_s) == (doubt, by_s)
+    assert (finding.reason.value, finding.by_s) == (reason, by_s)
     assert finding.next_run == SECOND
 
 
@@ -293,7 +293,7 @@
 ):
     events = [started(1.0), *before, sighted(*seen)]
     (story,) = trace_tasks(events, TASK)
-    found = [(f.doubt.value, f.run, f.by_s) for f in story.findings]
+    found = [(f.reason.value, f.run, f.by_s) for f in story.findings]
     assert found == ([] if by_s is None else [("seen_again", FIRST, by_s)])
 
 
@@ -309,7 +309,7 @@
     events = [started(1.0, SECOND), released(2.0, SECOND), started(3.0)]
     (story,) = trace_tasks(events, TASK)
     (finding,) = story.findings
-    assert (finding.doubt.value, finding.run) == ("lower_number", SECOND)
+    assert (finding.reason.value, finding.run) == ("lower_number", SECOND)
 
 
 def test_overlap_of_runs_that_are_not_neighbours_is_found():
@@ -410,7 +410,7 @@
     assert [each["run"] for each in task["runs"]] == [FIRST, SECOND]
     assert task["runs"][0]["releases"][0]["evidence"] == "end_reported"
     assert task["findings"] == [
-        {"doubt": "not_free", "run": FIRST, "next_run": SECOND, "by_s": 0.5}
+        {"reason": "not_free", "run": FIRST, "next_run": SECOND, "by_s": 0.5}
     ]
 
 
@@ -430,5 +430,5 @@
         story for job in plan.jobs for story in trace_tasks(events, job.job_id)
     ]
     assert len(stories) > 30
-    doubts = {each.doubt for story in stories for each in story.findings}
-    assert doubts <= {Doubt.UNANSWERED}
+    reasons = {each.reason for story in stories for each in story.findings}
+    assert reasons <= {UnorderedReason.UNANSWERED}
