--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -94,10 +94,18 @@
             if copy.acts_until > now
         }
 
+    def acts_until(self, worker_id: WorkerId) -> float:
+        """Returns when a worker may last carry out a copy, 0 without any."""
+        return max(
+            (
+                copy.acts_until
+                for copies in self._copies.values()
+                for copy in copies.values()
+                if copy.worker_id == worker_id
+            ),
+            default=0.0,
+        )
+
     def has_open_copies_on(self, worker_id: WorkerId, now: float) -> bool:
         """Returns whether a worker may still carry out any of the copies."""
-        return any(
-            copy.worker_id == worker_id and copy.acts_until > now
-            for copies in self._copies.values()
-            for copy in copies.values()
-        )
+        return self.acts_until(worker_id) > now
