Wait for a report, or the lease, after the last moment of a late order

What callers would see: two runs of a task at once. A worker that isn't heard from may carry out a start without an answer at the last moment and runs the task until its lease ends; the task was started elsewhere once no such order could be carried out any more, without asking whether one had been.

Change: an open start stays open until a report that was asked for after its last moment, or until the longest lease after it. A worker without tasks is asked for that report. A start to a worker that another one has replaced is settled at once: the other one refuses it.

Tests: test_task_runs_elsewhere_only_when_no_earlier_start_of_it_is_open (workers not heard from), test_start_to_a_worker_that_is_gone_is_settled, test_worker_is_asked_once_after_a_start_of_it_was_open.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -27,7 +27,7 @@
 from pomeloarch_core.batch.messages import Decision
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.objectives import Standing
-from pomeloarch_core.batch.open_starts import OpenStarts
+from pomeloarch_core.batch.open_starts import OpenCopy, OpenStarts
 from pomeloarch_core.batch.placing import (
     Placement,
     exclude_slow,
@@ -50,6 +50,7 @@
     find_stragglers,
     is_restart_sooner,
 )
+from pomeloarch_core.ids import WorkerId
 
 # Limit on the groups that workers are reserved for at a time, as each
 # reservation leaves some workers idle. Urgent groups may exceed it.
@@ -82,6 +83,10 @@
 class Dispatcher:
     """Places groups on workers.
 
+    Attributes:
+      awaited_reports: workers of which a report has to show whether they have
+        carried out a start that had no answer.
+
     Args:
       fleet: the workers.
       runs: starts and stops groups.
@@ -110,6 +115,7 @@
         self._open_starts = open_starts
         self._out = out
         self._cfg = cfg
+        self.awaited_reports: set[WorkerId] = set()
         self._headroom = UrgentHeadroom()
         self._near_cache: dict[tuple[object, ...], bool] = {}
         self._near_cache_until = 0.0
@@ -172,7 +178,8 @@
         task that waited would be away for longer than it may, and copies of a
         speculative one may run at the same time.
         """
-        open_tasks = self._open_starts.tasks(now)
+        self._settle_starts(now)
+        open_tasks = self._open_starts.tasks()
         if not open_tasks:
             return groups
         free = []
@@ -181,7 +188,7 @@
             if exempt or open_tasks.isdisjoint(group.tasks()):
                 free.append(group)
                 continue
-            workers = self._open_starts.workers(group.tasks()[0], now)
+            workers = self._open_starts.workers(group.tasks()[0])
             if len(group.indices) == 1 and len(workers) == 1:
                 placing_round.only_workers[group] = workers.pop()
                 free.append(group)
@@ -189,6 +196,26 @@
             self._log_waiting(group, WaitReason.OPEN_START, None, False, now)
         return free
 
+    def _settle_starts(self, now: float) -> None:
+        """Removes open starts that can't run any more, or would be reported.
+
+        A worker that isn't heard from may have carried one out at the last
+        moment, and runs it until its lease ends.
+        """
+        self.awaited_reports.clear()
+
+        def is_settled(copy: OpenCopy) -> bool:
+            if now < copy.acts_until:
+                return False
+            worker = self._fleet.get(copy.worker_id)
+            asked_at = None if worker is None else worker.asked_at
+            if asked_at is not None and asked_at >= copy.acts_until:
+                return True
+            self.awaited_reports.add(copy.worker_id)
+            return now >= copy.acts_until + self._open_starts.longest_lease_s
+
+        self._open_starts.settle_where(is_settled)
+
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
         for group in entry.all_groups():
@@ -205,7 +232,7 @@
             group, stragglers, run_s, self._preemption_delay_s()
         ):
             return
-        if any(self._open_starts.is_open(each, now) for each in group.tasks()):
+        if not self._open_starts.tasks().isdisjoint(group.tasks()):
             return
 
         def room(worker: Worker) -> Resources:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -192,7 +192,7 @@
 
     def _is_start_open(self, held: _HeldEnd, now: float) -> bool:
         return now < held.until or any(
-            self._open_starts.is_open(task, now) for task in held.awaited
+            self._open_starts.may_act(task, now) for task in held.awaited
         )
 
     def record_written(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Callable
 from typing import NewType
 
 import msgspec
@@ -41,11 +42,14 @@
     Attributes:
       earlier_until: the last moment at which an order of an earlier scheduler
         may be carried out; which of them had no answer isn't known.
+      longest_lease_s: the longest lease that a worker grants, in seconds: how
+        long a run may go on that a worker which nobody hears from began.
     """
 
     def __init__(self) -> None:
         """Creates a record without copies."""
         self.earlier_until = 0.0
+        self.longest_lease_s = 0.0
         self._copies: dict[TaskId, dict[CopyId, OpenCopy]] = {}
         self._tasks: dict[CopyId, TaskId] = {}
         self._ids = itertools.count(1)
@@ -67,32 +71,30 @@
         if not self._copies[task]:
             del self._copies[task]
 
-    def tasks(self, now: float) -> set[TaskId]:
-        """Returns the tasks of which a copy may still be carried out."""
-        expired = [
+    def settle_where(self, is_settled: Callable[[OpenCopy], bool]) -> None:
+        """Removes the copies of which this is true."""
+        found = [
             copy_id
             for copies in self._copies.values()
             for copy_id, copy in copies.items()
-            if copy.acts_until <= now
+            if is_settled(copy)
         ]
-        for copy_id in expired:
+        for copy_id in found:
             self.settle(copy_id)
+
+    def workers(self, task: TaskId) -> set[WorkerId]:
+        """Returns the workers that a task's start may still run on."""
+        copies = self._copies.get(task, {})
+        return {copy.worker_id for copy in copies.values()}
+
+    def tasks(self) -> set[TaskId]:
+        """Returns the tasks with an open copy."""
         return set(self._copies)
 
-    def is_open(self, task: TaskId, now: float) -> bool:
+    def may_act(self, task: TaskId, now: float) -> bool:
         """Returns whether a copy of a task's start may still be carried out."""
-        return any(
-            copy.acts_until > now
-            for copy in self._copies.get(task, {}).values()
-        )
-
-    def workers(self, task: TaskId, now: float) -> set[WorkerId]:
-        """Returns the workers that may still carry out a task's start."""
-        return {
-            copy.worker_id
-            for copy in self._copies.get(task, {}).values()
-            if copy.acts_until > now
-        }
+        copies = self._copies.get(task, {})
+        return any(copy.acts_until > now for copy in copies.values())
 
     def acts_until(self, worker_id: WorkerId) -> float:
         """Returns when a worker may last carry out a copy, 0 without any."""
@@ -105,7 +107,3 @@
             ),
             default=0.0,
         )
-
-    def has_open_copies_on(self, worker_id: WorkerId, now: float) -> bool:
-        """Returns whether a worker may still carry out any of the copies."""
-        return self.acts_until(worker_id) > now
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -175,6 +175,7 @@
             or worker.groups
             or worker.unaccounted_runs
             or worker.pending_ends
+            or worker_id in self._dispatcher.awaited_reports
         )
 
     def needs_frequent_reports(self, worker_id: WorkerId) -> bool:
@@ -373,6 +374,10 @@
         )
         self._release_claims(worker, "its worker is silent", now)
         if event.gone:
+            # Another worker at the address refuses the orders to this one.
+            self.open_starts.settle_where(
+                lambda copy: copy.worker_id == worker.worker_id
+            )
             self._remove_lost_runs(worker, now)
             self._forget_if_empty(worker, now)
         self._dirty = True
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -391,13 +391,20 @@
         ({"speculative": True}, False),
     ],
 )
+@pytest.mark.parametrize("is_heard", [True, False])
 def test_task_runs_elsewhere_only_when_no_earlier_start_of_it_is_open(
-    step, waits
+    step, waits, is_heard
 ):
-    """Guards against late orders that act on a restarted worker."""
+    """Guards against late orders that act on a restarted worker.
+
+    One that isn't heard from runs the task until its lease ends.
+    """
     harness = Harness()
     order, _ = ordered(harness, **step)
+    harness.scheduler.open_starts.longest_lease_s = 6.5
     until = harness.now + MAX_ORDER_DELAY_S
+    if not is_heard:
+        until += 6.5
     harness.lose(order.worker_id)
     harness.rows_written()
     assert (len(harness.starts()) == 1) == waits
@@ -406,6 +413,8 @@
     harness.rows_written()
     assert (len(harness.starts()) == 1) == waits
     harness.now = until
+    if is_heard:
+        harness.report(order.worker_id)
     harness.emit(Tick(harness.now))
     harness.rows_written()
     assert [each.worker_id for each in harness.starts()] == list(WORKERS)
@@ -424,3 +433,32 @@
     harness.rows_written()
     workers = [each.worker_id for each in harness.starts()]
     assert workers == [order.worker_id] * 2
+
+
+# A worker at the address that has another id refuses the order.
+@pytest.mark.parametrize("gone", [True, False])
+def test_start_to_a_worker_that_is_gone_is_settled(gone):
+    """Guards against tasks that wait for a worker that another one replaced."""
+    harness = Harness()
+    order, _ = ordered(harness)
+    harness.now += 1.0
+    harness.emit(WorkerSilent(order.worker_id, harness.now, gone=gone))
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    assert len(harness.starts()) == 1 + gone
+
+
+@pytest.mark.parametrize("idle_s", [0.0, MAX_ORDER_DELAY_S])
+def test_worker_is_asked_once_after_a_start_of_it_was_open(idle_s):
+    """Guards against tasks that wait for a report that nobody asks for."""
+    harness = Harness()
+    worker_id = WORKERS[1]
+    task = TaskId(OTHER_JOB, 0, 0, 0)
+    harness.scheduler.open_starts.add(task, worker_id, harness.now)
+    harness.now += idle_s
+    harness.emit(Tick(harness.now))
+    before = harness.scheduler.needs_polling(worker_id)
+    harness.report(worker_id)
+    harness.emit(Tick(harness.now))
+    after = harness.scheduler.needs_polling(worker_id)
+    assert (before, after) == (idle_s > 0, False)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -317,9 +317,9 @@
         self._earlier_leases_end_at = now + longest_lease_s(
             leader.times.max_lease_s
         )
-        self._scheduler.open_starts.earlier_until = (
-            now + EARLIER_STARTS_S + MAX_ORDER_DELAY_S
-        )
+        open_starts = self._scheduler.open_starts
+        open_starts.earlier_until = now + EARLIER_STARTS_S + MAX_ORDER_DELAY_S
+        open_starts.longest_lease_s = longest_lease_s(leader.times.max_lease_s)
         self._writers = {
             shard: RowWriter(
                 leader._store, tenure, check, self._on_row_written, leader._log
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -238,9 +238,8 @@
         return True
 
     def _has_open_copies(self) -> bool:
-        return self._scheduler.open_starts.has_open_copies_on(
-            self.info.worker_id, self._clock()
-        )
+        acts_until = self._scheduler.open_starts.acts_until(self.info.worker_id)
+        return acts_until > self._clock()
 
     async def _sleep_until_woken(self, seconds: float) -> None:
         try:
