Don't take a machine down for upkeep before its worker's runs are known

Callers would see tasks of a long-running step end although so many others of it were away: an upkeep soon after a change of leader, or while a worker had more ends to report than fit into one report, treated the worker as empty.

Cause: can_end_tasks looked at the tasks known on a worker, and no tasks are known of one that has not answered this scheduler, or not with all its ends.

Change: a worker may be taken down once it has reported all that it has, or once the leases of its runs have certainly ended. The second keeps a machine whose worker is cut off from holding up its wave. A worker that the scheduler doesn't know at all still counts as empty: the roster, which is loaded before the first upkeep, names every worker that an earlier scheduler used.

The scheduler decides by the present time, so can_end_tasks has the argument `now`, also in the tests' double.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -197,14 +197,19 @@
         changed, self._roster_changed = self._roster_changed, False
         return self.roster() if changed else None
 
-    def can_end_tasks(self, worker_id: WorkerId) -> bool:
+    def can_end_tasks(self, worker_id: WorkerId, now: float) -> bool:
         """Returns whether all tasks of a worker may be ended.
 
         Long-running steps may limit how many of their tasks are stopped at the
-        same time.
+        same time. Until a worker has reported all that it has, or the leases of
+        its runs have certainly ended, it may have more tasks than are known.
         """
         worker = self._fleet.get(worker_id)
-        return worker is None or all(can_stop(g) for g in worker.groups)
+        if worker is None:
+            return True
+        return (worker.reported or worker.has_lapsed(now)) and all(
+            can_stop(each) for each in worker.groups
+        )
 
     def busy_s(self, worker_id: WorkerId, now: float) -> float:
         """Returns how long a worker's runs will likely take, in seconds."""
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -13,6 +13,7 @@
     StartTask,
     WorkerInfo,
     WorkerReported,
+    WorkerSilent,
     WorkersListed,
     WriteRow,
 )
@@ -79,7 +80,26 @@
     scheduler = make_scheduler()
     if reports is not None:
         report(scheduler, 1, NOW, complete=reports)
-    assert scheduler.can_end_tasks(INFO.worker_id) == bool(reports)
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW) == bool(reports)
+
+
+@pytest.mark.parametrize(
+    ("silent_for_s", "allowed"), [(0.0, False), (1.9, False), (2.0, True)]
+)
+def test_silent_worker_may_be_taken_down_once_its_leases_have_ended(
+    silent_for_s, allowed
+):
+    """Guards against an upkeep that waits for good, or ends unknown runs.
+
+    Nothing runs any longer on a worker whose leases have ended, until it
+    answers again.
+    """
+    scheduler = make_scheduler()
+    scheduler.handle(WorkerSilent(INFO.worker_id, NOW + 2.0), NOW)
+    now = NOW + silent_for_s
+    assert scheduler.can_end_tasks(INFO.worker_id, now) == allowed
+    report(scheduler, 1, now, complete=False)
+    assert not scheduler.can_end_tasks(INFO.worker_id, now)
 
 
 @pytest.mark.parametrize("restarts", [False, True])
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
@@ -168,9 +168,10 @@
         worker_id = machine.worker_id
         if worker_id is None or not machine.up:
             return float("inf")
-        if not self._scheduler.can_end_tasks(worker_id):
+        now = self._clock()
+        if not self._scheduler.can_end_tasks(worker_id, now):
             return float("inf")
-        return self._scheduler.busy_s(worker_id, self._clock())
+        return self._scheduler.busy_s(worker_id, now)
 
     async def _order_next_machines(
         self,
--- a/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -67,7 +67,7 @@
 class Scheduler:
     """Knows no tasks on any worker."""
 
-    def can_end_tasks(self, worker_id):
+    def can_end_tasks(self, worker_id, now):
         return True
 
     def busy_s(self, worker_id, now):
