Move runs off a leaving worker that a successor hasn't heard from yet

Callers would see long-running tasks, and others that would not end in time, end with a worker that was about to leave when the leader changed; they could start elsewhere only once their leases had certainly run out.

Cause: on its first list, a successor marked the runs of a draining worker as moved before the worker had reported any, and never looked again.

Change: the decision is still made once, but only after the worker's first report.

Tests: test_successor_moves_runs_off_a_worker_that_leaves_when_it_takes_over is new; two of its three cases failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -292,10 +292,7 @@
         self._listed_once = True
         listed = {each.worker_id for each in event.workers}
         for info in event.workers:
-            worker = self._fleet.update_listed(info)
-            if info.draining and not worker.evacuated:
-                worker.evacuated = True
-                self._evacuate(worker, now)
+            self._evacuate_if_leaving(self._fleet.update_listed(info), now)
         for worker in list(self._fleet):
             if worker.worker_id not in listed:
                 if worker.listed:
@@ -304,13 +301,18 @@
                 self._forget_if_empty(worker, now)
         self._dirty = True
 
-    def _evacuate(self, worker: Worker, now: float) -> None:
+    def _evacuate_if_leaving(self, worker: Worker, now: float) -> None:
         """Stops runs that would end with a worker that is about to leave.
 
         Otherwise they could start elsewhere only once their leases have
         certainly run out. A planned leave waits for runs to end, but not for
-        long-running tasks.
+        long-running tasks. This is decided once, when the worker's runs are
+        known.
         """
+        leaving = worker.info.draining and not worker.evacuated
+        if not leaving or worker.heard_at is None:
+            return
+        worker.evacuated = True
         for group in list(worker.groups):
             claimed = group.state is GroupState.CLAIMED
             started = group.state is GroupState.STARTED
@@ -349,6 +351,7 @@
             return
         self._roster_changed |= worker.may_run is not None
         self._reports.process(worker, event, now)
+        self._evacuate_if_leaving(worker, now)
         self._out += self._pacer.observe(worker, now)
         self._dirty = True
 
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1843,6 +1843,37 @@
     assert len(fleet.stops) == (step_.count if moved else 0)
 
 
+@pytest.mark.parametrize(
+    ("left_s", "step_", "moved"),
+    [
+        (1.7, step(1, seconds=4.0), True),
+        (1.7, step(1, seconds=1.0), False),
+        (8.0, step(1, long_running=True), True),
+    ],
+)
+def test_successor_moves_runs_off_a_worker_that_leaves_when_it_takes_over(
+    left_s, step_, moved
+):
+    """Guards against runs that end with a worker since they were not known.
+
+    The worker is on the successor's first list and reports only later.
+    """
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step_)
+    (leaving,) = fleet.places(job)
+    fleet.workers = [
+        msgspec.structs.replace(each, draining=True, remaining_s=left_s)
+        if each.worker_id == leaving
+        else each
+        for each in fleet.workers
+    ]
+    successor = fleet.succeeded_by(2)
+    assert successor.stops == []
+    for _ in range(2):
+        successor.report(leaving)
+    assert len(successor.stops) == moved
+
+
 def test_long_running_task_is_started_again_however_it_ends():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1, long_running=True))
