Record a ticket for the incarnation that was asked about

Callers would see work on a queue with an outside policy begin late: a worker that restarted while the advice service was asked was sent a start with the ticket of its earlier incarnation, which it refuses.

Cause: an answer was recorded for the incarnation that was known when it arrived. The question didn't say which one it was about.

Change: a question names the incarnation of each worker, and the answer is recorded with its question. If the worker had already restarted unnoticed when the service was asked, the ticket is recorded for the earlier incarnation and asked for again, at the cost of one more question.

Ruled out: keeping the incarnations asked about by step, since a question that is late is asked again before its answer may come. Workers that may not run a step stay denied after a restart, since the answer about a worker doesn't change.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
@@ -12,7 +12,7 @@
 
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group
-from pomeloarch_core.batch.messages import RequestAdvice, StepId
+from pomeloarch_core.batch.messages import Incarnation, RequestAdvice, StepId
 from pomeloarch_core.ids import WorkerId
 
 # Limit on the workers of one question.
@@ -29,7 +29,7 @@
 class _Ticket(NamedTuple):
     text: str
     valid_until: float
-    incarnation: int
+    incarnation: Incarnation
 
 
 class _StepAdvice:
@@ -96,26 +96,22 @@
             return None
         known.asked_at = now
         return RequestAdvice(
-            group.step_id, tuple(each.worker_id for each in asked)
+            group.step_id, {each.worker_id: each.incarnation for each in asked}
         )
 
     def record_answer(
         self,
-        step: StepId,
-        asked: tuple[WorkerId, ...],
+        question: RequestAdvice,
         tickets: dict[WorkerId, str],
         valid_until: float,
-        incarnations: dict[WorkerId, int],
     ) -> None:
-        """Records an answer; workers of `asked` without a ticket are denied."""
-        known = self._steps.setdefault(step, _StepAdvice())
+        """Records an answer; workers without a ticket are denied."""
+        known = self._steps.setdefault(question.step, _StepAdvice())
         known.asked_at = None
-        for worker_id in asked:
+        for worker_id, incarnation in question.incarnations.items():
             if worker_id in tickets:
                 known.allowed[worker_id] = _Ticket(
-                    tickets[worker_id],
-                    valid_until,
-                    incarnations.get(worker_id, 0),
+                    tickets[worker_id], valid_until, incarnation
                 )
             else:
                 known.allowed.pop(worker_id, None)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -311,18 +311,34 @@
     run: RunNumber
 
 
+class RequestAdvice(msgspec.Struct, frozen=True):
+    """Ask the advice service which of these workers may run a step.
+
+    Attributes:
+      step: the step.
+      incarnations: the workers, each with the incarnation that it is known to
+        have: a ticket is for this one.
+    """
+
+    step: StepId
+    incarnations: dict[WorkerId, Incarnation]
+
+    @property
+    def worker_ids(self) -> tuple[WorkerId, ...]:
+        """The workers to ask about."""
+        return tuple(self.incarnations)
+
+
 class AdviceGiven(msgspec.Struct, frozen=True):
     """The advice service said which workers may run a step.
 
     Attributes:
-      step: the step.
-      asked: the workers that were asked about.
-      tickets: a ticket for each of them that may run the step.
+      question: what it was asked.
+      tickets: a ticket for each of the workers that may run the step.
       valid_until: when the tickets expire.
     """
 
-    step: StepId
-    asked: tuple[WorkerId, ...]
+    question: RequestAdvice
     tickets: dict[WorkerId, str]
     valid_until: float
 
@@ -400,13 +416,6 @@
     percent: int
 
 
-class RequestAdvice(msgspec.Struct, frozen=True):
-    """Ask the advice service which of these workers may run a step."""
-
-    step: StepId
-    worker_ids: tuple[WorkerId, ...]
-
-
 class WriteRow(msgspec.Struct, frozen=True):
     """Write a job's row.
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -519,17 +519,8 @@
 
     @_on.register
     def _on_advice(self, event: AdviceGiven, now: float) -> None:
-        incarnations: dict[WorkerId, int] = {}
-        for worker_id in event.tickets:
-            worker = self._fleet.get(worker_id)
-            if worker is not None:
-                incarnations[worker_id] = worker.incarnation
         self._advice.record_answer(
-            event.step,
-            event.asked,
-            event.tickets,
-            event.valid_until,
-            incarnations,
+            event.question, event.tickets, event.valid_until
         )
         self._dirty = True
 
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -80,11 +80,8 @@
 def test_ticket_is_valid_until_it_expires_and_denied_workers_stay_denied():
     advice, group = AdviceCache(), advised_group()
     allowed, denied = make_worker(1), make_worker(2)
-    asked = (allowed.worker_id, denied.worker_id)
-    advice.next_question(group, [allowed, denied], 0.0)
-    advice.record_answer(
-        group.step_id, asked, {allowed.worker_id: "t"}, 3.0, {}
-    )
+    question = advice.next_question(group, [allowed, denied], 0.0)
+    advice.record_answer(question, {allowed.worker_id: "t"}, 3.0)
     assert advice.filter_ticketed(group, [allowed, denied], 1.0) == [allowed]
     assert advice.ticket_for(group, allowed) == "t"
     assert advice.filter_ticketed(group, [allowed, denied], 2.9) == []
@@ -95,9 +92,9 @@
 def test_ticket_is_for_one_incarnation_of_a_worker():
     advice, group = AdviceCache(), advised_group()
     allowed = make_worker(1)
-    advice.record_answer(
-        group.step_id, (allowed.worker_id,), {allowed.worker_id: "t"}, 9.0, {}
-    )
+    question = advice.next_question(group, [allowed], 0.0)
+    advice.record_answer(question, {allowed.worker_id: "t"}, 9.0)
+    assert advice.filter_ticketed(group, [allowed], 1.0) == [allowed]
     allowed.incarnation = 5
     assert advice.filter_ticketed(group, [allowed], 1.0) == []
 
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -114,9 +114,7 @@
     assert [each.worker_ids for each in asked] == [(INFO.worker_id,)]
     if restarts:
         report(scheduler, 2, NOW + 0.1)
-    answer = AdviceGiven(
-        asked[0].step, asked[0].worker_ids, {INFO.worker_id: "t"}, NOW + 9.0
-    )
+    answer = AdviceGiven(asked[0], {INFO.worker_id: "t"}, NOW + 9.0)
     scheduler.handle(answer, NOW + 0.2)
     placed = scheduler.place(NOW + 0.2)
     for each in [d for d in placed if isinstance(d, WriteRow)]:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/advice_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/advice_task.py
@@ -69,12 +69,7 @@
         if isinstance(answer, Ok):
             advice = answer.ok_value
             self._emit(
-                AdviceGiven(
-                    question.step,
-                    question.worker_ids,
-                    advice.tickets,
-                    asked_at + advice.valid_s,
-                )
+                AdviceGiven(question, advice.tickets, asked_at + advice.valid_s)
             )
             return
         self._log.write(
