Give a claimed place back if its ticket is no longer valid

Callers would see work on a queue with an outside policy begin late, and its workers refuse starts for their ticket. A claim waits for the job's row to be durable, or for evicted runs to end; if the ticket expired or the worker restarted meanwhile, the start carried it all the same.

Cause: the ticket was compared with the time and the worker's incarnation when the place was claimed, and not again when the start was ordered.

Change: the tickets are looked at again when a claimed group is about to start. Without a valid one, the place is given back and the ticket is asked for anew. The margin for the time that an order takes applies only to new claims: an unexpired ticket is still worth the order.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
@@ -52,17 +52,28 @@
         self, group: Group, workers: list[Worker], now: float
     ) -> list[Worker]:
         """Returns the workers for which there is a valid ticket."""
-        known = self._steps.get(group.step_id)
-        if known is None:
-            return []
         return [
             each
             for each in workers
-            if (ticket := known.allowed.get(each.worker_id)) is not None
-            and ticket.valid_until > now + TICKET_MARGIN_S
-            and ticket.incarnation == each.incarnation
+            if self.has_ticket(group, each, now + TICKET_MARGIN_S)
         ]
 
+    def has_ticket(self, group: Group, worker: Worker, at: float) -> bool:
+        """Returns whether there is a ticket for a worker, valid at a time.
+
+        Args:
+          group: the group to be started.
+          worker: the worker.
+          at: the time, in seconds.
+        """
+        known = self._steps.get(group.step_id)
+        ticket = None if known is None else known.allowed.get(worker.worker_id)
+        return (
+            ticket is not None
+            and ticket.valid_until > at
+            and ticket.incarnation == worker.incarnation
+        )
+
     def ticket_for(self, group: Group, worker: Worker) -> str:
         """Returns the ticket for a worker; empty when there is none."""
         known = self._steps.get(group.step_id)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -160,11 +160,29 @@
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
         for group in entry.all_groups():
-            if group.state is GroupState.CLAIMED and self._runs.can_start(
-                group
-            ):
+            if group.state is not GroupState.CLAIMED:
+                continue
+            if not self._runs.can_start(group):
+                continue
+            if entry.queue.advised and not self._has_tickets(group, now):
+                self._runs.stop_run(group, "a ticket is no longer valid", now)
+            else:
                 self._runs.start(group, now)
 
+    def _has_tickets(self, group: Group, now: float) -> bool:
+        """Returns whether there is a valid ticket for each claimed place.
+
+        The claim may have waited for room or for its row, while a ticket
+        expired or a worker restarted.
+        """
+        workers = map(
+            self._fleet.get, {m.worker_id for m in group.members.values()}
+        )
+        return all(
+            each is not None and self._advice.has_ticket(group, each, now)
+            for each in workers
+        )
+
     def _move_straggling_run(self, group: Group, now: float) -> None:
         """Stops a run that stragglers delay, if there is room elsewhere."""
         stragglers = find_stragglers(group)
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -11,6 +11,7 @@
     RosterWritten,
     RowWritten,
     StartTask,
+    Tick,
     WorkerInfo,
     WorkerReported,
     WorkerSilent,
@@ -64,6 +65,10 @@
     return scheduler
 
 
+def of_kind(decisions, kind):
+    return [each for each in decisions if isinstance(each, kind)]
+
+
 def report(scheduler, incarnation, now, complete=True):
     event = WorkerReported(
         INFO.worker_id, Incarnation(incarnation), now, (), (), complete
@@ -108,18 +113,45 @@
     scheduler = make_scheduler()
     report(scheduler, 1, NOW)
     scheduler.handle(JobAccepted(JOB, JobRow.from_job(JOB)), NOW)
-    asked = [
-        each for each in scheduler.place(NOW) if isinstance(each, RequestAdvice)
-    ]
+    asked = of_kind(scheduler.place(NOW), RequestAdvice)
     assert [each.worker_ids for each in asked] == [(INFO.worker_id,)]
     if restarts:
         report(scheduler, 2, NOW + 0.1)
     answer = AdviceGiven(asked[0], {INFO.worker_id: "t"}, NOW + 9.0)
     scheduler.handle(answer, NOW + 0.2)
     placed = scheduler.place(NOW + 0.2)
-    for each in [d for d in placed if isinstance(d, WriteRow)]:
+    for each in of_kind(placed, WriteRow):
         placed += scheduler.handle(
             RowWritten(each.job_id, each.change), NOW + 0.3
         )
-    started = [each for each in placed if isinstance(each, StartTask)]
-    assert bool(started) != restarts
+    assert bool(of_kind(placed, StartTask)) != restarts
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "written_after_s", "starts"),
+    [(1, 0.1, True), (1, 1.9, False), (2, 0.1, False)],
+)
+def test_claimed_place_is_given_back_if_its_ticket_is_no_longer_valid(
+    incarnation, written_after_s, starts
+):
+    """Guards against starts that are refused for their ticket.
+
+    The place was claimed while the ticket was valid, and the job's row was
+    written late, or the worker has restarted in between.
+    """
+    scheduler = make_scheduler()
+    report(scheduler, 1, NOW)
+    scheduler.handle(JobAccepted(JOB, JobRow.from_job(JOB)), NOW)
+    (question,) = of_kind(scheduler.place(NOW), RequestAdvice)
+    answer = AdviceGiven(question, {INFO.worker_id: "t"}, NOW + 1.8)
+    scheduler.handle(answer, NOW)
+    (write,) = of_kind(scheduler.place(NOW), WriteRow)
+    report(scheduler, incarnation, NOW + 0.05)
+    now = NOW + written_after_s
+    found = scheduler.handle(RowWritten(write.job_id, write.change), now)
+    assert len(of_kind(found, StartTask)) == starts
+    scheduler.handle(Tick(now), now)
+    asked = of_kind(scheduler.place(now), RequestAdvice)
+    assert [each.incarnations for each in asked] == (
+        [] if starts else [{INFO.worker_id: incarnation}]
+    )
