Repeat the newest order of pace until no late one can undo it

Callers would see a filling task stand still for good, or serving tasks be disturbed by one that counts as paused: an order of pace that got no answer was carried out seconds later, after a newer one. An order that got no answer twice was given up, and the pacer, which sends only changes, still took its pace for the real one.

Cause: each order was sent on its own. Nothing remembered that an earlier one for the same run could still act.

Change: the orders for a run are sent one at a time, and the newest is repeated, with pauses of up to 1 s, until it is answered and no order without an answer can set another pace any more. The repetition ends with the run. So a late order lasts for 1 s and a call, well below the time for which a serving task may be disturbed. Nothing is repeated where all orders are answered.

Ruled out: a higher fence after each order without an answer. It would bar late orders for good, but also starts and stops that are under way, and a term has 256 fences for a worker.

Late orders of the model act after 4.3 s in place of 4 s, so that they don't coincide with a repetition.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -220,6 +220,10 @@
 
     def is_start_wanted(self, task: TaskId, run: int) -> bool:
         """Returns whether a start that has no answer yet is still wanted."""
+        return self.is_current_run(task, run)
+
+    def is_current_run(self, task: TaskId, run: int) -> bool:
+        """Returns whether a run was ordered to start and not stopped since."""
         group = self._jobs.group_of(task)
         return (
             group is not None
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -39,6 +39,7 @@
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import Epoch
 from pomeloarch_core.response_times import ResponseTimeEstimator
+from pomeloarch_node.batch.pace_orders import PaceOrders
 from pomeloarch_node.batch.ports import (
     OrderFailure,
     StartAnswer,
@@ -65,7 +66,6 @@
 # a worker is asked this often; the load figures in its reports cover the last
 # half second.
 PACED_WAIT_S = 0.5
-MAX_PACE_ATTEMPTS = 2
 # Maximum number of copies of a call whose answer is late; the last one has its
 # whole time-out.
 MAX_START_COPIES = 3
@@ -164,6 +164,9 @@
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
         self._orders: set[asyncio.Task[None]] = set()
+        self._paces = PaceOrders(
+            self._send_pace, self._is_pace_wanted, clock, MAX_ORDER_DELAY_S
+        )
 
     def wake(self) -> None:
         """Makes the session check at once whether a renewal is due."""
@@ -467,7 +470,7 @@
 
     def pace(self, order: PaceTask) -> None:
         """Sends an order to run a task at a share of its full speed."""
-        self._spawn(self._send_pace(order))
+        self._spawn(self._paces.carry_out(order))
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
@@ -621,20 +624,20 @@
         elapsed_s = (now - at) * (1 - MAX_CLOCK_DRIFT) - CALL_TIMEOUT_S
         return clock_ms < earlier_ms + elapsed_s * 1000
 
-    async def _send_pace(self, order: PaceTask) -> None:
-        for _ in range(MAX_PACE_ATTEMPTS):
-            if not self._tenure.is_held():
-                return
-            answer = await self._call_fenced(
-                lambda link, fence: link.pace(
-                    str(order.task), order.run, order.percent, fence
-                )
+    async def _send_pace(self, order: PaceTask) -> Result[None, OrderFailure]:
+        answer = await self._call_fenced(
+            lambda link, fence: link.pace(
+                str(order.task), order.run, order.percent, fence
             )
-            if isinstance(answer, Ok):
-                return
-            if answer.err_value is OrderFailure.SUPERSEDED:
-                self._tenure.supersede("a worker has seen a higher fence")
-                return
+        )
+        if answer == Err(OrderFailure.SUPERSEDED):
+            self._tenure.supersede("a worker has seen a higher fence")
+        return answer
+
+    def _is_pace_wanted(self, order: PaceTask) -> bool:
+        return self._tenure.is_held() and self._scheduler.is_current_run(
+            order.task, order.run
+        )
 
     async def _send_stop(self, order: StopTask) -> None:
         while self._tenure.is_held():
--- a/packages/pomeloarch-node/tests/test_batch_beliefs.py
+++ b/packages/pomeloarch-node/tests/test_batch_beliefs.py
@@ -1,8 +1,10 @@
 """Tests of what a leader takes an order or the lack of an answer for."""
 
 import asyncio
+import itertools
 import random
 
+import pytest
 from result import Err, Ok
 
 from pomeloarch_core.batch.messages import (
@@ -42,7 +44,9 @@
 # Time that a call takes at least, in seconds.
 CALL_S = 0.001
 # Delay of an order without an answer until it is carried out, in seconds.
-LATE_S = 4.0
+LATE_S = 4.3
+# Time for which a serving task may be disturbed at most, in seconds.
+MAX_DISTURBED_S = 4.0
 
 
 class Tenure:
@@ -59,11 +63,21 @@
 
 
 class Scheduler:
-    """Has the worker asked all the time and gives it no task."""
+    """Has the worker asked all the time and gives it no task.
+
+    Attributes:
+      runs_task: whether the task is still running.
+    """
+
+    def __init__(self):
+        self.runs_task = True
 
     def is_start_wanted(self, task, run):
         return True
 
+    def is_current_run(self, task, run):
+        return self.runs_task
+
     def acknowledged_up_to(self, worker_id):
         return 0
 
@@ -81,14 +95,18 @@
       failure: the answer to renewals, None if the worker answers.
       calls: the number of renewals.
       percent: the pace that was carried out last.
+      paces: the number of orders of pace.
       late_paces: number of orders that get no answer and are carried out late.
+      lost_paces: number of orders that get no answer and aren't carried out.
     """
 
     def __init__(self):
         self.failure = None
         self.calls = 0
         self.percent = 100
+        self.paces = 0
         self.late_paces = 0
+        self.lost_paces = 0
 
     async def reset(self):
         pass
@@ -106,7 +124,11 @@
         return Ok(WorkerState(Incarnation(1), clock_ms, (), ()))
 
     async def pace(self, task_name, run, percent, fence):
+        self.paces += 1
         await asyncio.sleep(CALL_S)
+        if self.lost_paces:
+            self.lost_paces -= 1
+            return Err(OrderFailure.NO_ANSWER)
         if self.late_paces:
             self.late_paces -= 1
             loop = asyncio.get_running_loop()
@@ -118,6 +140,10 @@
     def _set(self, percent):
         self.percent = percent
 
+    async def percent_after(self, seconds):
+        await asyncio.sleep(seconds)
+        return self.percent
+
 
 async def with_session(scenario):
     """Runs a scenario on a session."""
@@ -171,21 +197,61 @@
     assert successor > number + FENCES_PER_TERM - 1
 
 
-def test_late_order_does_not_leave_a_task_at_an_earlier_pace():
-    """Guards against a task that stands still for good.
+@pytest.mark.parametrize(
+    ("earlier", "newest", "late"),
+    [(0, 100, 1), (0, 100, 2), (0, 100, 6), (100, 0, 2), (45, 30, 1)],
+)
+def test_late_order_does_not_leave_a_task_at_an_earlier_pace(
+    earlier, newest, late
+):
+    """Guards against a task that stands still, or disturbs others, for good.
 
-    The order to pause it gets no answer and is carried out after a newer one.
+    The earlier order gets no answer and is carried out after the newest one.
     """
 
     async def scenario(session, link):
         await asyncio.sleep(2.5)
-        link.late_paces = 2
-        session.pace(PaceTask(INFO.worker_id, TASK, RunNumber(1), 0))
+        link.late_paces = late
+        session.pace(PaceTask(INFO.worker_id, TASK, RunNumber(1), earlier))
         await asyncio.sleep(2.0)
-        session.pace(PaceTask(INFO.worker_id, TASK, RunNumber(1), 100))
+        session.pace(PaceTask(INFO.worker_id, TASK, RunNumber(1), newest))
         await asyncio.sleep(1.0)
-        assert link.percent == 100
+        assert link.percent == newest
+        checks = [await link.percent_after(0.1) for _ in range(200)]
+        sent = link.paces
+        checks += [await link.percent_after(0.1) for _ in range(50)]
+        assert link.paces == sent, "it is still repeated"
+        return checks
+
+    checks = run_virtual(with_session(scenario))
+    wrong_s = [
+        sum(0.1 for _ in group)
+        for percent, group in itertools.groupby(checks)
+        if percent != newest
+    ]
+    assert wrong_s, "no order was late"
+    assert max(wrong_s) < MAX_DISTURBED_S
+    assert checks[-1] == newest
+
+
+@pytest.mark.parametrize(
+    ("ends_after_s", "carried_out"), [(9, True), (2, False)]
+)
+def test_order_of_pace_is_repeated_while_its_run_is_there(
+    ends_after_s, carried_out
+):
+    """Guards against a pace that is believed to be in effect and isn't."""
+
+    async def scenario(session, link):
+        await asyncio.sleep(2.5)
+        link.lost_paces = 5
+        session.pace(PaceTask(INFO.worker_id, TASK, RunNumber(1), 30))
+        await asyncio.sleep(ends_after_s)
+        session._scheduler.runs_task = False
+        await asyncio.sleep(3.0)
+        sent = link.paces
         await asyncio.sleep(20.0)
-        return link.percent
+        assert link.paces == sent, "it is still repeated"
+        return link.percent == 30
 
-    assert run_virtual(with_session(scenario)) == 100
+    assert run_virtual(with_session(scenario)) == carried_out
