Don't fail on a report while a serving task starts beside filling ones

Callers would see nobody schedule for a moment: the leader failed, and gave its role up, when a worker with a filling task reported between the order to start a serving task there and the answer to it.

Cause: the pacer took the largest strain of the serving tasks that have started, on a worker whose only serving task had not.

Change: the pace is kept until a serving task has started.

Tests: test_scavenging_tasks_keep_their_pace_while_a_serving_task_starts is new and failed before with a ValueError.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
@@ -46,11 +46,15 @@
         """Returns the changes of pace for a worker that has just reported."""
         if not self.has_paced_tasks(worker):
             return []
-        strain = max(
+        strains = [
             member.load / group.step.latency_target_ms
             for group, member in _tasks_on(worker)
             if group.step.latency_target_ms
-        )
+        ]
+        if not strains:
+            # The serving tasks have not started yet.
+            return []
+        strain = max(strains)
         since_s = now - self._changed_at.get(worker, -MIN_RAISE_INTERVAL_S)
         if strain >= CUT_AT_TARGET_SHARE and since_s >= MIN_CUT_INTERVAL_S:
             return self._change(worker, strain, now, cut=True)
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -147,6 +147,13 @@
     assert paces(Pacer().observe(worker, 10.0)) == []
 
 
+def test_scavenging_tasks_keep_their_pace_while_a_serving_task_starts():
+    """Guards against a scheduler that fails on the report in between."""
+    worker, serving = paced_worker(load=0.0)
+    serving.started_at = None
+    assert paces(Pacer().observe(worker, 10.0)) == []
+
+
 def test_change_of_pace_is_logged():
     worker, _ = paced_worker(load=150.0)
     log_entries = [
