Speed filling tasks up once no serving task is left beside them

Callers would see a filling task slowed down or paused for good: its pace had been cut for a serving task that has ended or moved since.

Cause: the pacer left a worker alone that had no serving task.

Change: without serving tasks the strain is 0, so the pace rises in the usual steps. Full pace at once was ruled out, since a serving task that has failed is often started again on the same worker.

Tests: test_scavenging_tasks_speed_up_once_no_serving_task_is_left is new and failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
@@ -2,7 +2,8 @@
 
 Serving tasks report their tail latency. When it exceeds its target, the
 scavenging tasks on the same worker are slowed down at once and sped up again in
-small steps: multiplicative decrease and additive increase.
+small steps: multiplicative decrease and additive increase. They are also sped
+up once no serving task is left there.
 """
 
 from __future__ import annotations
@@ -44,17 +45,17 @@
 
     def observe(self, worker: Worker, now: float) -> list[Decision]:
         """Returns the changes of pace for a worker that has just reported."""
-        if not self.has_paced_tasks(worker):
+        if not any(each.step.scavenging for each in worker.groups):
             return []
         strains = [
             member.load / group.step.latency_target_ms
             for group, member in _tasks_on(worker)
             if group.step.latency_target_ms
         ]
-        if not strains:
+        if not strains and self.has_paced_tasks(worker):
             # The serving tasks have not started yet.
             return []
-        strain = max(strains)
+        strain = max(strains, default=0.0)
         since_s = now - self._changed_at.get(worker, -MIN_RAISE_INTERVAL_S)
         if strain >= CUT_AT_TARGET_SHARE and since_s >= MIN_CUT_INTERVAL_S:
             return self._change(worker, strain, now, cut=True)
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -147,6 +147,21 @@
     assert paces(Pacer().observe(worker, 10.0)) == []
 
 
+def test_scavenging_tasks_speed_up_once_no_serving_task_is_left():
+    """Guards against tasks that stay slow or paused beside nothing."""
+    pacer = Pacer()
+    worker, serving = paced_worker(load=150.0)
+    assert paces(pacer.observe(worker, 0.0)) == [30]
+    (group,) = (
+        each for each in worker.groups if serving in each.members.values()
+    )
+    worker.release(group, Resources(), claimed=False)
+    decisions = [
+        each for n in range(1, 61) for each in pacer.observe(worker, n * 0.5)
+    ]
+    assert paces(decisions) == [45, 60, 75, 90, 100]
+
+
 def test_scavenging_tasks_keep_their_pace_while_a_serving_task_starts():
     """Guards against a scheduler that fails on the report in between."""
     worker, serving = paced_worker(load=0.0)
