Don't take the pace of an adopted run for the full one

Callers would see a filling task stand still for good after a change of leader, or be sped up where serving tasks were already disturbed: the former leader had slowed it down, and its successor counted it at full pace.

Cause: a run that was adopted began with the pace of one just started. The pacer sends only changes, so it never raised a pace that it took for 100%, and cut it to 30%, which was more than it had.

Change: the pace of an adopted run is unknown. It is estimated from the processor time that the worker reports, which is rather too low, and the first order settles it. While the strain asks for no change, nothing is sent.

Ruled out: full pace at once, which could disturb serving tasks for some seconds after each change of leader; the lowest pace at once, which would slow down every filling task then.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -69,8 +69,9 @@
       unanswered: number of copies of the order to start it without an answer.
       percent: share of its work that was reported as done last, in percent.
       load: tail latency in milliseconds of a serving task, otherwise processor
-        use.
-      pace_percent: share of its full pace that was last ordered, in percent.
+        use in thousandths of a core.
+      pace_percent: share of its full pace that was last ordered, in percent;
+        None when an earlier scheduler may have ordered another one.
       advanced_at: when `percent` last changed.
       reported_at: when it was last reported.
       first_percent: the value of `percent` in its first report.
@@ -87,7 +88,7 @@
         self.unanswered = 0
         self.percent = 0.0
         self.load = 0.0
-        self.pace_percent = 100
+        self.pace_percent: int | None = 100
         self.advanced_at: float | None = None
         self.reported_at = 0.0
         self.first_percent: float | None = None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -106,7 +106,7 @@
       percent: share of its work that is done, in percent; for a long-running
         task, 100 means that it serves.
       load: tail latency in milliseconds of a serving task, otherwise processor
-        use.
+        use in thousandths of a core.
     """
 
     task: TaskId
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
@@ -73,11 +73,8 @@
         for group, member in _tasks_on(worker):
             if not group.step.scavenging:
                 continue
-            percent = (
-                _cut(member.pace_percent)
-                if cut
-                else _raised(member.pace_percent)
-            )
+            pace = _present_pace(group, member)
+            percent = _cut(pace) if cut else _raised(pace)
             if percent == member.pace_percent:
                 continue
             member.pace_percent = percent
@@ -109,6 +106,20 @@
     ]
 
 
+def _present_pace(group: Group, member: Member) -> int:
+    """Returns the pace of a task, in percent.
+
+    That of an adopted run is estimated from the processor time that it uses. It
+    may use less than its pace allows, so the estimate is rather too low.
+    """
+    if member.pace_percent is not None:
+        return member.pace_percent
+    need = group.step.need.cpu_millis
+    if need <= 0:
+        return FULL_PERCENT
+    return min(FULL_PERCENT, int(member.load * FULL_PERCENT / need))
+
+
 def _cut(percent: int) -> int:
     lower = int(percent * CUT_FACTOR)
     return lower if lower >= MIN_PERCENT else 0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -180,6 +180,7 @@
         member.run = reported.run
         member.started_at = now
         member.incarnation = worker.incarnation
+        member.pace_percent = None
         worker.allocate(group, group.step.allocation, claimed=False)
         self._mark_started(group)
         self.log(
--- a/packages/pomeloarch-core/tests/test_batch_adopted_runs.py
+++ b/packages/pomeloarch-core/tests/test_batch_adopted_runs.py
@@ -6,6 +6,7 @@
 from pomeloarch_core.batch.messages import (
     Incarnation,
     JobAccepted,
+    PaceTask,
     RosterWritten,
     RowWritten,
     RunningTask,
@@ -185,6 +186,55 @@
     assert expected_s == pytest.approx(left_s)
 
 
+@pytest.mark.parametrize(
+    ("tail_ms", "load", "pace"),
+    [
+        (150.0, 4_000.0, 30),
+        (150.0, 400.0, 0),
+        (150.0, 0.0, 0),
+        (60.0, 4_000.0, 100),
+        (60.0, 4_400.0, 100),
+        (60.0, 2_000.0, 65),
+        (60.0, 0.0, 15),
+        (80.0, 0.0, None),
+        (None, 0.0, 15),
+        (None, 4_000.0, 100),
+    ],
+)
+def test_pace_of_an_adopted_run_is_not_taken_for_the_full_one(
+    tail_ms, load, pace
+):
+    """Guards against a task that stays slow since nobody knows that it is.
+
+    The former leader may have slowed it down. What it uses shows by how much;
+    the first order settles its pace.
+    """
+    scheduler = BatchScheduler(Epoch(2), CATALOGUE, 0.0)
+    need = Resources(4_000, 1_000, 0)
+    filling = Step(1, need, 4.0, scavenging=True)
+    serving = Step(1, need, 4.0, long_running=True, latency_target_ms=100)
+    running = []
+    for job_id, step, figure in (
+        (RUNNING, filling, load),
+        (WAITING, serving, tail_ms),
+    ):
+        job = BatchJob(job_id, NORMAL.name, OWNER, NORMAL, "work", (step,))
+        row = JobRow.from_job(job)
+        row.add_places([WORKER])
+        scheduler.handle(JobAccepted(job, row, inherited=True), 100.0)
+        if figure is not None:
+            task = TaskId(job_id, 0, 0, 0)
+            running.append(RunningTask(task, RunNumber(4097), load=figure))
+    info = WorkerInfo(WORKER, SERVICE, "w:1", ZoneName("z"), WHOLE)
+    scheduler.handle(WorkersListed((info,)), 100.0)
+    report = WorkerReported(WORKER, Incarnation(1), 100.0, tuple(running), ())
+    decisions = scheduler.handle(report, 100.0)
+    orders = [each for each in decisions if isinstance(each, PaceTask)]
+    assert [(each.task.job_id, each.percent) for each in orders] == (
+        [] if pace is None else [(RUNNING, pace)]
+    )
+
+
 @pytest.mark.parametrize("origin", ["own", "adopted"])
 def test_lost_work_of_a_run_follows_its_progress(origin):
     """Guards against adopted runs that are preempted because they count as new.
