Leave a wave that an earlier scheduler has completed as it is

Callers would see completed waves run again after each change of leader: their state went back to running, and workers whose machines have long had their upkeep got no new tasks until every order had been repeated, each of which counted as a machine that is down.

Cause: a new leader's plan begins without any machine done, and its state was written over the row of its predecessor.

Change: the row is read before anything else is done for a wave. If it says completed, the wave is left alone. It is only written once all machines have begun their upkeep, so no machine is missed.

Tests: test_successor_leaves_a_completed_wave_as_it_is[True] is new and failed before. [False] shows that a wave that is still running is processed.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
@@ -110,8 +110,8 @@
                     self._plans[wave.number] = plan
             open_plans = [
                 each
-                for number, each in self._plans.items()
-                if not self._written_status.get(number, False)
+                for each in self._plans.values()
+                if not self._is_completed(each)
             ]
             if open_plans and self._clock() >= self._earliest_order_at:
                 await self._advance(open_plans, self._machines)
@@ -124,11 +124,17 @@
             self._log.write("machines not listed", reason=listed.err_value)
             return
         machines = {each.machine_id: each for each in listed.ok_value}
-        self._announce_shutdowns(plans, machines)
         for plan in plans:
             await self._write_status(plan)
+        left = [each for each in plans if not self._is_completed(each)]
+        self._announce_shutdowns(left, machines)
+        for plan in left:
             await self._order_next_machines(plan, machines, service)
 
+    def _is_completed(self, plan: WavePlan) -> bool:
+        """Returns whether the row of a wave says that it is complete."""
+        return self._written_status.get(plan.wave.number, False)
+
     def _announce_shutdowns(
         self, plans: list[WavePlan], machines: dict[MachineId, Machine]
     ) -> None:
@@ -205,7 +211,10 @@
             )
 
     async def _write_status(self, plan: WavePlan) -> None:
-        """Writes whether a wave is complete, if that has changed."""
+        """Writes whether a wave is complete, if that has changed.
+
+        A wave that an earlier scheduler has completed stays complete.
+        """
         number, completed = plan.wave.number, plan.completed
         if self._written_status.get(number) == completed:
             return
@@ -214,9 +223,10 @@
         if isinstance(found, Err):
             return
         row = found.ok_value[0]
-        if row.value == write.value:
-            self._written_status[number] = completed
-            return
+        for known in (completed, True):
+            if row.value == self._source.status(number, known).value:
+                self._written_status[number] = known
+                return
         answer = await self._store.transact(
             [Check(row.table, row.key, row.version)], [write]
         )
--- a/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -93,6 +93,34 @@
     assert run_virtual(play_handover(0.0, upkeep_s)) == (1, 3)
 
 
+@pytest.mark.parametrize("completed", [False, True])
+def test_successor_leaves_a_completed_wave_as_it_is(completed):
+    """Guards against a wave that is begun anew at each change of leader.
+
+    Its state went back to running, and workers whose machines have long had
+    their upkeep got no tasks until all orders had been repeated.
+    """
+    events = []
+
+    async def scenario():
+        machines = Machines(UPKEEP_S)
+        tables = FeedTables()
+        row = Write("status", "1", {"done": completed})
+        await StoreLink(tables, random.Random(2)).transact([], [row])
+        running = start_successor(machines, tables, events.append)
+        states = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            states.append(tables.read("status", "1").value["done"])
+        running.cancel()
+        return len(machines._done), states
+
+    done, states = run_virtual(scenario())
+    shutting_down = {each for event in events for each in event.worker_ids}
+    assert all(states) == completed
+    assert bool(done) == bool(shutting_down) == (not completed)
+
+
 async def play_handover(last_order_s, upkeep_s):
     """Has a successor process a wave that its predecessor has begun.
 
@@ -106,6 +134,16 @@
       of those that had their upkeep.
     """
     machines = Machines(upkeep_s)
+    running = start_successor(machines, FeedTables(), lambda event: None)
+    await asyncio.sleep(last_order_s)
+    await machines.upkeep(WAVE.machines[0], 1, NodeId("former"), Epoch(256))
+    await asyncio.sleep(30.0)
+    running.cancel()
+    return machines.max_down, len(machines._done)
+
+
+def start_successor(machines, tables, emit):
+    """Starts the upkeep task of a leader whose term begins now."""
     loop = asyncio.get_running_loop()
     source = WaveSource(
         lambda: (WAVE,),
@@ -114,9 +152,9 @@
     task = UpkeepTask(
         source,
         machines,
-        StoreLink(FeedTables(), random.Random(1)),
+        StoreLink(tables, random.Random(1)),
         Scheduler(),
-        lambda event: None,
+        emit,
         Tenure(),
         NodeId("n"),
         Epoch(512),
@@ -125,12 +163,7 @@
         UPKEEP_S,
         Log(),
     )
-    running = asyncio.create_task(task.run())
-    await asyncio.sleep(last_order_s)
-    await machines.upkeep(WAVE.machines[0], 1, NodeId("former"), Epoch(256))
-    await asyncio.sleep(30.0)
-    running.cancel()
-    return machines.max_down, len(machines._done)
+    return asyncio.create_task(task.run())
 
 
 class Log:
