Count all tasks of a step on a machine before it goes down

Callers would see more tasks of a long-running step away than it may miss: a machine that ran two of them was taken down while one could be missed.

Cause: each task was compared with the limit as if it were the only one to end.

Change: the tasks of a step on the machine count together. A worker that has more of a step than may be away could then never go down, so the excess tasks are moved first, as the limit allows, while its machine waits for its turn. If nothing else has room for them, the wave waits.

Tests: two cases of test_worker_may_be_taken_down_only_if_its_step_can_miss_all and three of test_worker_with_more_tasks_than_may_be_away failed before; both tables are new.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 from pomeloarch_core.batch.catalogue import Queue
 from pomeloarch_core.batch.messages import (
@@ -308,16 +309,28 @@
 
 
 def can_stop(group: Group) -> bool:
-    """Returns whether this system may stop a group.
+    """Returns whether this system may stop a group."""
+    return can_stop_all([group])
+
+
+def can_stop_all(groups: Iterable[Group]) -> bool:
+    """Returns whether this system may stop groups at the same time.
 
     A long-running step may limit how many of its tasks are stopped at the same
     time. Tasks that are not serving for another reason count as well.
     """
-    if not group.step.may_miss:
-        return True
-    others = group.job.groups[group.occurrence, group.number]
-    not_serving = sum(
-        each is not group and not (each.is_running and each.percent >= 100)
-        for each in others
+    stopped = set(groups)
+    return all(
+        _missed_with(each, stopped) <= each.step.may_miss
+        for each in stopped
+        if each.step.may_miss
+    )
+
+
+def _missed_with(group: Group, stopped: set[Group]) -> int:
+    """Returns how many groups of a step are away once some are stopped."""
+    siblings = group.job.groups[group.occurrence, group.number]
+    return sum(
+        each in stopped or not (each.is_running and each.percent >= 100)
+        for each in siblings
     )
-    return not_serving < group.step.may_miss
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -20,6 +20,7 @@
     GroupState,
     JobEntry,
     can_stop,
+    can_stop_all,
 )
 from pomeloarch_core.batch.jobs import JobRegistry
 from pomeloarch_core.batch.messages import (
@@ -207,9 +208,8 @@
         worker = self._fleet.get(worker_id)
         if worker is None:
             return True
-        return (worker.reported or worker.has_lapsed(now)) and all(
-            can_stop(each) for each in worker.groups
-        )
+        known = worker.reported or worker.has_lapsed(now)
+        return known and can_stop_all(worker.groups)
 
     def busy_s(self, worker_id: WorkerId, now: float) -> float:
         """Returns how long a worker's runs will likely take, in seconds."""
@@ -537,8 +537,29 @@
     def _on_shutting_down(self, event: WorkersShuttingDown, now: float) -> None:
         for worker in self._fleet:
             worker.shutting_down = worker.worker_id in event.worker_ids
+            if worker.shutting_down:
+                self._move_excess_tasks(worker, now)
         self._dirty = True
 
+    def _move_excess_tasks(self, worker: Worker, now: float) -> None:
+        """Moves tasks off a worker that has more of a step than may be away.
+
+        Its machine could otherwise never go down.
+        """
+        for group in list(worker.groups):
+            siblings = group.job.groups[group.occurrence, group.number]
+            here = sum(
+                each in worker.groups and each.state is GroupState.STARTED
+                for each in siblings
+            )
+            if (
+                0 < group.step.may_miss < here
+                and group.state is GroupState.STARTED
+                and can_stop(group)
+            ):
+                reason = f"worker {worker.worker_id} goes down with too many"
+                self._runs.stop_run(group, reason, now)
+
     @_on.register
     def _on_written(self, event: RowWritten, now: float) -> None:
         entry = self._jobs.record_written(event.job_id, event.change)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -29,6 +29,7 @@
     WorkerReported,
     WorkerSilent,
     WorkersListed,
+    WorkersShuttingDown,
     WriteRow,
 )
 from pomeloarch_core.batch.model import (
@@ -1874,6 +1875,44 @@
     assert len(successor.stops) == moved
 
 
+@pytest.mark.parametrize(
+    ("count", "may_miss", "moved"),
+    [(1, 1, 0), (2, 1, 1), (3, 1, 2), (3, 2, 1), (2, 0, 0)],
+)
+def test_worker_with_more_tasks_than_may_be_away_can_still_be_taken_down(
+    count, may_miss, moved
+):
+    """Guards against a machine that can never have its upkeep.
+
+    All tasks of a step are on it, and they may not all be ended together. They
+    are moved one after another, and each has to be at work first.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    here, there = (each.worker_id for each in fleet.workers)
+    fleet.emit(WorkersShuttingDown(frozenset({there})))
+    small = Resources(1_000, 1_000, 0)
+    fleet.submit(
+        1, BATCH, step(count, small, may_miss=may_miss, long_running=True)
+    )
+    fleet.emit(WorkersShuttingDown(frozenset()))
+    assert set(fleet.running.values()) == {here}
+    fleet.report(here, 100.0)
+    least_at_work = count
+    for _ in range(8):
+        fleet.emit(WorkersShuttingDown(frozenset({here})))
+        stops, fleet.stops = fleet.stops, []
+        least_at_work = min(least_at_work, count - len(stops))
+        for each in stops:
+            fleet.wait(0.1)
+            fleet.end(each.task, each.run, RunEnd.STOPPED)
+            fleet.wait(0.3)
+        fleet.report(there, 100.0)
+        fleet.report(here, 100.0)
+    assert list(fleet.running.values()).count(there) == moved
+    assert least_at_work >= count - (may_miss or count)
+    assert fleet.scheduler.can_end_tasks(here, fleet.now)
+
+
 def test_long_running_task_is_started_again_however_it_ends():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1, long_running=True))
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -1,5 +1,6 @@
 """Tests of what is concluded about workers before they have reported."""
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.catalogue import Catalogue
@@ -10,7 +11,10 @@
     RequestAdvice,
     RosterWritten,
     RowWritten,
+    RunningTask,
+    RunNumber,
     StartTask,
+    TaskId,
     Tick,
     WorkerInfo,
     WorkerReported,
@@ -58,10 +62,12 @@
 )
 
 
-def make_scheduler():
+def make_scheduler(*workers):
+    workers = workers or (INFO,)
     scheduler = BatchScheduler(Epoch(256), CATALOGUE, 0.0)
-    scheduler.handle(WorkersListed((INFO,)), NOW)
-    scheduler.handle(RosterWritten(frozenset({INFO.worker_id})), NOW)
+    scheduler.handle(WorkersListed(workers), NOW)
+    names = frozenset(each.worker_id for each in workers)
+    scheduler.handle(RosterWritten(names), NOW)
     return scheduler
 
 
@@ -69,9 +75,21 @@
     return [each for each in decisions if isinstance(each, kind)]
 
 
-def report(scheduler, incarnation, now, complete=True):
+def report(
+    scheduler,
+    incarnation,
+    now,
+    complete=True,
+    running=(),
+    worker_id=INFO.worker_id,
+):
     event = WorkerReported(
-        INFO.worker_id, Incarnation(incarnation), now, (), (), complete
+        worker_id,
+        Incarnation(incarnation),
+        now,
+        tuple(running),
+        (),
+        complete,
     )
     return scheduler.handle(event, now)
 
@@ -107,6 +125,50 @@
     assert not scheduler.can_end_tasks(INFO.worker_id, now)
 
 
+@pytest.mark.parametrize(
+    ("here", "elsewhere", "may_miss", "allowed"),
+    [
+        (1, 2, 1, True),
+        (1, 1, 1, False),
+        (2, 1, 1, False),
+        (2, 1, 2, True),
+        (2, 0, 2, False),
+        (3, 0, 3, True),
+        (3, 0, 0, True),
+    ],
+)
+def test_worker_may_be_taken_down_only_if_its_step_can_miss_all_its_tasks(
+    here, elsewhere, may_miss, allowed
+):
+    """Guards against an upkeep that ends several tasks of a step at once.
+
+    Each of them could have been stopped alone. Of the step's three tasks, those
+    that run nowhere are away.
+    """
+    other = msgspec.structs.replace(INFO, worker_id=WorkerId("v"))
+    scheduler = make_scheduler(INFO, other)
+    step = msgspec.structs.replace(
+        JOB.steps[0], count=3, long_running=True, may_miss=may_miss
+    )
+    job = msgspec.structs.replace(JOB, steps=(step,))
+    row = JobRow.from_job(job)
+    row.add_places([INFO.worker_id, other.worker_id])
+    scheduler.handle(JobAccepted(job, row, inherited=True), NOW)
+    running = [
+        RunningTask(TaskId(job.job_id, 0, 0, index), RunNumber(1), percent=100)
+        for index in range(3)
+    ]
+    report(scheduler, 1, NOW, running=running[:here])
+    report(
+        scheduler,
+        1,
+        NOW,
+        running=running[here : here + elsewhere],
+        worker_id=other.worker_id,
+    )
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW) == allowed
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_ticket_is_for_the_incarnation_that_was_asked_about(restarts):
     """Guards against a ticket that a restarted worker refuses."""
