Count tasks whose worker may have ended as away

Callers would see more tasks of a long-running step away than it may miss: a second machine of a wave was taken down right after the first, whose task still counted as at work. A worker that has ended is noticed only by its silence, and its tasks are released once their leases have ended, some six seconds later. The same holds for a worker that falls silent by itself.

Cause: what the last report had listed counted as at work for as long as the run wasn't released.

Change: once a machine may have been taken down, or a worker is silent, its tasks count as away until a report that is asked for later lists them. The answer to an order doesn't tell whether the machine had its upkeep before; then the next report, within a second, shows that its tasks are at work.

A test of the upkeep task checks which outcomes of an order are passed on.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -68,6 +68,8 @@
       incarnation: the worker's incarnation when its start was ordered, or that
         reported the run when it was adopted.
       unanswered: number of copies of the order to start it without an answer.
+      maybe_ended_at: when it may have ended at the latest, unless a report that
+        is asked for later lists it; None while nothing suggests it.
       percent: share of its work that was reported as done last, in percent.
       load: tail latency in milliseconds of a serving task, otherwise processor
         use in thousandths of a core.
@@ -87,6 +89,7 @@
         self.stopped_at: float | None = None
         self.incarnation = Incarnation(0)
         self.unanswered = 0
+        self.maybe_ended_at: float | None = None
         self.percent = 0.0
         self.load = 0.0
         self.pace_percent: int | None = 100
@@ -211,6 +214,15 @@
             each.started_at is not None for each in self.members.values()
         )
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the tasks of its long-running step are certainly at work."""
+        return (
+            self.is_running
+            and self.percent >= 100
+            and all(m.maybe_ended_at is None for m in self.members.values())
+        )
+
     @property
     def percent(self) -> float:
         """The lowest progress of a member, in percent."""
@@ -330,7 +342,4 @@
 def _missed_with(group: Group, stopped: set[Group]) -> int:
     """Returns how many groups of a step are away once some are stopped."""
     siblings = group.job.groups[group.occurrence, group.number]
-    return sum(
-        each in stopped or not (each.is_running and each.percent >= 100)
-        for each in siblings
-    )
+    return sum(each in stopped or not each.is_serving for each in siblings)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -349,6 +349,12 @@
     step: StepId
 
 
+class WorkerTakenDown(msgspec.Struct, frozen=True):
+    """A worker's machine may just have been taken down, and its runs ended."""
+
+    worker_id: WorkerId
+
+
 class WorkersShuttingDown(msgspec.Struct, frozen=True):
     """Workers whose machines are about to go down; they get no new tasks."""
 
@@ -382,6 +388,7 @@
     | StopAnswered
     | AdviceGiven
     | AdviceMissing
+    | WorkerTakenDown
     | WorkersShuttingDown
     | RowWritten
     | Tick
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -139,6 +139,12 @@
         member.load = reported.load
         advanced = reported.percent != member.percent
         member.record_progress(reported.percent, now)
+        if (
+            member.maybe_ended_at is not None
+            and worker.asked_at is not None
+            and member.maybe_ended_at < worker.asked_at
+        ):
+            member.maybe_ended_at = None
         if group.state is GroupState.STARTED:
             self._runs.confirm_member(group, reported.task.index, now)
         if reported.checkpoint:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -48,6 +48,7 @@
     WorkerSilent,
     WorkersListed,
     WorkersShuttingDown,
+    WorkerTakenDown,
 )
 from pomeloarch_core.batch.model import NO_RESOURCES
 from pomeloarch_core.batch.objectives import (
@@ -365,6 +366,7 @@
         if worker is None:
             return
         worker.mark_silent(event.lapses_at, event.gone)
+        _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
             LogEntry(
@@ -533,6 +535,12 @@
         self._advice.record_no_answer(event.step)
         self._dirty = True
 
+    @_on.register
+    def _on_taken_down(self, event: WorkerTakenDown, now: float) -> None:
+        worker = self._fleet.get(event.worker_id)
+        if worker is not None:
+            _mark_maybe_ended(worker, now)
+
     @_on.register
     def _on_shutting_down(self, event: WorkersShuttingDown, now: float) -> None:
         for worker in self._fleet:
@@ -613,6 +621,14 @@
             self._dirty = True
 
 
+def _mark_maybe_ended(worker: Worker, now: float) -> None:
+    """Notes that the runs of a worker may have ended by now."""
+    for group in worker.groups:
+        for member in group.members.values():
+            if member.worker_id == worker.worker_id:
+                member.maybe_ended_at = now
+
+
 def worker_from_roster(worker_id: WorkerId, address: str) -> WorkerInfo:
     """Returns a worker of which the roster gives only the address."""
     return WorkerInfo(
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -20,6 +20,7 @@
     WorkerReported,
     WorkerSilent,
     WorkersListed,
+    WorkerTakenDown,
     WriteRow,
 )
 from pomeloarch_core.batch.model import (
@@ -62,6 +63,26 @@
 )
 
 
+OTHER = msgspec.structs.replace(INFO, worker_id=WorkerId("v"))
+SERVING = [
+    RunningTask(TaskId(JOB.job_id, 0, 0, index), RunNumber(1), percent=100)
+    for index in range(3)
+]
+
+
+def make_serving_scheduler(count, may_miss):
+    """Returns one that is about to adopt tasks of a long-running step."""
+    scheduler = make_scheduler(INFO, OTHER)
+    step = msgspec.structs.replace(
+        JOB.steps[0], count=count, long_running=True, may_miss=may_miss
+    )
+    job = msgspec.structs.replace(JOB, steps=(step,))
+    row = JobRow.from_job(job)
+    row.add_places([INFO.worker_id, OTHER.worker_id])
+    scheduler.handle(JobAccepted(job, row, inherited=True), NOW)
+    return scheduler
+
+
 def make_scheduler(*workers):
     workers = workers or (INFO,)
     scheduler = BatchScheduler(Epoch(256), CATALOGUE, 0.0)
@@ -145,30 +166,46 @@
     Each of them could have been stopped alone. Of the step's three tasks, those
     that run nowhere are away.
     """
-    other = msgspec.structs.replace(INFO, worker_id=WorkerId("v"))
-    scheduler = make_scheduler(INFO, other)
-    step = msgspec.structs.replace(
-        JOB.steps[0], count=3, long_running=True, may_miss=may_miss
-    )
-    job = msgspec.structs.replace(JOB, steps=(step,))
-    row = JobRow.from_job(job)
-    row.add_places([INFO.worker_id, other.worker_id])
-    scheduler.handle(JobAccepted(job, row, inherited=True), NOW)
-    running = [
-        RunningTask(TaskId(job.job_id, 0, 0, index), RunNumber(1), percent=100)
-        for index in range(3)
-    ]
-    report(scheduler, 1, NOW, running=running[:here])
+    scheduler = make_serving_scheduler(3, may_miss)
+    report(scheduler, 1, NOW, running=SERVING[:here])
     report(
         scheduler,
         1,
         NOW,
-        running=running[here : here + elsewhere],
-        worker_id=other.worker_id,
+        running=SERVING[here : here + elsewhere],
+        worker_id=OTHER.worker_id,
     )
     assert scheduler.can_end_tasks(INFO.worker_id, NOW) == allowed
 
 
+@pytest.mark.parametrize(
+    ("event", "asked_after_s", "allowed"),
+    [
+        (None, None, True),
+        (WorkerTakenDown(OTHER.worker_id), None, False),
+        (WorkerTakenDown(OTHER.worker_id), -0.1, False),
+        (WorkerTakenDown(OTHER.worker_id), 0.1, True),
+        (WorkerSilent(OTHER.worker_id, NOW + 6.0), None, False),
+        (WorkerSilent(OTHER.worker_id, NOW + 6.0), 0.1, True),
+    ],
+)
+def test_task_that_may_have_ended_counts_as_away(event, asked_after_s, allowed):
+    """Guards against an upkeep that trusts tasks of a machine taken before.
+
+    A worker that has ended is noticed only some seconds later, and its tasks
+    are released once their leases have ended.
+    """
+    scheduler = make_serving_scheduler(2, may_miss=1)
+    report(scheduler, 1, NOW - 1.0, running=SERVING[:1])
+    others = {"running": SERVING[1:2], "worker_id": OTHER.worker_id}
+    report(scheduler, 1, NOW - 1.0, **others)
+    if event is not None:
+        scheduler.handle(event, NOW)
+    if asked_after_s is not None:
+        report(scheduler, 1, NOW + asked_after_s, **others)
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW + 0.2) == allowed
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_ticket_is_for_the_incarnation_that_was_asked_about(restarts):
     """Guards against a ticket that a restarted worker refuses."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
@@ -7,7 +7,11 @@
 
 from result import Err, Ok
 
-from pomeloarch_core.batch.messages import Event, WorkersShuttingDown
+from pomeloarch_core.batch.messages import (
+    Event,
+    WorkersShuttingDown,
+    WorkerTakenDown,
+)
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.batch.upkeep import (
     MachineId,
@@ -26,6 +30,7 @@
 # Number of machines that get no new tasks before their turn, for each machine
 # of a wave that may be down at once.
 ANNOUNCED_PER_DOWN_MACHINE = 2
+_MAY_HAVE_TAKEN_DOWN = (UpkeepOutcome.DONE, UpkeepOutcome.NO_ANSWER)
 
 
 class WaveSource:
@@ -202,6 +207,9 @@
                 machine, plan.wave.number, self._holder, self._fence
             )
             plan.record_outcome(machine, outcome, self._clock())
+            worker_id = machines[machine].worker_id
+            if worker_id is not None and outcome in _MAY_HAVE_TAKEN_DOWN:
+                self._emit(WorkerTakenDown(worker_id))
             self._log.write(
                 "machine upkeep",
                 wave=plan.wave.number,
--- a/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Ok
 
+from pomeloarch_core.batch.messages import WorkersShuttingDown, WorkerTakenDown
 from pomeloarch_core.batch.upkeep import MachineId, UpkeepOutcome, Wave
 from pomeloarch_core.ids import Epoch, NodeId, WorkerId
 from pomeloarch_node.batch.ports import Machine
@@ -25,6 +26,7 @@
 
     Attributes:
       max_down: the maximum number of machines that were down at a time.
+      outcome: the answer to orders.
 
     Args:
       upkeep_s: how long a machine is down, in seconds.
@@ -32,6 +34,7 @@
 
     def __init__(self, upkeep_s):
         self.max_down = 0
+        self.outcome = UpkeepOutcome.DONE
         self._upkeep_s = upkeep_s
         self._down_until = {}
         self._done = set()
@@ -55,7 +58,7 @@
             self._down_until[machine] = now + self._upkeep_s
             down = sum(map(self._is_down, WAVE.machines))
             self.max_down = max(self.max_down, down)
-        return UpkeepOutcome.DONE
+        return self.outcome
 
 
 class Tenure:
@@ -116,11 +119,37 @@
         return len(machines._done), states
 
     done, states = run_virtual(scenario())
-    shutting_down = {each for event in events for each in event.worker_ids}
+    shutting_down = {
+        worker_id
+        for each in events
+        if isinstance(each, WorkersShuttingDown)
+        for worker_id in each.worker_ids
+    }
     assert all(states) == completed
     assert bool(done) == bool(shutting_down) == (not completed)
 
 
+@pytest.mark.parametrize("outcome", UpkeepOutcome)
+def test_scheduler_is_told_at_once_that_a_worker_may_have_ended(outcome):
+    """Guards against a second machine whose upkeep ends too many tasks.
+
+    The scheduler decides about it before it notices that the first has gone.
+    """
+    events = []
+
+    async def scenario():
+        machines = Machines(UPKEEP_S)
+        machines.outcome = outcome
+        running = start_successor(machines, FeedTables(), events.append)
+        await asyncio.sleep(HANDOVER_S + 1.0)
+        running.cancel()
+
+    run_virtual(scenario())
+    told = [e.worker_id for e in events if isinstance(e, WorkerTakenDown)]
+    expected = outcome in (UpkeepOutcome.DONE, UpkeepOutcome.NO_ANSWER)
+    assert told == (["w-m1"] if expected else [])
+
+
 async def play_handover(last_order_s, upkeep_s):
     """Has a successor process a wave that its predecessor has begun.
 
