Don't preempt more tasks of a step together than may be away

Callers would see more tasks of a long-running step away than it may miss: an urgent group that needed the room of two of them had both stopped while one could be missed.

Cause: each group was compared with the limit as if it were the only one to be preempted.

Change: the victims of an eviction count together. Those beyond the limit are left out, and others are looked for. Where there are no others, the urgent group waits, as it did before where a single task was beyond the limit; that holds for guaranteed groups, too.

Tests: test_preemption_stops_no_more_of_a_step_than_may_be_away is new; three of its five cases failed before.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from pomeloarch_core.batch.fleet import Worker
-from pomeloarch_core.batch.groups import Group, GroupState
+from pomeloarch_core.batch.groups import Group, GroupState, can_stop_all
 from pomeloarch_core.batch.model import NO_RESOURCES, Resources
 from pomeloarch_core.batch.placing import (
     Placement,
@@ -80,6 +80,9 @@
 ) -> Eviction | None:
     """Returns the cheapest way to make room, None when there is none.
 
+    Of a step that limits how many of its tasks may be away, no more are
+    preempted: those beyond the limit are left out, and others are looked for.
+
     Args:
       group: the group that goes first.
       workers: the workers that it may use.
@@ -87,6 +90,38 @@
       allow_far: whether it may run off its data's rack or on several racks.
       stop_cost: returns what stopping a group costs, in core-seconds.
     """
+    excluded: set[Group] = set()
+    while True:
+        found = _find_eviction(
+            group,
+            workers,
+            lambda other: other not in excluded and may_preempt(other),
+            allow_far,
+            stop_cost,
+        )
+        beyond = _beyond_limit(found.victims) if found is not None else set()
+        if not beyond:
+            return found
+        excluded.update(beyond)
+
+
+def _beyond_limit(victims: list[Group]) -> set[Group]:
+    """Returns the groups that can't be stopped together with the others."""
+    allowed: list[Group] = []
+    for each in victims:
+        if can_stop_all([*allowed, each]):
+            allowed.append(each)
+    return set(victims) - set(allowed)
+
+
+def _find_eviction(
+    group: Group,
+    workers: Sequence[Worker],
+    may_preempt: MayPreempt,
+    allow_far: bool,
+    stop_cost: StopCost,
+) -> Eviction | None:
+    """Returns the cheapest way to make room if limits of steps are ignored."""
     preemptible = {each: _preemptible(each, may_preempt) for each in workers}
 
     def room(worker: Worker) -> Resources:
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -1875,6 +1875,38 @@
     assert len(successor.stops) == moved
 
 
+@pytest.mark.parametrize(
+    ("may_miss", "others", "lasting_stops", "other_stops"),
+    [(1, 0, 0, 0), (2, 0, 2, 0), (0, 0, 2, 0), (1, 1, 1, 1), (1, 2, 1, 1)],
+)
+def test_preemption_stops_no_more_of_a_step_than_may_be_away(
+    may_miss, others, lasting_stops, other_stops
+):
+    """Guards against an eviction that ends several tasks of a step at once.
+
+    Each of them could have been stopped alone. Two tasks of a long-running step
+    are on one worker; others may be there, too.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    parts = 2 + others
+    part = Resources(64_000 // parts, 128_000 // parts, 8 // parts)
+    lasting = step(2, part, may_miss=may_miss, long_running=True)
+    serving = fleet.submit(1, BATCH, lasting)
+    other = fleet.submit(2, BATCH, step(others or 1, part, 90.0))
+    running = tuple(
+        RunningTask(task, run, percent=100 if task.job_id == serving else 1)
+        for task, run in fleet.running
+    )
+    worker_id = fleet.workers[0].worker_id
+    fleet.emit(
+        WorkerReported(worker_id, Incarnation(1), fleet.now, running, ())
+    )
+    fleet.submit(3, URGENT, step(1, part * 2, 1.0))
+    stopped = [each.task.job_id for each in fleet.stops]
+    assert stopped.count(serving) == lasting_stops
+    assert stopped.count(other) == other_stops
+
+
 @pytest.mark.parametrize(
     ("count", "may_miss", "moved"),
     [(1, 1, 0), (2, 1, 1), (3, 1, 2), (3, 2, 1), (2, 0, 0)],
