--- a/packages/pomeloarch-node/tests/test_batch_beliefs.py
+++ b/packages/pomeloarch-node/tests/test_batch_beliefs.py
@@ -15,6 +15,7 @@
     WorkerInfo,
 )
 from pomeloarch_core.batch.model import Resources
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.ids import (
     Epoch,
     JobId,
@@ -71,6 +72,7 @@
 
     def __init__(self):
         self.runs_task = True
+        self.open_starts = OpenStarts()
 
     def is_start_wanted(self, task, run):
         return True
