--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
@@ -12,7 +12,7 @@
 
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group
-from pomeloarch_core.batch.messages import RequestAdvice, StepId
+from pomeloarch_core.batch.messages import Incarnation, RequestAdvice, StepId
 from pomeloarch_core.ids import WorkerId
 
 # Limit on the workers of one question.
@@ -29,7 +29,7 @@
 class _Ticket(NamedTuple):
     text: str
     valid_until: float
-    incarnation: int
+    incarnation: Incarnation
 
 
 class _StepAdvice:
@@ -52,17 +52,28 @@
         self, group: Group, workers: list[Worker], now: float
     ) -> list[Worker]:
         """Returns the workers for which there is a valid ticket."""
-        known = self._steps.get(group.step_id)
-        if known is None:
-            return []
         return [
             each
             for each in workers
-            if (ticket := known.allowed.get(each.worker_id)) is not None
-            and ticket.valid_until > now + TICKET_MARGIN_S
-            and ticket.incarnation == each.incarnation
+            if self.has_ticket(group, each, now + TICKET_MARGIN_S)
         ]
 
+    def has_ticket(self, group: Group, worker: Worker, at: float) -> bool:
+        """Returns whether there is a ticket for a worker, valid at a time.
+
+        Args:
+          group: the group to be started.
+          worker: the worker.
+          at: the time, in seconds.
+        """
+        known = self._steps.get(group.step_id)
+        ticket = None if known is None else known.allowed.get(worker.worker_id)
+        return (
+            ticket is not None
+            and ticket.valid_until > at
+            and ticket.incarnation == worker.incarnation
+        )
+
     def ticket_for(self, group: Group, worker: Worker) -> str:
         """Returns the ticket for a worker; empty when there is none."""
         known = self._steps.get(group.step_id)
@@ -96,26 +107,22 @@
             return None
         known.asked_at = now
         return RequestAdvice(
-            group.step_id, tuple(each.worker_id for each in asked)
+            group.step_id, {each.worker_id: each.incarnation for each in asked}
         )
 
     def record_answer(
         self,
-        step: StepId,
-        asked: tuple[WorkerId, ...],
+        question: RequestAdvice,
         tickets: dict[WorkerId, str],
         valid_until: float,
-        incarnations: dict[WorkerId, int],
     ) -> None:
-        """Records an answer; workers of `asked` without a ticket are denied."""
-        known = self._steps.setdefault(step, _StepAdvice())
+        """Records an answer; workers without a ticket are denied."""
+        known = self._steps.setdefault(question.step, _StepAdvice())
         known.asked_at = None
-        for worker_id in asked:
+        for worker_id, incarnation in question.incarnations.items():
             if worker_id in tickets:
                 known.allowed[worker_id] = _Ticket(
-                    tickets[worker_id],
-                    valid_until,
-                    incarnations.get(worker_id, 0),
+                    tickets[worker_id], valid_until, incarnation
                 )
             else:
                 known.allowed.pop(worker_id, None)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
@@ -7,7 +7,11 @@
 
 from result import Err, Ok
 
-from pomeloarch_core.batch.messages import Event, WorkersShuttingDown
+from pomeloarch_core.batch.messages import (
+    Event,
+    WorkersShuttingDown,
+    WorkerTakenDown,
+)
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.batch.upkeep import (
     MachineId,
@@ -26,6 +30,7 @@
 # Number of machines that get no new tasks before their turn, for each machine
 # of a wave that may be down at once.
 ANNOUNCED_PER_DOWN_MACHINE = 2
+_MAY_HAVE_TAKEN_DOWN = (UpkeepOutcome.DONE, UpkeepOutcome.NO_ANSWER)
 
 
 class WaveSource:
@@ -110,8 +115,8 @@
                     self._plans[wave.number] = plan
             open_plans = [
                 each
-                for number, each in self._plans.items()
-                if not self._written_status.get(number, False)
+                for each in self._plans.values()
+                if not self._is_completed(each)
             ]
             if open_plans and self._clock() >= self._earliest_order_at:
                 await self._advance(open_plans, self._machines)
@@ -124,11 +129,17 @@
             self._log.write("machines not listed", reason=listed.err_value)
             return
         machines = {each.machine_id: each for each in listed.ok_value}
-        self._announce_shutdowns(plans, machines)
         for plan in plans:
             await self._write_status(plan)
+        left = [each for each in plans if not self._is_completed(each)]
+        self._announce_shutdowns(left, machines)
+        for plan in left:
             await self._order_next_machines(plan, machines, service)
 
+    def _is_completed(self, plan: WavePlan) -> bool:
+        """Returns whether the row of a wave says that it is complete."""
+        return self._written_status.get(plan.wave.number, False)
+
     def _announce_shutdowns(
         self, plans: list[WavePlan], machines: dict[MachineId, Machine]
     ) -> None:
@@ -168,9 +179,10 @@
         worker_id = machine.worker_id
         if worker_id is None or not machine.up:
             return float("inf")
-        if not self._scheduler.can_end_tasks(worker_id):
+        now = self._clock()
+        if not self._scheduler.can_end_tasks(worker_id, now):
             return float("inf")
-        return self._scheduler.busy_s(worker_id, self._clock())
+        return self._scheduler.busy_s(worker_id, now)
 
     async def _order_next_machines(
         self,
@@ -179,9 +191,12 @@
         service: MachineService,
     ) -> None:
         """Orders machines of a wave down until the plan has none for now."""
+        in_upkeep = {each for each, m in machines.items() if m.in_upkeep}
         while self._tenure.is_held():
             busy_s_by_machine = self._busy_s_by_machine(machines)
-            machine = plan.next_order(busy_s_by_machine, self._clock())
+            machine = plan.next_order(
+                busy_s_by_machine, self._clock(), in_upkeep
+            )
             if machine is None or busy_s_by_machine[machine] == float("inf"):
                 if machine is not None:
                     plan.record_outcome(
@@ -192,6 +207,9 @@
                 machine, plan.wave.number, self._holder, self._fence
             )
             plan.record_outcome(machine, outcome, self._clock())
+            worker_id = machines[machine].worker_id
+            if worker_id is not None and outcome in _MAY_HAVE_TAKEN_DOWN:
+                self._emit(WorkerTakenDown(worker_id))
             self._log.write(
                 "machine upkeep",
                 wave=plan.wave.number,
@@ -201,7 +219,10 @@
             )
 
     async def _write_status(self, plan: WavePlan) -> None:
-        """Writes whether a wave is complete, if that has changed."""
+        """Writes whether a wave is complete, if that has changed.
+
+        A wave that an earlier scheduler has completed stays complete.
+        """
         number, completed = plan.wave.number, plan.completed
         if self._written_status.get(number) == completed:
             return
@@ -210,9 +231,10 @@
         if isinstance(found, Err):
             return
         row = found.ok_value[0]
-        if row.value == write.value:
-            self._written_status[number] = completed
-            return
+        for known in (completed, True):
+            if row.value == self._source.status(number, known).value:
+                self._written_status[number] = known
+                return
         answer = await self._store.transact(
             [Check(row.table, row.key, row.version)], [write]
         )
