Tell a successor which starts may be open

What callers would see: two runs of a task at once after a change of leader. A worker restarts under its id and carries out an order of the former leader that had no answer; its successor didn't know of the order and had started the task elsewhere. It kept all ends of inherited jobs for 15 s instead, which had the workers asked more often.

Change: a job's row names the groups of which a start may be open, with the workers. It is written with the row that names the places, before the start. One second after a start that is settled the entry goes. A successor takes each for an open start until no order of the former leader can be carried out; ends of other tasks are acknowledged at once.

Tests: test_end_is_kept_while_a_start_of_an_earlier_scheduler_is_open, test_successor_places_a_task_elsewhere_only_when_no_start_is_open.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -157,6 +157,7 @@
             now,
             wall,
         )
+        self._settle_starts(jobs, now)
         ready = self._exclude_open_starts(ready, placing_round, now)
         self._protect_late_gangs(ready, placing_round)
         self._collect_awaited(ready, placing_round)
@@ -174,18 +175,14 @@
         """Returns the groups that can't be started twice by earlier orders.
 
         A single task may run on the worker that may still carry out the
-        earlier order: whatever starts it there, it has one run. A long-running
-        task that waited would be away for longer than it may, and copies of a
-        speculative one may run at the same time.
+        earlier order: whatever starts it there, it has one run.
         """
-        self._settle_starts(now)
         open_tasks = self._open_starts.tasks()
         if not open_tasks:
             return groups
         free = []
         for group in groups:
-            exempt = group.step.long_running or group.step.speculative
-            if exempt or open_tasks.isdisjoint(group.tasks()):
+            if group.may_overlap or open_tasks.isdisjoint(group.tasks()):
                 free.append(group)
                 continue
             workers = self._open_starts.workers(group.tasks()[0])
@@ -196,7 +193,7 @@
             self._log_waiting(group, WaitReason.OPEN_START, None, False, now)
         return free
 
-    def _settle_starts(self, now: float) -> None:
+    def _settle_starts(self, jobs: list[JobEntry], now: float) -> None:
         """Removes open starts that can't run any more, or would be reported.
 
         A worker that isn't heard from may have carried one out at the last
@@ -215,6 +212,9 @@
             return now >= copy.acts_until + self._open_starts.longest_lease_s
 
         self._open_starts.settle_where(is_settled)
+        open_tasks = self._open_starts.tasks()
+        for entry in jobs:
+            self._runs.remove_open_starts(entry, open_tasks, now)
 
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -194,6 +194,20 @@
         """The name of the group's first task, for logs."""
         return str(self.task(self.indices[0]))
 
+    @property
+    def key(self) -> str:
+        """Its key within its job, `OCCURRENCE.STEP.INDEX` of the first task."""
+        return f"{self.occurrence}.{self.number}.{self.indices[0]}"
+
+    @property
+    def may_overlap(self) -> bool:
+        """Whether it doesn't wait for orders that may be carried out late.
+
+        A long-running task that waited would be away for longer than it may,
+        and copies of a speculative one may run at the same time.
+        """
+        return self.step.long_running or self.step.speculative
+
     @property
     def step_id(self) -> StepId:
         """The id of the group's step."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -34,7 +34,6 @@
       number: its number there.
       change: the change of the job's row that has to be durable first.
       awaited: the tasks whose open starts have to be settled first.
-      until: the earliest time at which it may be acknowledged.
     """
 
     worker: Worker
@@ -42,7 +41,6 @@
     number: int
     change: int
     awaited: frozenset[TaskId]
-    until: float
 
     def release(self) -> None:
         """Lets the worker forget the end; another incarnation has no such."""
@@ -154,16 +152,11 @@
         """
         assert end.task is not None
         awaited: frozenset[TaskId] = frozenset()
-        until = 0.0
         if end.how in _COUNTED_ENDS:
             group = self.group_of(end.task)
             awaited = frozenset([end.task] if group is None else group.tasks())
-            if entry is None or entry.maybe_started:
-                until = self._open_starts.earlier_until
         change = 0 if entry is None else entry.change
-        held = _HeldEnd(
-            worker, worker.incarnation, end.number, change, awaited, until
-        )
+        held = _HeldEnd(worker, worker.incarnation, end.number, change, awaited)
         is_open = self._is_start_open(held, now)
         if entry is not None and entry.written < change:
             self._held_ends.setdefault(entry.job.job_id, []).append(held)
@@ -191,7 +184,7 @@
         )
 
     def _is_start_open(self, held: _HeldEnd, now: float) -> bool:
-        return now < held.until or any(
+        return any(
             self._open_starts.may_act(task, now) for task in held.awaited
         )
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -41,7 +41,7 @@
 
     Attributes:
       earlier_until: the last moment at which an order of an earlier scheduler
-        may be carried out; which of them had no answer isn't known.
+        may be carried out.
       longest_lease_s: the longest lease that a worker grants, in seconds: how
         long a run may go on that a worker which nobody hears from began.
     """
@@ -56,9 +56,15 @@
 
     def add(self, task: TaskId, worker_id: WorkerId, now: float) -> CopyId:
         """Adds a copy that is sent now; returns its id."""
+        return self._add(task, OpenCopy(worker_id, now + MAX_ORDER_DELAY_S))
+
+    def add_earlier(self, task: TaskId, worker_id: WorkerId) -> None:
+        """Adds an order of an earlier scheduler that may be open."""
+        self._add(task, OpenCopy(worker_id, self.earlier_until))
+
+    def _add(self, task: TaskId, copy: OpenCopy) -> CopyId:
         copy_id = CopyId(next(self._ids))
-        copies = self._copies.setdefault(task, {})
-        copies[copy_id] = OpenCopy(worker_id, now + MAX_ORDER_DELAY_S)
+        self._copies.setdefault(task, {})[copy_id] = copy
         self._tasks[copy_id] = task
         return copy_id
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -73,6 +73,9 @@
         set to false, durably, before the first order.
       placed_on: the only workers on which its tasks were ordered to start,
         durable before each order; empty when it may be any worker.
+      open_starts: the workers that may still carry out an order to start a
+        group, by `OCCURRENCE.STEP.INDEX` of its first task; removed some time
+        after it was answered.
       scheduled: whether it runs at scheduled times.
       finished_at: when its status became final, in seconds of the wall clock.
       steps: results by `OCCURRENCE.STEP`.
@@ -85,6 +88,7 @@
     started: bool = False
     unplaced: bool = False
     placed_on: list[WorkerId] = []
+    open_starts: dict[str, list[WorkerId]] = {}
     scheduled: bool = False
     finished_at: float = 0.0
     steps: dict[str, StepRow] = {}
@@ -120,6 +124,19 @@
         self.placed_on = places
         return True
 
+    def add_open_starts(self, group: str, workers: Iterable[WorkerId]) -> bool:
+        """Adds workers that will be ordered to start a group.
+
+        Returns:
+          Whether the row has changed and has to be written.
+        """
+        named = self.open_starts.get(group, [])
+        wanted = sorted({*named, *workers})
+        if wanted == named:
+            return False
+        self.open_starts[group] = wanted
+        return True
+
     def step(self, occurrence: int, number: int) -> StepRow:
         """Returns the results of a step; creates them when missing."""
         return self.steps.setdefault(f"{occurrence}.{number}", StepRow())
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -34,6 +34,9 @@
 # Pause after a start that a worker refused, in seconds. By then the worker's
 # next report, which shows the reason, has arrived.
 REFUSED_PAUSE_S = 0.25
+# Time from a start after which the job's row may say that it is settled, in
+# seconds. A group that starts again on the same workers sooner needs no write.
+SETTLED_START_DELAY_S = 1.0
 # Pause between a failed run and the next one, in seconds.
 FAILED_PAUSE_S = 0.05
 
@@ -73,12 +76,21 @@
 
         The job's row has to name the places before the group is started: a
         successor assumes that nothing of the job was started on workers that
-        the row doesn't name.
+        the row doesn't name. That the start may be open is written with it, or
+        soon after where the row names the places already, so that a task that
+        starts there needs no store.
         """
         entry = group.job
-        if entry.row.add_places(each.worker_id for each in places.values()):
+        workers = {each.worker_id for each in places.values()}
+        opens = not group.may_overlap and entry.row.add_open_starts(
+            group.key, workers
+        )
+        if entry.row.add_places(workers):
             self.request_write(entry, urgent=True)
             entry.placement_change = entry.change
+        elif opens:
+            is_awaited = entry.written < entry.placement_change
+            self.request_write(entry, urgent=is_awaited)
         group.placement_change = entry.placement_change
         group.state = GroupState.CLAIMED
         group.wait_reason = None
@@ -88,6 +100,22 @@
             group.members[index] = Member(worker.worker_id)
             worker.allocate(group, group.step.allocation, claimed=True)
 
+    def remove_open_starts(
+        self, entry: JobEntry, open_tasks: set[TaskId], now: float
+    ) -> None:
+        """Removes the groups from a job's row whose starts are all settled."""
+        if not entry.row.open_starts:
+            return
+        for group in entry.all_groups():
+            if (
+                group.key in entry.row.open_starts
+                and not _is_start_due(group)
+                and now - group.started_at > SETTLED_START_DELAY_S
+                and open_tasks.isdisjoint(group.tasks())
+            ):
+                del entry.row.open_starts[group.key]
+                self.request_write(entry, urgent=False)
+
     def can_start(self, group: Group) -> bool:
         """Returns whether a group may start on the places that it has claimed.
 
@@ -475,6 +503,13 @@
         self._out.append(LogEntry(event, {"task": task, **fields}))
 
 
+def _is_start_due(group: Group) -> bool:
+    """Returns whether a start of a group may not have been sent yet."""
+    return group.state is GroupState.CLAIMED or (
+        group.state is GroupState.STARTED and not group.is_running
+    )
+
+
 def _obtained_at(worker: Worker, evidence: Evidence) -> float | None:
     """Returns the earliest time at which a worker's evidence can be from."""
     if evidence in (Evidence.LEASE_LAPSED, Evidence.WORKER_GONE):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -248,6 +248,8 @@
     @_on.register
     def _on_accepted(self, event: JobAccepted, now: float) -> None:
         job = event.job
+        if event.inherited:
+            self._expect_earlier_starts(event)
         known = self._jobs.get(job.job_id) is not None
         if known or event.row.status.is_final:
             return
@@ -260,6 +262,17 @@
         if job.job_id in self._early_cancels:
             self._cancel(entry, now)
 
+    def _expect_earlier_starts(self, event: JobAccepted) -> None:
+        """Notes the starts of an earlier scheduler that may still be open."""
+        for key, workers in event.row.open_starts.items():
+            occurrence, number, first = map(int, key.split("."))
+            step = event.job.steps[number]
+            indices = range(step.count) if step.gang else (first,)
+            for index in indices:
+                task = TaskId(event.job.job_id, occurrence, number, index)
+                for worker_id in workers:
+                    self.open_starts.add_earlier(task, worker_id)
+
     def _taken_fields(self, entry: JobEntry, now: float) -> dict[str, object]:
         steps = entry.job.steps
         return {
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -11,7 +11,6 @@
     RosterWritten,
     RowWritten,
     RunEnd,
-    RunNumber,
     StartAnswered,
     StartOutcome,
     StartTask,
@@ -58,20 +57,28 @@
 
 
 class Harness:
-    """A scheduler with two workers; rows are durable only on request."""
+    """A scheduler with two workers; rows are durable only on request.
 
-    def __init__(self):
+    Args:
+      inherited: a job that an earlier scheduler left.
+      heard: the workers that have answered.
+    """
+
+    def __init__(self, inherited=None, heard=WORKERS):
         self.now = 100.0
         self.decisions = []
         self.placing = True
         self.scheduler = BatchScheduler(Epoch(1), CATALOGUE, 0.0)
+        if inherited is not None:
+            self.scheduler.open_starts.earlier_until = self.now + 5.0
+            self.emit(inherited)
         listed = tuple(
             WorkerInfo(each, SERVICE, f"{each}:1", ZoneName(each), WHOLE)
             for each in WORKERS
         )
         self.emit(WorkersListed(listed))
         self.emit(RosterWritten(frozenset(WORKERS)))
-        for each in WORKERS:
+        for each in heard:
             self.report(each)
 
     def submit(self, job_id, queue, *steps):
@@ -366,18 +373,63 @@
     assert numbers == ([0, 1] if held else [1, 1])
 
 
+def successor(row, job, heard=WORKERS):
+    """Returns a harness whose earlier scheduler left a job and its row."""
+    return Harness(JobAccepted(job, row, inherited=True), heard)
+
+
 @pytest.mark.parametrize("how", [RunEnd.DONE, RunEnd.FAILED])
-def test_end_of_an_unknown_job_is_kept_while_earlier_orders_are_open(how):
+@pytest.mark.parametrize("is_open", [True, False])
+def test_end_is_kept_while_a_start_of_an_earlier_scheduler_is_open(
+    how, is_open
+):
     """Guards against orders of an earlier scheduler that come after the end."""
-    harness = Harness()
-    harness.scheduler.open_starts.earlier_until = harness.now + 5.0
-    task = TaskId(OTHER_JOB, 0, 0, 0)
-    harness.report(WORKERS[0], EndedTask(1, task, RunNumber(1), how))
-    before = harness.scheduler.acknowledged_up_to(WORKERS[0])
+    former = Harness()
+    order, copy = ordered(former)
+    if not is_open:
+        former.scheduler.open_starts.settle(copy)
+    former.now += 1.5
+    former.emit(Tick(former.now))
+    entry = former.scheduler._jobs.get(JOB)
+    entry.row.status = JobStatus.COMPLETED
+    harness = successor(entry.row, entry.job)
+    end = EndedTask(1, order.task, order.run, how)
+    harness.report(order.worker_id, end)
+    before = harness.scheduler.acknowledged_up_to(order.worker_id)
+    harness.now += 5.0
+    harness.emit(Tick(harness.now))
+    after = harness.scheduler.acknowledged_up_to(order.worker_id)
+    assert (before, after) == (0 if is_open else 1, 1)
+
+
+@pytest.mark.parametrize("step", [{}, {"gang": True}])
+@pytest.mark.parametrize("is_open", [True, False])
+def test_successor_places_a_task_elsewhere_only_when_no_start_is_open(
+    step, is_open
+):
+    """Guards against orders of an earlier scheduler that act after a restart.
+
+    The worker that was to start the task is cut off from the successor, and
+    what it may run has ended.
+    """
+    former = Harness()
+    order, copy = ordered(former, **step)
+    if not is_open:
+        former.scheduler.open_starts.settle(copy)
+    former.now += 1.5
+    former.emit(Tick(former.now))
+    entry = former.scheduler._jobs.get(JOB)
+    harness = successor(entry.row, entry.job, heard=WORKERS[1:])
+    assert order.worker_id == WORKERS[0]
+    harness.emit(WorkerSilent(order.worker_id, harness.now))
+    harness.now += 0.1
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    assert len(harness.starts()) == (0 if is_open else 1)
     harness.now += 5.0
     harness.emit(Tick(harness.now))
-    after = harness.scheduler.acknowledged_up_to(WORKERS[0])
-    assert (before, after) == (0, 1)
+    harness.rows_written()
+    assert len(harness.starts()) == 1
 
 
 # A long-running task may not be away for long; of a speculative one, copies may
