Hold tasks until late runs on a silent worker were killed

Would be seen: two runs of one task at once. A start without an answer reaches its worker, which restarted under its id behind a cut, 8 s after it was sent. The run gets the longest lease, until 14 s after the sending; but 13 s after it, when the order can't act any more, the task runs elsewhere. In the test, with the order carried out after 11.9 s: the late run from 11.9 s to 17.9 s, the other from 13.4 s.

Cause: the record of open starts knew how long an order can act, not how long what it starts can run. The lease end that is reported for the silent worker counts each order as if it acted at once.

Change: with a silent worker, its session reports when the last lease ends that an order sent by now can grant: the longest lease after 13 s. The tasks with an open start there wait for that. As soon as the worker reports, it doesn't count any more: its runs are known. Other tasks of the worker wait as before.

Why it works: once a worker is reported silent it gets no start, and no renewal with a deadline. So whatever acts on it later was sent before, acts within 13 s, and grants no more than the longest lease. Late renewals, which may extend the lease of a late run, are included.

Ruled out: to count from each order's own sending, which leaves out late renewals; to report the later end for the whole worker, which would hold all of its tasks for some 20 s.

Cost: such a task waits 20.7 s in place of 13.4 s, if its worker stays silent.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -29,10 +29,18 @@
     Attributes:
       worker_id: the worker that it was sent to.
       acts_until: the last moment at which it may be carried out.
+      lapses_at: while the worker is silent, when a run that it began has
+        certainly been killed; otherwise 0.
     """
 
     worker_id: WorkerId
     acts_until: float
+    lapses_at: float = 0.0
+
+    @property
+    def blocks_until(self) -> float:
+        """Until when its task must not run on another worker."""
+        return max(self.acts_until, self.lapses_at)
 
 
 class OpenStarts:
@@ -67,13 +75,31 @@
         if not self._copies[task]:
             del self._copies[task]
 
+    def set_lapse(
+        self, worker_id: WorkerId, lapses_at: float, now: float
+    ) -> None:
+        """Sets when the runs of late orders on a silent worker are killed.
+
+        Args:
+          worker_id: the worker.
+          lapses_at: that time, 0 when the worker answers: what it runs is known
+            from its reports.
+          now: the present time.
+        """
+        for copies in self._copies.values():
+            for copy_id, copy in copies.items():
+                if copy.worker_id == worker_id and copy.blocks_until > now:
+                    copies[copy_id] = msgspec.structs.replace(
+                        copy, lapses_at=lapses_at
+                    )
+
     def tasks(self, now: float) -> set[TaskId]:
-        """Returns the tasks of which a copy may still be carried out."""
+        """Returns the tasks that a copy may start, or may have started."""
         expired = [
             copy_id
             for copies in self._copies.values()
             for copy_id, copy in copies.items()
-            if copy.acts_until <= now
+            if copy.blocks_until <= now
         ]
         for copy_id in expired:
             self.settle(copy_id)
@@ -87,11 +113,11 @@
         )
 
     def workers(self, task: TaskId, now: float) -> set[WorkerId]:
-        """Returns the workers that may still carry out a task's start."""
+        """Returns the workers on which a copy may start, or have started it."""
         return {
             copy.worker_id
             for copy in self._copies.get(task, {}).values()
-            if copy.acts_until > now
+            if copy.blocks_until > now
         }
 
     def acts_until(self, worker_id: WorkerId) -> float:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -350,6 +350,7 @@
         if worker is None:
             return
         self._roster_changed |= worker.may_run is not None
+        self.open_starts.set_lapse(event.worker_id, 0.0, now)
         self._reports.process(worker, event, now)
         self._out += self._pacer.observe(worker, now)
         self._dirty = True
@@ -360,6 +361,9 @@
         if worker is None:
             return
         worker.mark_silent(event.lapses_at, event.gone)
+        self.open_starts.set_lapse(
+            event.worker_id, event.late_runs_lapse_at, now
+        )
         self._roster_changed = True
         self._out.append(
             LogEntry(
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -424,3 +424,41 @@
     harness.rows_written()
     workers = [each.worker_id for each in harness.starts()]
     assert workers == [order.worker_id] * 2
+
+
+@pytest.mark.parametrize(
+    ("open_s", "heard_after_s", "waits_s"),
+    [
+        (MAX_ORDER_DELAY_S, None, 20.0),
+        (MAX_ORDER_DELAY_S, 5.0, MAX_ORDER_DELAY_S),
+        (MAX_ORDER_DELAY_S, 16.0, 16.0),
+        (MAX_ORDER_DELAY_S, 25.0, 20.0),
+        (1.0, None, 5.0),
+    ],
+)
+def test_task_of_a_silent_worker_waits_until_late_runs_there_were_killed(
+    open_s, heard_after_s, waits_s
+):
+    """Guards against two runs of a task, and against a longer wait than needed.
+
+    A late order may start the task on the worker's next incarnation. A report
+    shows whether it did; an order that couldn't act any more did not.
+    """
+    harness = Harness()
+    order, copy = ordered(harness, gang=True)
+    began_at = harness.now
+    if open_s < MAX_ORDER_DELAY_S:
+        harness.scheduler.open_starts.settle(copy)
+    harness.now += 1.0
+    harness.emit(
+        WorkerSilent(
+            order.worker_id, began_at + 5.0, late_runs_lapse_at=began_at + 20.0
+        )
+    )
+    while len(harness.starts()) < 2:
+        harness.now = round(harness.now + 0.5, 3)
+        harness.emit(Tick(harness.now))
+        if harness.now - began_at == heard_after_s:
+            harness.report(order.worker_id)
+        harness.rows_written()
+    assert harness.now - began_at == waits_s
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -598,6 +598,40 @@
     assert run_in_world(scenario, workers=2) == []
 
 
+@pytest.mark.parametrize(
+    "step",
+    [Step(count=1, need=SMALL, estimate_s=30.0), gang(2, 30.0, SMALL)],
+    ids=["task", "gang"],
+)
+@pytest.mark.parametrize("late_s", [2.0, 8.0, 11.9])
+def test_late_start_on_a_silent_worker_that_restarted_makes_no_second_run(
+    monkeypatch, late_s, step
+):
+    """Guards against a task that runs elsewhere before a late run was killed.
+
+    The worker restarts behind a cut and carries out the order. By its clock,
+    which began anew, the deadline is far ahead: the run gets the longest lease.
+    """
+    delayed = lose_first_start(monkeypatch)
+
+    async def scenario(world):
+        await asyncio.sleep(20.0)
+        await world.submit(make_job(1, steps=(step,)), world.nodes[0])
+        while not delayed:
+            await asyncio.sleep(0.01)
+        worker_id, carry_out = delayed
+        worker = world.workers[worker_id]
+        worker.is_cut_off = True
+        await asyncio.sleep(1.0)
+        worker.crash()
+        await asyncio.sleep(late_s - 1.0)
+        assert carry_out() is StartOutcome.STARTED
+        await asyncio.sleep(25.0)
+        return {each.worker for each in world.ledger.entries}
+
+    assert len(run_in_world(scenario, workers=3)) == 2
+
+
 def test_late_renewal_that_reaches_a_restarted_worker_forgets_no_end(
     monkeypatch,
 ):
