--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 from pomeloarch_core.batch.catalogue import Queue
 from pomeloarch_core.batch.messages import (
@@ -69,10 +70,13 @@
       incarnation: the worker's incarnation when its start was ordered, or that
         reported the run when it was adopted.
       unanswered: number of copies of the order to start it without an answer.
+      maybe_ended_at: when it may have ended at the latest, unless a report that
+        is asked for later lists it; None while nothing suggests it.
       percent: share of its work that was reported as done last, in percent.
       load: tail latency in milliseconds of a serving task, otherwise processor
-        use.
-      pace_percent: share of its full pace that was last ordered, in percent.
+        use in thousandths of a core.
+      pace_percent: share of its full pace that was last ordered, in percent;
+        None when an earlier scheduler may have ordered another one.
       advanced_at: when `percent` last changed.
       reported_at: when it was last reported.
       first_percent: the value of `percent` in its first report.
@@ -87,9 +91,10 @@
         self.stopped_at: float | None = None
         self.incarnation = Incarnation(0)
         self.unanswered = 0
+        self.maybe_ended_at: float | None = None
         self.percent = 0.0
         self.load = 0.0
-        self.pace_percent = 100
+        self.pace_percent: int | None = 100
         self.advanced_at: float | None = None
         self.reported_at = 0.0
         self.first_percent: float | None = None
@@ -214,6 +219,15 @@
             each.started_at is not None for each in self.members.values()
         )
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the tasks of its long-running step are certainly at work."""
+        return (
+            self.is_running
+            and self.percent >= 100
+            and all(m.maybe_ended_at is None for m in self.members.values())
+        )
+
     @property
     def percent(self) -> float:
         """The lowest progress of a member, in percent."""
@@ -312,16 +326,25 @@
 
 
 def can_stop(group: Group) -> bool:
-    """Returns whether this system may stop a group.
+    """Returns whether this system may stop a group."""
+    return can_stop_all([group])
+
+
+def can_stop_all(groups: Iterable[Group]) -> bool:
+    """Returns whether this system may stop groups at the same time.
 
     A long-running step may limit how many of its tasks are stopped at the same
     time. Tasks that are not serving for another reason count as well.
     """
-    if not group.step.may_miss:
-        return True
-    others = group.job.groups[group.occurrence, group.number]
-    not_serving = sum(
-        each is not group and not (each.is_running and each.percent >= 100)
-        for each in others
+    stopped = set(groups)
+    return all(
+        _missed_with(each, stopped) <= each.step.may_miss
+        for each in stopped
+        if each.step.may_miss
     )
-    return not_serving < group.step.may_miss
+
+
+def _missed_with(group: Group, stopped: set[Group]) -> int:
+    """Returns how many groups of a step are away once some are stopped."""
+    siblings = group.job.groups[group.occurrence, group.number]
+    return sum(each in stopped or not each.is_serving for each in siblings)
--- a/packages/pomeloarch-core/tests/test_batch_dispatch.py
+++ b/packages/pomeloarch-core/tests/test_batch_dispatch.py
@@ -29,6 +29,7 @@
     WorkerReported,
     WorkerSilent,
     WorkersListed,
+    WorkersShuttingDown,
     WriteRow,
 )
 from pomeloarch_core.batch.model import (
@@ -1916,6 +1917,107 @@
     assert len(fleet.stops) == (step_.count if moved else 0)
 
 
+@pytest.mark.parametrize(
+    ("left_s", "step_", "moved"),
+    [
+        (1.7, step(1, seconds=4.0), True),
+        (1.7, step(1, seconds=1.0), False),
+        (8.0, step(1, long_running=True), True),
+    ],
+)
+def test_successor_moves_runs_off_a_worker_that_leaves_when_it_takes_over(
+    left_s, step_, moved
+):
+    """Guards against runs that end with a worker since they were not known.
+
+    The worker is on the successor's first list and reports only later.
+    """
+    fleet = Fleet()
+    job = fleet.submit(1, BATCH, step_)
+    (leaving,) = fleet.places(job)
+    fleet.workers = [
+        msgspec.structs.replace(each, draining=True, remaining_s=left_s)
+        if each.worker_id == leaving
+        else each
+        for each in fleet.workers
+    ]
+    successor = fleet.succeeded_by(2)
+    assert successor.stops == []
+    for _ in range(2):
+        successor.report(leaving)
+    assert len(successor.stops) == moved
+
+
+@pytest.mark.parametrize(
+    ("may_miss", "others", "lasting_stops", "other_stops"),
+    [(1, 0, 0, 0), (2, 0, 2, 0), (0, 0, 2, 0), (1, 1, 1, 1), (1, 2, 1, 1)],
+)
+def test_preemption_stops_no_more_of_a_step_than_may_be_away(
+    may_miss, others, lasting_stops, other_stops
+):
+    """Guards against an eviction that ends several tasks of a step at once.
+
+    Each of them could have been stopped alone. Two tasks of a long-running step
+    are on one worker; others may be there, too.
+    """
+    fleet = Fleet(racks=1, per_rack=1)
+    parts = 2 + others
+    part = Resources(64_000 // parts, 128_000 // parts, 8 // parts)
+    lasting = step(2, part, may_miss=may_miss, long_running=True)
+    serving = fleet.submit(1, BATCH, lasting)
+    other = fleet.submit(2, BATCH, step(others or 1, part, 90.0))
+    running = tuple(
+        RunningTask(task, run, percent=100 if task.job_id == serving else 1)
+        for task, run in fleet.running
+    )
+    worker_id = fleet.workers[0].worker_id
+    fleet.emit(
+        WorkerReported(worker_id, Incarnation(1), fleet.now, running, ())
+    )
+    fleet.submit(3, URGENT, step(1, part * 2, 1.0))
+    stopped = [each.task.job_id for each in fleet.stops]
+    assert stopped.count(serving) == lasting_stops
+    assert stopped.count(other) == other_stops
+
+
+@pytest.mark.parametrize(
+    ("count", "may_miss", "moved"),
+    [(1, 1, 0), (2, 1, 1), (3, 1, 2), (3, 2, 1), (2, 0, 0)],
+)
+def test_worker_with_more_tasks_than_may_be_away_can_still_be_taken_down(
+    count, may_miss, moved
+):
+    """Guards against a machine that can never have its upkeep.
+
+    All tasks of a step are on it, and they may not all be ended together. They
+    are moved one after another, and each has to be at work first.
+    """
+    fleet = Fleet(racks=1, per_rack=2)
+    here, there = (each.worker_id for each in fleet.workers)
+    fleet.emit(WorkersShuttingDown(frozenset({there})))
+    small = Resources(1_000, 1_000, 0)
+    fleet.submit(
+        1, BATCH, step(count, small, may_miss=may_miss, long_running=True)
+    )
+    fleet.emit(WorkersShuttingDown(frozenset()))
+    assert set(fleet.running.values()) == {here}
+    fleet.report(here, 100.0)
+    least_at_work = count
+    for _ in range(8):
+        fleet.emit(WorkersShuttingDown(frozenset({here})))
+        stops, fleet.stops = fleet.stops, []
+        least_at_work = min(least_at_work, count - len(stops))
+        for each in stops:
+            fleet.wait(0.1)
+            fleet.end(each.task, each.run, RunEnd.STOPPED)
+            fleet.wait(0.3)
+        fleet.report(there, 100.0)
+        fleet.report(here, 100.0)
+    assert list(fleet.running.values()).count(there) == moved
+    assert least_at_work >= count - (may_miss or count)
+    assert fleet.scheduler.can_end_tasks(here, fleet.now)
+
+
 def test_long_running_task_is_started_again_however_it_ends():
     fleet = Fleet()
     job = fleet.submit(1, BATCH, step(1, long_running=True))
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -1,5 +1,6 @@
 """Tests of what is concluded about workers before they have reported."""
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.catalogue import Catalogue
@@ -10,10 +11,16 @@
     RequestAdvice,
     RosterWritten,
     RowWritten,
+    RunningTask,
+    RunNumber,
     StartTask,
+    TaskId,
+    Tick,
     WorkerInfo,
     WorkerReported,
+    WorkerSilent,
     WorkersListed,
+    WorkerTakenDown,
     WriteRow,
 )
 from pomeloarch_core.batch.model import (
@@ -56,16 +63,54 @@
 )
 
 
-def make_scheduler():
+OTHER = msgspec.structs.replace(INFO, worker_id=WorkerId("v"))
+SERVING = [
+    RunningTask(TaskId(JOB.job_id, 0, 0, index), RunNumber(1), percent=100)
+    for index in range(3)
+]
+
+
+def make_serving_scheduler(count, may_miss):
+    """Returns one that is about to adopt tasks of a long-running step."""
+    scheduler = make_scheduler(INFO, OTHER)
+    step = msgspec.structs.replace(
+        JOB.steps[0], count=count, long_running=True, may_miss=may_miss
+    )
+    job = msgspec.structs.replace(JOB, steps=(step,))
+    row = JobRow.from_job(job)
+    row.add_places([INFO.worker_id, OTHER.worker_id])
+    scheduler.handle(JobAccepted(job, row, inherited=True), NOW)
+    return scheduler
+
+
+def make_scheduler(*workers):
+    workers = workers or (INFO,)
     scheduler = BatchScheduler(Epoch(256), CATALOGUE, 0.0)
-    scheduler.handle(WorkersListed((INFO,)), NOW)
-    scheduler.handle(RosterWritten(frozenset({INFO.worker_id})), NOW)
+    scheduler.handle(WorkersListed(workers), NOW)
+    names = frozenset(each.worker_id for each in workers)
+    scheduler.handle(RosterWritten(names), NOW)
     return scheduler
 
 
-def report(scheduler, incarnation, now, complete=True):
+def of_kind(decisions, kind):
+    return [each for each in decisions if isinstance(each, kind)]
+
+
+def report(
+    scheduler,
+    incarnation,
+    now,
+    complete=True,
+    running=(),
+    worker_id=INFO.worker_id,
+):
     event = WorkerReported(
-        INFO.worker_id, Incarnation(incarnation), now, (), (), complete
+        worker_id,
+        Incarnation(incarnation),
+        now,
+        tuple(running),
+        (),
+        complete,
     )
     return scheduler.handle(event, now)
 
@@ -79,7 +124,86 @@
     scheduler = make_scheduler()
     if reports is not None:
         report(scheduler, 1, NOW, complete=reports)
-    assert scheduler.can_end_tasks(INFO.worker_id) == bool(reports)
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW) == bool(reports)
+
+
+@pytest.mark.parametrize(
+    ("silent_for_s", "allowed"), [(0.0, False), (1.9, False), (2.0, True)]
+)
+def test_silent_worker_may_be_taken_down_once_its_leases_have_ended(
+    silent_for_s, allowed
+):
+    """Guards against an upkeep that waits for good, or ends unknown runs.
+
+    Nothing runs any longer on a worker whose leases have ended, until it
+    answers again.
+    """
+    scheduler = make_scheduler()
+    scheduler.handle(WorkerSilent(INFO.worker_id, NOW + 2.0), NOW)
+    now = NOW + silent_for_s
+    assert scheduler.can_end_tasks(INFO.worker_id, now) == allowed
+    report(scheduler, 1, now, complete=False)
+    assert not scheduler.can_end_tasks(INFO.worker_id, now)
+
+
+@pytest.mark.parametrize(
+    ("here", "elsewhere", "may_miss", "allowed"),
+    [
+        (1, 2, 1, True),
+        (1, 1, 1, False),
+        (2, 1, 1, False),
+        (2, 1, 2, True),
+        (2, 0, 2, False),
+        (3, 0, 3, True),
+        (3, 0, 0, True),
+    ],
+)
+def test_worker_may_be_taken_down_only_if_its_step_can_miss_all_its_tasks(
+    here, elsewhere, may_miss, allowed
+):
+    """Guards against an upkeep that ends several tasks of a step at once.
+
+    Each of them could have been stopped alone. Of the step's three tasks, those
+    that run nowhere are away.
+    """
+    scheduler = make_serving_scheduler(3, may_miss)
+    report(scheduler, 1, NOW, running=SERVING[:here])
+    report(
+        scheduler,
+        1,
+        NOW,
+        running=SERVING[here : here + elsewhere],
+        worker_id=OTHER.worker_id,
+    )
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW) == allowed
+
+
+@pytest.mark.parametrize(
+    ("event", "asked_after_s", "allowed"),
+    [
+        (None, None, True),
+        (WorkerTakenDown(OTHER.worker_id), None, False),
+        (WorkerTakenDown(OTHER.worker_id), -0.1, False),
+        (WorkerTakenDown(OTHER.worker_id), 0.1, True),
+        (WorkerSilent(OTHER.worker_id, NOW + 6.0), None, False),
+        (WorkerSilent(OTHER.worker_id, NOW + 6.0), 0.1, True),
+    ],
+)
+def test_task_that_may_have_ended_counts_as_away(event, asked_after_s, allowed):
+    """Guards against an upkeep that trusts tasks of a machine taken before.
+
+    A worker that has ended is noticed only some seconds later, and its tasks
+    are released once their leases have ended.
+    """
+    scheduler = make_serving_scheduler(2, may_miss=1)
+    report(scheduler, 1, NOW - 1.0, running=SERVING[:1])
+    others = {"running": SERVING[1:2], "worker_id": OTHER.worker_id}
+    report(scheduler, 1, NOW - 1.0, **others)
+    if event is not None:
+        scheduler.handle(event, NOW)
+    if asked_after_s is not None:
+        report(scheduler, 1, NOW + asked_after_s, **others)
+    assert scheduler.can_end_tasks(INFO.worker_id, NOW + 0.2) == allowed
 
 
 @pytest.mark.parametrize("restarts", [False, True])
@@ -88,20 +212,45 @@
     scheduler = make_scheduler()
     report(scheduler, 1, NOW)
     scheduler.handle(JobAccepted(JOB, JobRow.from_job(JOB)), NOW)
-    asked = [
-        each for each in scheduler.place(NOW) if isinstance(each, RequestAdvice)
-    ]
+    asked = of_kind(scheduler.place(NOW), RequestAdvice)
     assert [each.worker_ids for each in asked] == [(INFO.worker_id,)]
     if restarts:
         report(scheduler, 2, NOW + 0.1)
-    answer = AdviceGiven(
-        asked[0].step, asked[0].worker_ids, {INFO.worker_id: "t"}, NOW + 9.0
-    )
+    answer = AdviceGiven(asked[0], {INFO.worker_id: "t"}, NOW + 9.0)
     scheduler.handle(answer, NOW + 0.2)
     placed = scheduler.place(NOW + 0.2)
-    for each in [d for d in placed if isinstance(d, WriteRow)]:
+    for each in of_kind(placed, WriteRow):
         placed += scheduler.handle(
             RowWritten(each.job_id, each.change), NOW + 0.3
         )
-    started = [each for each in placed if isinstance(each, StartTask)]
-    assert bool(started) != restarts
+    assert bool(of_kind(placed, StartTask)) != restarts
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "written_after_s", "starts"),
+    [(1, 0.1, True), (1, 1.9, False), (2, 0.1, False)],
+)
+def test_claimed_place_is_given_back_if_its_ticket_is_no_longer_valid(
+    incarnation, written_after_s, starts
+):
+    """Guards against starts that are refused for their ticket.
+
+    The place was claimed while the ticket was valid, and the job's row was
+    written late, or the worker has restarted in between.
+    """
+    scheduler = make_scheduler()
+    report(scheduler, 1, NOW)
+    scheduler.handle(JobAccepted(JOB, JobRow.from_job(JOB)), NOW)
+    (question,) = of_kind(scheduler.place(NOW), RequestAdvice)
+    answer = AdviceGiven(question, {INFO.worker_id: "t"}, NOW + 1.8)
+    scheduler.handle(answer, NOW)
+    (write,) = of_kind(scheduler.place(NOW), WriteRow)
+    report(scheduler, incarnation, NOW + 0.05)
+    now = NOW + written_after_s
+    found = scheduler.handle(RowWritten(write.job_id, write.change), now)
+    assert len(of_kind(found, StartTask)) == starts
+    scheduler.handle(Tick(now), now)
+    asked = of_kind(scheduler.place(now), RequestAdvice)
+    assert [each.incarnations for each in asked] == (
+        [] if starts else [{INFO.worker_id: incarnation}]
+    )
