Draw whether a listed end cuts a renewal's wait short

Whether it waits while an end is listed that hasn't been acknowledged isn't known. The model of a worker always waited, so a scheduler that withholds acknowledgements was never played against workers that answer at once each time.

Tests of the model that were missing: an end that is lost with its worker never counts, also if its number is acknowledged to the next incarnation; an end whose lease runs out after its acknowledgement counts.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
@@ -49,7 +49,11 @@
         slow = tuple(
             w for w in range(workers) if rng.random() < _SLOW_CLOCK_SHARE
         )
-    world = PlannedWorld(seed, nodes, workers, slow, rng.random() < 0.5)
+    # From random numbers of its own, which leave the rest of the plan as it is.
+    answers_listed_ends = random.Random(f"{seed}: ends").random() < 0.5
+    world = PlannedWorld(
+        seed, nodes, workers, slow, rng.random() < 0.5, answers_listed_ends
+    )
     return Plan(world, _draw_jobs(rng, nodes), _draw_faults(rng, kinds, world))
 
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
@@ -136,6 +136,8 @@
       workers: the number of workers.
       slow_clocks: the numbers of workers with slow clocks.
       checks_room: whether workers refuse tasks that don't fit.
+      answers_listed_ends: whether workers answer a renewal at once while they
+        list an end.
     """
 
     seed: int
@@ -143,6 +145,7 @@
     workers: int = 4
     slow_clocks: tuple[int, ...] = ()
     checks_room: bool = True
+    answers_listed_ends: bool = False
 
 
 class Plan(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -50,6 +50,7 @@
             self.worker(number).clock_rate = SLOW_CLOCK_RATE
         for worker in self.world.workers.values():
             worker.checks_room = wanted.checks_room
+            worker.answers_listed_ends = wanted.answers_listed_ends
         for job in plan.jobs:
             if job.fails:
                 self.world.failing_jobs.add(job.job_id)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -90,6 +90,8 @@
         seconds; answers may overtake each other.
       fails_all: whether all of its tasks fail.
       checks_room: whether it refuses a task that doesn't fit.
+      answers_listed_ends: whether it answers a renewal at once while it lists
+        an end; otherwise only another end cuts the wait for an end short.
       incarnation: how often the worker has started.
 
     Args:
@@ -123,6 +125,7 @@
         self.max_answer_delay_s = 0.0
         self.fails_all = False
         self.checks_room = True
+        self.answers_listed_ends = False
         self._jobs = jobs
         self._duration_s = duration_s
         self._gangs = gangs
@@ -329,6 +332,8 @@
 
     async def wait_for_end(self, wait_s: float) -> None:
         """Waits up to `wait_s` seconds for the end of a run."""
+        if self.answers_listed_ends and self._ends:
+            return
         until = self._now() + wait_s
         initial = self.incarnation, self._end_count
         while (
--- a/packages/pomeloarch-standins/tests/test_batch_workers.py
+++ b/packages/pomeloarch-standins/tests/test_batch_workers.py
@@ -549,6 +549,52 @@
     assert run_with_workers(scenario) == (RunEnd.DONE, False)
 
 
+def test_end_that_is_lost_with_its_worker_never_counts():
+    """The number of the end is acknowledged to the next incarnation."""
+
+    async def scenario(world):
+        await start(world)
+        await asyncio.sleep(DURATION_S + 0.1)
+        world.restart_worker(W0)
+        await link_of(world).renew(FENCE, 1, 9000, 0.0)
+        (entry,) = world.ledger.entries
+        return entry.outcome, entry.acknowledged
+
+    assert run_with_workers(scenario) == (RunEnd.DONE, False)
+
+
+def test_end_whose_lease_runs_out_after_its_acknowledgement_counts():
+    async def scenario(world):
+        await start(world, 2000)
+        await asyncio.sleep(DURATION_S + 0.1)
+        await link_of(world).renew(FENCE, 1, None, 0.0)
+        await asyncio.sleep(5.0)
+        world.restart_worker(W0)
+        (entry,) = world.ledger.entries
+        return entry.outcome, entry.acknowledged
+
+    assert run_with_workers(scenario) == (RunEnd.DONE, True)
+
+
+@pytest.mark.parametrize(
+    ("at_once", "acknowledged", "waited_s"),
+    [(False, 0, 0.5), (True, 0, 0.0), (True, 1, 0.5)],
+)
+def test_renewal_may_wait_beside_a_listed_end(at_once, acknowledged, waited_s):
+    """The platform doesn't say whether a listed end cuts the wait short."""
+
+    async def scenario(world):
+        world.workers[W0].answers_listed_ends = at_once
+        await start(world)
+        await asyncio.sleep(DURATION_S + 0.1)
+        asked_at = world.clock()
+        answer = await link_of(world).renew(FENCE, acknowledged, 5000, 0.5)
+        assert len(answer.ok_value.ended) == 1 - acknowledged
+        return world.clock() - asked_at
+
+    assert run_with_workers(scenario) == pytest.approx(waited_s, abs=0.05)
+
+
 def test_report_has_at_most_500_ends():
     async def scenario(world):
         set_steps(world, 1, estimate_s=0.0)
