--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
@@ -7,19 +7,27 @@
 import msgspec
 
 from pomeloarch_core.batch.model import BatchJob
+from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import JobId
 from pomeloarch_standins.batch_ledger import LedgerEntry, Violation
 from pomeloarch_standins.batch_rules import (
     find_early_starts,
     find_excess_attempts,
     find_overfull_workers,
+    find_starts_after_completion,
     find_starts_after_job,
+    find_starts_of_rejected_jobs,
+    find_tasks_not_done,
+    has_cause_to_fail,
 )
 from pomeloarch_standins.batch_world import BatchWorld
 
 # Time after the cancellation of a job in which its tasks may start while no
 # fault holds, in seconds.
 _CANCEL_DELAY_S = 6.0
+# Time after which no task of a job that was shown as completed may start, in
+# seconds.
+_COMPLETED_DELAY_S = 1.0
 # How much too early an occurrence may start, in seconds.
 _EARLY_S = 0.05
 
@@ -58,7 +66,12 @@
     """
     entries, jobs = world.ledger.entries, world.submitted
     capacities = {
-        str(each): world.workers[each].info.capacity for each in world.workers
+        str(each): info.capacity for each, info in world.worker_infos().items()
+    }
+    completed = {
+        job_id: at
+        for job_id, (status, at) in world.finished.items()
+        if status is JobStatus.COMPLETED
     }
     ended = {
         job_id: max(at, calm_at)
@@ -70,11 +83,14 @@
         *find_excess_attempts(entries, jobs),
         *find_overfull_workers(entries, jobs, capacities),
         *find_starts_after_job(entries, ended, _CANCEL_DELAY_S),
+        *find_starts_after_completion(entries, completed, _COMPLETED_DELAY_S),
+        *find_starts_of_rejected_jobs(entries, world.rejected),
     ]
     return [
         *map(Finding.from_violation, violations),
         *_find_early_occurrences(entries, jobs),
         *_find_left_runs(entries),
+        *_find_wrong_statuses(world),
         *(Finding("unfinished", f"{each} hasn't ended") for each in unfinished),
         *(Finding("idle", f"{each} isn't running") for each in idle),
     ]
@@ -92,6 +108,20 @@
             )
 
 
+def _find_wrong_statuses(world: BatchWorld) -> Iterator[Finding]:
+    """Yields the jobs that were shown as completed or failed without cause."""
+    entries = world.ledger.entries
+    for job_id, (status, at) in world.finished.items():
+        job = world.submitted[job_id]
+        if status is JobStatus.COMPLETED:
+            for task in find_tasks_not_done(entries, job, at):
+                yield Finding(
+                    "completed before its tasks", f"{task} at {at:.3f} s"
+                )
+        elif status is JobStatus.FAILED and not has_cause_to_fail(entries, job):
+            yield Finding("failed without cause", f"{job_id} at {at:.3f} s")
+
+
 def _find_left_runs(entries: Sequence[LedgerEntry]) -> Iterator[Finding]:
     """Yields the runs that go on although all jobs have ended."""
     for each in entries:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_ledger.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_ledger.py
@@ -68,12 +68,15 @@
     """A rule on the runs of tasks that was broken.
 
     OVERLAP: two runs of a task at the same time.
-    START_AFTER_DONE: a start after an acknowledged end that was DONE.
+    START_AFTER_DONE: a start after an acknowledged end that was DONE; one such
+      end of a gang's member stands for all members.
     START_BEFORE_STEP: a start before the steps that it comes after were done.
     EXCESS_ATTEMPT: a start after as many failed runs as the queue allows.
     OVERFULL_WORKER: a start on a worker without enough room.
     START_AFTER_JOB: a start after the end of the job was acknowledged.
     LONELY_MEMBER: a member of a gang that waited in vain for the others.
+    START_AFTER_COMPLETION: a start after its job was shown as completed.
+    START_OF_REJECTED_JOB: a start of a job that no caller may have handed in.
     """
 
     OVERLAP = "two runs at once"
@@ -83,6 +86,8 @@
     OVERFULL_WORKER = "started without room"
     START_AFTER_JOB = "started after its job had ended"
     LONELY_MEMBER = "waited in vain for its gang"
+    START_AFTER_COMPLETION = "started after its job was completed"
+    START_OF_REJECTED_JOB = "started though its job was rejected"
 
 
 class Violation(msgspec.Struct, frozen=True):
@@ -134,16 +139,23 @@
         Runs of one task must not overlap, and a task must not start again after
         an end as DONE that was acknowledged, whenever that was. This holds for
         runs that a delayed order started, too. An end does not count if the
-        worker's lease ran out before it was acknowledged.
+        worker's lease ran out before it was acknowledged, or if the worker lost
+        it before. The end of one member of a gang stands for all members.
 
         Args:
-          jobs: jobs by id; the tasks of their speculative steps are left out.
+          jobs: jobs by id; the tasks of their speculative steps are left out,
+            and their steps tell which tasks are members of a gang.
         """
+        runs_by_task = by_task(self.entries)
+        gangs_done = _first_gangs_done(self.entries, jobs or {})
         return [
             violation
-            for task, runs in by_task(self.entries).items()
+            for task, runs in runs_by_task.items()
             if not is_speculative(task, jobs or {})
-            for violation in _find_repeated_runs(runs)
+            for violation in (
+                *_find_repeated_runs(runs),
+                *_find_repeated_members(runs, gangs_done.get(step_key(task))),
+            )
         ]
 
 
@@ -163,6 +175,43 @@
     return job is not None and job.steps[task.step].speculative
 
 
+def step_key(task: TaskId) -> tuple[JobId, int, int]:
+    """Returns the job, the occurrence and the step of a task."""
+    return task.job_id, task.occurrence, task.step
+
+
+def _first_gangs_done(
+    entries: Iterable[LedgerEntry], jobs: Mapping[JobId, BatchJob]
+) -> dict[tuple[JobId, int, int], LedgerEntry]:
+    """Returns the earliest run of each gang that is done for good."""
+    found: dict[tuple[JobId, int, int], LedgerEntry] = {}
+    for each in entries:
+        job = jobs.get(each.task.job_id)
+        if job is None or not job.steps[each.task.step].gang:
+            continue
+        if each.ended_at is None or not each.is_done_for_good:
+            continue
+        known = found.get(step_key(each.task))
+        if known is None or each.ended_at < (known.ended_at or 0.0):
+            found[step_key(each.task)] = each
+    return found
+
+
+def _find_repeated_members(
+    runs: Sequence[LedgerEntry], done: LedgerEntry | None
+) -> Iterable[Violation]:
+    """Yields the starts of a member after another member's acknowledged end."""
+    if done is None:
+        return
+    for number, run in enumerate(runs):
+        own = any(
+            each.is_done_for_good and each.has_ended_by(run.started_at)
+            for each in runs[:number]
+        )
+        if run is not done and not own and done.has_ended_by(run.started_at):
+            yield Violation(ViolationKind.START_AFTER_DONE, run, done)
+
+
 def _find_repeated_runs(runs: Sequence[LedgerEntry]) -> Iterable[Violation]:
     for first, second in itertools.combinations(runs, 2):
         if not first.has_ended_by(second.started_at):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_rules.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_rules.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 
 import msgspec
 
@@ -24,6 +24,7 @@
     ViolationKind,
     by_task,
     is_speculative,
+    step_key,
 )
 
 
@@ -54,7 +55,7 @@
         return any(
             ended_at <= at
             for other, ended_at in done_at.items()
-            if _step_key(other) == _step_key(task)
+            if step_key(other) == step_key(task)
         )
 
     def is_early(entry: LedgerEntry) -> bool:
@@ -85,10 +86,6 @@
     return found
 
 
-def _step_key(task: TaskId) -> tuple[JobId, int, int]:
-    return task.job_id, task.occurrence, task.step
-
-
 def _step_of(entry: LedgerEntry, jobs: Mapping[JobId, BatchJob]) -> Step:
     return jobs[entry.task.job_id].steps[entry.task.step]
 
@@ -173,6 +170,87 @@
     ]
 
 
+def find_starts_after_completion(
+    entries: Iterable[LedgerEntry],
+    completed: Mapping[JobId, float],
+    tolerance_s: float,
+) -> list[Violation]:
+    """Returns the starts after the job was shown as completed.
+
+    Args:
+      entries: the runs; those that a delayed order started are left out.
+      completed: when a job may have been shown as completed first.
+      tolerance_s: time after that in which a start is allowed, in seconds.
+    """
+    return [
+        Violation(ViolationKind.START_AFTER_COMPLETION, each)
+        for each in entries
+        if not each.late
+        and each.started_at
+        > completed.get(each.task.job_id, float("inf")) + tolerance_s
+    ]
+
+
+def find_starts_of_rejected_jobs(
+    entries: Iterable[LedgerEntry], rejected: Container[JobId]
+) -> list[Violation]:
+    """Returns the starts of jobs that every attempt to hand in was denied."""
+    return [
+        Violation(ViolationKind.START_OF_REJECTED_JOB, each)
+        for each in entries
+        if each.task.job_id in rejected
+    ]
+
+
+def find_tasks_not_done(
+    entries: Sequence[LedgerEntry], job: BatchJob, at: float
+) -> list[TaskId]:
+    """Returns the tasks of a job that had not ended as DONE at a time.
+
+    One member of a gang that is done stands for all of them.
+
+    Args:
+      entries: the runs.
+      job: the job.
+      at: the loop's time, in seconds.
+    """
+    done = {
+        each.task
+        for each in entries
+        if each.task.job_id == job.job_id
+        and each.outcome is RunEnd.DONE
+        and each.has_ended_by(at)
+    }
+    gangs_done = {step_key(each) for each in done}
+    found = []
+    for occurrence in range(max(1, job.occurrences)):
+        for number, step in enumerate(job.steps):
+            for index in range(step.count):
+                task = TaskId(job.job_id, occurrence, number, index)
+                if step.gang and step_key(task) in gangs_done:
+                    continue
+                if task not in done:
+                    found.append(task)
+    return found
+
+
+def has_cause_to_fail(entries: Sequence[LedgerEntry], job: BatchJob) -> bool:
+    """Returns whether a task or a gang failed as often as the queue allows.
+
+    Runs that ended otherwise than FAILED are no attempts.
+    """
+    failed: dict[object, set[tuple[str, int, float]]] = defaultdict(set)
+    for each in entries:
+        if each.task.job_id != job.job_id or each.outcome is not RunEnd.FAILED:
+            continue
+        if _step_of(each, {job.job_id: job}).gang:
+            failed[step_key(each.task)].add(("", each.run, 0.0))
+        else:
+            failed[each.task].add((each.worker, each.run, each.started_at))
+    allowed = job.accepted_under.max_attempts
+    return any(len(runs) >= allowed for runs in failed.values())
+
+
 def find_lonely_members(
     entries: Iterable[LedgerEntry],
     cancelled: Mapping[JobId, float],
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -53,6 +53,7 @@
     Attributes:
       version: the version of the latest transaction.
       changed: set at the next change, and then replaced by a new event.
+      on_write: called with each write that takes effect.
     """
 
     def __init__(self) -> None:
@@ -62,6 +63,7 @@
         self._changes: list[tuple[int, str, str]] = []
         self._history_start = 0
         self.changed = asyncio.Event()
+        self.on_write: Callable[[Write], None] | None = None
 
     def read(self, table: str, key: str) -> Row:
         """Returns a row, with version 0 when it is absent."""
@@ -96,6 +98,8 @@
                     self.version,
                 )
             self._changes.append((self.version, *row_key))
+            if self.on_write is not None:
+                self.on_write(each)
         self.changed.set()
         self.changed = asyncio.Event()
         return Ok((self.version,) * len(writes))
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import random
+from collections import Counter
 
 import msgspec
 
@@ -198,6 +199,8 @@
       accepted: when each accepted job was accepted.
       cancelled: jobs whose end is not waited for.
       cancel_acknowledged: when the request to cancel a job was acknowledged.
+      finished: the first final status that the store showed of each job, and
+        when.
       failing_jobs: jobs of which all runs fail.
       cut_paths: between these nodes and workers, nothing arrives.
       deaf_paths: from these nodes to these workers, orders arrive and are
@@ -227,6 +230,10 @@
         self.accepted: dict[JobId, float] = {}
         self.cancelled: set[JobId] = set()
         self.cancel_acknowledged: dict[JobId, float] = {}
+        self.finished: dict[JobId, tuple[JobStatus, float]] = {}
+        # Jobs that an attempt to hand in, without a denial, may have started.
+        self._perhaps_handed_in: Counter[JobId] = Counter()
+        self.tables.on_write = self._note_write
         self.failing_jobs: set[JobId] = set()
         self.cut_paths: set[tuple[NodeId, WorkerId]] = set()
         self.deaf_paths: set[tuple[NodeId, WorkerId]] = set()
@@ -342,13 +349,34 @@
     async def submit(self, job: BatchJob, node: WorldNode) -> Outcome:
         """Submits a job through a node."""
         self.submitted[job.job_id] = job
+        self._perhaps_handed_in[job.job_id] += 1
         await node.gate.wait()
         outcome = await node.intake.accept(job, self.clock() + ACCEPT_TIMEOUT_S)
         await node.gate.wait()
         if outcome is Outcome.DONE:
             self.accepted.setdefault(job.job_id, self.clock())
+        elif outcome is Outcome.NOT_DONE:
+            self._perhaps_handed_in[job.job_id] -= 1
         return outcome
 
+    @property
+    def rejected(self) -> set[JobId]:
+        """The jobs that every attempt to hand in was denied."""
+        handed_in = self._perhaps_handed_in
+        return {each for each in self.submitted if not handed_in[each]}
+
+    def _note_write(self, write: Write) -> None:
+        if write.table != JOBS_TABLE or not isinstance(write.value, dict):
+            return
+        status = JobStatus(write.value.get("status", "queued"))
+        if status.is_final:
+            job_id = JobId(write.key)
+            self.finished.setdefault(job_id, (status, self.clock()))
+
+    def worker_infos(self) -> dict[WorkerId, WorkerInfo]:
+        """Returns the workers' entries by all ids that they have had."""
+        return {each: found.info for each, found in self._by_any_id.items()}
+
     async def cancel(self, job_id: JobId, node: WorldNode) -> Outcome:
         """Cancels a job through a node."""
         self.cancelled.add(job_id)
--- a/packages/pomeloarch-standins/tests/test_batch_rules.py
+++ b/packages/pomeloarch-standins/tests/test_batch_rules.py
@@ -1,5 +1,6 @@
 """Table tests of the rules on runs, on ledgers that break them or don't."""
 
+import msgspec
 import pytest
 
 from pomeloarch_core.batch.messages import RunEnd, TaskId
@@ -23,13 +24,17 @@
     find_excess_attempts,
     find_lonely_members,
     find_overfull_workers,
+    find_starts_after_completion,
     find_starts_after_job,
+    find_starts_of_rejected_jobs,
+    find_tasks_not_done,
+    has_cause_to_fail,
 )
 
 JOB = JobId("00000000000000a1")
 QUEUE = Queue(QueueName("batch"), ServiceName("scorer"), max_attempts=2)
 DONE, FAILED, ALONE = RunEnd.DONE, RunEnd.FAILED, RunEnd.ALONE
-LAPSED = RunEnd.LAPSED
+BROKEN, LAPSED = RunEnd.BROKEN, RunEnd.LAPSED
 UNIT = Resources(1_000, 1_000, 1)
 
 
@@ -159,6 +164,63 @@
     assert len(found) == (not speculative)
 
 
+MEMBERS = {
+    "after an acknowledged end of another member": (
+        Step(2, gang=True),
+        [run(0.0, 1.0, DONE, True), run(0.0, 1.0, index=1), run(3.0, index=1)],
+        [("START_AFTER_DONE", 0, 2)],
+    ),
+    "late, after an acknowledged end of another member": (
+        Step(2, gang=True),
+        [
+            run(0.0, 1.0, DONE, True),
+            run(0.0, 1.0, index=1),
+            run(3.0, index=1, late=True),
+        ],
+        [("START_AFTER_DONE", 0, 2)],
+    ),
+    "named once beside its own acknowledged end": (
+        Step(2, gang=True),
+        [
+            run(0.0, 1.0, DONE, True),
+            run(0.0, 1.0, DONE, True, index=1),
+            run(3.0, index=1),
+        ],
+        [("START_AFTER_DONE", 1, 2)],
+    ),
+    "before that end": (
+        Step(2, gang=True),
+        [run(0.0, 1.0, DONE, True), run(0.9, index=1)],
+        [],
+    ),
+    "after an end that was never acknowledged": (
+        Step(2, gang=True),
+        [run(0.0, 1.0, DONE), run(3.0, index=1)],
+        [],
+    ),
+    "another occurrence": (
+        Step(2, gang=True),
+        [run(0.0, 1.0, DONE, True), run(3.0, index=1, occurrence=1)],
+        [],
+    ),
+    "no gang": (
+        Step(2),
+        [run(0.0, 1.0, DONE, True), run(3.0, index=1)],
+        [],
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("step", "entries", "expected"), MEMBERS.values(), ids=MEMBERS
+)
+def test_end_of_one_member_stands_for_its_gang(step, entries, expected):
+    """Guards against a start of a member whose own end was lost."""
+    ledger = Ledger()
+    ledger.entries = entries
+    assert pairs(ledger.find_violations(jobs(step)), entries) == expected
+
+
 IN_ORDER = (Step(2), Step(1, after=(0,)))
 GANG_FIRST = (Step(2, gang=True), Step(1, after=(0,)))
 EARLY = {
@@ -328,6 +390,91 @@
     assert find_starts_after_job(entries, {}, tolerance_s=1.0) == []
 
 
+@pytest.mark.parametrize(
+    ("entries", "expected"),
+    [
+        (entries, [("START_AFTER_COMPLETION", *rest) for _, *rest in expected])
+        for entries, expected in AFTER_JOB.values()
+    ],
+    ids=AFTER_JOB,
+)
+def test_starts_after_the_completion_of_the_job(entries, expected):
+    found = find_starts_after_completion(entries, {JOB: 5.0}, tolerance_s=1.0)
+    assert pairs(found, entries) == expected
+    assert find_starts_after_completion(entries, {}, tolerance_s=1.0) == []
+
+
+def test_start_of_a_job_that_was_rejected():
+    entries = [run(1.0, late=True)]
+    found = find_starts_of_rejected_jobs(entries, {JOB})
+    assert pairs(found, entries) == [("START_OF_REJECTED_JOB", None, 0)]
+    assert find_starts_of_rejected_jobs(entries, set()) == []
+
+
+NOT_DONE = {
+    "all done": (
+        Step(2),
+        [run(0.0, 1.0, DONE), run(0.0, 5.0, DONE, index=1)],
+        [],
+    ),
+    "done later": (Step(1), [run(0.0, 5.1, DONE)], [0]),
+    "ended otherwise": (Step(1), [run(0.0, 1.0, LAPSED)], [0]),
+    "never started": (Step(2), [run(0.0, 1.0, DONE)], [1]),
+    "one member of a gang": (Step(2, gang=True), [run(0.0, 1.0, DONE)], []),
+    "no member of a gang": (Step(2, gang=True), [run(0.0, 1.0)], [0, 1]),
+}
+
+
+@pytest.mark.parametrize(
+    ("step", "entries", "expected"), NOT_DONE.values(), ids=NOT_DONE
+)
+def test_tasks_of_a_completed_job_are_done(step, entries, expected):
+    found = find_tasks_not_done(entries, jobs(step)[JOB], 5.0)
+    assert [each.index for each in found] == expected
+
+
+def test_each_occurrence_of_a_completed_job_is_done():
+    job = msgspec.structs.replace(jobs(Step(1))[JOB], occurrences=2)
+    found = find_tasks_not_done([run(0.0, 1.0, DONE)], job, 5.0)
+    assert found == [TaskId(JOB, 1, 0, 0)]
+
+
+CAUSES = {
+    "as many failed runs as allowed": (
+        Step(1),
+        [failed(0.0, acknowledged=False), failed(2.0)],
+        True,
+    ),
+    "runs that ended otherwise": (
+        Step(1),
+        [failed(0.0), run(2.0, 3.0, LAPSED), run(4.0, 5.0, BROKEN)],
+        False,
+    ),
+    "failed runs of two tasks": (
+        Step(2),
+        [failed(0.0), run(0.0, 1.0, FAILED, index=1)],
+        False,
+    ),
+    "failed runs of two members of a gang": (
+        Step(2, gang=True),
+        [failed(0.0), run(2.0, 3.0, FAILED, index=1, number=2)],
+        True,
+    ),
+    "two members that fail in the same run": (
+        Step(2, gang=True),
+        [failed(0.0), run(0.0, 1.0, FAILED, index=1)],
+        False,
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    ("step", "entries", "expected"), CAUSES.values(), ids=CAUSES
+)
+def test_cause_of_a_job_that_failed(step, entries, expected):
+    assert has_cause_to_fail(entries, jobs(step)[JOB]) is expected
+
+
 LONELY = {
     "undisturbed": ([run(1.0, 4.0, ALONE)], [("LONELY_MEMBER", None, 0)]),
     "another end": ([run(1.0, 4.0, DONE)], []),
