--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -117,7 +117,11 @@
         if status is JobStatus.COMPLETED:
             entry.row.started = True
         for group in entry.all_groups():
-            if group.members and group.state is not GroupState.ENDED:
+            is_ending = (
+                group.state is GroupState.ENDED
+                and status is JobStatus.COMPLETED
+            )
+            if group.members and not is_ending:
                 self._runs.stop_run(group, f"its job is {status.value}", now)
             group.state = GroupState.ENDED
         self._runs.request_write(entry, urgent=True)
@@ -188,7 +192,7 @@
 
     def _is_start_open(self, held: _HeldEnd, now: float) -> bool:
         return now < held.until or any(
-            self._open_starts.is_open(task, now) for task in held.awaited
+            self._open_starts.may_act(task, now) for task in held.awaited
         )
 
     def record_written(
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -80,11 +80,8 @@
 def test_ticket_is_valid_until_it_expires_and_denied_workers_stay_denied():
     advice, group = AdviceCache(), advised_group()
     allowed, denied = make_worker(1), make_worker(2)
-    asked = (allowed.worker_id, denied.worker_id)
-    advice.next_question(group, [allowed, denied], 0.0)
-    advice.record_answer(
-        group.step_id, asked, {allowed.worker_id: "t"}, 3.0, {}
-    )
+    question = advice.next_question(group, [allowed, denied], 0.0)
+    advice.record_answer(question, {allowed.worker_id: "t"}, 3.0)
     assert advice.filter_ticketed(group, [allowed, denied], 1.0) == [allowed]
     assert advice.ticket_for(group, allowed) == "t"
     assert advice.filter_ticketed(group, [allowed, denied], 2.9) == []
@@ -95,9 +92,9 @@
 def test_ticket_is_for_one_incarnation_of_a_worker():
     advice, group = AdviceCache(), advised_group()
     allowed = make_worker(1)
-    advice.record_answer(
-        group.step_id, (allowed.worker_id,), {allowed.worker_id: "t"}, 9.0, {}
-    )
+    question = advice.next_question(group, [allowed], 0.0)
+    advice.record_answer(question, {allowed.worker_id: "t"}, 9.0)
+    assert advice.filter_ticketed(group, [allowed], 1.0) == [allowed]
     allowed.incarnation = 5
     assert advice.filter_ticketed(group, [allowed], 1.0) == []
 
@@ -150,6 +147,28 @@
     assert paces(Pacer().observe(worker, 10.0)) == []
 
 
+def test_scavenging_tasks_speed_up_once_no_serving_task_is_left():
+    """Guards against tasks that stay slow or paused beside nothing."""
+    pacer = Pacer()
+    worker, serving = paced_worker(load=150.0)
+    assert paces(pacer.observe(worker, 0.0)) == [30]
+    (group,) = (
+        each for each in worker.groups if serving in each.members.values()
+    )
+    worker.release(group, Resources(), claimed=False)
+    decisions = [
+        each for n in range(1, 61) for each in pacer.observe(worker, n * 0.5)
+    ]
+    assert paces(decisions) == [45, 60, 75, 90, 100]
+
+
+def test_scavenging_tasks_keep_their_pace_while_a_serving_task_starts():
+    """Guards against a scheduler that fails on the report in between."""
+    worker, serving = paced_worker(load=0.0)
+    serving.started_at = None
+    assert paces(Pacer().observe(worker, 10.0)) == []
+
+
 def test_change_of_pace_is_logged():
     worker, _ = paced_worker(load=150.0)
     log_entries = [
--- a/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Ok
 
+from pomeloarch_core.batch.messages import WorkersShuttingDown, WorkerTakenDown
 from pomeloarch_core.batch.upkeep import MachineId, UpkeepOutcome, Wave
 from pomeloarch_core.ids import Epoch, NodeId, WorkerId
 from pomeloarch_node.batch.ports import Machine
@@ -25,10 +26,16 @@
 
     Attributes:
       max_down: the maximum number of machines that were down at a time.
+      outcome: the answer to orders.
+
+    Args:
+      upkeep_s: how long a machine is down, in seconds.
     """
 
-    def __init__(self):
+    def __init__(self, upkeep_s):
         self.max_down = 0
+        self.outcome = UpkeepOutcome.DONE
+        self._upkeep_s = upkeep_s
         self._down_until = {}
         self._done = set()
 
@@ -41,17 +48,17 @@
         for each in WAVE.machines:
             down = self._is_down(each)
             worker_id = None if down else WorkerId(f"w-{each}")
-            found.append(Machine(each, worker_id, not down))
+            found.append(Machine(each, worker_id, not down, in_upkeep=down))
         return Ok(tuple(found))
 
     async def upkeep(self, machine, wave, holder, fence):
         if machine not in self._done:
             self._done.add(machine)
             now = asyncio.get_running_loop().time()
-            self._down_until[machine] = now + UPKEEP_S
+            self._down_until[machine] = now + self._upkeep_s
             down = sum(map(self._is_down, WAVE.machines))
             self.max_down = max(self.max_down, down)
-        return UpkeepOutcome.DONE
+        return self.outcome
 
 
 class Tenure:
@@ -67,7 +74,7 @@
 class Scheduler:
     """Knows no tasks on any worker."""
 
-    def can_end_tasks(self, worker_id):
+    def can_end_tasks(self, worker_id, now):
         return True
 
     def busy_s(self, worker_id, now):
@@ -79,36 +86,113 @@
 @pytest.mark.parametrize("last_order_s", [0.0, 1.0, 2.5, 3.4])
 def test_successor_counts_machines_that_its_predecessor_took_down(last_order_s):
     """Guards against more machines down at once than a wave allows."""
+    scenario = play_handover(last_order_s, UPKEEP_S)
+    assert run_virtual(scenario) == (1, 3)
+
+
+@pytest.mark.parametrize("upkeep_s", [2.0, 2.7, 5.0])
+def test_machine_that_is_down_for_longer_than_expected_counts_as_down(upkeep_s):
+    """Guards against the same where the upkeep of a machine takes long."""
+    assert run_virtual(play_handover(0.0, upkeep_s)) == (1, 3)
+
+
+@pytest.mark.parametrize("completed", [False, True])
+def test_successor_leaves_a_completed_wave_as_it_is(completed):
+    """Guards against a wave that is begun anew at each change of leader.
+
+    Its state went back to running, and workers whose machines have long had
+    their upkeep got no tasks until all orders had been repeated.
+    """
+    events = []
+
+    async def scenario():
+        machines = Machines(UPKEEP_S)
+        tables = FeedTables()
+        row = Write("status", "1", {"done": completed})
+        await StoreLink(tables, random.Random(2)).transact([], [row])
+        running = start_successor(machines, tables, events.append)
+        states = []
+        for _ in range(100):
+            await asyncio.sleep(0.1)
+            states.append(tables.read("status", "1").value["done"])
+        running.cancel()
+        return len(machines._done), states
+
+    done, states = run_virtual(scenario())
+    shutting_down = {
+        worker_id
+        for each in events
+        if isinstance(each, WorkersShuttingDown)
+        for worker_id in each.worker_ids
+    }
+    assert all(states) == completed
+    assert bool(done) == bool(shutting_down) == (not completed)
+
+
+@pytest.mark.parametrize("outcome", UpkeepOutcome)
+def test_scheduler_is_told_at_once_that_a_worker_may_have_ended(outcome):
+    """Guards against a second machine whose upkeep ends too many tasks.
+
+    The scheduler decides about it before it notices that the first has gone.
+    """
+    events = []
 
     async def scenario():
-        machines = Machines()
-        loop = asyncio.get_running_loop()
-        source = WaveSource(
-            lambda: (WAVE,),
-            lambda number, done: Write("status", str(number), {"done": done}),
-        )
-        task = UpkeepTask(
-            source,
-            machines,
-            StoreLink(FeedTables(), random.Random(1)),
-            Scheduler(),
-            lambda event: None,
-            Tenure(),
-            NodeId("n"),
-            Epoch(512),
-            loop.time,
-            loop.time() + HANDOVER_S,
-            UPKEEP_S,
-            Log(),
-        )
-        running = asyncio.create_task(task.run())
-        await asyncio.sleep(last_order_s)
-        await machines.upkeep(WAVE.machines[0], 1, NodeId("former"), Epoch(256))
-        await asyncio.sleep(30.0)
+        machines = Machines(UPKEEP_S)
+        machines.outcome = outcome
+        running = start_successor(machines, FeedTables(), events.append)
+        await asyncio.sleep(HANDOVER_S + 1.0)
         running.cancel()
-        return machines.max_down, len(machines._done)
 
-    assert run_virtual(scenario()) == (1, 3)
+    run_virtual(scenario())
+    told = [e.worker_id for e in events if isinstance(e, WorkerTakenDown)]
+    expected = outcome in (UpkeepOutcome.DONE, UpkeepOutcome.NO_ANSWER)
+    assert told == (["w-m1"] if expected else [])
+
+
+async def play_handover(last_order_s, upkeep_s):
+    """Has a successor process a wave that its predecessor has begun.
+
+    Args:
+      last_order_s: when the predecessor's only order arrives, in seconds after
+        the successor's term began.
+      upkeep_s: how long machines are down, in seconds.
+
+    Returns:
+      The maximum number of machines that were down at a time, and the number
+      of those that had their upkeep.
+    """
+    machines = Machines(upkeep_s)
+    running = start_successor(machines, FeedTables(), lambda event: None)
+    await asyncio.sleep(last_order_s)
+    await machines.upkeep(WAVE.machines[0], 1, NodeId("former"), Epoch(256))
+    await asyncio.sleep(30.0)
+    running.cancel()
+    return machines.max_down, len(machines._done)
+
+
+def start_successor(machines, tables, emit):
+    """Starts the upkeep task of a leader whose term begins now."""
+    loop = asyncio.get_running_loop()
+    source = WaveSource(
+        lambda: (WAVE,),
+        lambda number, done: Write("status", str(number), {"done": done}),
+    )
+    task = UpkeepTask(
+        source,
+        machines,
+        StoreLink(tables, random.Random(1)),
+        Scheduler(),
+        emit,
+        Tenure(),
+        NodeId("n"),
+        Epoch(512),
+        loop.time,
+        loop.time() + HANDOVER_S,
+        UPKEEP_S,
+        Log(),
+    )
+    return asyncio.create_task(task.run())
 
 
 class Log:
