List leases that late orders extend, and a forgotten worker, as known failures

Found by a review of the record of open starts. A start counts as settled at its own last moment plus the longest lease. A deadline applies to all that runs on a worker, so that a renewal or an order to start another task that was sent later, and is carried out later, extends the late run beyond that: the task runs twice. A worker off the list whose lease has lapsed is forgotten while a start to it is open, so that a successor doesn't wait for it.

--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -462,3 +462,38 @@
     harness.emit(Tick(harness.now))
     after = harness.scheduler.needs_polling(worker_id)
     assert (before, after) == (idle_s > 0, False)
+
+
+def test_start_is_settled_only_when_later_orders_no_longer_extend_its_lease():
+    """Guards against late runs that outlast their own start's longest lease.
+
+    A deadline applies to all that runs on a worker. A later order to start
+    another task, carried out late as well, extends the lease of the first.
+    """
+    harness = Harness()
+    harness.scheduler.open_starts.longest_lease_s = 6.5
+    order, _ = ordered(harness)
+    harness.now += 3.0
+    other = TaskId(OTHER_JOB, 0, 0, 0)
+    harness.scheduler.open_starts.add(other, order.worker_id, harness.now)
+    until = harness.now + MAX_ORDER_DELAY_S + 6.5
+    harness.lose(order.worker_id)
+    harness.now = until - 0.1
+    harness.emit(Tick(harness.now))
+    harness.rows_written()
+    assert [each.worker_id for each in harness.starts()] == [order.worker_id]
+
+
+def test_worker_with_an_open_start_is_not_forgotten():
+    """Guards against late runs that nobody asks for.
+
+    A worker off the list that has no session isn't asked, and a successor that
+    doesn't find it in the roster doesn't wait for it.
+    """
+    harness = Harness()
+    order, _ = ordered(harness)
+    harness.lose(order.worker_id)
+    (other,) = set(WORKERS) - {order.worker_id}
+    info = WorkerInfo(other, SERVICE, f"{other}:1", ZoneName(other), WHOLE)
+    harness.emit(WorkersListed((info,)))
+    assert order.worker_id in harness.scheduler.roster()
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -25,6 +25,7 @@
 )
 from pomeloarch_standins.batch_workers import (
     CALL_LATENCY_S,
+    LATE_RANGE_S,
     TIMEOUT_S,
     ModelLink,
 )
@@ -753,3 +754,68 @@
         return unfinished
 
     assert run_in_world(scenario, workers=2) == []
+
+
+def test_late_renewal_does_not_outlast_the_settlement_of_a_late_start(
+    monkeypatch,
+):
+    """Guards against second runs while a late renewal extends a late run.
+
+    A worker that nobody reaches any more has restarted. It carries out a copy
+    of an order to start, and then renewals, which were all sent before.
+    """
+    original_start, original_renew = ModelLink.start, ModelLink.renew
+    starts, renewals = [], []
+
+    async def lose():
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    async def start(link, order, fence, deadline_ms):
+        if starts:
+            return await original_start(link, order, fence, deadline_ms)
+        worker = link._worker
+        starts.append(
+            lambda: worker.start(order, fence, deadline_ms, late=True)
+        )
+        return await lose()
+
+    async def renew(link, fence, acknowledged, deadline_ms, wait_s):
+        worker = link._worker
+        if worker.is_cut_off and deadline_ms:
+            sent_at = asyncio.get_running_loop().time()
+            renewals.append(
+                (sent_at, lambda: worker.renew(fence, 0, deadline_ms))
+            )
+        return await original_renew(
+            link, fence, acknowledged, deadline_ms, wait_s
+        )
+
+    monkeypatch.setattr(ModelLink, "start", start)
+    monkeypatch.setattr(ModelLink, "renew", renew)
+
+    async def scenario(world):
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(20.0)
+        steps = (Step(count=1, need=SMALL, estimate_s=30.0),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        while not starts:
+            await asyncio.sleep(0.01)
+        sent_at = loop.time()
+        await asyncio.sleep(5.0)
+        (entry,) = world.ledger.entries
+        worker = world.workers[entry.worker]
+        worker.is_cut_off = True
+        await asyncio.sleep(2.5)
+        world.restart_worker(entry.worker)
+        late = LATE_RANGE_S[1]
+        await asyncio.sleep(sent_at + late - loop.time())
+        starts[0]()
+        for renewed_at, carry_out in renewals:
+            await asyncio.sleep(max(0.0, renewed_at + late - loop.time()))
+            carry_out()
+        await asyncio.sleep(10.0)
+        worker.is_cut_off = False
+        return await world.wait_for_jobs(60.0)
+
+    assert run_in_world(scenario, workers=2) == []
