Reckon with later orders that extend the lease of a late start

What callers would see: two runs of a task at once (found by the review). A start counted as settled at its own last moment plus the longest lease. A deadline holds for all that runs on a worker, so that a renewal or a start of another task that was sent later, and is carried out late too, extends the lease. A worker off the list whose leases had lapsed was forgotten while a start to it was open, so that nobody asked it again and a successor didn't wait for it.

Change: what a worker that isn't heard from may run ends at the longest lease after the last order that extends leases, which is sent before the worker counts as silent, or by the earlier scheduler. A worker is kept while a start on it is open.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -102,6 +102,10 @@
         copies = self._copies.get(task, {})
         return any(copy.acts_until > now for copy in copies.values())
 
+    def has_copies_on(self, worker_id: WorkerId) -> bool:
+        """Returns whether a start on a worker is open."""
+        return self.acts_until(worker_id) > 0
+
     def acts_until(self, worker_id: WorkerId) -> float:
         """Returns when a worker may last carry out a copy, 0 without any."""
         return max(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -386,7 +386,7 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        worker.mark_silent(event.lapses_at, event.gone)
+        worker.mark_silent(event.lapses_at, event.gone, now)
         _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
@@ -462,6 +462,7 @@
             or worker.groups
             or worker.unaccounted_runs
             or worker.pending_ends
+            or self.open_starts.has_copies_on(worker.worker_id)
             or not known
         ):
             return
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -456,7 +456,8 @@
     harness.scheduler.open_starts.longest_lease_s = 6.5
     until = harness.now + MAX_ORDER_DELAY_S
     if not is_heard:
-        until += 6.5
+        silent_at = harness.now + 2.5
+        until = silent_at + MAX_ORDER_DELAY_S + 6.5
     harness.lose(order.worker_id)
     harness.rows_written()
     assert (len(harness.starts()) == 1) == waits
