--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -248,6 +248,8 @@
     @_on.register
     def _on_accepted(self, event: JobAccepted, now: float) -> None:
         job = event.job
+        if event.inherited:
+            self._expect_earlier_starts(event)
         known = self._jobs.get(job.job_id) is not None
         if known or event.row.status.is_final:
             return
@@ -260,6 +262,17 @@
         if job.job_id in self._early_cancels:
             self._cancel(entry, now)
 
+    def _expect_earlier_starts(self, event: JobAccepted) -> None:
+        """Notes the starts of an earlier scheduler that may still be open."""
+        for key, workers in event.row.open_starts.items():
+            occurrence, number, first = map(int, key.split("."))
+            step = event.job.steps[number]
+            indices = range(step.count) if step.gang else (first,)
+            for index in indices:
+                task = TaskId(event.job.job_id, occurrence, number, index)
+                for worker_id in workers:
+                    self.open_starts.add_earlier(task, worker_id)
+
     def _taken_fields(self, entry: JobEntry, now: float) -> dict[str, object]:
         steps = entry.job.steps
         return {
@@ -373,7 +386,7 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        worker.mark_silent(event.lapses_at, event.gone)
+        worker.mark_silent(event.lapses_at, event.gone, now)
         _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
@@ -449,6 +462,7 @@
             or worker.groups
             or worker.unaccounted_runs
             or worker.pending_ends
+            or self.open_starts.has_copies_on(worker.worker_id)
             or not known
         ):
             return
