--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/pacing.py
@@ -2,7 +2,8 @@
 
 Serving tasks report their tail latency. When it exceeds its target, the
 scavenging tasks on the same worker are slowed down at once and sped up again in
-small steps: multiplicative decrease and additive increase.
+small steps: multiplicative decrease and additive increase. They are also sped
+up once no serving task is left there.
 """
 
 from __future__ import annotations
@@ -44,13 +45,17 @@
 
     def observe(self, worker: Worker, now: float) -> list[Decision]:
         """Returns the changes of pace for a worker that has just reported."""
-        if not self.has_paced_tasks(worker):
+        if not any(each.step.scavenging for each in worker.groups):
             return []
-        strain = max(
+        strains = [
             member.load / group.step.latency_target_ms
             for group, member in _tasks_on(worker)
             if group.step.latency_target_ms
-        )
+        ]
+        if not strains and self.has_paced_tasks(worker):
+            # The serving tasks have not started yet.
+            return []
+        strain = max(strains, default=0.0)
         since_s = now - self._changed_at.get(worker, -MIN_RAISE_INTERVAL_S)
         if strain >= CUT_AT_TARGET_SHARE and since_s >= MIN_CUT_INTERVAL_S:
             return self._change(worker, strain, now, cut=True)
@@ -68,11 +73,8 @@
         for group, member in _tasks_on(worker):
             if not group.step.scavenging:
                 continue
-            percent = (
-                _cut(member.pace_percent)
-                if cut
-                else _raised(member.pace_percent)
-            )
+            pace = _present_pace(group, member)
+            percent = _cut(pace) if cut else _raised(pace)
             if percent == member.pace_percent:
                 continue
             member.pace_percent = percent
@@ -104,6 +106,20 @@
     ]
 
 
+def _present_pace(group: Group, member: Member) -> int:
+    """Returns the pace of a task, in percent.
+
+    That of an adopted run is estimated from the processor time that it uses. It
+    may use less than its pace allows, so the estimate is rather too low.
+    """
+    if member.pace_percent is not None:
+        return member.pace_percent
+    need = group.step.need.cpu_millis
+    if need <= 0:
+        return FULL_PERCENT
+    return min(FULL_PERCENT, int(member.load * FULL_PERCENT / need))
+
+
 def _cut(percent: int) -> int:
     lower = int(percent * CUT_FACTOR)
     return lower if lower >= MIN_PERCENT else 0
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -20,6 +20,7 @@
     GroupState,
     JobEntry,
     can_stop,
+    can_stop_all,
 )
 from pomeloarch_core.batch.jobs import JobRegistry
 from pomeloarch_core.batch.messages import (
@@ -47,6 +48,7 @@
     WorkerSilent,
     WorkersListed,
     WorkersShuttingDown,
+    WorkerTakenDown,
 )
 from pomeloarch_core.batch.model import NO_RESOURCES
 from pomeloarch_core.batch.objectives import (
@@ -175,6 +177,7 @@
             or worker.groups
             or worker.unaccounted_runs
             or worker.pending_ends
+            or worker_id in self._dispatcher.awaited_reports
         )
 
     def needs_frequent_reports(self, worker_id: WorkerId) -> bool:
@@ -204,14 +207,18 @@
         changed, self._roster_changed = self._roster_changed, False
         return self.roster() if changed else None
 
-    def can_end_tasks(self, worker_id: WorkerId) -> bool:
+    def can_end_tasks(self, worker_id: WorkerId, now: float) -> bool:
         """Returns whether all tasks of a worker may be ended.
 
         Long-running steps may limit how many of their tasks are stopped at the
-        same time.
+        same time. Until a worker has reported all that it has, or the leases of
+        its runs have certainly ended, it may have more tasks than are known.
         """
         worker = self._fleet.get(worker_id)
-        return worker is None or all(can_stop(g) for g in worker.groups)
+        if worker is None:
+            return True
+        known = worker.reported or worker.has_lapsed(now)
+        return known and can_stop_all(worker.groups)
 
     def busy_s(self, worker_id: WorkerId, now: float) -> float:
         """Returns how long a worker's runs will likely take, in seconds."""
@@ -222,6 +229,10 @@
 
     def is_start_wanted(self, task: TaskId, run: int) -> bool:
         """Returns whether a start that has no answer yet is still wanted."""
+        return self.is_current_run(task, run)
+
+    def is_current_run(self, task: TaskId, run: int) -> bool:
+        """Returns whether a run was ordered to start and not stopped since."""
         group = self._jobs.group_of(task)
         return (
             group is not None
@@ -294,10 +305,7 @@
         self._listed_once = True
         listed = {each.worker_id for each in event.workers}
         for info in event.workers:
-            worker = self._fleet.update_listed(info)
-            if info.draining and not worker.evacuated:
-                worker.evacuated = True
-                self._evacuate(worker, now)
+            self._evacuate_if_leaving(self._fleet.update_listed(info), now)
         for worker in list(self._fleet):
             if worker.worker_id not in listed:
                 if worker.listed:
@@ -306,13 +314,18 @@
                 self._forget_if_empty(worker, now)
         self._dirty = True
 
-    def _evacuate(self, worker: Worker, now: float) -> None:
+    def _evacuate_if_leaving(self, worker: Worker, now: float) -> None:
         """Stops runs that would end with a worker that is about to leave.
 
         Otherwise they could start elsewhere only once their leases have
         certainly run out. A planned leave waits for runs to end, but not for
-        long-running tasks.
+        long-running tasks. This is decided once, when the worker's runs are
+        known.
         """
+        leaving = worker.info.draining and not worker.evacuated
+        if not leaving or worker.heard_at is None:
+            return
+        worker.evacuated = True
         for group in list(worker.groups):
             claimed = group.state is GroupState.CLAIMED
             started = group.state is GroupState.STARTED
@@ -351,6 +364,7 @@
             return
         self._roster_changed |= worker.may_run is not None
         self._reports.process(worker, event, now)
+        self._evacuate_if_leaving(worker, now)
         self._out += self._pacer.observe(worker, now)
         self._dirty = True
 
@@ -360,6 +374,7 @@
         if worker is None:
             return
         worker.mark_silent(event.lapses_at, event.gone)
+        _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
             LogEntry(
@@ -373,6 +388,10 @@
         )
         self._release_claims(worker, "its worker is silent", now)
         if event.gone:
+            # Another worker at the address refuses the orders to this one.
+            self.open_starts.settle_where(
+                lambda copy: copy.worker_id == worker.worker_id
+            )
             self._remove_lost_runs(worker, now)
             self._forget_if_empty(worker, now)
         self._dirty = True
@@ -518,17 +537,8 @@
 
     @_on.register
     def _on_advice(self, event: AdviceGiven, now: float) -> None:
-        incarnations: dict[WorkerId, int] = {}
-        for worker_id in event.tickets:
-            worker = self._fleet.get(worker_id)
-            if worker is not None:
-                incarnations[worker_id] = worker.incarnation
         self._advice.record_answer(
-            event.step,
-            event.asked,
-            event.tickets,
-            event.valid_until,
-            incarnations,
+            event.question, event.tickets, event.valid_until
         )
         self._dirty = True
 
@@ -537,12 +547,39 @@
         self._advice.record_no_answer(event.step)
         self._dirty = True
 
+    @_on.register
+    def _on_taken_down(self, event: WorkerTakenDown, now: float) -> None:
+        worker = self._fleet.get(event.worker_id)
+        if worker is not None:
+            _mark_maybe_ended(worker, now)
+
     @_on.register
     def _on_shutting_down(self, event: WorkersShuttingDown, now: float) -> None:
         for worker in self._fleet:
             worker.shutting_down = worker.worker_id in event.worker_ids
+            if worker.shutting_down:
+                self._move_excess_tasks(worker, now)
         self._dirty = True
 
+    def _move_excess_tasks(self, worker: Worker, now: float) -> None:
+        """Moves tasks off a worker that has more of a step than may be away.
+
+        Its machine could otherwise never go down.
+        """
+        for group in list(worker.groups):
+            siblings = group.job.groups[group.occurrence, group.number]
+            here = sum(
+                each in worker.groups and each.state is GroupState.STARTED
+                for each in siblings
+            )
+            if (
+                0 < group.step.may_miss < here
+                and group.state is GroupState.STARTED
+                and can_stop(group)
+            ):
+                reason = f"worker {worker.worker_id} goes down with too many"
+                self._runs.stop_run(group, reason, now)
+
     @_on.register
     def _on_written(self, event: RowWritten, now: float) -> None:
         entry = self._jobs.record_written(event.job_id, event.change, now)
@@ -597,6 +634,14 @@
             self._dirty = True
 
 
+def _mark_maybe_ended(worker: Worker, now: float) -> None:
+    """Notes that the runs of a worker may have ended by now."""
+    for group in worker.groups:
+        for member in group.members.values():
+            if member.worker_id == worker.worker_id:
+                member.maybe_ended_at = now
+
+
 def worker_from_roster(worker_id: WorkerId, address: str) -> WorkerInfo:
     """Returns a worker of which the roster gives only the address."""
     return WorkerInfo(
