--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -853,3 +853,43 @@
         return await world.wait_for_jobs(60.0)
 
     assert run_in_world(scenario, workers=2) == []
+
+
+def test_late_start_of_a_member_does_not_follow_the_end_of_its_gang(
+    monkeypatch,
+):
+    """Guards against starts after the acknowledged end of another member.
+
+    The worker of one member restarts before its own end was acknowledged, and
+    carries out a late copy of the start. The ends of the others are
+    acknowledged once no such copy can be carried out any more.
+    """
+    original_start = ModelLink.start
+    delayed = []
+
+    async def start(link, order, fence, deadline_ms):
+        if delayed:
+            return await original_start(link, order, fence, deadline_ms)
+        worker = link._worker
+        delayed.append(worker.info.worker_id)
+        delayed.append(
+            lambda: worker.start(order, fence, deadline_ms, late=True)
+        )
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "start", start)
+
+    async def scenario(world):
+        whole = next(iter(world.workers.values())).info.capacity
+        steps = (Step(count=2, need=whole, estimate_s=1.0, gang=True),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        unfinished = await world.wait_for_jobs(5.0)
+        worker_id, carry_out = delayed
+        world.restart_worker(worker_id)
+        await asyncio.sleep(0.01)
+        carry_out()
+        await asyncio.sleep(20.0)
+        return unfinished, len(world.ledger.entries)
+
+    assert run_in_world(scenario, workers=2) == ([], 3)
