List acknowledgements that a planned takeover delays as a known failure

After a takeover, a successor keeps all ends of jobs that an earlier scheduler may have started, for 15.2 s. Found by a review; nothing is mended here.

--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -819,3 +819,42 @@
         return await world.wait_for_jobs(60.0)
 
     assert run_in_world(scenario, workers=2) == []
+
+
+def test_planned_takeover_delays_less_than_a_fifth_of_the_acknowledgements():
+    """Guards against ends that workers keep though nothing is disturbed.
+
+    No worker restarts, no order gets lost, and the load lasts for 55 s.
+    """
+    takeover_at, load_s, total_s, bound_s = 20.0, 55.0, 75.0, 4.0
+    first = Step(count=1, need=SMALL, estimate_s=2.0)
+    chain = tuple(
+        msgspec.structs.replace(first, after=(number - 1,) if number else ())
+        for number in range(4)
+    )
+
+    async def scenario(world):
+        began, submitted, acknowledged_at = world.clock(), 0, {}
+        has_stopped = False
+        while (elapsed_s := world.clock() - began) < total_s:
+            if submitted < elapsed_s < load_s:
+                submitted += 1
+                job = make_job(submitted, steps=chain)
+                await world.submit(job, world.nodes[2])
+            if elapsed_s > takeover_at and not has_stopped:
+                has_stopped = True
+                (leader,) = (each for each in world.nodes if each.leader._term)
+                await leader.stop()
+                leader.start()
+            await asyncio.sleep(0.1)
+            for position, entry in enumerate(world.ledger.entries):
+                if entry.acknowledged:
+                    acknowledged_at.setdefault(position, world.clock())
+        late = sum(
+            acknowledged_at.get(position, total_s) - entry.ended_at > bound_s
+            for position, entry in enumerate(world.ledger.entries)
+        )
+        return late, len(world.ledger.entries)
+
+    late, ends = run_in_world(scenario, workers=6)
+    assert late * 5 <= ends
