Remove a settled start from the job's row at once, and start again there

The row named starts for a second and a third after they were settled, and one kept end holds back those behind it. - A single task that may run only on the worker of its open start avoided just that worker, after a start without an answer or a failed run, and waited for 13 s beside it. It no longer avoids the only worker that it may run on.

Tests, which failed before: test_planned_takeovers_delay_at_most_a_fifth_of_ the_acknowledgements, test_task_starts_again_on_the_only_worker_that_it_may_ run_on (2 cases).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -228,7 +228,7 @@
         self._open_starts.settle_where(is_settled)
         open_tasks = self._open_starts.tasks()
         for entry in jobs:
-            self._runs.remove_open_starts(entry, open_tasks, now)
+            self._runs.remove_open_starts(entry, open_tasks)
 
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
@@ -323,6 +323,7 @@
         only = placing_round.only_workers.get(group)
         if only is not None:
             usable = [each for each in usable if each.worker_id == only]
+            group.failed_on.discard(only)
         found = filter_suitable(
             group, usable, siblings, ignore_failures=only is not None
         )
