--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -74,8 +74,8 @@
       placed_on: the only workers on which its tasks were ordered to start,
         durable before each order; empty when it may be any worker.
       open_starts: the workers that may still carry out an order to start a
-        group, by `OCCURRENCE.STEP.INDEX` of its first task; removed some time
-        after it was answered.
+        group, by `OCCURRENCE.STEP.INDEX` of its first task; removed once
+        it is settled.
       scheduled: whether it runs at scheduled times.
       finished_at: when its status became final, in seconds of the wall clock.
       steps: results by `OCCURRENCE.STEP`.
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -853,3 +853,82 @@
         return await world.wait_for_jobs(60.0)
 
     assert run_in_world(scenario, workers=2) == []
+
+
+def test_late_start_of_a_member_does_not_follow_the_end_of_its_gang(
+    monkeypatch,
+):
+    """Guards against starts after the acknowledged end of another member.
+
+    The worker of one member restarts before its own end was acknowledged, and
+    carries out a late copy of the start. The ends of the others are
+    acknowledged once no such copy can be carried out any more.
+    """
+    original_start = ModelLink.start
+    delayed = []
+
+    async def start(link, order, fence, deadline_ms):
+        if delayed:
+            return await original_start(link, order, fence, deadline_ms)
+        worker = link._worker
+        delayed.append(worker.info.worker_id)
+        delayed.append(
+            lambda: worker.start(order, fence, deadline_ms, late=True)
+        )
+        await asyncio.sleep(TIMEOUT_S)
+        return Err(OrderFailure.NO_ANSWER)
+
+    monkeypatch.setattr(ModelLink, "start", start)
+
+    async def scenario(world):
+        whole = next(iter(world.workers.values())).info.capacity
+        steps = (Step(count=2, need=whole, estimate_s=1.0, gang=True),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        unfinished = await world.wait_for_jobs(5.0)
+        worker_id, carry_out = delayed
+        world.restart_worker(worker_id)
+        await asyncio.sleep(0.01)
+        carry_out()
+        await asyncio.sleep(20.0)
+        return unfinished, len(world.ledger.entries)
+
+    assert run_in_world(scenario, workers=2) == ([], 3)
+
+
+def test_planned_takeovers_delay_at_most_a_fifth_of_the_acknowledgements():
+    """Guards against ends that workers keep though nothing is disturbed.
+
+    No worker restarts, no order gets lost, and the load lasts for 55 s.
+    """
+    load_s, total_s, bound_s = 55.0, 75.0, 4.0
+    first = Step(count=1, need=SMALL, estimate_s=2.0)
+    chain = tuple(
+        msgspec.structs.replace(first, after=(number - 1,) if number else ())
+        for number in range(4)
+    )
+
+    async def scenario(world):
+        began, submitted, acknowledged_at = world.clock(), 0, {}
+        takeovers = [20.0, 40.0]
+        while (elapsed_s := world.clock() - began) < total_s:
+            if submitted < elapsed_s < load_s:
+                submitted += 1
+                job = make_job(submitted, steps=chain)
+                await world.submit(job, world.nodes[2])
+            if takeovers and elapsed_s > takeovers[0]:
+                del takeovers[0]
+                (leader,) = (each for each in world.nodes if each.leader._term)
+                await leader.stop()
+                leader.start()
+            await asyncio.sleep(0.1)
+            for position, entry in enumerate(world.ledger.entries):
+                if entry.acknowledged:
+                    acknowledged_at.setdefault(position, world.clock())
+        late = sum(
+            acknowledged_at.get(position, total_s) - entry.ended_at > bound_s
+            for position, entry in enumerate(world.ledger.entries)
+        )
+        return late, len(world.ledger.entries)
+
+    late, ends = run_in_world(scenario, workers=6)
+    assert late * 5 <= ends
