Report an order as refused only if no copy of it may have run

A caller could see a job that must not be repeated start a second time. The link to a worker sends an order again when a call had no answer. It passed on the answer to the last copy as that to all: a worker that had carried out the first copy, restarted and forgot the attempt refuses the second, and the scheduler took the start as certainly not done and queued the job again.

A refused copy now leaves the outcome unknown if an earlier one had no answer.

Failed before: test_worker_link.py, test_refused_copy_of_an_order_says_nothing_about_an_unanswered_one.

--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_link.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_link.py
@@ -161,8 +161,12 @@
         self._answered_at = now
         self._is_unreachable = False
         for pending, result in zip(batch, answer.results, strict=True):
+            outcome = result.outcome
+            if outcome is OrderOutcome.REFUSED and pending.may_have_run:
+                # The refusal says nothing about the calls without an answer.
+                outcome = OrderOutcome.UNKNOWN
             self._gate.emit(
-                OrderAnswered(pending.order, result.outcome, result.detail)
+                OrderAnswered(pending.order, outcome, result.detail)
             )
         if answer.tasks == self._report and not batch:
             self._repeated_reports += 1
