Reckon with renewals of leases that are carried out late

A worker could be reported unreachable while a task still ran there, and the job be started again beside it. A call grants its lease from when it is carried out; the link counted the longest lease, the time-out of a call and a second from the last call. A call carried out 4.9 s after its time-out began, just before the earlier lease ran out, lasted longer.

A renewal extends only leases that have not run out. So without any assumption on delays, leases end at the latest one lease after the last answer and one more for each renewal without an answer. TaskLeases keeps that bound. A renewal without an answer is followed by calls without lease and orders until one is answered, which keeps the bound at two leases of silence; the orders wait for that answer, and are reported as refused if no call carried them. Calls that could not be sent grant nothing and don't count. Renewals sent over 13 s before an answer have been carried out by then. The calls of an earlier holder, whose number isn't known, are allowed 13 s until the worker has answered under the new epoch, which bars them. The bound outlives a link, since a worker that is listed under another address still has the leases granted before. The report comes when the bound passes, not with the next failed call; otherwise a gang that lost a member ran in part for longer than its test allows.

Ruled out: a longer allowance for late calls, which several in a row exceed; a lease in calls with orders only, as each of them would add to the bound.

--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_gate.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_gate.py
@@ -22,12 +22,6 @@
 # Limit on the heartbeats per second to all workers. In a larger fleet, the
 # intervals between heartbeats are longer, and so are the leases.
 MAX_HEARTBEATS_PER_S = 100.0
-# Timeout of a call to a worker, in seconds.
-CALL_TIMEOUT_S = 2.0
-# Margin for differences between the clocks, in seconds.
-CLOCK_MARGIN_S = 1.0
-# Heartbeat intervals without an answer after which calls renew no lease.
-SUSPECT_HEARTBEATS = 3.0
 
 WorkerEvent = OrderAnswered | WorkerReported | WorkerUnreachable
 
@@ -64,22 +58,6 @@
         """Length of the tasks' leases after a call, in seconds."""
         return max(MIN_LEASE_S, LEASE_HEARTBEATS * self.heartbeat_s)
 
-    @property
-    def suspect_after_s(self) -> float:
-        """Time without an answer after which calls renew no lease, in seconds.
-
-        See `WorkerLink`.
-        """
-        return SUSPECT_HEARTBEATS * self.heartbeat_s
-
-    @property
-    def leases_expire_after_s(self) -> float:
-        """Time after the last renewal at which no task runs, in seconds.
-
-        It includes the timeout of a call, because a call may arrive that late.
-        """
-        return self.lease_s + CALL_TIMEOUT_S + CLOCK_MARGIN_S
-
     def adjust_heartbeats(self, workers: int) -> None:
         """Adjusts the interval between heartbeats to the number of workers."""
         self.heartbeat_s = max(MIN_HEARTBEAT_S, workers / MAX_HEARTBEATS_PER_S)
--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
@@ -14,6 +14,7 @@
 from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.platform import Host
 from pomeloarch_node.worker_gate import WorkerGate
+from pomeloarch_node.worker_leases import TaskLeases
 from pomeloarch_node.worker_link import WorkerLink
 from pomeloarch_node.worker_list import zone_workers
 
@@ -36,6 +37,8 @@
         self._gate = gate
         self._links: dict[WorkerId, WorkerLink] = {}
         self._tasks: dict[WorkerId, asyncio.Task[None]] = {}
+        # Kept when a link is closed, since the leases that it granted go on.
+        self._leases: dict[WorkerId, TaskLeases] = {}
         self._workers: tuple[WorkerInfo, ...] = ()
         self._changed = asyncio.Event()
         self._epoch = Epoch(0)
@@ -55,8 +58,10 @@
         """Resets all links for a new epoch."""
         self._epoch = epoch
         now = asyncio.get_running_loop().time()
+        for leases in self._leases.values():
+            leases.reset(now, self._gate.lease_s)
         for link in self._links.values():
-            link.reset(epoch, now)
+            link.reset(epoch)
 
     def enqueue(self, order: WorkerOrder) -> None:
         """Queues an order on the link of its worker."""
@@ -85,6 +90,9 @@
                 self._tasks.pop(worker_id).cancel()
                 del self._links[worker_id]
         now = asyncio.get_running_loop().time()
+        for worker_id in self._leases.keys() - wanted.keys():
+            if now >= self._leases[worker_id].end_at:
+                del self._leases[worker_id]
         for worker_id, (_, address) in wanted.items():
             if worker_id not in self._links:
                 self._open_link(worker_id, address, now)
@@ -92,7 +100,11 @@
         self._changed.set()
 
     def _open_link(self, worker_id: WorkerId, address: str, now: float) -> None:
-        link = WorkerLink(worker_id, address, self._gate, now)
-        link.reset(self._epoch, now)
+        leases = self._leases.get(worker_id)
+        if leases is None:
+            leases = TaskLeases(now, self._gate.lease_s)
+            self._leases[worker_id] = leases
+        link = WorkerLink(worker_id, address, self._gate, leases)
+        link.reset(self._epoch)
         self._links[worker_id] = link
         self._tasks[worker_id] = asyncio.create_task(link.run())
--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -364,3 +364,88 @@
         return states_at_event
 
     assert run(main) == [TaskState.STOPPED]
+
+
+def test_late_renewals_one_after_another_do_not_outlast_the_reported_end():
+    """Guards against a second run after several calls without an answer.
+
+    The worker can't be reached any more after the second one. Each of them is
+    carried out late, just before the leases would have expired.
+    """
+
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        loop = asyncio.get_running_loop()
+        worker = fleet.workers[WORKER]
+        states_at_event = []
+        holder.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        sent, answered_at = [], []
+
+        def transmit(_worker_id, req):
+            if len(sent) == 2:
+                return FaultMode.DOWN
+            if not sent or (len(answered_at) == 2 and req.lease_s):
+                sent.append(req)
+                return FaultMode.STALL
+            answered_at.append(loop.time())
+            return FaultMode.NONE
+
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(5.0)
+        holder.client.on_post = transmit
+        holder.order(OrderKind.THROTTLE)
+        while len(sent) < 2:
+            await asyncio.sleep(0.1)
+        first, second = sent
+        for req, late_s in ((second, 5.5), (first, 9.7)):
+            loop.call_at(
+                answered_at[-1] + late_s,
+                lambda req=req: worker.handle(req, loop.time()),
+            )
+        await asyncio.sleep(60.0)
+        return states_at_event
+
+    assert run(main) == [TaskState.STOPPED]
+
+
+@pytest.mark.parametrize("late_s", [0.5, 3.0, 4.9, 5.9])
+def test_late_renewal_of_an_earlier_holder_does_not_outlast_the_reported_end(
+    late_s,
+):
+    """Guards against a second run when the role and a worker are lost at once.
+
+    The successor never reaches the worker, which therefore doesn't refuse the
+    last renewal of the earlier holder.
+    """
+
+    async def main(fleet, hosts):
+        earlier = Holder(fleet, hosts, epoch=1)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.5)
+        earlier.start("run_s=600")
+        await asyncio.sleep(5.0)
+        worker = fleet.workers[WORKER]
+        sent = asyncio.Event()
+
+        def delay(_worker_id, req):
+            earlier.client.on_post = None
+            loop.call_later(late_s, lambda: worker.handle(req, loop.time()))
+            sent.set()
+            return FaultMode.STALL
+
+        earlier.client.faults[WORKER] = FaultMode.DOWN
+        earlier.client.on_post = delay
+        await sent.wait()
+        states_at_event = []
+        successor = Holder(fleet, hosts, epoch=2)
+        successor.client.faults[WORKER] = FaultMode.STALL
+        successor.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        await asyncio.sleep(60.0)
+        return states_at_event
+
+    assert run(main) == [TaskState.STOPPED]
