Wait for the leases of unlisted workers, however long they are

A job could be started again while its earlier attempt still ran on a worker that had dropped off the list. The scheduler gave such tasks up after 30 s. Leases grow with the zone, since heartbeats do: at 1,455 workers they last 87 s, and 174 s with a renewal under way.

The links to workers know how long the leases last that they granted; the list of workers now says so with each change, and the scheduler waits for that, and for 30 s at least as before. The time is that of the leases granted, also if the zone has shrunk since then. Ruled out: shorter leases in large zones. A worker gets a heartbeat each 14.6 s there, more would cost more than messages to a node may, and a lease of less than 30 s would end tasks after one lost call.

A second copy of the constant goes.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
@@ -31,7 +31,6 @@
 START_TIMEOUT_S = 4.0
 # How long the workers of an attempt may take to report after a takeover.
 RECOVERY_TIMEOUT_S = 30.0
-UNLISTED_WORKER_GRACE_S = 30.0
 # Attempts with a failed member after which even an idempotent job fails.
 MAX_FAILED_ATTEMPTS = 3
 # Number of reports in a row without a member after which it counts as lost.
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/messages.py
@@ -193,9 +193,15 @@
     """The platform's complete list of this zone's workers was read.
 
     Workers that are not on it any more have left.
+
+    Attributes:
+      workers: the workers on the list.
+      leases_end_in_s: time until the leases of all tasks on workers that are
+        not on the list have ended, in seconds.
     """
 
     workers: tuple[WorkerInfo, ...]
+    leases_end_in_s: float = 0.0
 
 
 class WorkerReported(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -53,9 +53,9 @@
 from pomeloarch_core.ids import Epoch, JobId, PoolName, WorkerId, ZoneName
 from pomeloarch_core.objects.model import Snapshot, WorkerPool
 
-# The time from a worker's removal from the platform's list until its tasks
-# count as ended. An unlisted worker is sent nothing, so its tasks' leases
-# expire meanwhile.
+# The shortest time from a worker's removal from the platform's list until its
+# tasks count as ended. An unlisted worker is sent nothing, so its tasks' leases
+# expire meanwhile. If they last longer, this time is longer, too.
 UNLISTED_WORKER_GRACE_S = 30.0
 
 
@@ -223,8 +223,8 @@
                 self._give_up_at.pop(worker.worker_id, None)
             else:
                 self._orphans.forget_worker(worker.worker_id)
-                self._give_up_at[worker.worker_id] = (
-                    now + UNLISTED_WORKER_GRACE_S
+                self._give_up_at[worker.worker_id] = now + max(
+                    UNLISTED_WORKER_GRACE_S, event.leases_end_in_s
                 )
         self._allocations.reclassify_displaced()
         early_records, self._early_records = self._early_records or [], None
--- a/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/scheduler_session.py
@@ -15,7 +15,6 @@
 from pomeloarch_core.gang.messages import (
     ConfigurationChanged,
     Event,
-    FleetChanged,
     JobCancelled,
     JobRecord,
     JobSubmitted,
@@ -239,7 +238,7 @@
             self._on_job_ended,
             self._metrics,
         )
-        self._loop.handle(FleetChanged(self._links.workers), now)
+        self._loop.handle(self._links.fleet(), now)
         for record, version in self._loaded:
             writer.add_known(record, version)
             self._loop.handle(JobSubmitted(record), now)
@@ -278,8 +277,8 @@
 
     async def _follow_workers(self) -> None:
         while True:
-            workers = await self._links.wait_for_change()
-            self._events.put_nowait(FleetChanged(workers))
+            await self._links.wait_for_change()
+            self._events.put_nowait(self._links.fleet())
 
     async def _follow_configuration(self) -> None:
         while True:
--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from pomeloarch_core.gang.messages import (
+    FleetChanged,
     OrderAnswered,
     OrderOutcome,
     WorkerInfo,
@@ -48,11 +49,20 @@
         """Workers of the zone according to the latest list."""
         return self._workers
 
-    async def wait_for_change(self) -> tuple[WorkerInfo, ...]:
-        """Waits for the next list of workers and returns it."""
+    def fleet(self) -> FleetChanged:
+        """Returns the latest list and how long tasks on other workers run."""
+        now = asyncio.get_running_loop().time()
+        ends_at = [
+            leases.end_at
+            for worker_id, leases in self._leases.items()
+            if worker_id not in self._links
+        ]
+        return FleetChanged(self._workers, max([now, *ends_at]) - now)
+
+    async def wait_for_change(self) -> None:
+        """Waits for the next list of workers."""
         self._changed.clear()
         await self._changed.wait()
-        return self._workers
 
     def reset(self, epoch: Epoch) -> None:
         """Resets all links for a new epoch."""
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -317,6 +317,42 @@
     assert list(starts.values()) == [2]
 
 
+@pytest.mark.parametrize("hosts_per_rack", [8, 1455])
+def test_job_of_an_unlisted_worker_is_started_again_after_its_lease(
+    hosts_per_rack,
+):
+    """Guards against a second run of a job in a zone with many workers.
+
+    The unlisted worker keeps its task until the lease runs out, which lasts
+    longer the more workers there are.
+    """
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        job_id = await submit(node, SCAN, command="run_s=600")
+        await bench.wait_for("running")
+        await asyncio.sleep(20.0)
+        victim = next(iter(bench.records().values()))["placement"][0]
+        node.hosts.replace(
+            tuple(
+                host
+                for host in bench.platform.hosts
+                if host.id != victim["worker_id"]
+            )
+        )
+        unlisted_at = bench.now()
+        while True:
+            counts = bench.fleet.ledger.counts(bench.now())
+            assert counts.running_gangs <= 1
+            assert bench.now() < unlisted_at + 240.0
+            if counts.starts[job_id] == 2:
+                return
+            await asyncio.sleep(0.05)
+
+    run(main, hosts_per_rack=hosts_per_rack)
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_random_faults_violate_no_invariant(seed):
     rng = random.Random(seed)
