Restart workers of the drill under their id, and carry out calls to them late

The stand-ins of the workers of the gang scheduler remembered all they had done when they restarted, and carried out no call late. So no test, demo or drill played a restart under the same id after which the highest epoch, the runs and the attempts are forgotten while calls to the earlier process are under way.

A worker can now be rebooted, and a fault `late` leaves calls unanswered and carries them out 3 s later. The drill does both to half of a zone's workers while jobs start. The record of starts on the workers also reports an attempt that runs beside another of its job, or that starts after one whose success the scheduler has released; a success that its worker lost before doesn't count. All tests and drills check it.

--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -21,7 +21,7 @@
 from pomeloarch_standins.fake_platform import Fault
 from pomeloarch_standins.job_bench import WALL_CLOCK_S, ZoneBench
 from pomeloarch_standins.virtual_time import run_virtual
-from pomeloarch_standins.workers import FaultMode
+from pomeloarch_standins.workers import LATE_S, FaultMode
 
 OBJECTS = ObjectSet(
     availability_zone=(AvailabilityZone("patan", "valley"),),
@@ -353,6 +353,48 @@
     run(main, hosts_per_rack=hosts_per_rack)
 
 
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_restarts_under_the_same_id_violate_no_invariant(seed):
+    """Guards against second runs by orders that outlast a restart.
+
+    The workers forget all they did, and calls that got no answer are carried
+    out after the restart.
+    """
+    rng = random.Random(seed)
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+
+        async def restart_workers():
+            while True:
+                worker = rng.choice(list(bench.fleet.workers.values()))
+                worker_id = worker.info.worker_id
+                node.client.faults[worker_id] = FaultMode.LATE
+                await asyncio.sleep(rng.uniform(0.2, LATE_S))
+                node.client.faults.pop(worker_id)
+                worker.reboot(bench.now())
+                await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+        restarts = asyncio.create_task(restart_workers())
+        for _ in range(40):
+            job = rng.choice([SCAN, GANG])
+            seconds = rng.uniform(0.5, 4.0)
+            await submit(
+                node,
+                job,
+                command=f"run_s={seconds:.1f}",
+                idempotent=rng.random() < 0.5,
+            )
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+        restarts.cancel()
+        await bench.wait_for("succeeded", "unknown", timeout_s=180.0)
+        check_invariants(bench)
+        return bench.states()
+
+    assert set(run(main)) <= {"succeeded", "unknown"}
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_random_faults_violate_no_invariant(seed):
     rng = random.Random(seed)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/demo_control.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/demo_control.py
@@ -14,6 +14,8 @@
 from pomeloarch_standins.executor_faults import Fault, FaultOrder
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut, LinkState
+from pomeloarch_standins.workers import FaultMode
+from pomeloarch_standins.workers import FaultOrder as WorkerFault
 
 
 class DemoControl:
@@ -49,6 +51,12 @@
                 url = f"{self._layout.relay_url}/links/{node.name}"
                 await self._post(url, LinkState(cut=cut))
 
+    async def set_worker_fault(self, worker_id: str, mode: FaultMode) -> None:
+        """Starts or ends a fault of a worker."""
+        await self._post(
+            f"{self._layout.workers_url}/faults", WorkerFault(mode, worker_id)
+        )
+
     async def set_executor_fault(
         self, zone: int, number: int, fault: Fault
     ) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/drill.py
@@ -1,8 +1,9 @@
 """Injects failures into the demo's processes and checks the guarantees.
 
 `make drill` runs it: platform outages, lost answers, concurrent publications, a
-zone partitioned from the platform, a leaving executor, a killed scheduler and
-the replacement of nodes. Most of them run under a steady load of requests.
+zone partitioned from the platform, a leaving executor, restarted workers, a
+killed scheduler and the replacement of nodes. Most of them run under a steady
+load of requests.
 """
 
 from __future__ import annotations
@@ -12,9 +13,11 @@
 import shutil
 import sys
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from pomeloarch_cli.main import main as pomelo
+from pomeloarch_node.platform import HostKind
 from pomeloarch_standins.demo_client import (
     CallOutcome,
     CallResult,
@@ -33,6 +36,7 @@
 from pomeloarch_standins.executor_faults import Fault
 from pomeloarch_standins.platform_server import Faults
 from pomeloarch_standins.relay import Cut
+from pomeloarch_standins.workers import LATE_S, FaultMode
 
 _START_TIMEOUT_S = 25.0
 # Duration of an outage, in seconds.
@@ -76,6 +80,7 @@
             self._platform_connections_go_silent,
             self._executor_faults,
             self._executor_leaves,
+            self._workers_restart,
             self._scheduler_killed,
             self._nodes_replaced_in_turn,
             self._three_nodes_at_once,
@@ -283,6 +288,31 @@
         )
         self.checks.check_none_interrupted(results, "a leaving executor")
 
+    async def _workers_restart(self) -> None:
+        """Restarts workers under their ids while calls to them are late."""
+        zone = self._scenario.gang.availability_zone
+        workers = [
+            host.id
+            for host in self._layout.hosts()
+            if host.kind is HostKind.WORKER and host.availability_zone == zone
+        ]
+        jobs = []
+        for worker_id in workers[: len(workers) // 2]:
+            await self._control.set_worker_fault(worker_id, FaultMode.LATE)
+            jobs.append((await self._jobs.submit(self._scenario.gang), False))
+            jobs.append((await self._submit_non_idempotent(), True))
+            await asyncio.sleep(LATE_S / 2)
+            await self._control.set_worker_fault(worker_id, FaultMode.REBOOT)
+        ends: Counter[str] = Counter()
+        for job_id, may_be_unknown in jobs:
+            state, _ = await self._jobs.wait(job_id, _FINAL, 60.0)
+            ends[state] += 1
+            allowed = (
+                {"succeeded", "unknown"} if may_be_unknown else {"succeeded"}
+            )
+            self.checks.expect(state in allowed, f"{job_id} ended as {state}")
+        print_event(f"workers restarted under their ids: jobs {dict(ends)}")
+
     async def _scheduler_killed(self) -> None:
         zone = self._layout.example.zones[2]
         once_job = await self._submit_non_idempotent()
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/job_fakes.py
@@ -21,7 +21,7 @@
     WorkerFailure,
 )
 from pomeloarch_standins.worker_fleet import WorkerFleet
-from pomeloarch_standins.workers import FaultMode
+from pomeloarch_standins.workers import LATE_S, FaultMode
 
 # Time after which a caller gives up a call, in seconds.
 TIMEOUT_S = 2.0
@@ -178,7 +178,11 @@
         if mode is FaultMode.STALL:
             return await _time_out()
         worker = self._fleet.workers[worker_id]
-        now = asyncio.get_running_loop().time()
+        loop = asyncio.get_running_loop()
+        if mode is FaultMode.LATE:
+            loop.call_later(LATE_S, lambda: worker.handle(req, loop.time()))
+            return await _time_out()
+        now = loop.time()
         answer = worker.handle(req, now)
         if mode is FaultMode.LOSE:
             return await _time_out()
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/worker_ledger.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/worker_ledger.py
@@ -23,7 +23,9 @@
       partial_gangs: the number of attempts that run now with only some
         members.
       violations: a sentence for each attempt that ran with only some members
-        for longer than a lease, or that started a member twice.
+        for longer than a lease, that started a member twice, or that started
+        a member while another attempt of its job ran or after one had
+        succeeded.
     """
 
     starts: dict[JobId, int]
@@ -40,6 +42,7 @@
     reserved: set[int] = dataclasses.field(default_factory=set)
     running: set[int] = dataclasses.field(default_factory=set)
     settled: set[int] = dataclasses.field(default_factory=set)
+    known_successes: set[int] = dataclasses.field(default_factory=set)
     partial_since: float | None = None
 
     @property
@@ -74,8 +77,14 @@
     def record_start(
         self, job_id: JobId, attempt: AttemptId, member: int, now: float
     ) -> None:
-        """Records a start; a second start of a member is a violation."""
+        """Records a start and finds out what it violates."""
         self._attempts[job_id].add(attempt)
+        for other in self._attempts[job_id]:
+            gang = self._gangs[other]
+            if gang.running and other != attempt:
+                self._violations[f"{attempt} ran beside {other}"] = None
+            if gang.reserved and gang.reserved <= gang.known_successes:
+                self._violations[f"{attempt} started after {other}"] = None
         self._member_starts[attempt, member] += 1
         if self._member_starts[attempt, member] > 1:
             self._violations[f"{attempt}/{member} started twice"] = None
@@ -92,6 +101,10 @@
             gang.settled.add(member)
         self._check_partial(attempt, now)
 
+    def record_known_success(self, attempt: AttemptId, member: int) -> None:
+        """Records that the scheduler knows of a success and released it."""
+        self._gangs[attempt].known_successes.add(member)
+
     def save_checkpoint(
         self,
         job_id: JobId,
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/worker_state.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/worker_state.py
@@ -167,6 +167,14 @@
         for task in self._list_live():
             self._end(task, TaskState.STOPPED, now)
 
+    def reboot(self, now: float) -> None:
+        """Starts anew under the same id, without memory of what it did."""
+        self.advance(now)
+        self.restart(now)
+        self._epoch = Epoch(0)
+        self._tasks.clear()
+        self._reported.clear()
+
     def _list_live(self) -> list[_Task]:
         return list(self._live_tasks.values())
 
@@ -280,6 +288,8 @@
             self._tasks[order.attempt, order.member] = task
         if task.state in _LIVE:
             self._end(task, TaskState.STOPPED, now)
+        if task.state is TaskState.SUCCEEDED:
+            self._ledger.record_known_success(order.attempt, order.member)
         self._reported.pop((order.attempt, order.member), None)
         return _DONE
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/workers.py
@@ -29,6 +29,8 @@
 _ADVANCE_INTERVAL_S = 0.1
 # Time for which a stalled call is left unanswered, in seconds.
 _STALL_S = 30.0
+# Delay of a call that is carried out late, in seconds.
+LATE_S = 3.0
 
 
 class FaultMode(enum.Enum):
@@ -40,6 +42,8 @@
     STALL = "stall"
     DOWN = "down"
     LOSE = "lose"
+    LATE = "late"
+    REBOOT = "reboot"
 
 
 class FaultOrder(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -48,8 +52,10 @@
     Attributes:
       mode: `fail` lets every task fail, `refuse` refuses every call, `stall`
         leaves a call unanswered without effect, `lose` withholds the answer
-        after it did, `down` refuses calls and ends all tasks, and `none`
-        ends the fault.
+        after it did, `late` leaves a call unanswered and carries it out
+        seconds later, `down` refuses calls and ends all tasks, `reboot` starts
+        the worker anew under its id, without memory, and ends the fault, and
+        `none` ends the fault.
       worker: the worker's id, `*` for all workers.
     """
 
@@ -101,6 +107,10 @@
         if mode is FaultMode.STALL:
             await asyncio.sleep(_STALL_S)
             return Response(status_code=503)
+        if mode is FaultMode.LATE:
+            asyncio.get_running_loop().call_later(LATE_S, _answer, worker, req)
+            await asyncio.sleep(_STALL_S)
+            return Response(status_code=503)
         response = _answer(worker, req)
         if mode is FaultMode.LOSE:
             await asyncio.sleep(_STALL_S)
@@ -122,6 +132,9 @@
             worker.fails_all = order.mode is FaultMode.FAIL
             if order.mode is FaultMode.DOWN:
                 worker.restart(time.monotonic())
+            elif order.mode is FaultMode.REBOOT:
+                worker.reboot(time.monotonic())
+                self._faults[worker_id] = FaultMode.NONE
         return Response(status_code=204)
 
 
--- a/packages/pomeloarch-standins/tests/test_simulated_worker.py
+++ b/packages/pomeloarch-standins/tests/test_simulated_worker.py
@@ -156,6 +156,42 @@
     assert ledger.counts(6.5).violations == ("a ran in part",)
 
 
+def test_rebooted_worker_remembers_neither_epochs_nor_attempts(worker, ledger):
+    """Guards against restarts that bar what a real one would carry out."""
+    send(worker, reserve(), start(command="run_s=60"), epoch=5)
+    worker.reboot(1.0)
+    assert states(send(worker, now=1.0)) == []
+    answer = send(worker, reserve(), start(command="run_s=60"), now=1.0)
+    assert states(answer) == [TaskState.RUNNING]
+    assert ledger.counts(1.0).violations == ("a/0 started twice",)
+
+
+@pytest.mark.parametrize(
+    ("released", "again_at", "violations"),
+    [
+        (True, 1.0, ("b ran beside a",)),
+        (True, 3.0, ("b started after a",)),
+        (False, 3.0, ()),
+    ],
+)
+def test_second_attempt_beside_or_after_one_that_is_done_is_reported(
+    worker, ledger, released, again_at, violations
+):
+    """Guards against second runs that nobody sees.
+
+    An end that its worker lost before the scheduler released it doesn't count.
+    """
+    send(worker, reserve(), start())
+    other = reserve("b", accelerators=(1,))
+    if again_at > 2.0:
+        send(worker, now=2.0)
+        if released:
+            send(worker, order(OrderKind.RELEASE), now=2.0)
+        worker.reboot(2.5)
+    send(worker, other, start("b"), now=again_at)
+    assert ledger.counts(again_at).violations == violations
+
+
 def test_a_fleet_matches_the_membership_list():
     hosts = worker_hosts("127.0.0.1:9100", ["patan", "boudha"])
     fleet = WorkerFleet.from_hosts(hosts)
