Release members that their restarted workers don't know before they count as ended

A job that may run once could be started twice, if a worker restarts and forgets its attempts. A member that is missing from the worker's report counted as ended while its attempt was ending. Copies of its reservation and of its start that had no answer could still be carried out there, seconds later: nothing on the restarted worker spoke against them, and they carry the present epoch.

Such a member is now released on its worker, and counts as ended with the answer. A release of an unknown attempt is remembered as its end, so a late reservation is refused, and without one a start is. It costs one order for each member that is missing. A worker that can't be reached, or that leaves the list, ends it as before.

Failed before: test_scheduler_zone.py, test_late_orders_after_a_restart_start_no_second_run[False-4.0] and [False-6.0].

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/allocations.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/allocations.py
@@ -47,6 +47,7 @@
         job.phase = Phase.WAITING_FOR_VICTIMS
         job.task_states = [None] * job.spec.members
         job.inactive_members = set()
+        job.released_members = set()
         cells = [cell for _, cell in placement.cells]
         self._witness.occupy(job.job_id, cells, job.spec.accelerators)
         self._allocate_members(job)
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
@@ -87,6 +87,7 @@
         job.start_sent = job.start_resent = False
         job.task_states = [None] * job.spec.members
         job.inactive_members = set()
+        job.released_members = set()
         job.missed_reports = {}
         self._records.change(
             job,
@@ -247,7 +248,11 @@
 
     def _handle_missing(self, job: Job, member: int, now: float) -> None:
         if job.phase is Phase.ENDING:
-            self._mark_inactive(job, member, now)
+            # The worker may have restarted. A release keeps it from carrying
+            # out late copies of the orders to start the member.
+            if member not in job.inactive_members | job.released_members:
+                job.released_members.add(member)
+                self._orders.send(job, member, OrderKind.RELEASE)
         elif job.phase in (Phase.RUNNING, Phase.CHECKPOINTING):
             missed = job.missed_reports.get(member, 0) + 1
             job.missed_reports[member] = missed
@@ -287,6 +292,7 @@
         job.attempt = job.record.attempt
         job.task_states = [None] * len(job.placement)
         job.inactive_members = set()
+        job.released_members = set()
         job.missed_reports = {}
         job.start_sent = job.start_resent = True
         self._set_deadline(job, RECOVERY_TIMEOUT_S, now)
@@ -372,14 +378,18 @@
             if task in ENDED_STATES or not ordered:
                 job.inactive_members.add(member)
             elif member not in job.inactive_members:
-                self._orders.send(job, member, self._end_order_kind(job))
+                self._orders.send(
+                    job, member, self._end_order_kind(job, member)
+                )
         if len(job.inactive_members) < len(job.task_states):
             self._retry_later(job, now)
         else:
             self._finish(job)
 
-    def _end_order_kind(self, job: Job) -> OrderKind:
-        return OrderKind.STOP if job.start_sent else OrderKind.RELEASE
+    def _end_order_kind(self, job: Job, member: int) -> OrderKind:
+        if member in job.released_members or not job.start_sent:
+            return OrderKind.RELEASE
+        return OrderKind.STOP
 
     def _mark_inactive(self, job: Job, member: int, now: float) -> None:
         job.inactive_members.add(member)
@@ -415,7 +425,7 @@
                 for member in range(len(job.task_states)):
                     if member not in job.inactive_members:
                         self._orders.send(
-                            job, member, self._end_order_kind(job)
+                            job, member, self._end_order_kind(job, member)
                         )
                 self._retry_later(job, now)
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/jobs.py
@@ -82,6 +82,8 @@
       placement: worker and accelerators of each member.
       task_states: the last known state of each member, None if unknown.
       inactive_members: the members that certainly don't run and never will.
+      released_members: the members of an ending attempt that their workers
+        don't know, and that are released there.
       awaited_accelerators: accelerators that the victims still hold.
       start_sent: whether a START of this attempt may have been sent.
       start_resent: whether a START was sent more than once.
@@ -127,6 +129,7 @@
         self.placement: tuple[Member, ...] = ()
         self.task_states: list[TaskState | None] = []
         self.inactive_members: set[int] = set()
+        self.released_members: set[int] = set()
         self.awaited_accelerators = 0
         self.start_sent = False
         self.start_resent = False
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -395,6 +395,53 @@
     assert set(run(main)) <= {"succeeded", "unknown"}
 
 
+@pytest.mark.parametrize(
+    ("idempotent", "late_s"),
+    [(False, 0.05), (False, 4.0), (False, 6.0), (True, 4.0), (True, 6.0)],
+)
+def test_late_orders_after_a_restart_start_no_second_run(idempotent, late_s):
+    """Guards against a second run by copies of orders that outlast a restart.
+
+    The first copies of the reservation and of the start get no answer. The
+    worker runs the task by the second ones, restarts and forgets it; then the
+    first ones are carried out, before or after the scheduler has noticed.
+    """
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1.0)
+        lost = {}
+
+        def lose_first(worker_id, req):
+            for order in req.orders:
+                if order.kind not in lost and order.kind in (
+                    OrderKind.RESERVE,
+                    OrderKind.START,
+                ):
+                    lost[order.kind] = worker_id, req
+                    return FaultMode.STALL
+            return None
+
+        node.client.on_post = lose_first
+        job_id = await submit(
+            node, SCAN, command="run_s=60", idempotent=idempotent
+        )
+        await bench.wait_for("running")
+        worker_id, _ = lost[OrderKind.START]
+        worker = bench.fleet.workers[worker_id]
+        worker.reboot(bench.now())
+        await asyncio.sleep(late_s)
+        for kind in (OrderKind.RESERVE, OrderKind.START):
+            worker.handle(lost[kind][1], loop.time())
+        await asyncio.sleep(20.0)
+        check_invariants(bench)
+        counts = bench.fleet.ledger.counts(bench.now())
+        return counts.starts[job_id], counts.running_gangs
+
+    assert run(main) == ((2, 1) if idempotent else (1, 0))
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_random_faults_violate_no_invariant(seed):
     rng = random.Random(seed)
