End the attempts of a worker that is lost during a takeover

A job whose worker died as the scheduler role changed hands never ended: it was shown as running for ever, and its accelerators on other workers stayed taken. A successor that is told of the loss notes it as the worker's report, and ends the attempt. Ending waits until each member certainly doesn't run; of the lost worker, that had just been said, and isn't said a second time.

The members on a lost worker now count as inactive from then on.

Found while looking at who waits for a worker's leases.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
@@ -266,6 +266,7 @@
         """Handles a worker whose tasks' leases expired without an answer."""
         members = job.members_on(worker_id)
         if job.phase is Phase.RECOVERING:
+            job.inactive_members.update(members)
             if [
                 m
                 for m in members
--- a/packages/pomeloarch-core/tests/test_gang_doubts.py
+++ b/packages/pomeloarch-core/tests/test_gang_doubts.py
@@ -112,6 +112,12 @@
     _take_over(world)
 
 
+def _take_over_after_loss(world):
+    """The worker is lost as the role changes hands."""
+    _kill_host(world)
+    _take_over(world)
+
+
 # The final states of an idempotent and of a non-idempotent job.
 _ALWAYS_SUCCEEDS = (JobState.SUCCEEDED, JobState.SUCCEEDED)
 _UNKNOWN_UNLESS_IDEMPOTENT = (JobState.SUCCEEDED, JobState.UNKNOWN)
@@ -132,6 +138,7 @@
         (_take_over, _ALWAYS_SUCCEEDS),
         (_take_over_running, _ALWAYS_SUCCEEDS),
         (_take_over_after_restart, _UNKNOWN_UNLESS_IDEMPOTENT),
+        (_take_over_after_loss, _UNKNOWN_UNLESS_IDEMPOTENT),
     ],
 )
 def test_doubtful_start_is_repeated_only_for_idempotent_jobs(
