End the attempts of a worker that left the list before a takeover

A job on a worker that had dropped off the list before a successor read it never ended: it was shown as running for ever. The time after which an unlisted worker's tasks are given up began only when the worker was seen to leave.

It now also begins when a job's row names a worker that isn't listed.

Failed before: test_gang_doubts.py, _take_over_after_removal (four cases), and test_scheduler_zone.py, test_job_of_an_unlisted_worker_is_started_again_after_its_lease [1455-True], the latter with the first half of this change only. The test of the zone has a successor as a further case.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/scheduler.py
@@ -81,6 +81,8 @@
         self._jobs: dict[JobId, Job] = {}
         # When the tasks of each unlisted worker count as ended.
         self._give_up_at: dict[WorkerId, float] = {}
+        # How long the tasks of a worker that isn't listed may run, in seconds.
+        self._unlisted_grace_s = UNLISTED_WORKER_GRACE_S
         # Records of placed jobs that arrived before the first list of workers;
         # None once that list has been handled.
         self._early_records: list[JobRecord] | None = []
@@ -188,7 +190,16 @@
         if self._early_records is not None and event.record.placement:
             self._early_records.append(event.record)
         else:
-            self._lifecycle.submit(event.record, now)
+            self._submit(event.record, now)
+
+    def _submit(self, record: JobRecord, now: float) -> None:
+        self._lifecycle.submit(record, now)
+        for member in record.placement:
+            worker = self._fleet.workers.get(member.worker_id)
+            if worker is not None and not worker.listed:
+                self._give_up_at.setdefault(
+                    worker.worker_id, now + self._unlisted_grace_s
+                )
 
     @_on.register
     def _on_cancelled(self, event: JobCancelled, now: float) -> None:
@@ -216,6 +227,9 @@
 
     @_on.register
     def _on_fleet(self, event: FleetChanged, now: float) -> None:
+        self._unlisted_grace_s = max(
+            UNLISTED_WORKER_GRACE_S, event.leases_end_in_s
+        )
         for worker in self._fleet.update_listing(event.workers):
             if not worker.can_hold_guarantees:
                 self._witness.handle_worker_loss(worker)
@@ -223,13 +237,13 @@
                 self._give_up_at.pop(worker.worker_id, None)
             else:
                 self._orphans.forget_worker(worker.worker_id)
-                self._give_up_at[worker.worker_id] = now + max(
-                    UNLISTED_WORKER_GRACE_S, event.leases_end_in_s
+                self._give_up_at[worker.worker_id] = (
+                    now + self._unlisted_grace_s
                 )
         self._allocations.reclassify_displaced()
         early_records, self._early_records = self._early_records or [], None
         for record in early_records:
-            self._lifecycle.submit(record, now)
+            self._submit(record, now)
 
     @_on.register
     def _on_reported(self, event: WorkerReported, now: float) -> None:
--- a/packages/pomeloarch-core/tests/test_gang_doubts.py
+++ b/packages/pomeloarch-core/tests/test_gang_doubts.py
@@ -118,6 +118,17 @@
     _take_over(world)
 
 
+def _take_over_after_removal(world):
+    """The worker is lost and off the list before the successor reads it."""
+    _kill_host(world)
+    host = _host_of_job(world)
+    del world.workers[host], world._last_heard[host]
+    world.take_over(_scheduler(world.epoch + 1, world.now))
+    world.set_fleet(
+        info for info in worker_infos(_POOL) if info.worker_id != host
+    )
+
+
 # The final states of an idempotent and of a non-idempotent job.
 _ALWAYS_SUCCEEDS = (JobState.SUCCEEDED, JobState.SUCCEEDED)
 _UNKNOWN_UNLESS_IDEMPOTENT = (JobState.SUCCEEDED, JobState.UNKNOWN)
@@ -139,6 +150,7 @@
         (_take_over_running, _ALWAYS_SUCCEEDS),
         (_take_over_after_restart, _UNKNOWN_UNLESS_IDEMPOTENT),
         (_take_over_after_loss, _UNKNOWN_UNLESS_IDEMPOTENT),
+        (_take_over_after_removal, _UNKNOWN_UNLESS_IDEMPOTENT),
     ],
 )
 def test_doubtful_start_is_repeated_only_for_idempotent_jobs(
--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_leases.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_leases.py
@@ -10,6 +10,16 @@
 CLOCK_MARGIN_S = 1.0
 
 
+def earlier_leases_end_at(taken_over_at: float, lease_s: float) -> float:
+    """Returns when the leases end that an earlier holder has granted.
+
+    Args:
+      taken_over_at: when the role changed hands, in seconds.
+      lease_s: the longest lease that its calls carry, in seconds.
+    """
+    return taken_over_at + MAX_CALL_DELAY_S + lease_s + CLOCK_MARGIN_S
+
+
 class _Renewal(msgspec.Struct):
     sent_at: float
     lease_s: float
@@ -41,7 +51,8 @@
         The first answer under the new epoch bars them.
         """
         self._ends_at = max(
-            self.end_at - CLOCK_MARGIN_S, now + MAX_CALL_DELAY_S + lease_s
+            self.end_at - CLOCK_MARGIN_S,
+            earlier_leases_end_at(now, lease_s) - CLOCK_MARGIN_S,
         )
         granted = [each.lease_s for each in self._unanswered]
         self._earlier_lease_s = max(
--- a/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/worker_links.py
@@ -15,7 +15,10 @@
 from pomeloarch_node.hosts import HostDirectory
 from pomeloarch_node.platform import Host
 from pomeloarch_node.worker_gate import WorkerGate
-from pomeloarch_node.worker_leases import TaskLeases
+from pomeloarch_node.worker_leases import (
+    TaskLeases,
+    earlier_leases_end_at,
+)
 from pomeloarch_node.worker_link import WorkerLink
 from pomeloarch_node.worker_list import zone_workers
 
@@ -43,6 +46,7 @@
         self._workers: tuple[WorkerInfo, ...] = ()
         self._changed = asyncio.Event()
         self._epoch = Epoch(0)
+        self._reset_at = float("-inf")
 
     @property
     def workers(self) -> tuple[WorkerInfo, ...]:
@@ -57,7 +61,10 @@
             for worker_id, leases in self._leases.items()
             if worker_id not in self._links
         ]
-        return FleetChanged(self._workers, max([now, *ends_at]) - now)
+        ends_at.append(
+            earlier_leases_end_at(self._reset_at, self._gate.lease_s)
+        )
+        return FleetChanged(self._workers, max(now, *ends_at) - now)
 
     async def wait_for_change(self) -> None:
         """Waits for the next list of workers."""
@@ -67,7 +74,7 @@
     def reset(self, epoch: Epoch) -> None:
         """Resets all links for a new epoch."""
         self._epoch = epoch
-        now = asyncio.get_running_loop().time()
+        now = self._reset_at = asyncio.get_running_loop().time()
         for leases in self._leases.values():
             leases.reset(now, self._gate.lease_s)
         for link in self._links.values():
--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -317,14 +317,16 @@
     assert list(starts.values()) == [2]
 
 
+@pytest.mark.parametrize("is_successor", [False, True])
 @pytest.mark.parametrize("hosts_per_rack", [8, 1455])
 def test_job_of_an_unlisted_worker_is_started_again_after_its_lease(
-    hosts_per_rack,
+    hosts_per_rack, is_successor
 ):
     """Guards against a second run of a job in a zone with many workers.
 
     The unlisted worker keeps its task until the lease runs out, which lasts
-    longer the more workers there are.
+    longer the more workers there are. A successor that never saw the worker on
+    the list has to wait, too, and not for ever.
     """
 
     async def main(bench):
@@ -334,13 +336,15 @@
         await bench.wait_for("running")
         await asyncio.sleep(20.0)
         victim = next(iter(bench.records().values()))["placement"][0]
-        node.hosts.replace(
-            tuple(
-                host
-                for host in bench.platform.hosts
-                if host.id != victim["worker_id"]
-            )
+        bench.platform.hosts = tuple(
+            host
+            for host in bench.platform.hosts
+            if host.id != victim["worker_id"]
         )
+        if is_successor:
+            node.kill()
+            node = bench.node("n2", 2)
+        node.hosts.replace(bench.platform.hosts)
         unlisted_at = bench.now()
         while True:
             counts = bench.fleet.ledger.counts(bench.now())
