Don't resume a gang whose worker was lost after it had reported

A gang could go on in part after a takeover. A successor decides on an attempt once all its workers have reported. If one reported, was lost, and the last one reported only then, the report of the lost one still counted: the attempt was taken as whole and shown as running, and the loss isn't told a second time.

What a worker reported before it was lost doesn't hold any more, but for members that had ended.

--- a/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/gang/attempts.py
@@ -267,6 +267,10 @@
         members = job.members_on(worker_id)
         if job.phase is Phase.RECOVERING:
             job.inactive_members.update(members)
+            for member in members:
+                # What it reported before it was lost doesn't hold any more.
+                if job.task_states[member] not in ENDED_STATES:
+                    job.task_states[member] = None
             if [
                 m
                 for m in members
--- a/packages/pomeloarch-core/tests/test_gang_doubts.py
+++ b/packages/pomeloarch-core/tests/test_gang_doubts.py
@@ -8,7 +8,13 @@
 import pytest
 
 from pomeloarch_core.gang import ZoneScheduler
-from pomeloarch_core.gang.messages import JobSpec, JobState, OrderKind, Tick
+from pomeloarch_core.gang.messages import (
+    JobSpec,
+    JobState,
+    OrderKind,
+    Tick,
+    WorkerUnreachable,
+)
 from pomeloarch_core.objects.model import (
     AvailabilityZone,
     JobClass,
@@ -213,3 +219,31 @@
     assert world.table["a0"].state is JobState.CANCELLED
     assert world.table["b"].state is JobState.SUCCEEDED
     assert world.collisions == 0
+
+
+@pytest.mark.parametrize("idempotent", [True, False])
+def test_gang_of_a_worker_lost_after_its_report_is_not_resumed(idempotent):
+    """Guards against a gang that goes on in part after a takeover.
+
+    One worker reports to the successor and is lost; only then does the other
+    one report.
+    """
+    world = _world()
+    spec = JobSpec("a", "o", "bid", 2, 2, idempotent=idempotent)
+    world.submit(spec, 60.0)
+    world.advance(1.0)
+    first, second = (m.worker_id for m in world.table["a"].placement)
+    world.workers[second].reachable = False
+    _take_over(world)
+    world.advance(0.5)
+    world.kill(first)
+    world._reported_unreachable.add(first)
+    world.send_event(WorkerUnreachable(first))
+    world.workers[second].reachable = True
+    world.advance(20.0)
+    found = world.table["a"]
+    if idempotent:
+        assert (found.state, found.attempts) == (JobState.RUNNING, 2)
+        assert first not in {m.worker_id for m in found.placement}
+    else:
+        assert found.state is JobState.UNKNOWN
