--- a/packages/pomeloarch-node/tests/test_scheduler_zone.py
+++ b/packages/pomeloarch-node/tests/test_scheduler_zone.py
@@ -21,7 +21,7 @@
 from pomeloarch_standins.fake_platform import Fault
 from pomeloarch_standins.job_bench import WALL_CLOCK_S, ZoneBench
 from pomeloarch_standins.virtual_time import run_virtual
-from pomeloarch_standins.workers import FaultMode
+from pomeloarch_standins.workers import LATE_S, FaultMode
 
 OBJECTS = ObjectSet(
     availability_zone=(AvailabilityZone("patan", "valley"),),
@@ -317,6 +317,135 @@
     assert list(starts.values()) == [2]
 
 
+@pytest.mark.parametrize("is_successor", [False, True])
+@pytest.mark.parametrize("hosts_per_rack", [8, 1455])
+def test_job_of_an_unlisted_worker_is_started_again_after_its_lease(
+    hosts_per_rack, is_successor
+):
+    """Guards against a second run of a job in a zone with many workers.
+
+    The unlisted worker keeps its task until the lease runs out, which lasts
+    longer the more workers there are. A successor that never saw the worker on
+    the list has to wait, too, and not for ever.
+    """
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+        job_id = await submit(node, SCAN, command="run_s=600")
+        await bench.wait_for("running")
+        await asyncio.sleep(20.0)
+        victim = next(iter(bench.records().values()))["placement"][0]
+        bench.platform.hosts = tuple(
+            host
+            for host in bench.platform.hosts
+            if host.id != victim["worker_id"]
+        )
+        if is_successor:
+            node.kill()
+            node = bench.node("n2", 2)
+        node.hosts.replace(bench.platform.hosts)
+        unlisted_at = bench.now()
+        while True:
+            counts = bench.fleet.ledger.counts(bench.now())
+            assert counts.running_gangs <= 1
+            assert bench.now() < unlisted_at + 240.0
+            if counts.starts[job_id] == 2:
+                return
+            await asyncio.sleep(0.05)
+
+    run(main, hosts_per_rack=hosts_per_rack)
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_restarts_under_the_same_id_violate_no_invariant(seed):
+    """Guards against second runs by orders that outlast a restart.
+
+    The workers forget all they did, and calls that got no answer are carried
+    out after the restart.
+    """
+    rng = random.Random(seed)
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        await asyncio.sleep(1.0)
+
+        async def restart_workers():
+            while True:
+                worker = rng.choice(list(bench.fleet.workers.values()))
+                worker_id = worker.info.worker_id
+                node.client.faults[worker_id] = FaultMode.LATE
+                await asyncio.sleep(rng.uniform(0.2, LATE_S))
+                node.client.faults.pop(worker_id)
+                worker.reboot(bench.now())
+                await asyncio.sleep(rng.uniform(0.1, 1.0))
+
+        restarts = asyncio.create_task(restart_workers())
+        for _ in range(40):
+            job = rng.choice([SCAN, GANG])
+            seconds = rng.uniform(0.5, 4.0)
+            await submit(
+                node,
+                job,
+                command=f"run_s={seconds:.1f}",
+                idempotent=rng.random() < 0.5,
+            )
+            await asyncio.sleep(rng.uniform(0.1, 1.5))
+        restarts.cancel()
+        await bench.wait_for("succeeded", "unknown", timeout_s=180.0)
+        check_invariants(bench)
+        return bench.states()
+
+    assert set(run(main)) <= {"succeeded", "unknown"}
+
+
+@pytest.mark.parametrize(
+    ("idempotent", "late_s"),
+    [(False, 0.05), (False, 4.0), (False, 6.0), (True, 4.0), (True, 6.0)],
+)
+def test_late_orders_after_a_restart_start_no_second_run(idempotent, late_s):
+    """Guards against a second run by copies of orders that outlast a restart.
+
+    The first copies of the reservation and of the start get no answer. The
+    worker runs the task by the second ones, restarts and forgets it; then the
+    first ones are carried out, before or after the scheduler has noticed.
+    """
+
+    async def main(bench):
+        node = bench.node("n1", 1)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(1.0)
+        lost = {}
+
+        def lose_first(worker_id, req):
+            for order in req.orders:
+                if order.kind not in lost and order.kind in (
+                    OrderKind.RESERVE,
+                    OrderKind.START,
+                ):
+                    lost[order.kind] = worker_id, req
+                    return FaultMode.STALL
+            return None
+
+        node.client.on_post = lose_first
+        job_id = await submit(
+            node, SCAN, command="run_s=60", idempotent=idempotent
+        )
+        await bench.wait_for("running")
+        worker_id, _ = lost[OrderKind.START]
+        worker = bench.fleet.workers[worker_id]
+        worker.reboot(bench.now())
+        await asyncio.sleep(late_s)
+        for kind in (OrderKind.RESERVE, OrderKind.START):
+            worker.handle(lost[kind][1], loop.time())
+        await asyncio.sleep(20.0)
+        check_invariants(bench)
+        counts = bench.fleet.ledger.counts(bench.now())
+        return counts.starts[job_id], counts.running_gangs
+
+    assert run(main) == ((2, 1) if idempotent else (1, 0))
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_random_faults_violate_no_invariant(seed):
     rng = random.Random(seed)
