Count late renewals for runs that a late start began

Would be seen: two runs of one task at once. One copy of a start has no answer, another one starts the task. Later the worker is cut off and restarts under its id; the copy begins the run again there, 11.9 s after it was sent, and a renewal that was sent at the beginning of the cut extends its lease: in the test until 23.5 s. The task ran elsewhere from 19.5 s on, the longest lease after the last moment of the copy.

Cause: an open start was counted as if nothing extended the lease of its run. The reported lease end of a silent worker counts renewals as if they acted at once.

Change: with a silent worker, its session reports when the last lease ends that an order sent by now can grant: the longest lease after 13 s. Open starts of that worker count until then, or, as before, until a report asked for after their last moment. Other tasks of the worker wait as before.

Why it works: a worker that was reported silent gets no start, and no renewal with a deadline, so all that acts there was sent before.

Ruled out: to report the later end for the whole worker, which would hold all of its tasks for some 20 s.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -200,7 +200,7 @@
         """Removes open starts that can't run any more, or would be reported.
 
         A worker that isn't heard from may have carried one out at the last
-        moment, and runs it until its lease ends.
+        moment, and runs it until its lease ends, which a late renewal extends.
         """
         self.awaited_reports.clear()
 
@@ -212,7 +212,8 @@
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
             self.awaited_reports.add(copy.worker_id)
-            return now >= copy.acts_until + self._open_starts.longest_lease_s
+            lapses_at = copy.acts_until + self._open_starts.longest_lease_s
+            return now >= max(lapses_at, copy.lapses_at)
 
         self._open_starts.settle_where(is_settled)
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -220,13 +220,16 @@
 
     Attributes:
       worker_id: the worker.
-      lapses_at: when all runs that it may have have certainly been killed.
+      lapses_at: when all runs that it may have have certainly been killed, but
+        for those of starts without an answer that are carried out late.
       gone: whether the worker is known to have ended.
+      late_runs_lapse_at: when these have certainly been killed, too.
     """
 
     worker_id: WorkerId
     lapses_at: float
     gone: bool = False
+    late_runs_lapse_at: float = 0.0
 
 
 class WorkerLate(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -30,10 +30,13 @@
     Attributes:
       worker_id: the worker that it was sent to.
       acts_until: the last moment at which it may be carried out.
+      lapses_at: when a run that it began has certainly been killed, if its
+        worker was reported silent since; otherwise 0.
     """
 
     worker_id: WorkerId
     acts_until: float
+    lapses_at: float = 0.0
 
 
 class OpenStarts:
@@ -71,6 +74,15 @@
         if not self._copies[task]:
             del self._copies[task]
 
+    def extend_lapse(self, worker_id: WorkerId, lapses_at: float) -> None:
+        """Records when late runs on a silent worker have been killed."""
+        for copies in self._copies.values():
+            for copy_id, copy in copies.items():
+                if copy.worker_id == worker_id:
+                    copies[copy_id] = msgspec.structs.replace(
+                        copy, lapses_at=max(copy.lapses_at, lapses_at)
+                    )
+
     def settle_where(self, is_settled: Callable[[OpenCopy], bool]) -> None:
         """Removes the copies of which this is true."""
         found = [
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -374,6 +374,7 @@
         if worker is None:
             return
         worker.mark_silent(event.lapses_at, event.gone)
+        self.open_starts.extend_lapse(event.worker_id, event.late_runs_lapse_at)
         _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -462,3 +462,31 @@
     harness.emit(Tick(harness.now))
     after = harness.scheduler.needs_polling(worker_id)
     assert (before, after) == (idle_s > 0, False)
+
+
+@pytest.mark.parametrize("heard_after_s", [None, 5.0, 16.0])
+def test_reported_lapse_of_late_runs_holds_their_tasks(heard_after_s):
+    """Guards against two runs of a task, and against a longer wait than needed.
+
+    The worker was reported silent: late renewals may extend a late run there.
+    """
+    harness = Harness()
+    order, _ = ordered(harness, gang=True)
+    harness.scheduler.open_starts.longest_lease_s = 6.5
+    began_at = harness.now
+    harness.now += 1.0
+    harness.emit(
+        WorkerSilent(
+            order.worker_id, began_at + 5.0, late_runs_lapse_at=began_at + 25.0
+        )
+    )
+    while len(harness.starts()) < 2:
+        harness.now = round(harness.now + 0.5, 3)
+        harness.emit(Tick(harness.now))
+        if harness.now - began_at == heard_after_s:
+            harness.report(order.worker_id)
+        harness.rows_written()
+    heard_in_time = heard_after_s is not None and (
+        heard_after_s >= MAX_ORDER_DELAY_S
+    )
+    assert harness.now - began_at == (heard_after_s if heard_in_time else 25.0)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -384,9 +384,7 @@
         self._last_report_at = now
         self._acknowledged = 0
         self._worker_clock = None
-        self._unfenced_leases_end_at = (
-            now + MAX_ORDER_DELAY_S + longest_lease_s(self._times.lease_s)
-        )
+        self._unfenced_leases_end_at = self._late_leases_end_at(now)
         if self._is_silent:
             self._report_silent()
         self.raise_fence()
@@ -410,7 +408,20 @@
             self._unfenced_leases_end_at,
             self._open_copies_lease_end(),
         )
-        self._emit(WorkerSilent(self.info.worker_id, lapses_at))
+        self._emit(
+            WorkerSilent(
+                self.info.worker_id,
+                lapses_at,
+                late_runs_lapse_at=self._late_leases_end_at(self._clock()),
+            )
+        )
+
+    def _late_leases_end_at(self, now: float) -> float:
+        """Returns when the last lease ends that orders sent by now may grant.
+
+        A run that a late start begins may get it from a late renewal.
+        """
+        return now + MAX_ORDER_DELAY_S + longest_lease_s(self._times.lease_s)
 
     def _open_copies_lease_end(self) -> float:
         """Returns when the last lease of a start without an answer can end.
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -632,6 +632,50 @@
     assert len(run_in_world(scenario, workers=3)) == 2
 
 
+@pytest.mark.parametrize("cut_after_s", [6.0, 10.0])
+def test_late_renewal_of_a_late_run_makes_no_second_run(
+    monkeypatch, cut_after_s
+):
+    """Guards against a task that runs elsewhere before a late run was killed.
+
+    A copy of a start has no answer. Later, the worker restarts behind a cut,
+    carries out that copy, and then a renewal that was sent since.
+    """
+    original_renew = ModelLink.renew
+    delayed = lose_first_start(monkeypatch)
+    renewals = []
+
+    async def renew(link, fence, acknowledged, deadline_ms, wait_s):
+        worker = link._worker
+        if worker.is_cut_off and deadline_ms is not None:
+            renewals.append(lambda: worker.renew(fence, 0, deadline_ms))
+        return await original_renew(
+            link, fence, acknowledged, deadline_ms, wait_s
+        )
+
+    monkeypatch.setattr(ModelLink, "renew", renew)
+
+    async def scenario(world):
+        await asyncio.sleep(20.0)
+        step = Step(count=1, need=SMALL, estimate_s=60.0)
+        await world.submit(make_job(1, steps=(step,)), world.nodes[0])
+        while not delayed:
+            await asyncio.sleep(0.01)
+        worker_id, carry_out = delayed
+        await asyncio.sleep(cut_after_s)
+        worker = world.workers[worker_id]
+        worker.is_cut_off = True
+        worker.crash()
+        await asyncio.sleep(11.9 - cut_after_s)
+        assert carry_out() is StartOutcome.STARTED
+        await asyncio.sleep(5.6)
+        assert renewals[-1]()
+        await asyncio.sleep(25.0)
+        return {each.worker for each in world.ledger.entries}
+
+    assert len(run_in_world(scenario, workers=3)) == 2
+
+
 def test_late_renewal_that_reaches_a_restarted_worker_forgets_no_end(
     monkeypatch,
 ):
