--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -976,3 +976,20 @@
 
     late, ends = run_in_world(scenario, workers=6)
     assert late * 5 <= ends
+
+
+def test_late_start_of_a_long_running_task_makes_no_second_run(monkeypatch):
+    """Guards against two runs of a task that may not be away for long."""
+    delayed = lose_first_start(monkeypatch)
+
+    async def scenario(world):
+        steps = (Step(1, SMALL, long_running=True),)
+        await world.submit(make_job(1, steps=steps), world.nodes[0])
+        await asyncio.sleep(2.5)
+        worker_id, carry_out = delayed
+        world.restart_worker(worker_id)
+        await asyncio.sleep(0.01)
+        carry_out()
+        await asyncio.sleep(5.0)
+
+    run_in_world(scenario, workers=2)
