--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -549,3 +549,24 @@
     info = WorkerInfo(other, SERVICE, f"{other}:1", ZoneName(other), WHOLE)
     harness.emit(WorkersListed((info,)))
     assert order.worker_id in harness.scheduler.roster()
+
+
+def test_task_starts_again_on_the_only_worker_that_it_may_run_on():
+    """Guards against tasks that wait though their only worker is free.
+
+    A start of the task is open there, so that it may run on no other one; yet
+    the worker is avoided because that start had no answer.
+    """
+    harness = Harness()
+    order, _ = ordered(harness)
+    harness.group().members[0].started_at = None
+    key = order.worker_id, order.task, order.run
+    harness.now += 0.1
+    harness.emit(StartAnswered(*key, StartOutcome.NO_ANSWER, False, 3))
+    harness.stopped(order)
+    for _ in range(10):
+        harness.now += 0.3
+        harness.emit(Tick(harness.now))
+        harness.rows_written()
+    workers = [each.worker_id for each in harness.starts()]
+    assert workers == [order.worker_id] * 2
--- a/packages/pomeloarch-node/tests/test_batch_world.py
+++ b/packages/pomeloarch-node/tests/test_batch_world.py
@@ -892,3 +892,24 @@
 
     late, ends = run_in_world(scenario, workers=6)
     assert late * 5 <= ends
+
+
+def test_late_start_of_a_long_running_task_makes_no_second_run(monkeypatch):
+    """Guards against two runs of a task that lasts, which may not overlap.
+
+    Its start, which had no answer, is carried out by a restarted worker that
+    nobody has contacted, while the task runs elsewhere.
+    """
+    delayed = lose_first_start(monkeypatch)
+
+    async def scenario(world):
+        step = Step(count=1, need=SMALL, estimate_s=1.0, long_running=True)
+        await world.submit(make_job(1, steps=(step,)), world.nodes[0])
+        await asyncio.sleep(2.5)
+        worker_id, carry_out = delayed
+        world.restart_worker(worker_id)
+        await asyncio.sleep(0.01)
+        carry_out()
+        await asyncio.sleep(5.0)
+
+    run_in_world(scenario, workers=2)
