--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -323,7 +323,9 @@
         only = placing_round.only_workers.get(group)
         if only is not None:
             usable = [each for each in usable if each.worker_id == only]
-            group.failed_on.discard(only)
+            if not group.failures:
+                # It was avoided for its missing answer.
+                group.failed_on.discard(only)
         found = filter_suitable(
             group, usable, siblings, ignore_failures=only is not None
         )
