--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -193,13 +193,12 @@
     ) -> JobEntry | None:
         """Records that a row is durable up to a change; returns the job."""
         held_ends = self._held_ends.pop(job_id, [])
-        self._guarded_ends += [
-            each for each in held_ends if each.change <= change
-        ]
+        for each in held_ends:
+            if each.change <= change:
+                self._release_unless_open(each, now)
         left = [each for each in held_ends if each.change > change]
         if left:
             self._held_ends[job_id] = left
-        self.release_ends(now)
         entry = self.get(job_id)
         if entry is not None:
             entry.written = change
@@ -207,13 +206,15 @@
 
     def release_ends(self, now: float) -> None:
         """Lets workers forget the durable ends whose starts are settled."""
-        guarded = []
-        for each in self._guarded_ends:
-            if self._is_start_open(each, now):
-                guarded.append(each)
-            else:
-                each.release()
-        self._guarded_ends = guarded
+        guarded, self._guarded_ends = self._guarded_ends, []
+        for each in guarded:
+            self._release_unless_open(each, now)
+
+    def _release_unless_open(self, held: _HeldEnd, now: float) -> None:
+        if self._is_start_open(held, now):
+            self._guarded_ends.append(held)
+        else:
+            held.release()
 
     def forget_if_finished(self, entry: JobEntry) -> None:
         """Forgets a job that has ended and has nothing left on a worker."""
