--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -27,7 +27,11 @@
 from pomeloarch_core.batch.messages import Decision
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.objectives import Standing
-from pomeloarch_core.batch.open_starts import OpenCopy, OpenStarts
+from pomeloarch_core.batch.open_starts import (
+    MAX_ORDER_DELAY_S,
+    OpenCopy,
+    OpenStarts,
+)
 from pomeloarch_core.batch.placing import (
     Placement,
     exclude_slow,
@@ -157,6 +161,7 @@
             now,
             wall,
         )
+        self._settle_starts(jobs, now)
         ready = self._exclude_open_starts(ready, placing_round, now)
         self._protect_late_gangs(ready, placing_round)
         self._collect_awaited(ready, placing_round)
@@ -174,18 +179,14 @@
         """Returns the groups that can't be started twice by earlier orders.
 
         A single task may run on the worker that may still carry out the
-        earlier order: whatever starts it there, it has one run. A long-running
-        task that waited would be away for longer than it may, and copies of a
-        speculative one may run at the same time.
+        earlier order: whatever starts it there, it has one run.
         """
-        self._settle_starts(now)
         open_tasks = self._open_starts.tasks()
         if not open_tasks:
             return groups
         free = []
         for group in groups:
-            exempt = group.step.long_running or group.step.speculative
-            if exempt or open_tasks.isdisjoint(group.tasks()):
+            if group.may_overlap or open_tasks.isdisjoint(group.tasks()):
                 free.append(group)
                 continue
             workers = self._open_starts.workers(group.tasks()[0])
@@ -196,11 +197,11 @@
             self._log_waiting(group, WaitReason.OPEN_START, None, False, now)
         return free
 
-    def _settle_starts(self, now: float) -> None:
+    def _settle_starts(self, jobs: list[JobEntry], now: float) -> None:
         """Removes open starts that can't run any more, or would be reported.
 
-        A worker that isn't heard from may have carried one out at the last
-        moment, and runs it until its lease ends.
+        A worker that isn't heard from may have carried one out, and runs it
+        until the longest lease after the last order that may extend leases.
         """
         self.awaited_reports.clear()
 
@@ -212,9 +213,22 @@
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
             self.awaited_reports.add(copy.worker_id)
-            return now >= copy.acts_until + self._open_starts.longest_lease_s
+            extended_until = copy.acts_until
+            if worker is not None:
+                if worker.silent_since is None:
+                    return False
+                last_order_until = (
+                    worker.silent_since + MAX_ORDER_DELAY_S
+                    if worker.reported
+                    else self._open_starts.earlier_until
+                )
+                extended_until = max(extended_until, last_order_until)
+            return now >= extended_until + self._open_starts.longest_lease_s
 
         self._open_starts.settle_where(is_settled)
+        open_tasks = self._open_starts.tasks()
+        for entry in jobs:
+            self._runs.remove_open_starts(entry, open_tasks, now)
 
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
