Stop the leader where no other node reaches some workers

A leader that stops as planned acts on for up to two seconds. That it grants no lease any more was seen by no random plan: its successor has to be cut off from all workers that both would call, or the leader learns of it. The new kind of faults `stop-apart` does that; in half of the plans it strikes all workers, as does `divide`.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -31,6 +31,8 @@
 _TABLES = (ROSTER_TABLE, ROSTER_TABLE, JOBS_TABLE, TERMS_TABLE, ROLES_TABLE)
 # Share of the workers that are on the leader's side of a divided network.
 _LEADERS_SIDE_SHARE = 0.4
+# Probability that all workers are on that side.
+_ALL_ON_LEADERS_SIDE = 0.5
 # Share of the unanswered orders and writes that take effect late.
 _LATE_ORDERS_SHARE = 0.8
 _LATE_WRITES_SHARE = 0.5
@@ -160,6 +162,10 @@
             for each in range(world.workers)
             if rng.random() < _LEADERS_SIDE_SHARE
         }
+        if rng.random() < _ALL_ON_LEADERS_SIDE:
+            # A worker that both sides reach would show the leader that it has
+            # a successor.
+            struck = set(range(world.workers))
         return msgspec.structs.replace(
             draw_rest(rng, kind, at_s, world), targets=tuple(sorted(struck))
         )
@@ -310,21 +316,40 @@
     struck -= added
 
 
+def _paths_beside(
+    stage: Stage, leader: WorldNode, workers: tuple[int, ...]
+) -> set[tuple[NodeId, WorkerId]]:
+    """Returns the paths from all nodes but the leader to some workers."""
+    return {
+        (node.name, stage.worker_id(each))
+        for node in stage.world.nodes
+        if node is not leader
+        for each in workers
+    }
+
+
 async def _divide(stage: Stage, fault: PlannedFault) -> None:
     """Parts the leader and some workers from the other nodes and the store."""
     leader = stage.leader()
-    others = [each for each in stage.world.nodes if each is not leader]
-    pairs = {
-        (node.name, stage.worker_id(worker))
-        for node in others
-        for worker in fault.targets
-    }
+    pairs = _paths_beside(stage, leader, fault.targets)
     added = pairs - stage.world.cut_paths
     stage.world.cut_paths |= added
     await _cut_store(stage, fault, [leader])
     stage.world.cut_paths -= added
 
 
+async def _stop_apart(stage: Stage, fault: PlannedFault) -> None:
+    """Stops the leader while no other node reaches some of the workers."""
+    leader = stage.leader()
+    pairs = _paths_beside(stage, leader, fault.targets)
+    added = pairs - stage.world.cut_paths
+    stage.world.cut_paths |= added
+    await asyncio.gather(
+        stage.stop(leader, fault.amount), asyncio.sleep(fault.for_s)
+    )
+    stage.world.cut_paths -= added
+
+
 async def _deafen(stage: Stage, fault: PlannedFault) -> None:
     """Loses all answers of a worker, whose orders arrive."""
     worker_id = stage.worker_id(fault.targets[0])
@@ -546,6 +571,7 @@
     "cut-paths": FaultKind(_draw_on_paths((0.5, 8.0)), _cut_paths),
     "deaf-paths": FaultKind(_draw_on_paths((0.5, 8.0)), _deaf_paths),
     "divide": FaultKind(_draw_on_some_workers((2.0, 13.0)), _divide),
+    "stop-apart": FaultKind(_draw_on_some_workers((2.0, 13.0)), _stop_apart),
     "deaf-worker": FaultKind(_draw_on_workers((2.0, 13.0)), _deafen),
     "deaf-restart": FaultKind(
         _draw_on_workers((0.5, 5.0), (0.0, 0.6)), _restart_deaf
