Let a worker return from silence while the roster can't be written

The roster names the only tasks that a silent worker may run. Once it answers again, it is given nothing before the roster says that it may run any task: if the leader then stopped, a successor that cannot reach the worker would start its new tasks elsewhere. The new kind of faults `return` brings this about.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -40,6 +40,8 @@
 _CUT_PATHS_SHARE = 0.35
 # Time after which a worker that doesn't answer may count as silent, in seconds.
 _SILENT_WITHIN_S = 2.3
+# Time after which the roster shows that, in seconds.
+_NOTED_WITHIN_S = 4.0
 # Share of a fault's time for which it waits for its moment; the node that it
 # kills is down for the rest.
 _AWAIT_SHARE = 0.6
@@ -391,6 +393,32 @@
     await asyncio.gather(_cut_worker(stage, number, fault.for_s), stop())
 
 
+async def _return_unnoted(stage: Stage, fault: PlannedFault) -> None:
+    """Lets a silent worker return while the roster can't be written.
+
+    The worker is cut off, answers again for some time, and is cut off once more
+    when the leader stops.
+    """
+    (number,) = fault.targets
+    refused = msgspec.structs.replace(
+        fault, table=ROSTER_TABLE, for_s=fault.for_s - _NOTED_WITHIN_S
+    )
+
+    async def refuse() -> None:
+        await asyncio.sleep(_NOTED_WITHIN_S)
+        await _refuse_writes(stage, refused)
+
+    async def come_and_go() -> None:
+        await _cut_worker(stage, number, _NOTED_WITHIN_S)
+        await asyncio.sleep(fault.amount)
+        left_s = fault.for_s - _NOTED_WITHIN_S - fault.amount
+        await asyncio.gather(
+            stage.stop(stage.leader(), 0.5), _cut_worker(stage, number, left_s)
+        )
+
+    await asyncio.gather(refuse(), come_and_go())
+
+
 async def _refuse_writes(stage: Stage, fault: PlannedFault) -> None:
     def begin() -> None:
         for node in stage.world.nodes:
@@ -579,6 +607,9 @@
     "hand-over": FaultKind(
         _draw_on_workers((3.0, 9.0), (0.0, 1.5)), _hand_over_at_silence
     ),
+    "return": FaultKind(
+        _draw_on_workers((8.0, 13.0), (0.8, 3.0)), _return_unnoted
+    ),
     SLOW_CLOCKS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     LONG_RUNS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     FEW_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
