Free the members of a gang that is done though their starts had no answer

One member's worker restarts with its end, the gang is done by another member's, and no answer to the lost member's start came. Nothing confirmed that start, so no report could show that the run is gone, and its room was never free again.

Change: a gang that is done confirms the starts of all members of that run; the next report that was asked for later frees those that it lacks.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -436,6 +436,9 @@
         group.state = GroupState.ENDED
         if group.run == end.run:
             group.done_at = now
+            for member in group.members.values():
+                # A gang is done only once all of its members have started.
+                member.started_at = member.started_at or now
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
         step_row.checkpoints.pop(str(group.indices[0]), None)
