--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -34,9 +34,6 @@
 # Pause after a start that a worker refused, in seconds. By then the worker's
 # next report, which shows the reason, has arrived.
 REFUSED_PAUSE_S = 0.25
-# Time from a start after which the job's row may say that it is settled, in
-# seconds. A group that starts again on the same workers sooner needs no write.
-SETTLED_START_DELAY_S = 1.0
 # Pause between a failed run and the next one, in seconds.
 FAILED_PAUSE_S = 0.05
 
@@ -101,7 +98,7 @@
             worker.allocate(group, group.step.allocation, claimed=True)
 
     def remove_open_starts(
-        self, entry: JobEntry, open_tasks: set[TaskId], now: float
+        self, entry: JobEntry, open_tasks: set[TaskId]
     ) -> None:
         """Removes the groups from a job's row whose starts are all settled."""
         if not entry.row.open_starts:
@@ -110,11 +107,11 @@
             if (
                 group.key in entry.row.open_starts
                 and not _is_start_due(group)
-                and now - group.started_at > SETTLED_START_DELAY_S
                 and open_tasks.isdisjoint(group.tasks())
             ):
                 del entry.row.open_starts[group.key]
-                self.request_write(entry, urgent=False)
+                # A successor has workers keep ends until the entry is removed.
+                self.request_write(entry, urgent=True)
 
     def can_start(self, group: Group) -> bool:
         """Returns whether a group may start on the places that it has claimed.
@@ -439,6 +436,9 @@
         group.state = GroupState.ENDED
         if group.run == end.run:
             group.done_at = now
+            for member in group.members.values():
+                # A gang is done only once all of its members have started.
+                member.started_at = member.started_at or now
         step_row = group.job.row.step(group.occurrence, group.number)
         step_row.mark_done(list(group.indices))
         step_row.checkpoints.pop(str(group.indices[0]), None)
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -550,3 +550,73 @@
     info = WorkerInfo(other, SERVICE, f"{other}:1", ZoneName(other), WHOLE)
     harness.emit(WorkersListed((info,)))
     assert order.worker_id in harness.scheduler.roster()
+
+
+# A task could spend all its attempts on a worker where its runs fail.
+@pytest.mark.parametrize(
+    ("cause", "starts"), [("no answer", 2), ("a failed run", 1)]
+)
+def test_task_starts_again_on_the_only_worker_that_it_may_run_on(cause, starts):
+    """Guards against tasks that wait though their only worker is free.
+
+    A start of the task is open there, so that it may run on no other one; yet
+    the worker is avoided because of that start.
+    """
+    harness = Harness()
+    order, _ = ordered(harness)
+    key = order.worker_id, order.task, order.run
+    harness.now += 0.1
+    if cause == "no answer":
+        harness.group().members[0].started_at = None
+        harness.emit(StartAnswered(*key, StartOutcome.NO_ANSWER, False, 3))
+        harness.stopped(order)
+    else:
+        end = EndedTask(1, order.task, order.run, RunEnd.FAILED)
+        harness.report(order.worker_id, end)
+    for _ in range(10):
+        harness.now += 0.3
+        harness.emit(Tick(harness.now))
+        harness.rows_written()
+    workers = [each.worker_id for each in harness.starts()]
+    assert workers == [order.worker_id] * starts
+
+
+def test_gang_with_an_open_start_of_one_member_waits():
+    """Guards against late starts of a member, on any worker of the gang."""
+    harness = Harness()
+    harness.submit(JOB, NORMAL, Step(2, WHOLE, 4.0, gang=True))
+    harness.rows_written()
+    orders = harness.starts()
+    last = orders[-1]
+    harness.scheduler.open_starts.add(last.task, last.worker_id, harness.now)
+    until = harness.now + MAX_ORDER_DELAY_S
+    harness.now += 1.0
+    for each in orders:
+        harness.started(each)
+        end = EndedTask(1, each.task, each.run, RunEnd.STOPPED)
+        harness.report(each.worker_id, end)
+    for now in (until - 0.1, until):
+        assert len(harness.starts()) == 2
+        harness.now = now
+        for each in WORKERS:
+            harness.report(each)
+        harness.emit(Tick(harness.now))
+        harness.rows_written()
+    assert len(harness.starts()) == 4
+
+
+def test_end_of_a_member_is_kept_while_a_start_of_another_one_is_open():
+    """Guards against an end that stands for a gang while a member may start."""
+    harness = Harness()
+    harness.submit(JOB, NORMAL, Step(2, WHOLE, 4.0, gang=True))
+    harness.rows_written()
+    first, second = harness.starts()
+    open_starts = harness.scheduler.open_starts
+    open_starts.add(second.task, second.worker_id, harness.now)
+    harness.now += 1.0
+    for each in (first, second):
+        harness.started(each)
+    end = EndedTask(1, first.task, first.run, RunEnd.DONE)
+    harness.report(first.worker_id, end)
+    harness.rows_written()
+    assert harness.scheduler.acknowledged_up_to(first.worker_id) == 0
--- a/packages/pomeloarch-node/tests/test_worker_link.py
+++ b/packages/pomeloarch-node/tests/test_worker_link.py
@@ -277,6 +277,15 @@
     assert run(main) == [*unknown, OrderOutcome.DONE]
 
 
+def _remove_worker(hosts):
+    return tuple(host for host in hosts if host.id != WORKER)
+
+
+def _remove_all(hosts):
+    """Removes all workers, which makes the leases of later calls shorter."""
+    return ()
+
+
 def test_refused_copy_of_an_order_says_nothing_about_an_unanswered_one():
     """Guards against a second start of a job that may not be repeated.
 
@@ -304,9 +313,10 @@
     assert run(main) == (OrderOutcome.UNKNOWN, 1)
 
 
+@pytest.mark.parametrize("remove", [_remove_worker, _remove_all])
 @pytest.mark.parametrize("hosts_per_rack", [1, 120, 400, 1455])
 def test_tasks_of_an_unlisted_worker_end_before_they_count_as_ended(
-    hosts_per_rack,
+    hosts_per_rack, remove
 ):
     """Guards against a second run of a job in a zone with many workers.
 
@@ -324,12 +334,22 @@
         holder.start("run_s=600")
         await asyncio.sleep(15.0)
         running = task_states(fleet)
-        holder.directory.replace(tuple(h for h in hosts if h.id != WORKER))
-        await asyncio.sleep(UNLISTED_WORKER_GRACE_S)
-        return running, task_states(fleet)
+        remaining = remove(hosts)
+        holder.directory.replace(remaining)
+        await asyncio.sleep(0.01)
+        given_up_after_s = max(
+            UNLISTED_WORKER_GRACE_S, holder.links.fleet().leases_end_in_s
+        )
+        await asyncio.sleep(given_up_after_s - 0.01)
+        return running, task_states(fleet), given_up_after_s
 
-    found = run_virtual(main())
-    assert found == ([TaskState.RUNNING], [TaskState.STOPPED])
+    running, given_up, after_s = run_virtual(main())
+    assert running == [TaskState.RUNNING]
+    assert given_up == [TaskState.STOPPED]
+    # A lease of six heartbeats, and another one for a call that was under way.
+    assert after_s <= max(
+        UNLISTED_WORKER_GRACE_S, 12 * hosts_per_rack / 100 + 1
+    )
 
 
 @pytest.mark.parametrize("late_s", [1.5, 3.5, 4.9, 8.0])
@@ -364,3 +384,117 @@
         return states_at_event
 
     assert run(main) == [TaskState.STOPPED]
+
+
+def test_late_renewals_one_after_another_do_not_outlast_the_reported_end():
+    """Guards against a second run after several calls without an answer.
+
+    The worker can't be reached any more after the second one. Each of them is
+    carried out late, just before the leases would have expired.
+    """
+
+    async def main(fleet, hosts):
+        holder = Holder(fleet, hosts)
+        loop = asyncio.get_running_loop()
+        worker = fleet.workers[WORKER]
+        states_at_event = []
+        holder.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        sent, answered_at = [], []
+
+        def transmit(_worker_id, req):
+            if len(sent) == 2:
+                return FaultMode.DOWN
+            if not sent or (len(answered_at) == 2 and req.lease_s):
+                sent.append(req)
+                return FaultMode.STALL
+            answered_at.append(loop.time())
+            return FaultMode.NONE
+
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(5.0)
+        holder.client.on_post = transmit
+        holder.order(OrderKind.THROTTLE)
+        while len(sent) < 2:
+            await asyncio.sleep(0.1)
+        first, second = sent
+        for req, late_s in ((second, 5.5), (first, 9.7)):
+            loop.call_at(
+                answered_at[-1] + late_s,
+                lambda req=req: worker.handle(req, loop.time()),
+            )
+        await asyncio.sleep(60.0)
+        return states_at_event
+
+    assert run(main) == [TaskState.STOPPED]
+
+
+@pytest.mark.parametrize("late_s", [0.5, 3.0, 4.9, 5.9])
+def test_late_renewal_of_an_earlier_holder_does_not_outlast_the_reported_end(
+    late_s,
+):
+    """Guards against a second run when the role and a worker are lost at once.
+
+    The successor never reaches the worker, which therefore doesn't refuse the
+    last renewal of the earlier holder.
+    """
+
+    async def main(fleet, hosts):
+        earlier = Holder(fleet, hosts, epoch=1)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(0.5)
+        earlier.start("run_s=600")
+        await asyncio.sleep(5.0)
+        worker = fleet.workers[WORKER]
+        sent = asyncio.Event()
+
+        def delay(_worker_id, req):
+            earlier.client.on_post = None
+            loop.call_later(late_s, lambda: worker.handle(req, loop.time()))
+            sent.set()
+            return FaultMode.STALL
+
+        earlier.client.faults[WORKER] = FaultMode.DOWN
+        earlier.client.on_post = delay
+        await sent.wait()
+        states_at_event = []
+        successor = Holder(fleet, hosts, epoch=2)
+        successor.client.faults[WORKER] = FaultMode.STALL
+        successor.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        await asyncio.sleep(60.0)
+        return states_at_event
+
+    assert run(main) == [TaskState.STOPPED]
+
+
+def test_leases_granted_before_the_fleet_shrank_count_until_they_end():
+    """Guards against a second run when most workers of a zone are unlisted.
+
+    The worker drops off the list for a moment. From then on leases are shorter,
+    but the one that it has is not.
+    """
+
+    async def main():
+        hosts = worker_hosts("127.0.0.1:1", ["patan"], hosts_per_rack=1455)
+        fleet = WorkerFleet.from_hosts(hosts)
+        holder = Holder(fleet, hosts)
+        await asyncio.sleep(0.5)
+        holder.start("run_s=600")
+        await asyncio.sleep(20.0)
+        states_at_event = []
+        holder.on_unreachable = lambda: states_at_event.extend(
+            task_states(fleet)
+        )
+        holder.client.faults[WORKER] = FaultMode.STALL
+        holder.directory.replace(())
+        await asyncio.sleep(1.0)
+        remaining = tuple(host for host in hosts if host.id == WORKER)
+        holder.directory.replace(remaining)
+        await asyncio.sleep(240.0)
+        return states_at_event
+
+    assert run_virtual(main()) == [TaskState.STOPPED]
