Wait for a worker that isn't heard from no longer than its own lease

A gang waits from 28.2 s on for a start that had no answer at 25 s on i-2770ed0562. That worker's last report is from just before the last moment of the order, 38 s; it leaves, counts as silent at 40.2 s, and the gang waits for the longest lease after 13 s from then, until 59.6 s.

Change: that wait is taken back. A start is settled by a report after its last moment, or by the longest lease after it. What that leaves open is listed again: four cases in which a late renewal, or a late start of another task, extends a run that a late order began on a worker that nobody reaches.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -27,11 +27,7 @@
 from pomeloarch_core.batch.messages import Decision
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.objectives import Standing
-from pomeloarch_core.batch.open_starts import (
-    MAX_ORDER_DELAY_S,
-    OpenCopy,
-    OpenStarts,
-)
+from pomeloarch_core.batch.open_starts import OpenCopy, OpenStarts
 from pomeloarch_core.batch.placing import (
     Placement,
     exclude_slow,
@@ -200,8 +196,8 @@
     def _settle_starts(self, jobs: list[JobEntry], now: float) -> None:
         """Removes open starts that can't run any more, or would be reported.
 
-        A worker that isn't heard from may have carried one out, and runs it
-        until the longest lease after the last order that may extend leases.
+        A worker that isn't heard from may have carried one out at the last
+        moment, and runs it until its lease ends.
         """
         self.awaited_reports.clear()
 
@@ -213,17 +209,7 @@
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
             self.awaited_reports.add(copy.worker_id)
-            extended_until = copy.acts_until
-            if worker is not None:
-                if worker.silent_since is None:
-                    return False
-                last_order_until = (
-                    worker.silent_since + MAX_ORDER_DELAY_S
-                    if worker.reported
-                    else self._open_starts.earlier_until
-                )
-                extended_until = max(extended_until, last_order_until)
-            return now >= extended_until + self._open_starts.longest_lease_s
+            return now >= copy.acts_until + self._open_starts.longest_lease_s
 
         self._open_starts.settle_where(is_settled)
         open_tasks = self._open_starts.tasks()
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -32,8 +32,6 @@
       listed: whether it is on the list.
       reported: whether it has answered under this scheduler's fence.
       silent: whether it doesn't answer at present.
-      silent_since: when it fell silent, None while it answers; no order that
-        extends leases is sent after that.
       late_since: when an answer was first found late, None while it answers.
       lapses_at: while silent, when its runs have been killed at the latest.
       gone: while silent, whether another worker answers at its address.
@@ -65,7 +63,6 @@
         self.listed = True
         self.reported = False
         self.silent = False
-        self.silent_since: float | None = None
         self.late_since: float | None = None
         self.lapses_at = 0.0
         self.gone = False
@@ -134,7 +131,7 @@
             and self.suspended_until <= now
         )
 
-    def mark_silent(self, lapses_at: float, gone: bool, now: float) -> None:
+    def mark_silent(self, lapses_at: float, gone: bool = False) -> None:
         """Records that it doesn't answer; it is given nothing from now on.
 
         Which tasks it may run is known only if it has answered this scheduler.
@@ -142,8 +139,6 @@
         if self.reported and not self.silent:
             self.enrolled = False
             self.may_run = tuple(sorted(set(self._possible_tasks())))
-        if not self.silent:
-            self.silent_since = now
         self.silent = True
         self.lapses_at = lapses_at
         self.gone = gone
@@ -164,7 +159,6 @@
         """
         self.reported = self.reported or complete
         self.silent = False
-        self.silent_since = None
         self.late_since = None
         if self.may_run is not None:
             self.may_run = None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -386,7 +386,7 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None:
             return
-        worker.mark_silent(event.lapses_at, event.gone, now)
+        worker.mark_silent(event.lapses_at, event.gone)
         _mark_maybe_ended(worker, now)
         self._roster_changed = True
         self._out.append(
