Judge starts after a job's end or completion in one place

find_starts_after_completion repeated find_starts_after_job but for the kind of violation. Both call one function; same results, no test changed.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_rules.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_rules.py
@@ -161,13 +161,9 @@
       ended: when a caller was told that the job was cancelled or has completed.
       tolerance_s: time after that in which a start is allowed, in seconds.
     """
-    return [
-        Violation(ViolationKind.START_AFTER_JOB, each)
-        for each in entries
-        if not each.late
-        and each.started_at
-        > ended.get(each.task.job_id, float("inf")) + tolerance_s
-    ]
+    return _find_starts_after(
+        entries, ended, tolerance_s, ViolationKind.START_AFTER_JOB
+    )
 
 
 def find_starts_after_completion(
@@ -182,12 +178,24 @@
       completed: when a job may have been shown as completed first.
       tolerance_s: time after that in which a start is allowed, in seconds.
     """
+    return _find_starts_after(
+        entries, completed, tolerance_s, ViolationKind.START_AFTER_COMPLETION
+    )
+
+
+def _find_starts_after(
+    entries: Iterable[LedgerEntry],
+    moments: Mapping[JobId, float],
+    tolerance_s: float,
+    kind: ViolationKind,
+) -> list[Violation]:
+    """Returns the starts on time that came too long after a job's moment."""
     return [
-        Violation(ViolationKind.START_AFTER_COMPLETION, each)
+        Violation(kind, each)
         for each in entries
         if not each.late
         and each.started_at
-        > completed.get(each.task.job_id, float("inf")) + tolerance_s
+        > moments.get(each.task.job_id, float("inf")) + tolerance_s
     ]
 
 
