Keep the counts of free places over rounds of placing

Cause: half of the leader's time on the large site is placing, and most of that looks at every worker for every waiting group in every round, though nothing changed.

Change: - How many tasks of a size fit on each worker, in all and by rack, is kept over rounds and follows the workers that changed (free_places.py). A group without room is told so without a search, and a search looks only at workers with room. Groups that are not urgent plan every 0.6 s, not 0.2. - Workers set aside for urgent groups are chosen once a round, not for each group; zones without answers are known without a look at every worker.

Ruled out: a bound on the time of a round, which leaves the work and delays the last groups; fewer rounds, which delay urgent ones.

The rest of a round is planning, and ready groups.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -9,12 +9,13 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from pomeloarch_core.batch.advice import AdviceCache
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.estimates import DispatchTimes, RunEstimator
 from pomeloarch_core.batch.fleet import Fleet, Worker
+from pomeloarch_core.batch.free_places import FreePlacesIndex
 from pomeloarch_core.batch.groups import (
     Group,
     GroupState,
@@ -22,22 +23,31 @@
     WaitReason,
     can_stop,
 )
-from pomeloarch_core.batch.headroom import IDLE_SHARE, UrgentHeadroom
+from pomeloarch_core.batch.headroom import (
+    IDLE_SHARE,
+    UrgentHeadroom,
+    may_use_headroom,
+)
 from pomeloarch_core.batch.health import suspend
 from pomeloarch_core.batch.messages import Decision
-from pomeloarch_core.batch.model import Resources
+from pomeloarch_core.batch.model import Resources, Step
 from pomeloarch_core.batch.objectives import Standing
 from pomeloarch_core.batch.open_starts import OpenCopy, OpenStarts
 from pomeloarch_core.batch.placing import (
+    FREE_ROOM,
+    TOTAL_ROOM,
+    CachedRoom,
     Placement,
     exclude_slow,
     filter_suitable,
     find_placement,
-    free_room,
-    total_room,
 )
 from pomeloarch_core.batch.placing_round import PlacingRound
-from pomeloarch_core.batch.preempting import find_eviction, planned_work
+from pomeloarch_core.batch.preempting import (
+    EvictableRoom,
+    find_eviction,
+    planned_work,
+)
 from pomeloarch_core.batch.ready import (
     guaranteed_jobs,
     is_starving,
@@ -69,9 +79,12 @@
 # shortest objective, and long enough that a hundred waiting groups don't take
 # up a small host's core.
 REPLAN_INTERVAL_S = 0.2
-# Time for which it is remembered whether a group could fit near its data, in
+# The same for a group that is not urgent, in seconds: it waits for runs that
+# take several times as long.
+RELAXED_REPLAN_INTERVAL_S = 0.6
+# Time for which it is remembered whether a group would fit on empty workers, in
 # seconds. The list of workers is read about as often.
-NEAR_CACHE_S = 0.5
+FIT_CACHE_S = 0.5
 # Time between an order and its effect, in seconds, without the time that
 # stopping other tasks takes.
 ORDER_LATENCY_S = 0.3
@@ -80,6 +93,25 @@
 URGENT_WORTH_FACTOR = 1.5
 
 
+class _FitCache:
+    """Whether groups would fit on empty workers, by what decides about it."""
+
+    def __init__(self) -> None:
+        self._fits: dict[tuple[object, ...], bool] = {}
+        self._valid_until = 0.0
+
+    def get(self, key: tuple[object, ...], now: float) -> bool | None:
+        """Returns the result for a key, None where it isn't known."""
+        return self._fits.get(key) if now < self._valid_until else None
+
+    def put(self, key: tuple[object, ...], fits: bool, now: float) -> None:
+        """Keeps a result; all results are dropped together."""
+        if now >= self._valid_until:
+            self._fits.clear()
+            self._valid_until = now + FIT_CACHE_S
+        self._fits[key] = fits
+
+
 class Dispatcher:
     """Places groups on workers.
 
@@ -117,8 +149,9 @@
         self._cfg = cfg
         self.awaited_reports: set[WorkerId] = set()
         self._headroom = UrgentHeadroom()
-        self._near_cache: dict[tuple[object, ...], bool] = {}
-        self._near_cache_until = 0.0
+        self._free_places = FreePlacesIndex()
+        self._near_cache = _FitCache()
+        self._beside_cache = _FitCache()
 
     def dispatch(
         self,
@@ -139,7 +172,8 @@
           Jobs with a group that has used up its attempts.
         """
         for entry in jobs:
-            self.start_claimed(entry, now)
+            if entry.claimed:
+                self.start_claimed(entry, now)
         for group in find_movable_groups(jobs):
             self._move_straggling_run(group, now)
         self._headroom.observe(self._fleet, now)
@@ -147,7 +181,10 @@
         placing_round = PlacingRound(
             guaranteed,
             lambda group: self._estimator.remaining_s(group, now),
-            lambda group: self._estimator.stop_cost(group, now, wall),
+            EvictableRoom(
+                _may_preempt,
+                lambda group: self._estimator.stop_cost(group, now, wall),
+            ),
         )
         ready = ready_groups(
             jobs,
@@ -162,13 +199,31 @@
         self._protect_late_gangs(ready, placing_round)
         self._collect_awaited(ready, placing_round)
         failed: dict[JobEntry, None] = {}
+        without_room: Step | None = None
         for group in ready:
+            if group.step is without_room and self._is_interchangeable(
+                group, placing_round
+            ):
+                continue
             if group.failures >= group.job.queue.max_attempts:
                 failed[group.job] = None
             elif group.job not in failed:
-                self._place_or_make_room(group, placing_round, now, wall)
+                placed = self._place_or_make_room(
+                    group, placing_round, now, wall
+                )
+                without_room = None if placed else group.step
         return list(failed)
 
+    def _is_interchangeable(
+        self, group: Group, placing_round: PlacingRound
+    ) -> bool:
+        """Returns whether a group may use the workers of its step's others."""
+        return (
+            not group.failed_runs
+            and not group.failed_on
+            and group not in placing_round.only_workers
+        )
+
     def _exclude_open_starts(
         self, groups: list[Group], placing_round: PlacingRound, now: float
     ) -> list[Group]:
@@ -218,9 +273,7 @@
 
     def start_claimed(self, entry: JobEntry, now: float) -> None:
         """Starts a job's groups whose claimed places are free now."""
-        for group in entry.all_groups():
-            if group.state is not GroupState.CLAIMED:
-                continue
+        for group in list(entry.claimed):
             if not self._runs.can_start(group):
                 continue
             if entry.queue.advised and not self._has_tickets(group, now):
@@ -262,7 +315,7 @@
         candidates = exclude_slow(
             filter_suitable(group, others, self._count_siblings(group))
         )
-        if find_placement(group, candidates, room, False) is None:
+        if find_placement(group, candidates, CachedRoom(room), False) is None:
             return
         group.move_count += 1
         group.failed_on |= stragglers
@@ -275,37 +328,43 @@
 
     def _place_or_make_room(
         self, group: Group, placing_round: PlacingRound, now: float, wall: float
-    ) -> None:
+    ) -> bool:
+        """Places a group, or makes room for it; returns whether it has places.
+
+        One that has no room is tried once a round for all that need the same.
+        """
         covered = group.job.job.job_id in placing_round.guaranteed
         key = placing_key(group, covered)
         is_bound = group in placing_round.only_workers
         if key in placing_round.keys_without_room and not is_bound:
-            return
+            return False
         self._load_usable(group, placing_round, now)
-        if placing_round.may_have_room(group):
-            candidates = self._find_candidates(group, placing_round, now)
-            if self._place(group, candidates, placing_round, now):
-                return
-        if not group.failures and not group.failed_on and not is_bound:
+        allow_far = self._may_run_far(group, placing_round, now)
+        if placing_round.places_for(group).may_hold(
+            group, allow_far
+        ) and self._place(group, allow_far, placing_round, now):
+            return True
+        if self._is_interchangeable(group, placing_round):
             # No worker was excluded for failures of this group, so that the
             # result holds for other groups with this key as well.
             placing_round.keys_without_room.add(key)
         self._make_room(group, covered, placing_round, now, wall)
+        return group.state is not GroupState.READY
 
     def _load_usable(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> None:
         service = group.job.queue.service
         if service not in placing_round.usable:
-            placing_round.usable[service] = self._fleet.usable_workers(
-                service, now
-            )
+            places = self._free_places.service(service)
+            places.refresh(self._fleet.usable_workers(service, now))
+            placing_round.usable[service] = places
 
     def _find_candidates(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> list[Worker]:
         siblings = self._count_siblings(group)
-        usable = placing_round.usable[group.job.queue.service]
+        usable = placing_round.usable[group.job.queue.service].workers
         only = placing_round.only_workers.get(group)
         if only is not None:
             usable = [each for each in usable if each.worker_id == only]
@@ -349,7 +408,7 @@
         added to the decisions.
         """
         ready = self._advice.filter_ticketed(group, workers, now)
-        if find_placement(group, ready, free_room, True) is None:
+        if find_placement(group, ready, FREE_ROOM, True) is None:
             question = self._advice.next_question(group, workers, now)
             if question is not None:
                 self._out.append(question)
@@ -358,7 +417,7 @@
     def _place(
         self,
         group: Group,
-        candidates: list[Worker],
+        allow_far: bool,
         placing_round: PlacingRound,
         now: float,
     ) -> bool:
@@ -367,6 +426,19 @@
         Returns:
           Whether there was room for it.
         """
+        with_room = placing_round.places_for(group).counts
+        if group.job.queue.advised or not self._is_interchangeable(
+            group, placing_round
+        ):
+            candidates = [
+                each
+                for each in self._find_candidates(group, placing_round, now)
+                if each in with_room
+            ]
+        else:
+            candidates = filter_suitable(
+                group, with_room, self._count_siblings(group)
+            )
         ends_at = now + self._estimator.times.run_s(group)
         available = [
             each
@@ -374,14 +446,13 @@
             if placing_round.is_available(each, group, ends_at)
         ]
         available = self._exclude_headroom(group, available, placing_round, now)
-        allow_far = self._may_run_far(group, placing_round, now)
         places = None
         if group.job.queue.priority == 0:
             places = self._find_urgent_placement(
                 group, exclude_slow(available), placing_round
             )
         if places is None:
-            places = find_placement(group, available, free_room, allow_far)
+            places = find_placement(group, available, FREE_ROOM, allow_far)
         if places is None:
             return False
         self._runs.claim(group, places, now)
@@ -399,9 +470,9 @@
             for each in workers
             if each not in placing_round.awaited_workers
         ]
-        places = find_placement(group, others, free_room, False)
+        places = find_placement(group, others, FREE_ROOM, False)
         if places is None and len(others) < len(workers):
-            places = find_placement(group, workers, free_room, False)
+            places = find_placement(group, workers, FREE_ROOM, False)
         return places
 
     def _may_run_far(
@@ -439,9 +510,41 @@
         placing_round: PlacingRound,
         now: float,
     ) -> list[Worker]:
-        """Returns the workers that are not set aside for more urgent groups."""
+        """Returns the workers that are not set aside for more urgent groups.
+
+        A group for which the others are too few, even if they were empty, may
+        use all.
+        """
         in_use = self._share_in_use(group, placing_round)
-        return self._headroom.available_workers(group, workers, in_use, now)
+        if may_use_headroom(group, in_use, now):
+            return workers
+        service = group.job.queue.service
+        set_aside = placing_round.set_aside.get(service)
+        if set_aside is None:
+            usable = placing_round.usable[service].workers
+            set_aside = self._headroom.set_aside(service, usable)
+            placing_round.set_aside[service] = set_aside
+        if not self._could_fit_beside(group, set_aside, placing_round, now):
+            return workers
+        return [each for each in workers if each not in set_aside]
+
+    def _could_fit_beside(
+        self,
+        group: Group,
+        set_aside: set[Worker],
+        placing_round: PlacingRound,
+        now: float,
+    ) -> bool:
+        """Returns whether a group would fit on empty workers but these."""
+        key = placing_key(group, covered=False)
+        fits = self._beside_cache.get(key, now)
+        if fits is None:
+            usable = placing_round.usable[group.job.queue.service].workers
+            others = [each for each in usable if each not in set_aside]
+            fitting = filter_suitable(group, others, {})
+            fits = find_placement(group, fitting, TOTAL_ROOM, False) is not None
+            self._beside_cache.put(key, fits, now)
+        return fits
 
     def _share_in_use(self, group: Group, placing_round: PlacingRound) -> float:
         """Returns the share of the service's resources that is in use."""
@@ -451,19 +554,13 @@
         return placing_round.in_use[service]
 
     def _could_fit_near(self, group: Group, now: float) -> bool:
-        """Returns the result of `_fits_near`, cached for `NEAR_CACHE_S`.
-
-        It isn't cached for a group with failures, which excludes workers.
-        """
-        if group.failed_on:
-            return self._fits_near(group)
-        if now >= self._near_cache_until:
-            self._near_cache.clear()
-            self._near_cache_until = now + NEAR_CACHE_S
-        key = placing_key(group, covered=False)
-        if key not in self._near_cache:
-            self._near_cache[key] = self._fits_near(group)
-        return self._near_cache[key]
+        """Returns the result of `_fits_near`, kept for `FIT_CACHE_S`."""
+        key = placing_key(group, covered=False), frozenset(group.failed_on)
+        fits = self._near_cache.get(key, now)
+        if fits is None:
+            fits = self._fits_near(group)
+            self._near_cache.put(key, fits, now)
+        return fits
 
     def _fits_near(self, group: Group) -> bool:
         """Returns whether a group would fit near its data on an empty fleet.
@@ -478,7 +575,7 @@
             and not each.info.draining
         ]
         fitting = filter_suitable(group, workers, {})
-        return find_placement(group, fitting, total_room, False) is not None
+        return find_placement(group, fitting, TOTAL_ROOM, False) is not None
 
     def _count_siblings(self, group: Group) -> dict[Worker, int]:
         """Returns how many tasks of a group's step each worker has."""
@@ -509,7 +606,9 @@
         if now < group.replan_at:
             self._reserve_workers(group, placing_round)
             return
-        group.replan_at = now + REPLAN_INTERVAL_S
+        group.replan_at = now + (
+            REPLAN_INTERVAL_S if urgent else RELAXED_REPLAN_INTERVAL_S
+        )
         previous_until = (
             group.reserved_until if group.reserved_workers else float("inf")
         )
@@ -611,7 +710,16 @@
 
     def _reserved_workers(self, group: Group) -> list[Worker]:
         """Returns the workers reserved for a group that are still known."""
-        found = (self._fleet.get(each) for each in group.reserved_workers)
+        return self._known(group.reserved_workers)
+
+    def _workers_of(self, group: Group) -> list[Worker]:
+        """Returns the workers that have tasks of a group."""
+        return self._known(
+            dict.fromkeys(each.worker_id for each in group.members.values())
+        )
+
+    def _known(self, worker_ids: Iterable[WorkerId]) -> list[Worker]:
+        found = (self._fleet.get(each) for each in worker_ids)
         return [each for each in found if each is not None]
 
     def _plan_placement(
@@ -676,7 +784,6 @@
         Returns:
           Why nothing is preempted; None when something is.
         """
-        priority = group.job.queue.priority
         waited_s = now - group.ready_at
         last_chance = (
             waited_s > self._cfg.reclaim_s - self._preemption_delay_s() - 0.2
@@ -688,12 +795,9 @@
             found = find_eviction(
                 group,
                 workers,
-                lambda other: (
-                    other.job.queue.priority > priority and can_stop(other)
-                ),
+                placing_round.evictable,
                 (covered and last_chance)
                 or not self._could_fit_near(group, now),
-                placing_round.stop_cost,
             )
             if found is None:
                 continue
@@ -706,12 +810,18 @@
         self._runs.claim(group, eviction.places, now)
         placing_round.update_claimed(eviction.places)
         for victim in eviction.victims:
+            placing_round.update_stopped(self._workers_of(victim))
             self._runs.stop_run(victim, f"preempted by {group.name}", now)
         if self._runs.can_start(group):
             self._runs.start(group, now)
         return None
 
 
+def _may_preempt(group: Group) -> bool:
+    """Returns whether a group of priority 0 may preempt another one."""
+    return group.job.queue.priority > 0 and can_stop(group)
+
+
 def _would_fit_empty(group: Group, workers: Sequence[Worker]) -> bool:
     """Returns whether a group would fit on workers that ran nothing else."""
-    return find_placement(group, workers, total_room, True) is not None
+    return find_placement(group, workers, TOTAL_ROOM, True) is not None
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -55,6 +56,7 @@
       slow: whether it takes clearly longer than others for the same work.
       slowness: the time that it takes for a task, relative to a usual worker.
       speed_samples: number of runs that `slowness` was learnt from.
+      generation: increases whenever its free resources or its entry change.
     """
 
     def __init__(self, info: WorkerInfo) -> None:
@@ -87,7 +89,12 @@
         self._unaccounted_needs: dict[
             tuple[TaskId, RunNumber], Resources | None
         ] = {}
+        self.generation = 0
         self._free: Resources | None = None
+        # How many tasks with a need fit into the free resources, by need.
+        self._fitting: dict[Resources, int] = {}
+        # How many would if the worker ran nothing.
+        self._fitting_empty: dict[Resources, int] = {}
 
     @property
     def worker_id(self) -> WorkerId:
@@ -101,6 +108,27 @@
             self._free = self.unused - self._claimed
         return self._free
 
+    def count_fitting(self, need: Resources) -> int:
+        """Returns how many tasks with a need fit into the free resources."""
+        count = self._fitting.get(need)
+        if count is None:
+            count = self._fitting[need] = need.count_fitting_in(self.free)
+        return count
+
+    def count_fitting_empty(self, need: Resources) -> int:
+        """Returns how many tasks with a need fit while nothing else runs."""
+        count = self._fitting_empty.get(need)
+        if count is None:
+            count = need.count_fitting_in(self.info.capacity)
+            self._fitting_empty[need] = count
+        return count
+
+    def _forget_free(self) -> None:
+        """Has the free resources worked out again."""
+        self.generation += 1
+        self._free = None
+        self._fitting.clear()
+
     @property
     def unused(self) -> Resources:
         """Resources that no run uses, claimed or not."""
@@ -113,10 +141,12 @@
         """Replaces the worker's entry in the platform's list."""
         if info.address != self.info.address:
             self.enrolled = False
+        if info.capacity != self.info.capacity:
+            self._fitting_empty.clear()
         self.info = info
         self.listed = True
         self.evacuated = self.evacuated and info.draining
-        self._free = None
+        self._forget_free()
 
     def is_usable(self, now: float) -> bool:
         """Returns whether it may be given a task."""
@@ -175,7 +205,7 @@
     def allocate(self, group: Group, need: Resources, claimed: bool) -> None:
         """Allocates resources for a task of a group."""
         self.groups[group] = self.groups.get(group, 0) + 1
-        self._free = None
+        self._forget_free()
         if claimed:
             self._claimed += need
         else:
@@ -190,13 +220,13 @@
         """
         self.unaccounted_runs[task, run] = now
         self._unaccounted_needs[task, run] = need
-        self._free = None
+        self._forget_free()
 
     def drop_unaccounted_run(self, task: TaskId, run: RunNumber) -> None:
         """Removes such a run, if there is one, and frees its resources."""
         self.unaccounted_runs.pop((task, run), None)
         self._unaccounted_needs.pop((task, run), None)
-        self._free = None
+        self._forget_free()
 
     def commit_claim(self, need: Resources) -> None:
         """Turns claimed resources into used ones."""
@@ -206,7 +236,7 @@
     def release(self, group: Group, need: Resources, claimed: bool) -> None:
         """Frees the resources of a task."""
         self.groups[group] -= 1
-        self._free = None
+        self._forget_free()
         if not self.groups[group]:
             del self.groups[group]
         if claimed:
@@ -225,6 +255,10 @@
     def __init__(self) -> None:
         """Creates a fleet without workers."""
         self._workers: dict[WorkerId, Worker] = {}
+        # Workers that were marked as late; some may have answered since.
+        self._late: set[Worker] = set()
+        # When a report of any worker of a zone was last processed.
+        self._heard_at: dict[ZoneName, float] = {}
 
     def __iter__(self) -> Iterator[Worker]:
         """Iterates over the workers in the order in which they were added."""
@@ -280,34 +314,52 @@
             and each.info.availability_zone not in unresponsive
         ]
 
+    def mark_late(self, worker: Worker, now: float) -> None:
+        """Notes that an answer of a worker is late."""
+        worker.late_since = now
+        self._late.add(worker)
+
+    def mark_heard(self, worker: Worker, now: float) -> None:
+        """Notes that a worker's report has been processed."""
+        worker.heard_at = now
+        self._heard_at[worker.info.availability_zone] = now
+
     def unresponsive_zones(self) -> set[ZoneName]:
         """Returns zones with a late answer and no report since."""
-        late: dict[ZoneName, float] = {}
-        for each in self._workers.values():
-            if each.late_since is not None:
-                zone = each.info.availability_zone
-                late[zone] = max(late.get(zone, 0.0), each.late_since)
-        if not late:
+        if not self._late:
             return set()
-        heard = {
-            each.info.availability_zone
-            for each in self._workers.values()
-            if each.heard_at is not None
-            and each.heard_at
-            >= late.get(each.info.availability_zone, float("inf"))
+        self._late = {
+            each
+            for each in self._late
+            if each.late_since is not None and each.worker_id in self._workers
+        }
+        late: dict[ZoneName, float] = {}
+        for each in self._late:
+            assert each.late_since is not None
+            zone = each.info.availability_zone
+            late[zone] = max(late.get(zone, 0.0), each.late_since)
+        return {
+            zone
+            for zone, since in late.items()
+            if self._heard_at.get(zone, -math.inf) < since
         }
-        return late.keys() - heard
 
     def share_in_use(self, service: ServiceName) -> float:
         """Returns the highest share in use of any resource, from 0 to 1."""
-        total, free = NO_RESOURCES, NO_RESOURCES
+        cpu = memory = accelerators = 0
+        free_cpu = free_memory = free_accelerators = 0
         for each in self._workers.values():
             if each.info.service == service and each.listed:
-                total += each.info.capacity
-                free += each.free
+                capacity, free = each.info.capacity, each.free
+                cpu += capacity.cpu_millis
+                memory += capacity.memory_mb
+                accelerators += capacity.accelerators
+                free_cpu += free.cpu_millis
+                free_memory += free.memory_mb
+                free_accelerators += free.accelerators
         pairs = (
-            (total.cpu_millis, free.cpu_millis),
-            (total.memory_mb, free.memory_mb),
-            (total.accelerators, free.accelerators),
+            (cpu, free_cpu),
+            (memory, free_memory),
+            (accelerators, free_accelerators),
         )
         return max((1 - left / all_ for all_, left in pairs if all_), default=1)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -41,6 +41,9 @@
     ENDED = "over"
 
 
+_UNPLACED_STATES = (GroupState.WAITING, GroupState.READY)
+
+
 class WaitReason(enum.Enum):
     """Why a ready group has no places.
 
@@ -133,7 +136,6 @@
       number: the number of its step.
       step: its step.
       indices: the indices of its tasks within the step.
-      state: its state.
       run: the number of its current or last run.
       members: tasks of the current run that may still be on a worker.
       checkpoint: the checkpoint that the next run resumes from.
@@ -169,7 +171,7 @@
         self.number = number
         self.indices = indices
         self.step: Step = job.job.steps[number]
-        self.state = GroupState.WAITING
+        self._state = GroupState.WAITING
         self.run = RunNumber(0)
         self.members: dict[int, Member] = {}
         self.checkpoint = ""
@@ -189,6 +191,16 @@
         self.reserved_until = 0.0
         self.recovery_pending = False
 
+    @property
+    def state(self) -> GroupState:
+        """Its state."""
+        return self._state
+
+    @state.setter
+    def state(self, state: GroupState) -> None:
+        former, self._state = self._state, state
+        self.job.note_state(self, former)
+
     @property
     def name(self) -> str:
         """The name of the group's first task, for logs."""
@@ -266,6 +278,8 @@
       placement_change: number of the last change that named workers on which
         tasks may be started.
       groups: its groups by occurrence and step.
+      unplaced: those of them that wait or are ready, in the same way.
+      claimed: its groups that have places but were not ordered to start.
       standing: its standing against its objective when last determined.
       maybe_started: whether an earlier scheduler may have started tasks of it.
       accepted_at: when it was accepted, by the scheduler's clock.
@@ -292,9 +306,14 @@
         self.written = 0
         self.placement_change = 0
         self.groups: dict[tuple[int, int], list[Group]] = {}
+        self.unplaced: dict[tuple[int, int], dict[Group, None]] = {}
+        self.claimed: dict[Group, None] = {}
+        self._ended: dict[tuple[int, int], int] = {}
         for occurrence in range(job.occurrence_count):
             for number in range(len(job.steps)):
                 key = occurrence, number
+                self._ended[key] = 0
+                self.unplaced[key] = {}
                 self.groups[key] = self._make_groups(occurrence, number)
 
     def _make_groups(self, occurrence: int, number: int) -> list[Group]:
@@ -305,6 +324,7 @@
         groups = []
         for part in parts:
             group = Group(self, occurrence, number, part)
+            self.unplaced[occurrence, number][group] = None
             group.recovery_pending = self.maybe_started
             if settled is not None:
                 first = str(part[0])
@@ -315,6 +335,22 @@
             groups.append(group)
         return groups
 
+    def note_state(self, group: Group, former: GroupState) -> None:
+        """Takes in that a group has changed its state."""
+        key = group.occurrence, group.number
+        if former is GroupState.ENDED:
+            self._ended[key] -= 1
+        elif former is GroupState.CLAIMED:
+            del self.claimed[group]
+        elif former in _UNPLACED_STATES:
+            del self.unplaced[key][group]
+        if group.state is GroupState.ENDED:
+            self._ended[key] += 1
+        elif group.state is GroupState.CLAIMED:
+            self.claimed[group] = None
+        elif group.state in _UNPLACED_STATES:
+            self.unplaced[key][group] = None
+
     def group_of(self, task: TaskId) -> Group | None:
         """Returns the group of a task, None when the job has no such task."""
         groups = self.groups.get((task.occurrence, task.step))
@@ -328,10 +364,8 @@
 
     def is_step_done(self, occurrence: int, number: int) -> bool:
         """Returns whether all groups of a step have ended."""
-        return all(
-            each.state is GroupState.ENDED
-            for each in self.groups[occurrence, number]
-        )
+        key = occurrence, number
+        return self._ended[key] == len(self.groups[key])
 
     @property
     def is_done(self) -> bool:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/headroom.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/headroom.py
@@ -12,17 +12,15 @@
 
 from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group
-from pomeloarch_core.batch.placing import (
-    find_placement,
-    group_by_rack,
-    total_room,
-)
+from pomeloarch_core.batch.placing import group_by_rack
 from pomeloarch_core.batch.ready import has_waited_long, is_starving
 from pomeloarch_core.ids import ServiceName
 
 # Time over which the use by urgent groups is averaged, in seconds; a few times
 # the length of their tasks.
 AVERAGING_TIME_S = 10.0
+# Time between two observations of the use, in seconds.
+OBSERVING_INTERVAL_S = 0.1
 # Share in use below which more workers are idle than are ever set aside.
 IDLE_SHARE = 0.5
 # Limit on the share of a rack that is set aside for urgent groups.
@@ -39,6 +37,11 @@
 
     def observe(self, fleet: Fleet, now: float) -> None:
         """Updates the average use by urgent groups."""
+        if (
+            self._observed_at is not None
+            and now < self._observed_at + OBSERVING_INTERVAL_S
+        ):
+            return
         used: dict[ServiceName, int] = defaultdict(int)
         total: dict[ServiceName, int] = defaultdict(int)
         for worker in fleet:
@@ -57,34 +60,40 @@
             mean = self._mean_share.get(service, 0.0)
             self._mean_share[service] = mean + weight * (share - mean)
 
-    def available_workers(
-        self, group: Group, workers: list[Worker], in_use: float, now: float
-    ) -> list[Worker]:
-        """Returns the workers that a group may use now.
-
-        A starving gang may use all workers: it needs several whole ones, and
-        seldom finds them among workers that small tasks share. So may other
-        groups that have waited long while much of the fleet is idle. An urgent
-        group that needs these workers preempts them.
+    def set_aside(
+        self, service: ServiceName, workers: list[Worker]
+    ) -> set[Worker]:
+        """Returns the workers that are kept for urgent groups.
 
         Args:
-          group: the group to place.
-          workers: the workers that it could use otherwise.
-          in_use: the share of the service's resources that is in use.
-          now: the present time, in seconds.
+          service: the service.
+          workers: its workers that may be given tasks.
         """
-        idle = in_use < IDLE_SHARE
-        if is_starving(group, now) or (idle and has_waited_long(group, now)):
-            return workers
-        if group.job.queue.priority == 0:
-            return workers
-        share = min(
-            MAX_HEADROOM_SHARE, self._mean_share.get(group.job.queue.service, 0)
-        )
-        remaining: list[Worker] = []
+        share = min(MAX_HEADROOM_SHARE, self._mean_share.get(service, 0.0))
+        found: set[Worker] = set()
         for rack in group_by_rack(workers).values():
-            ordered = sorted(rack, key=lambda each: (each.slow, each.worker_id))
-            remaining += ordered[round(share * len(ordered)) :]
-        if find_placement(group, remaining, total_room, False) is None:
-            return workers
-        return remaining
+            count = round(share * len(rack))
+            if count:
+                ordered = sorted(
+                    rack, key=lambda each: (each.slow, each.worker_id)
+                )
+                found.update(ordered[:count])
+        return found
+
+
+def may_use_headroom(group: Group, in_use: float, now: float) -> bool:
+    """Returns whether a group may use the workers that are set aside.
+
+    A starving gang may: it needs several whole workers, and seldom finds them
+    among those that small tasks share. So may other groups that have waited
+    long while much of the fleet is idle. An urgent group that needs these
+    workers preempts them.
+
+    Args:
+      group: the group to place.
+      in_use: the share of the service's resources that is in use.
+      now: the present time, in seconds.
+    """
+    if group.job.queue.priority == 0 or is_starving(group, now):
+        return True
+    return in_use < IDLE_SHARE and has_waited_long(group, now)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing.py
@@ -4,24 +4,89 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
+from typing import Protocol
 
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group
 from pomeloarch_core.batch.model import Resources
 
 Placement = dict[int, Worker]
-RoomOf = Callable[[Worker], Resources]
 WorkerOrder = Callable[[Worker], tuple[float, ...]]
 
 
-def free_room(worker: Worker) -> Resources:
-    """Returns a worker's resources that are neither used nor claimed."""
-    return worker.free
+class Room(Protocol):
+    """The resources of workers that count as free for a placement."""
 
+    def free(self, worker: Worker) -> Resources:
+        """Returns the resources of a worker that count as free."""
+        ...
 
-def total_room(worker: Worker) -> Resources:
-    """Returns all resources of a worker, used or not."""
-    return worker.info.capacity
+    def count(self, worker: Worker, need: Resources) -> int:
+        """Returns how many tasks with a need fit into these."""
+        ...
+
+
+class FreeRoom:
+    """Resources that are neither used nor claimed."""
+
+    def free(self, worker: Worker) -> Resources:
+        """Returns a worker's free resources."""
+        return worker.free
+
+    def count(self, worker: Worker, need: Resources) -> int:
+        """Returns how many tasks fit into them."""
+        return worker.count_fitting(need)
+
+
+class TotalRoom:
+    """All resources, used or not."""
+
+    def free(self, worker: Worker) -> Resources:
+        """Returns a worker's capacity."""
+        return worker.info.capacity
+
+    def count(self, worker: Worker, need: Resources) -> int:
+        """Returns how many tasks fit into it."""
+        return worker.count_fitting_empty(need)
+
+
+class CachedRoom:
+    """Resources by a function of the worker, which is asked once for each.
+
+    Args:
+      free_of: returns the resources of a worker that count as free.
+    """
+
+    def __init__(self, free_of: Callable[[Worker], Resources]) -> None:
+        """Creates a room that knows no worker yet."""
+        self._free_of = free_of
+        self._free: dict[Worker, Resources] = {}
+        self._counts: dict[Resources, dict[Worker, int]] = {}
+
+    def free(self, worker: Worker) -> Resources:
+        """Returns the resources of a worker that count as free."""
+        found = self._free.get(worker)
+        if found is None:
+            found = self._free[worker] = self._free_of(worker)
+        return found
+
+    def count(self, worker: Worker, need: Resources) -> int:
+        """Returns how many tasks with a need fit into these."""
+        counts = self._counts.setdefault(need, {})
+        found = counts.get(worker)
+        if found is None:
+            found = counts[worker] = need.count_fitting_in(self.free(worker))
+        return found
+
+    def forget(self, worker: Worker) -> None:
+        """Has the function asked again for a worker that has changed."""
+        self._free.pop(worker, None)
+        for counts in self._counts.values():
+            counts.pop(worker, None)
+
+
+FREE_ROOM = FreeRoom()
+TOTAL_ROOM = TotalRoom()
 
 
 def exclude_slow(workers: Iterable[Worker]) -> list[Worker]:
@@ -60,7 +125,7 @@
 def find_placement(
     group: Group,
     workers: Sequence[Worker],
-    room: RoomOf,
+    room: Room,
     allow_far: bool,
 ) -> Placement | None:
     """Returns a worker for each task of a group, None when there is no room.
@@ -68,7 +133,7 @@
     Args:
       group: the group to place.
       workers: the suitable workers.
-      room: returns the resources of a worker that count as free.
+      room: the resources that count as free.
       allow_far: whether tasks may run off the rack of their data, or a
         same-rack gang on several racks.
     """
@@ -109,19 +174,19 @@
     return racks
 
 
-def _count_accelerators(workers: Iterable[Worker], room: RoomOf) -> int:
-    return sum(max(0, room(each).accelerators) for each in workers)
+def _count_accelerators(workers: Iterable[Worker], room: Room) -> int:
+    return sum(max(0, room.free(each).accelerators) for each in workers)
 
 
 def place_in_order(
-    group: Group, workers: Iterable[Worker], room: RoomOf, order: WorkerOrder
+    group: Group, workers: Iterable[Worker], room: Room, order: WorkerOrder
 ) -> Placement | None:
     """Places the tasks of a group on workers in a given order.
 
     Args:
       group: the group to place.
       workers: the suitable workers.
-      room: returns the resources of a worker that count as free.
+      room: the resources that count as free.
       order: sort key of workers; those with the lowest key are filled first.
     """
     counts = _count_per_worker(group, workers, room)
@@ -131,7 +196,7 @@
 
 
 def _count_per_worker(
-    group: Group, workers: Iterable[Worker], room: RoomOf
+    group: Group, workers: Iterable[Worker], room: Room
 ) -> dict[Worker, int]:
     """Returns how many tasks of a group fit on each worker that has room."""
     need = group.step.allocation
@@ -139,7 +204,7 @@
     return {
         each: min(count, limit)
         for each in workers
-        if (count := need.count_fitting_in(room(each)))
+        if (count := room.count(each, need))
     }
 
 
@@ -156,7 +221,7 @@
     return places
 
 
-def _preferred_order(group: Group, room: RoomOf) -> WorkerOrder:
+def _preferred_order(group: Group, room: Room) -> WorkerOrder:
     """Returns the sort key by which a group takes workers.
 
     An urgent group takes slow workers last, and other groups take them first,
@@ -170,6 +235,6 @@
     )
 
 
-def _free_amounts(worker: Worker, room: RoomOf) -> tuple[float, ...]:
-    free = room(worker)
+def _free_amounts(worker: Worker, room: Room) -> tuple[float, ...]:
+    free = room.free(worker)
     return free.accelerators, free.cpu_millis
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/placing_round.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from pomeloarch_core.batch.fleet import Worker
+from pomeloarch_core.batch.free_places import FreePlaces, ServicePlaces
 from pomeloarch_core.batch.groups import Group, GroupState
 from pomeloarch_core.batch.model import Resources
-from pomeloarch_core.batch.placing import Placement, RoomOf
+from pomeloarch_core.batch.placing import CachedRoom, Placement, Room
+from pomeloarch_core.batch.preempting import EvictableRoom
 from pomeloarch_core.ids import JobId, ServiceName, WorkerId
 
 # States of groups whose resources will be free again.
@@ -19,9 +21,10 @@
 
     Attributes:
       guaranteed: jobs that their organisations' guarantees cover.
-      usable: workers that may be given tasks, by service.
+      usable: workers that may be given tasks and their free places, by service.
       keys_without_room: placing keys for which there was no room.
       in_use: the share of a service's resources that is in use.
+      set_aside: the workers that are kept for urgent groups, by service.
       reserved_until: until when workers are reserved for waiting groups.
       reservation_count: number of groups that workers are reserved for.
       protected: workers that groups of lower priority than a late gang must
@@ -30,49 +33,41 @@
       only_workers: the only worker that a group may be placed on, where there
         is such.
       awaited_workers: workers that are reserved for gangs which are not urgent.
+      evictable: the room that groups of priority 0 may make.
 
     Args:
       guaranteed: jobs that their organisations' guarantees cover.
       remaining_s: returns how much longer a group's run will likely take, in
         seconds.
-      stop_cost: returns what stopping a group costs, in core-seconds.
+      evictable: the room that groups of priority 0 may make.
     """
 
     def __init__(
         self,
         guaranteed: set[JobId],
         remaining_s: Callable[[Group], float],
-        stop_cost: Callable[[Group], float],
+        evictable: EvictableRoom,
     ) -> None:
         """Creates a round without results."""
         self.guaranteed = guaranteed
-        self.usable: dict[ServiceName, list[Worker]] = {}
+        self.usable: dict[ServiceName, ServicePlaces] = {}
         self.keys_without_room: set[tuple[object, ...]] = set()
         self.in_use: dict[ServiceName, float] = {}
-        self._fitting_counts: dict[
-            tuple[ServiceName, Resources], dict[Worker, int]
-        ] = {}
+        self.set_aside: dict[ServiceName, set[Worker]] = {}
         self.reserved_until: dict[Worker, float] = {}
         self.reservation_count = 0
         self.protected: dict[Worker, tuple[float, int]] = {}
         self.only_workers: dict[Group, WorkerId] = {}
         self.awaited_workers: set[Worker] = set()
         self._estimate_remaining_s = remaining_s
-        self._estimate_stop_cost = stop_cost
-        self._stop_cost: dict[Group, float] = {}
+        self.evictable = evictable
         self._remaining_s: dict[Group, float] = {}
-        self._room_after: dict[float, dict[Worker, Resources]] = {}
-
-    def may_have_room(self, group: Group) -> bool:
-        """Returns whether the usable workers together have enough room."""
-        service, need = group.job.queue.service, group.step.allocation
-        counts = self._fitting_counts.get((service, need))
-        if counts is None:
-            counts = self._fitting_counts[service, need] = {
-                each: need.count_fitting_in(each.free)
-                for each in self.usable[service]
-            }
-        return sum(counts.values()) >= len(group.indices)
+        self._room_after: dict[float, CachedRoom] = {}
+
+    def places_for(self, group: Group) -> FreePlaces:
+        """Returns the free places for a group's tasks."""
+        service = self.usable[group.job.queue.service]
+        return service.places(group.step.allocation)
 
     def is_available(
         self, worker: Worker, group: Group, ends_at: float
@@ -91,40 +86,38 @@
 
     def update_claimed(self, places: Placement) -> None:
         """Updates the cached results for workers on which room was claimed."""
-        for (_, need), counts in self._fitting_counts.items():
-            for worker in places.values():
-                if worker in counts:
-                    counts[worker] = need.count_fitting_in(worker.free)
-        for known in self._room_after.values():
-            for worker in places.values():
-                known.pop(worker, None)
-
-    def stop_cost(self, group: Group) -> float:
-        """Returns what stopping a group costs, in core-seconds."""
-        if group not in self._stop_cost:
-            self._stop_cost[group] = self._estimate_stop_cost(group)
-        return self._stop_cost[group]
-
-    def room_after(self, after_s: float) -> RoomOf:
+        for worker in dict.fromkeys(places.values()):
+            self.usable[worker.info.service].update(worker)
+            for room in self._room_after.values():
+                room.forget(worker)
+            self.evictable.forget(worker)
+
+    def update_stopped(self, workers: Iterable[Worker]) -> None:
+        """Updates the cached results for workers of a group that is stopped."""
+        for worker in workers:
+            self.evictable.forget(worker)
+
+    def room_after(self, after_s: float) -> Room:
         """Returns the resources that will be free on workers after a time.
 
         Nothing is assumed to be started meanwhile.
         """
-        known = self._room_after.setdefault(after_s, {})
-
-        def room(worker: Worker) -> Resources:
-            if worker not in known:
-                room_left = worker.free
-                for other, count in worker.groups.items():
-                    if other.state not in _RELEASING_STATES:
-                        continue
-                    if self._remaining_time_s(other) <= after_s:
-                        room_left += other.step.allocation * count
-                known[worker] = room_left
-            return known[worker]
-
+        room = self._room_after.get(after_s)
+        if room is None:
+            room = self._room_after[after_s] = CachedRoom(
+                lambda worker: self._free_after(worker, after_s)
+            )
         return room
 
+    def _free_after(self, worker: Worker, after_s: float) -> Resources:
+        free = worker.free
+        for other, count in worker.groups.items():
+            if other.state not in _RELEASING_STATES:
+                continue
+            if self._remaining_time_s(other) <= after_s:
+                free += other.step.allocation * count
+        return free
+
     def _remaining_time_s(self, group: Group) -> float:
         if group not in self._remaining_s:
             self._remaining_s[group] = self._estimate_remaining_s(group)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/preempting.py
@@ -10,8 +10,9 @@
 
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group, GroupState, can_stop_all
-from pomeloarch_core.batch.model import NO_RESOURCES, Resources
+from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.batch.placing import (
+    CachedRoom,
     Placement,
     group_by_rack,
     place_in_order,
@@ -26,6 +27,80 @@
 StopCost = Callable[[Group], float]
 
 
+class EvictableRoom:
+    """The resources of workers, less what certain groups could be evicted from.
+
+    What is worked out for a worker or a group is kept until it is forgotten.
+
+    Args:
+      may_preempt: returns whether a group may be preempted.
+      stop_cost: returns what stopping a group costs, in core-seconds.
+    """
+
+    def __init__(self, may_preempt: MayPreempt, stop_cost: StopCost) -> None:
+        """Creates a room that knows no worker yet."""
+        self._may_preempt = may_preempt
+        self._estimate_stop_cost = stop_cost
+        self._may_stop: dict[Group, bool] = {}
+        self._stop_costs: dict[Group, float] = {}
+        self._losses: dict[Worker, float] = {}
+        self._room = CachedRoom(self._free_without)
+
+    def without(self, excluded: set[Group]) -> EvictableRoom:
+        """Returns the room that is there when some groups stay."""
+        return EvictableRoom(
+            lambda group: group not in excluded and self.may_evict(group),
+            self.stop_cost,
+        )
+
+    def free(self, worker: Worker) -> Resources:
+        """Returns what is free on a worker without the groups."""
+        return self._room.free(worker)
+
+    def count(self, worker: Worker, need: Resources) -> int:
+        """Returns how many tasks with a need fit into it."""
+        return self._room.count(worker, need)
+
+    def _free_without(self, worker: Worker) -> Resources:
+        total = worker.free
+        for each, count in worker.groups.items():
+            if self.may_evict(each):
+                total += each.step.allocation * count
+        return total
+
+    def may_evict(self, group: Group) -> bool:
+        """Returns whether a group runs and may be preempted."""
+        if group.state is not GroupState.STARTED:
+            return False
+        known = self._may_stop.get(group)
+        if known is None:
+            known = self._may_stop[group] = self._may_preempt(group)
+        return known
+
+    def stop_cost(self, group: Group) -> float:
+        """Returns what stopping a group costs, in core-seconds."""
+        cost = self._stop_costs.get(group)
+        if cost is None:
+            cost = self._stop_costs[group] = self._estimate_stop_cost(group)
+        return cost
+
+    def loss(self, worker: Worker) -> float:
+        """Returns what stopping all groups of a worker costs."""
+        loss = self._losses.get(worker)
+        if loss is None:
+            loss = self._losses[worker] = sum(
+                self.stop_cost(each)
+                for each in worker.groups
+                if self.may_evict(each)
+            )
+        return loss
+
+    def forget(self, worker: Worker) -> None:
+        """Has the results for a worker that has changed worked out again."""
+        self._room.forget(worker)
+        self._losses.pop(worker, None)
+
+
 def lost_work(group: Group, now: float) -> float:
     """Returns the work that stopping a group loses, in core-seconds."""
     if group.state is not GroupState.STARTED:
@@ -74,9 +149,8 @@
 def find_eviction(
     group: Group,
     workers: Sequence[Worker],
-    may_preempt: MayPreempt,
+    room: EvictableRoom,
     allow_far: bool,
-    stop_cost: StopCost,
 ) -> Eviction | None:
     """Returns the cheapest way to make room, None when there is none.
 
@@ -86,23 +160,17 @@
     Args:
       group: the group that goes first.
       workers: the workers that it may use.
-      may_preempt: returns whether a group may be preempted for it.
+      room: the room that it may make.
       allow_far: whether it may run off its data's rack or on several racks.
-      stop_cost: returns what stopping a group costs, in core-seconds.
     """
     excluded: set[Group] = set()
     while True:
-        found = _find_eviction(
-            group,
-            workers,
-            lambda other: other not in excluded and may_preempt(other),
-            allow_far,
-            stop_cost,
-        )
+        found = _find_eviction(group, workers, room, allow_far)
         beyond = _beyond_limit(found.victims) if found is not None else set()
         if not beyond:
             return found
         excluded.update(beyond)
+        room = room.without(excluded)
 
 
 def _beyond_limit(victims: list[Group]) -> set[Group]:
@@ -117,25 +185,13 @@
 def _find_eviction(
     group: Group,
     workers: Sequence[Worker],
-    may_preempt: MayPreempt,
+    room: EvictableRoom,
     allow_far: bool,
-    stop_cost: StopCost,
 ) -> Eviction | None:
     """Returns the cheapest way to make room if limits of steps are ignored."""
-    preemptible = {each: _preemptible(each, may_preempt) for each in workers}
-
-    def room(worker: Worker) -> Resources:
-        return worker.free + preemptible[worker]
-
-    lost = {
-        each: sum(
-            stop_cost(other) for other in each.groups if may_preempt(other)
-        )
-        for each in workers
-    }
 
     def least_lost(worker: Worker) -> tuple[float, ...]:
-        return lost[worker], room(worker).accelerators
+        return room.loss(worker), room.free(worker).accelerators
 
     step = group.step
     racks = group_by_rack(workers)
@@ -151,24 +207,11 @@
             break
         places = place_in_order(group, candidates, room, least_lost)
         if places is not None:
-            found.append(_evict(group, places, may_preempt, stop_cost))
+            found.append(_evict(group, places, room))
     return min(found, key=lambda each: each.cost, default=None)
 
 
-def _preemptible(worker: Worker, may_preempt: MayPreempt) -> Resources:
-    total = NO_RESOURCES
-    for each, count in worker.groups.items():
-        if each.state is GroupState.STARTED and may_preempt(each):
-            total += each.step.allocation * count
-    return total
-
-
-def _evict(
-    group: Group,
-    places: Placement,
-    may_preempt: MayPreempt,
-    stop_cost: StopCost,
-) -> Eviction:
+def _evict(group: Group, places: Placement, room: EvictableRoom) -> Eviction:
     """Chooses groups to preempt on each worker until the tasks fit there."""
     victims: dict[Group, None] = {}
     tasks_on: dict[Worker, int] = {}
@@ -176,23 +219,21 @@
         tasks_on[worker] = tasks_on.get(worker, 0) + 1
     for worker, count in tasks_on.items():
         wanted = group.step.allocation * count
-        room = worker.free
+        free = worker.free
         for each in victims:
-            room += each.step.allocation * worker.groups.get(each, 0)
+            free += each.step.allocation * worker.groups.get(each, 0)
         candidates = sorted(
             (
                 each
                 for each in worker.groups
-                if each.state is GroupState.STARTED
-                and each not in victims
-                and may_preempt(each)
+                if each not in victims and room.may_evict(each)
             ),
-            key=stop_cost,
+            key=room.stop_cost,
         )
         for victim in candidates:
-            if wanted.fits_in(room):
+            if wanted.fits_in(free):
                 break
             victims[victim] = None
-            room += victim.step.allocation * worker.groups[victim]
-    cost = sum(stop_cost(each) for each in victims)
+            free += victim.step.allocation * worker.groups[victim]
+    cost = sum(room.stop_cost(each) for each in victims)
     return Eviction(places, list(victims), cost)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
@@ -35,28 +35,27 @@
       now: the present time, in seconds.
       wall: the time of the wall clock, in seconds.
     """
-    ready: list[Group] = []
+    ready: list[tuple[JobEntry, list[Group]]] = []
     for entry in jobs:
-        found = [
-            each
-            for each in _ready_groups_of(entry, now, wall)
-            if not (
-                unaccounted_tasks
-                and unaccounted_tasks.intersection(each.tasks())
-            )
-        ]
+        found = _ready_groups_of(entry, now, wall)
+        if unaccounted_tasks:
+            found = [
+                each
+                for each in found
+                if unaccounted_tasks.isdisjoint(each.tasks())
+            ]
         if found:
             entry.standing = assess_standing(entry, times, wall)
-            ready += found
+            ready.append((entry, found))
     ready.sort(
-        key=lambda group: (
-            group.job.job.job_id not in guaranteed,
-            group.job.standing,
-            group.job.queue.priority,
-            group.job.job.accepted_at,
+        key=lambda each: (
+            each[0].job.job_id not in guaranteed,
+            each[0].standing,
+            each[0].queue.priority,
+            each[0].job.accepted_at,
         )
     )
-    return ready
+    return [group for _, groups in ready for group in groups]
 
 
 def guaranteed_jobs(jobs: list[JobEntry], catalogue: Catalogue) -> set[JobId]:
@@ -78,22 +77,23 @@
 
 def _ready_groups_of(entry: JobEntry, now: float, wall: float) -> list[Group]:
     ready = []
-    for (occurrence, _), groups in entry.groups.items():
-        if entry.job.due_at(occurrence) > wall:
+    for (occurrence, number), groups in entry.unplaced.items():
+        if not groups or entry.job.due_at(occurrence) > wall:
             continue
-        for group in groups:
-            if group.state is GroupState.WAITING and all(
-                entry.is_step_done(occurrence, each)
-                for each in group.step.after
-            ):
-                group.state = GroupState.READY
-                group.ready_at = ready_since(group, now)
-            if (
-                group.state is GroupState.READY
-                and not group.recovery_pending
-                and group.not_before <= now
-            ):
-                ready.append(group)
+        if not all(
+            entry.is_step_done(occurrence, each)
+            for each in entry.job.steps[number].after
+        ):
+            continue
+        waiting = [g for g in groups if g.state is GroupState.WAITING]
+        for group in waiting:
+            group.state = GroupState.READY
+            group.ready_at = ready_since(group, now)
+        ready += [
+            group
+            for group in groups
+            if not group.recovery_pending and group.not_before <= now
+        ]
     return ready
 
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from pomeloarch_core.batch import health
-from pomeloarch_core.batch.fleet import Worker
+from pomeloarch_core.batch.fleet import Fleet, Worker
 from pomeloarch_core.batch.groups import Group, GroupState
 from pomeloarch_core.batch.jobs import JobRegistry
 from pomeloarch_core.batch.messages import (
@@ -31,15 +31,21 @@
     """Processes the reports of workers.
 
     Args:
+      fleet: the workers.
       jobs: the jobs.
       runs: starts and stops groups.
       out: list to which decisions are added.
     """
 
     def __init__(
-        self, jobs: JobRegistry, runs: RunController, out: list[Decision]
+        self,
+        fleet: Fleet,
+        jobs: JobRegistry,
+        runs: RunController,
+        out: list[Decision],
     ) -> None:
         """Creates a processor that has seen no report."""
+        self._fleet = fleet
         self._jobs = jobs
         self._runs = runs
         self._out = out
@@ -68,7 +74,7 @@
         self._process_running(worker, running, now)
         if event.complete:
             self._remove_missing(worker, running, event.asked_at, now)
-        worker.heard_at = now
+        self._fleet.mark_heard(worker, now)
 
     def _log_restart(
         self, worker: Worker, previous: Incarnation, now: float
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -121,7 +121,9 @@
         self._jobs = JobRegistry(
             self._runs, self._advice, self.open_starts, self._out, wall_offset
         )
-        self._reports = ReportProcessor(self._jobs, self._runs, self._out)
+        self._reports = ReportProcessor(
+            self._fleet, self._jobs, self._runs, self._out
+        )
         self._recovery = RecoveryTracker(
             self._fleet, self._jobs, self._runs, self._out
         )
@@ -414,7 +416,7 @@
         worker = self._fleet.get(event.worker_id)
         if worker is None or worker.late_since is not None:
             return
-        worker.late_since = now
+        self._fleet.mark_late(worker, now)
         self._dirty = True
         zone = worker.info.availability_zone
         cut_off = zone in self._fleet.unresponsive_zones()
