Read at a term's beginning only what has changed since this node last read it

Change: - A term takes the jobs from the table that the node follows, brought up to date by one read of its changes; the submissions that a node has read in a term stay for its next one (TableMirror.refresh; answers that overtake each other leave the newest rows). - A submission is deleted in the transaction that ends its job, so that a successor reads no more than the jobs that are left. - A line "leader load" every two seconds: lag of the event loop, time of rounds, age of the oldest event, renewals late; "scheduler tables read" at each term.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -104,6 +104,11 @@
             scheduled=job.scheduled,
         )
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether it has ended and no order to start it can be carried out."""
+        return self.status.is_final and not self.open_starts
+
     def add_places(self, workers: Iterable[WorkerId]) -> bool:
         """Adds workers on which tasks will be ordered to start.
 
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -12,9 +12,9 @@
 import traceback
 from collections.abc import Callable, Coroutine
 from functools import singledispatch
+from typing import Any
 
 import msgspec
-from result import Ok
 
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.estimates import DispatchTimes
@@ -46,6 +46,7 @@
 from pomeloarch_core.ids import Epoch, JobId, NodeId, WorkerId
 from pomeloarch_node.batch.advice_task import AdviceTask
 from pomeloarch_node.batch.decision_log import DecisionLog
+from pomeloarch_node.batch.leader_load import LeaderLoad
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import (
     AdviceService,
@@ -55,7 +56,6 @@
     WorkerLinks,
 )
 from pomeloarch_node.batch.records import (
-    JOBS_TABLE,
     SPECS_TABLE,
     cancelled_job,
     decode_job,
@@ -72,6 +72,7 @@
     WorkerSession,
     longest_lease_s,
 )
+from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_node.scheduler_tenure import Tenure
 
@@ -160,6 +161,7 @@
       clock: returns monotonic time, in seconds.
       times: the deployment's timing settings.
       log: receives the decisions.
+      metrics: receives how busy the scheduler is.
       wall: returns wall-clock time, in seconds.
     """
 
@@ -176,14 +178,20 @@
         clock: Callable[[], float],
         times: LeaderTimes,
         log: DecisionLog,
+        metrics: Metrics,
         wall: Callable[[], float] = time.time,
     ) -> None:
         """Starts as a candidate for the role."""
+        self._metrics = metrics
         self._store = store
         self._workers_table, self._read_workers = workers
         self._links = links
         self._catalogue = catalogue
         self._jobs = jobs
+        # The submitted jobs, as far as this node has read them in its terms.
+        self._specs = TableMirror(
+            store, SPECS_TABLE, clock, log, SPECS_WAIT_S, SPECS_INTERVAL_S
+        )
         self._services = services
         self._node_id = node_id
         self._role = role
@@ -349,6 +357,7 @@
         self._retention = Retention(
             leader._store,
             lambda: leader._jobs.rows,
+            lambda: leader._specs.rows,
             term.checks,
             leader.times.keep_finished_s,
             leader._wall,
@@ -357,11 +366,14 @@
         self._sessions: dict[
             WorkerId, tuple[WorkerSession, asyncio.Task[None]]
         ] = {}
-        self._specs = self._make_mirror(
-            SPECS_TABLE, SPECS_WAIT_S, SPECS_INTERVAL_S
-        )
-        self._worker_list = self._make_mirror(
-            leader._workers_table, 0.0, WORKER_LIST_INTERVAL_S
+        self._specs = leader._specs
+        self._worker_list = TableMirror(
+            leader._store,
+            leader._workers_table,
+            self._clock,
+            leader._log,
+            0.0,
+            WORKER_LIST_INTERVAL_S,
         )
         # The first fences of further sessions with the same workers.
         self._fences: dict[WorkerId, Epoch] = {}
@@ -372,39 +384,44 @@
         self._remembered_workers: dict[WorkerId, RosterEntry] = {}
         self._unreadable_entries: list[str] = []
         self._placing_requested = asyncio.Event()
+        # When the oldest event came that no round of placing has covered.
+        self._placing_wanted_at: float | None = None
+        self._load = LeaderLoad(self._clock, leader._log, leader._metrics)
         self._background_tasks: set[asyncio.Task[None]] = set()
         self._job_rows: dict[JobId, JobRow] = {}
 
-    def _make_mirror(
-        self, table: str, wait_s: float, min_interval_s: float
-    ) -> TableMirror:
-        leader = self._leader
-        return TableMirror(
-            leader._store,
-            table,
-            self._clock,
-            leader._log,
-            wait_s,
-            min_interval_s,
-        )
-
     async def load(self) -> None:
-        """Loads the jobs' table and the roster.
+        """Loads the jobs and the roster.
 
-        Both include every write of earlier schedulers, since the term's fence
-        keeps them from writing any more.
+        All include every write of earlier schedulers, since the term's fence
+        keeps them from writing any more. Of the tables that this node has read
+        before, only what has changed since is read.
         """
+        leader = self._leader
+        began = self._clock()
+        await self._refresh(leader._jobs)
+        await self._refresh(leader._specs)
         while self._tenure.is_held():
-            rows = await self._leader._store.snapshot(JOBS_TABLE)
-            if isinstance(rows, Ok):
-                self._load_job_rows(rows.ok_value)
+            remembered = await self._roster.load()
+            if remembered is not None:
+                self._remembered_workers = remembered
                 break
             await asyncio.sleep(LOAD_RETRY_PAUSE_S)
+        self._load_job_rows()
+        leader._log.write(
+            "scheduler tables read",
+            term=self._term_number,
+            took_s=round(self._clock() - began, 3),
+            jobs=len(leader._jobs.rows),
+            specs=len(leader._specs.rows),
+            workers=len(self._remembered_workers),
+        )
 
+    async def _refresh(self, mirror: TableMirror) -> None:
+        """Reads what has changed in a table before the term began."""
+        began_at = max(check.version for check in self._checks.values())
         while self._tenure.is_held():
-            remembered = await self._roster.load()
-            if remembered is not None:
-                self._remembered_workers = remembered
+            if await mirror.refresh() and mirror.version >= began_at:
                 return
             await asyncio.sleep(LOAD_RETRY_PAUSE_S)
 
@@ -418,40 +435,52 @@
         for worker_id, entry in self._remembered_workers.items():
             self._open_session(worker_from_roster(worker_id, entry.address))
 
-    def _load_job_rows(self, changes: TableChanges) -> None:
-        for row in changes.rows:
-            cancelled = cancelled_job(row.key)
+    def _load_job_rows(self) -> None:
+        jobs = self._leader._jobs
+        for key, value in jobs.rows.items():
+            cancelled = cancelled_job(key)
             if cancelled is not None:
                 self._cancelled_jobs.add(cancelled)
             else:
-                self._job_rows[JobId(row.key)] = decode_row(row.value)
-                self._writer_for(row.key).set_version(
-                    JobId(row.key), row.version
+                self._job_rows[JobId(key)] = decode_row(value)
+                self._writer_for(key).set_version(
+                    JobId(key), jobs.versions[key]
                 )
 
     def _writer_for(self, key: str) -> RowWriter:
         return self._writers[shard_of(key)]
 
+    def _take_known_jobs(self) -> None:
+        """Passes the jobs that were read for this term to the scheduler."""
+        specs = self._specs
+        for key, value in specs.rows.items():
+            state = self._job_rows.get(JobId(key))
+            if state is None or not state.is_settled:
+                self._take_job(value, specs.versions[key])
+
     def _on_specs(self, changes: TableChanges, is_snapshot: bool) -> None:
         """Passes submitted jobs that the scheduler doesn't know to it."""
         for row in changes.rows:
             if row.value is None:
                 self._known_jobs.discard(JobId(row.key))
-                continue
-            job = decode_job(row.value)
-            if job.job_id in self._known_jobs:
-                continue
-            self._known_jobs.add(job.job_id)
-            state = self._job_rows.pop(job.job_id, None)
-            older = row.version < self._checks[shard_of(row.key)].version
-            if state is None:
-                if older:
-                    continue
-                self._writer_for(row.key).set_version(job.job_id, row.version)
-                state = JobRow.from_job(job)
-            self.emit(JobAccepted(job, state, older))
-            if job.job_id in self._cancelled_jobs:
-                self.emit(CancelRequested(job.job_id))
+            else:
+                self._take_job(row.value, row.version)
+
+    def _take_job(self, value: Any, version: int) -> None:
+        job = decode_job(value)
+        if job.job_id in self._known_jobs:
+            return
+        self._known_jobs.add(job.job_id)
+        state = self._job_rows.pop(job.job_id, None)
+        older = version < self._checks[shard_of(job.job_id)].version
+        if state is None:
+            if older:
+                return
+            self._writer_for(job.job_id).set_version(job.job_id, version)
+            state = JobRow.from_job(job)
+        self.emit(JobAccepted(job, state, older))
+        if job.job_id in self._cancelled_jobs:
+            self.emit(CancelRequested(job.job_id))
 
     def on_job_changes(self, changes: TableChanges, is_snapshot: bool) -> None:
         """Passes new cancellation markers to the scheduler."""
@@ -466,6 +495,7 @@
         if catalogue is not None:
             # The configuration may have changed while the rows were read.
             self.emit(CatalogueChanged(catalogue))
+        self._take_known_jobs()
         self._specs.subscribe(self._on_specs)
         self._worker_list.subscribe(self._on_worker_list)
         try:
@@ -473,13 +503,13 @@
                 tasks.create_task(self._specs.run())
                 for writer in self._writers.values():
                     tasks.create_task(writer.run())
-                await self._specs.loaded.wait()
                 for job_id, value in list(self._leader._jobs.rows.items()):
                     cancelled = cancelled_job(job_id)
                     if cancelled is not None and value is not None:
                         self.emit(CancelRequested(cancelled))
                 self._contact_remembered_workers()
                 tasks.create_task(self._worker_list.run())
+                tasks.create_task(self._load.run())
                 tasks.create_task(self._send_ticks())
                 tasks.create_task(self._place_groups())
                 tasks.create_task(self._advice.run())
@@ -487,6 +517,7 @@
                 tasks.create_task(self._roster.run())
                 tasks.create_task(self._upkeep.run())
         finally:
+            self._specs.unsubscribe(self._on_specs)
             for session, task in self._sessions.values():
                 task.cancel()
                 await session.close()
@@ -500,12 +531,16 @@
         """Passes an event to the scheduler and executes its decisions."""
         if not self._tenure.is_held():
             return
-        for decision in self._scheduler.handle(event, self._clock()):
+        self._load.record_event()
+        now = self._clock()
+        for decision in self._scheduler.handle(event, now):
             self._execute(decision)
         roster = self._scheduler.roster_if_changed()
         if roster is not None:
             self._roster.set_entries(roster)
         if self._scheduler.needs_placing:
+            if self._placing_wanted_at is None:
+                self._placing_wanted_at = now
             self._placing_requested.set()
 
     async def _place_groups(self) -> None:
@@ -521,9 +556,12 @@
             self._placing_requested.clear()
             if self._tenure.is_held():
                 began = self._clock()
+                wanted_at = self._placing_wanted_at or began
+                self._placing_wanted_at = None
                 for decision in self._scheduler.place(began):
                     self._execute(decision)
                 took_s = self._clock() - began
+                self._load.record_round(began - wanted_at, took_s)
                 if took_s > SLOW_PLACING_S:
                     self._leader._log.write(
                         "placing was slow", took_s=round(took_s, 3)
@@ -537,6 +575,7 @@
         elif isinstance(decision, RequestAdvice):
             self._advice.ask(decision)
         elif decision.worker_id in self._sessions:
+            self._load.record_orders(1)
             _send_order(decision, self._sessions[decision.worker_id][0])
 
     def _on_row_written(self, job_id: JobId, change: int) -> None:
@@ -631,6 +670,7 @@
             self._clock,
             SessionTimes(leader.times.max_lease_s, leader.times.renew_wait_s),
             self._earlier_leases_end_at,
+            self._load.record_renewal,
         )
         task = asyncio.create_task(self._run_session(session))
         self._sessions[info.worker_id] = (session, task)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/mirror.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/mirror.py
@@ -22,7 +22,8 @@
 class TableMirror:
     """Keeps the rows of one table up to date.
 
-    A row is only ever replaced by a newer version of it.
+    A row is only ever replaced by a newer version of it. What has been read
+    stays while `run` is interrupted, and is brought up to date by the next one.
 
     Attributes:
       rows: the values by key.
@@ -75,6 +76,15 @@
         """
         self._listeners.append(listener)
 
+    def unsubscribe(self, listener: ChangeListener) -> None:
+        """Ends a subscription."""
+        self._listeners.remove(listener)
+
+    @property
+    def version(self) -> int:
+        """The version of the table that the rows are of, 0 before any."""
+        return self._version or 0
+
     def age(self, now: float) -> float:
         """Returns how outdated the rows may be, in seconds."""
         if self.confirmed_at is None:
@@ -95,12 +105,25 @@
             if pause_s > 0:
                 await asyncio.sleep(pause_s)
 
+    async def refresh(self) -> bool:
+        """Brings the rows up to date at once, also while `run` is running.
+
+        Returns:
+          Whether the rows contain all changes that were made before the call.
+        """
+        if self._version is not None and not await self._read_changes(0.0):
+            return False
+        return self._version is not None or await self._load()
+
     async def _load(self) -> bool:
         sent_at = self._clock()
         answer = await self._store.snapshot(self._table)
         if isinstance(answer, Err):
             return self._report_failure(answer.err_value.message)
         self._set_connected(True, "")
+        if answer.ok_value.version < self.version:
+            # Another call has read the table meanwhile.
+            return True
         self.rows.clear()
         self.versions.clear()
         self._apply(answer.ok_value, is_snapshot=True)
@@ -109,11 +132,13 @@
         return True
 
     async def _follow(self) -> bool:
+        return await self._read_changes(self._wait_s)
+
+    async def _read_changes(self, wait_s: float) -> bool:
+        """Reads the changes; returns whether the store has answered."""
         sent_at = self._clock()
         assert self._version is not None
-        answer = await self._store.changes(
-            self._table, self._version, self._wait_s
-        )
+        answer = await self._store.changes(self._table, self._version, wait_s)
         if isinstance(answer, Err):
             error = answer.err_value
             if isinstance(error, HistoryGone):
@@ -122,14 +147,20 @@
                 return True
             return self._report_failure(error.message)
         self._set_connected(True, "")
-        if answer.ok_value.rows:
-            self._apply(answer.ok_value, is_snapshot=False)
-            self.confirmed_at = sent_at
+        if self._version is None:
+            # Another call has found the history gone; the table is read anew.
+            return True
+        changes = answer.ok_value
+        confirmed_at = sent_at
+        if changes.rows:
+            # Another answer may have brought these changes and later ones.
+            if changes.version > self._version:
+                self._apply(changes, is_snapshot=False)
         else:
             # An answer without changes is sent at the end of the wait.
-            waited_s = min(self._wait_s, self._clock() - sent_at)
-            self.confirmed_at = sent_at + waited_s
-            self._version = max(self._version, answer.ok_value.version)
+            confirmed_at += min(wait_s, self._clock() - sent_at)
+            self._version = max(self._version, changes.version)
+        self.confirmed_at = max(self.confirmed_at or 0.0, confirmed_at)
         return True
 
     def _apply(self, changes: TableChanges, is_snapshot: bool) -> None:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -265,6 +265,7 @@
             self.clock,
             _leader_times(settings),
             self.log,
+            self.metrics,
         )
 
     @staticmethod
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/retention.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/retention.py
@@ -59,6 +59,7 @@
     Args:
       store: the store.
       rows: returns the values of the jobs' table by key.
+      specs: returns those of the table of submitted jobs.
       checks: the conditions of the term's writes, by shard.
       keep_s: how long the state of an ended job is kept, in seconds.
       wall: returns wall-clock time, in seconds.
@@ -69,6 +70,7 @@
         self,
         store: FeedStore,
         rows: Callable[[], Mapping[str, Any]],
+        specs: Callable[[], Mapping[str, Any]],
         checks: Mapping[int, Check],
         keep_s: float,
         wall: Callable[[], float],
@@ -77,6 +79,7 @@
         """Stores the arguments without starting."""
         self._store = store
         self._rows = rows
+        self._specs = specs
         self._checks = checks
         self._keep_s = keep_s
         self._wall = wall
@@ -93,10 +96,9 @@
     async def _delete(self, shard: int, job_ids: list[JobId]) -> None:
         writes = []
         for job_id in job_ids:
-            writes += [
-                Write(SPECS_TABLE, job_id, None),
-                Write(JOBS_TABLE, job_id, None),
-            ]
+            writes.append(Write(JOBS_TABLE, job_id, None))
+            if job_id in self._specs():
+                writes.append(Write(SPECS_TABLE, job_id, None))
             if cancel_key(job_id) in self._rows():
                 writes.append(Write(JOBS_TABLE, cancel_key(job_id), None))
         answer = await self._store.transact([self._checks[shard]], writes)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/row_writer.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/row_writer.py
@@ -5,6 +5,10 @@
 conflict tell whether it had taken effect. Only the holder of the fence writes
 these rows, so that a row with another version comes from one of its own earlier
 writes.
+
+A job that has ended is never started again, so that what was submitted is
+deleted together with the row that says so. A successor then reads no more than
+the jobs that are left.
 """
 
 from __future__ import annotations
@@ -19,13 +23,13 @@
 from pomeloarch_core.ids import JobId
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.ports import FeedStore
-from pomeloarch_node.batch.records import JOBS_TABLE, encode
+from pomeloarch_node.batch.records import JOBS_TABLE, SPECS_TABLE, encode
 from pomeloarch_node.platform import Check, Conflict, Write
 from pomeloarch_node.scheduler_tenure import Tenure
 
-# Maximum number of rows in one transaction. The platform accepts 100 entries,
-# and checks count among them.
-MAX_ROWS = 45
+# Maximum number of jobs in one transaction. The platform accepts 100 entries,
+# of which each job takes up to three: a check and two writes.
+MAX_ROWS = 32
 # How long a row that nobody waits for may wait for others to join its batch, in
 # seconds. The ends of runs have to be acknowledged within seconds.
 BATCH_DELAY_S = 0.3
@@ -61,6 +65,8 @@
         self._log = log
         self._versions: dict[JobId, int] = {}
         self._dirty: dict[JobId, WriteRow] = {}
+        # Jobs of which no submission is left to delete.
+        self._without_spec: set[JobId] = set()
         self._has_urgent_rows = asyncio.Event()
         self._has_rows = asyncio.Event()
 
@@ -96,15 +102,29 @@
             job_ids = list(self._dirty)[:MAX_ROWS]
             orders = [self._dirty.pop(each) for each in job_ids]
             values = [encode(each.row) for each in orders]
+            settled = [
+                each.job_id
+                for each in orders
+                if each.row.is_settled and each.job_id not in self._without_spec
+            ]
             while True:
-                if await self._write(orders, values):
+                if await self._write(orders, values, settled):
                     break
                 await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _write(
-        self, orders: list[WriteRow], values: list[object]
+        self,
+        orders: list[WriteRow],
+        values: list[object],
+        settled: list[JobId],
     ) -> bool:
-        """Sends one transaction; returns whether its outcome is settled."""
+        """Sends one transaction; returns whether its outcome is settled.
+
+        Args:
+          orders: the rows to write.
+          values: their values, the same in each attempt.
+          settled: the jobs whose submission is deleted.
+        """
         checks = [
             Check(JOBS_TABLE, each.job_id, self._versions.get(each.job_id, 0))
             for each in orders
@@ -113,15 +133,17 @@
             Write(JOBS_TABLE, order.job_id, value)
             for order, value in zip(orders, values, strict=True)
         ]
+        writes += [Write(SPECS_TABLE, each, None) for each in settled]
         answer = await self._store.transact([self._fence, *checks], writes)
         if isinstance(answer, Ok):
-            for order, version in zip(orders, answer.ok_value, strict=True):
+            versions = answer.ok_value[: len(orders)]
+            for order, version in zip(orders, versions, strict=True):
                 self._versions[order.job_id] = version
-                self._on_written(order.job_id, order.change)
+            self._end_write(orders, settled)
             return True
         error = answer.err_value
         if isinstance(error, Conflict):
-            return self._settle_conflict(error, orders, values)
+            return self._settle_conflict(error, orders, values, settled)
         self._log.write(
             "rows not written",
             jobs=len(orders),
@@ -131,7 +153,11 @@
         return False
 
     def _settle_conflict(
-        self, conflict: Conflict, orders: list[WriteRow], values: list[object]
+        self,
+        conflict: Conflict,
+        orders: list[WriteRow],
+        values: list[object],
+        settled: list[JobId],
     ) -> bool:
         """Takes the rows' versions from a conflict.
 
@@ -155,6 +181,11 @@
             )
         if same < len(orders):
             return False
+        self._end_write(orders, settled)
+        return True
+
+    def _end_write(self, orders: list[WriteRow], settled: list[JobId]) -> None:
+        """Reports that a transaction has taken effect."""
+        self._without_spec.update(settled)
         for order in orders:
             self._on_written(order.job_id, order.change)
-        return True
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -124,6 +124,8 @@
       times: the timing settings.
       earlier_leases_end_at: the time, by `clock`, until which the worker may
         run what an earlier scheduler started.
+      on_renewal: called with how much later than it was due a renewal is sent,
+        in seconds.
     """
 
     def __init__(
@@ -137,8 +139,12 @@
         clock: Callable[[], float],
         times: SessionTimes,
         earlier_leases_end_at: float,
+        on_renewal: Callable[[float], None] = lambda late_s: None,
     ) -> None:
         """Starts with a worker that has not answered yet."""
+        self._on_renewal = on_renewal
+        # When the next renewal is due at the latest, None while none is.
+        self._renewal_due: float | None = None
         self.info = info
         self._link = link
         self._tenure = tenure
@@ -237,6 +243,7 @@
             # An order that is still under way could start a task on a new
             # incarnation that has not seen its fence.
             return False
+        self._renewal_due = None
         await self._sleep_until_woken(IDLE_PAUSE_S)
         return True
 
@@ -254,6 +261,9 @@
 
     async def _renew(self) -> None:
         asked_at = self._clock()
+        if self._renewal_due is not None:
+            self._on_renewal(max(0.0, asked_at - self._renewal_due))
+        self._renewal_due = asked_at + self._times.wait_s
         fence, listed = self._fence, self.info.incarnation
         first = self._worker_clock is None or self._is_silent
         known = not (
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -141,6 +141,7 @@
             world.clock,
             LeaderTimes(MAX_LEASE_S, 0.5, DispatchTimes(STOP_DURATION_S, 2.7)),
             log,
+            Metrics(),
             world.clock,
         )
 
