--- a/review/standins/rig.py
+++ b/review/standins/rig.py
@@ -13,6 +13,7 @@
 import json
 import os
 import pathlib
+import random
 import shlex
 import shutil
 import signal
@@ -24,7 +25,21 @@
 import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-HOST = "127.0.0.1"
+
+
+def _loopback_address() -> str:
+    """Returns a loopback address of this process's own, where there are some."""
+    pick = random.SystemRandom().randrange
+    host = f"127.{pick(1, 250)}.{pick(250)}.{pick(1, 250)}"
+    with socket.socket() as sock:
+        try:
+            sock.bind((host, 0))
+        except OSError:
+            return "127.0.0.1"
+    return host
+
+
+HOST = _loopback_address()
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 # Results of a handler besides (status, body).
@@ -34,10 +49,21 @@
 REASONS = {200: "OK", 400: "Bad Request", 409: "Conflict", 410: "Gone"}
 
 
+_ports: set[int] = set()
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a free port below those that the kernel gives to connections."""
+    while True:
+        port = random.SystemRandom().randrange(15_000, 32_000)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        if port not in _ports:
+            _ports.add(port)
+            return port
 
 
 class Record:
