Give the random driver the store's limits, wide jobs and a rule on waiting

The model now refuses what exceeds a limit of the platform, for good, and returns tables in pages. Plans draw wide jobs (--faults wide-jobs) beside a store of small rows, and a job that stands still beside free workers is a finding (bound of RULES: 3 s, room twice over, under half in use, 4 s calm).

PlatformError says whether repeating can mend a refusal; nothing uses that yet.

--- a/packages/pomeloarch-node/src/pomeloarch_node/platform.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/platform.py
@@ -40,6 +40,20 @@
     value: Any
 
 
+class StoreLimits(msgspec.Struct, frozen=True):
+    """What the platform takes in one call; it refuses anything larger.
+
+    Attributes:
+      row_bytes: the largest value of a row, in bytes of JSON.
+      transaction_entries: the most checks and writes of a transaction.
+      transaction_bytes: the largest transaction, in bytes.
+    """
+
+    row_bytes: int = 65_536
+    transaction_entries: int = 100
+    transaction_bytes: int = 1_000_000
+
+
 class HostState(enum.Enum):
     """The state of a host in the platform's list."""
 
@@ -84,11 +98,14 @@
       failure: whether it may have taken effect.
       message: why it failed, for people.
       reached: whether the platform itself answered.
+      permanent: whether the same call will be refused however often it is
+        repeated.
     """
 
     failure: PlatformFailure
     message: str
     reached: bool = False
+    permanent: bool = False
 
 
 class Conflict(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
@@ -13,6 +13,7 @@
     LONG_RUNS,
     SLOW_CLOCKS,
     WHOLE_PLAN,
+    WIDE_JOBS,
 )
 from pomeloarch_standins.batch_fuzz.plan import (
     Plan,
@@ -49,6 +50,16 @@
 # Times that a long run takes, in seconds. It outlasts all leases, so that it is
 # still seen to run when it should have ended with one of them.
 _LONG_RUNS_S = (9.0, 14.0)
+# Share of the jobs that a plan with wide jobs makes wide.
+_WIDE_JOBS_SHARE = 0.05
+# Numbers of single tasks and of a gang's members in wide jobs, and what each
+# single task takes, in thousandths of a core.
+_WIDE_TASKS = (150, 1200)
+_WIDE_GANG = (8, 24)
+_WIDE_CPU_MILLIS = 50
+# Sizes of the largest row of a store beside wide jobs, in bytes. The rows of
+# hundreds of tasks outgrow these as those of thousands do the usual size.
+_SMALL_ROWS = (8_192, 16_384)
 
 
 def draw_plan(seed: int, kinds: Collection[str]) -> Plan:
@@ -73,9 +84,33 @@
     jobs = _draw_jobs(rng, nodes)
     faults = _draw_faults(rng, kinds, world)
     # From random numbers of its own, as above.
-    return Plan(
-        world, _change_jobs(random.Random(f"{seed}"), kinds, jobs), faults
-    )
+    jobs = _change_jobs(random.Random(f"{seed}"), kinds, jobs)
+    if WIDE_JOBS in kinds:
+        wide_rng = random.Random(f"{seed}: wide")
+        jobs = tuple(_widen(wide_rng, each) for each in jobs)
+        world = msgspec.structs.replace(
+            world, row_bytes=wide_rng.choice(_SMALL_ROWS)
+        )
+    return Plan(world, jobs, faults)
+
+
+def _widen(rng: random.Random, job: PlannedJob) -> PlannedJob:
+    """Makes some jobs wide."""
+    if job.is_endless or rng.random() >= _WIDE_JOBS_SHARE:
+        return job
+    run_s = rng.choice((0.3, 1.0, 2.0))
+    if rng.random() < 0.5:
+        step = PlannedStep(rng.randint(*_WIDE_GANG), 1, run_s, gang=True)
+    else:
+        count = rng.randint(*_WIDE_TASKS)
+        step = PlannedStep(
+            count,
+            0,
+            run_s,
+            checkpointing=rng.random() < 0.3,
+            cpu_millis=_WIDE_CPU_MILLIS,
+        )
+    return msgspec.structs.replace(job, steps=(step,), occurrences=0)
 
 
 def _change_jobs(
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -22,11 +22,13 @@
 
 # Kinds of the whole plan, which aren't drawn with a beginning and an end:
 # workers whose clocks are slow all the time, tasks that run longer than any
-# lease, and so few jobs that workers are idle at times.
+# lease, so few jobs that workers are idle at times, and jobs of hundreds of
+# tasks beside a store of small rows.
 SLOW_CLOCKS = "slow-clocks"
 LONG_RUNS = "long-runs"
 FEW_JOBS = "few-jobs"
-WHOLE_PLAN = frozenset({SLOW_CLOCKS, LONG_RUNS, FEW_JOBS})
+WIDE_JOBS = "wide-jobs"
+WHOLE_PLAN = frozenset({SLOW_CLOCKS, LONG_RUNS, FEW_JOBS, WIDE_JOBS})
 # Tables of which the store may refuse the writes while it accepts others.
 _TABLES = (ROSTER_TABLE, ROSTER_TABLE, JOBS_TABLE, TERMS_TABLE, ROLES_TABLE)
 # Share of the workers that are on the leader's side of a divided network.
@@ -613,6 +615,7 @@
     SLOW_CLOCKS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     LONG_RUNS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     FEW_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
+    WIDE_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     "kill-node": FaultKind(_draw_on_node((0.05, 4.0)), _kill_node),
     "kill-leader": FaultKind(_draw_with((0.05, 4.0)), _kill_leader),
     "kill-at-start": FaultKind(
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
@@ -6,6 +6,7 @@
 
 from pomeloarch_core.batch.model import BatchJob, QueueName, Resources, Step
 from pomeloarch_core.ids import JobId
+from pomeloarch_node.platform import StoreLimits
 from pomeloarch_standins.batch_world import CATALOGUE, ORGANISATION
 
 # Resources that a task takes for each of its accelerators.
@@ -25,6 +26,8 @@
       after: numbers of the steps that have to end before this one starts.
       checkpointing: whether tasks save their progress in checkpoints.
       long_running: whether the tasks run until the job is cancelled.
+      cpu_millis: processor time that each task takes besides, in thousandths
+        of a core.
     """
 
     count: int
@@ -34,10 +37,12 @@
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     long_running: bool = False
+    cpu_millis: int = 0
 
     def step(self) -> Step:
         """Returns the step as it is submitted."""
         need = Resources(_CPU_MILLIS, _MEMORY_MB, 1) * self.accelerators
+        need += Resources(cpu_millis=self.cpu_millis)
         return Step(
             count=self.count,
             need=need,
@@ -140,6 +145,7 @@
       checks_room: whether workers refuse tasks that don't fit.
       answers_listed_ends: whether workers answer a renewal at once while they
         list an end.
+      row_bytes: the largest value of a row that the store takes, in bytes.
     """
 
     seed: int
@@ -148,6 +154,7 @@
     slow_clocks: tuple[int, ...] = ()
     checks_room: bool = True
     answers_listed_ends: bool = False
+    row_bytes: int = StoreLimits().row_bytes
 
 
 class Plan(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
@@ -14,6 +14,7 @@
 from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedFault, PlannedJob
 from pomeloarch_standins.batch_fuzz.stage import Stage
 from pomeloarch_standins.batch_ledger import LedgerEntry
+from pomeloarch_standins.batch_waiting import WaitingWatch
 from pomeloarch_standins.virtual_time import run_virtual
 
 # Time after the last start within which the jobs that are left have to be
@@ -27,6 +28,9 @@
 _REST_S = 15.0
 # How often a condition is checked while all is calm, in seconds.
 _CHECK_INTERVAL_S = 0.1
+# Time for which all has to be calm before a job that stands still counts, in
+# seconds (RULES, LOST).
+_CALM_S = 4.0
 
 
 class Result(msgspec.Struct, frozen=True):
@@ -57,6 +61,8 @@
     stage = Stage(plan, log_path)
     world = stage.world
     world.start()
+    watch = WaitingWatch()
+    watching = asyncio.create_task(_watch(stage, plan, watch))
     try:
         await asyncio.gather(
             *(_submit(stage, each) for each in plan.jobs),
@@ -71,11 +77,39 @@
         unfinished = await _wait_for_jobs(stage, endless)
         await asyncio.sleep(_REST_S)
     finally:
+        watching.cancel()
+        await asyncio.gather(watching, return_exceptions=True)
         await world.stop()
     findings = find_violations(world, plan.calm_at_s, unfinished, idle)
+    findings += (
+        Finding("stands still beside free workers", str(each))
+        for each in watch.found.values()
+    )
     return world.ledger.entries, findings
 
 
+async def _watch(stage: Stage, plan: Plan, watch: WaitingWatch) -> None:
+    """Looks for jobs that stand still, from when all has been calm."""
+    world = stage.world
+    endless = {each.job_id for each in plan.jobs if each.is_endless}
+    await asyncio.sleep(plan.calm_at_s + _CALM_S)
+    while True:
+        left = world.accepted.keys() - world.cancelled - endless
+        capacities = {
+            str(each): worker.info.capacity
+            for each, worker in world.workers.items()
+        }
+        watch.look(
+            world.submitted,
+            sorted(left - world.finished.keys()),
+            world.ledger.entries,
+            capacities,
+            world.unanswered_starts,
+            world.clock(),
+        )
+        await asyncio.sleep(_CHECK_INTERVAL_S)
+
+
 async def _submit(stage: Stage, planned: PlannedJob) -> None:
     await asyncio.sleep(planned.at_s)
     await stage.submit(planned)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -38,7 +38,11 @@
         """Builds the simulation without running it."""
         wanted = plan.world
         self.world = BatchWorld(
-            wanted.seed, wanted.nodes, wanted.workers, log_path
+            wanted.seed,
+            wanted.nodes,
+            wanted.workers,
+            log_path,
+            wanted.row_bytes,
         )
         self._worker_ids = list(self.world.workers)
         self._held: Counter[str] = Counter()
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -26,6 +27,7 @@
     PlatformError,
     PlatformFailure,
     Row,
+    StoreLimits,
     Write,
 )
 
@@ -41,23 +43,40 @@
 # seconds.
 MAX_LATE_S = 6.0
 
+# Maximum number of rows in a page of a table.
+PAGE_ROWS = 500
+# Bytes that an entry of a transaction takes besides its value, about.
+_ENTRY_BYTES = 120
+
 _LOST = PlatformError(PlatformFailure.UNKNOWN, "no answer in time")
 _UNAVAILABLE = PlatformError(
     PlatformFailure.NOT_DONE, "the store is unavailable"
 )
 
 
+def _refused(message: str) -> Err[PlatformError]:
+    return Err(
+        PlatformError(
+            PlatformFailure.NOT_DONE, message, reached=True, permanent=True
+        )
+    )
+
+
 class FeedTables:
     """Rows versioned by one counter, with the history of their changes.
 
     Attributes:
+      limits: what one transaction may hold.
+      refusals: the messages of the transactions that exceeded a limit.
       version: the version of the latest transaction.
       changed: set at the next change, and then replaced by a new event.
       on_write: called with each write that takes effect.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: StoreLimits | None = None) -> None:
         """Creates tables without rows."""
+        self.limits = limits or StoreLimits()
+        self.refusals: list[str] = []
         self.version = 0
         self._rows: dict[tuple[str, str], tuple[bytes, int]] = {}
         self._changes: list[tuple[int, str, str]] = []
@@ -77,10 +96,32 @@
         keys = sorted(key for found, key in self._rows if found == table)
         return tuple(self.read(table, key) for key in keys)
 
+    def page(self, table: str, after: str) -> tuple[tuple[Row, ...], bool]:
+        """Returns the first rows above a key that fit in a page.
+
+        Returns:
+          The rows in the order of their keys, and whether there are more.
+        """
+        keys = sorted(
+            key for found, key in self._rows if found == table and key > after
+        )
+        size = count = 0
+        for key in keys[:PAGE_ROWS]:
+            size += len(self._rows[table, key][0]) * 4 // 3
+            if count and size > self.limits.transaction_bytes:
+                break
+            count += 1
+        rows = tuple(self.read(table, key) for key in keys[:count])
+        return rows, count < len(keys)
+
     def transact(
         self, checks: Sequence[Check], writes: Sequence[Write]
-    ) -> Result[tuple[int, ...], Conflict]:
-        """Writes all rows if every check holds."""
+    ) -> Result[tuple[int, ...], Conflict | PlatformError]:
+        """Writes all rows if every check holds and no limit is exceeded."""
+        excess = self._find_excess(checks, writes)
+        if excess is not None:
+            self.refusals.append(excess)
+            return _refused(excess)
         found = tuple(self.read(each.table, each.key) for each in checks)
         if any(
             row.version != check.version
@@ -104,6 +145,25 @@
         self.changed = asyncio.Event()
         return Ok((self.version,) * len(writes))
 
+    def _find_excess(
+        self, checks: Sequence[Check], writes: Sequence[Write]
+    ) -> str | None:
+        """Returns which limit a transaction exceeds, None for none."""
+        entries = len(checks) + len(writes)
+        if entries > self.limits.transaction_entries:
+            return f"a transaction of {entries} entries"
+        total = entries * _ENTRY_BYTES
+        for each in writes:
+            if each.value is None:
+                continue
+            size = len(msgspec.json.encode(each.value))
+            if size > self.limits.row_bytes:
+                return f"{each.table}/{each.key} has {size} bytes"
+            total += size * 4 // 3
+        if total > self.limits.transaction_bytes:
+            return f"a transaction of {total} bytes"
+        return None
+
     def put(self, table: str, key: str, value: Any) -> None:
         """Writes a row without checking its version."""
         self.transact([], [Write(table, key, value)])
@@ -273,16 +333,28 @@
     async def snapshot(
         self, table: str, ask: ReadStrategy = read_once
     ) -> Result[TableChanges, PlatformError]:
-        """Reads a whole table in one page."""
-        return await ask(lambda: self._read_table(table))
-
-    async def _read_table(
-        self, table: str
-    ) -> Result[TableChanges, PlatformError]:
+        """Reads a whole table page by page, as of its first page."""
+        found: list[Row] = []
+        version: int | None = None
+        while True:
+            after = found[-1].key if found else ""
+            answer = await ask(functools.partial(self._read_page, table, after))
+            if isinstance(answer, Err):
+                return answer
+            rows, at, has_more = answer.ok_value
+            found += rows
+            version = at if version is None else version
+            if not has_more:
+                return Ok(TableChanges(tuple(found), version))
+
+    async def _read_page(
+        self, table: str, after: str
+    ) -> Result[tuple[tuple[Row, ...], int, bool], PlatformError]:
         failure = await self._deliver_read(TABLE_TIMEOUT_S)
         if failure is not None:
             return Err(failure)
-        return Ok(TableChanges(self._tables.rows(table), self._tables.version))
+        rows, has_more = self._tables.page(table, after)
+        return Ok((rows, self._tables.version, has_more))
 
     async def changes(
         self, table: str, after: int, wait_s: float
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -449,6 +449,8 @@
       path: returns the present state of the network between the two.
       rng: draws faults and delays.
       gate: the node's gate.
+      unanswered_starts: receives when an order to start a task was sent that
+        the network or the worker left without an answer.
     """
 
     def __init__(
@@ -458,6 +460,7 @@
         path: Callable[[], Path],
         rng: random.Random,
         gate: ProcessGate,
+        unanswered_starts: dict[TaskId, float] | None = None,
     ) -> None:
         """Creates a link to a worker and all its incarnations of this id."""
         self._worker = worker
@@ -465,6 +468,9 @@
         self._path = path
         self._rng = rng
         self._gate = gate
+        self._unanswered_starts = (
+            {} if unanswered_starts is None else unanswered_starts
+        )
 
     async def reset(self) -> None:
         """Does nothing, because there are no connections."""
@@ -577,7 +583,11 @@
                 return Err(OrderFailure.SUPERSEDED)
             return Ok(StartAnswer(outcome, worker.clock_ms()))
 
-        return await self._call(act)
+        sent_at = asyncio.get_running_loop().time()
+        answer = await self._call(act)
+        if answer == Err(OrderFailure.NO_ANSWER):
+            self._unanswered_starts[order.task] = sent_at
+        return answer
 
     async def stop(
         self, task_name: str, run: RunNumber, fence: Epoch
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -41,7 +41,7 @@
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
 from pomeloarch_node.batch.repeating_store import RepeatingStore
 from pomeloarch_node.metrics import Metrics
-from pomeloarch_node.platform import Write
+from pomeloarch_node.platform import StoreLimits, Write
 from pomeloarch_node.role_lease import LeasedRole
 from pomeloarch_standins.batch_gates import GatedStore, ProcessGate
 from pomeloarch_standins.batch_ledger import Ledger
@@ -204,6 +204,8 @@
         when.
       failing_jobs: jobs of which all runs fail.
       cut_paths: between these nodes and workers, nothing arrives.
+      unanswered_starts: when an order to start a task was last sent that had
+        no answer from its worker.
       deaf_paths: from these nodes to these workers, orders arrive and are
         carried out, but their answers are lost.
 
@@ -212,6 +214,7 @@
       nodes: the number of nodes.
       workers: the number of workers, half of them in each of two racks.
       log_path: the file to which the nodes write their decisions.
+      row_bytes: the largest value of a row that the store takes, in bytes.
     """
 
     def __init__(
@@ -220,12 +223,15 @@
         nodes: int = 3,
         workers: int = 4,
         log_path: str = os.devnull,
+        row_bytes: int = StoreLimits().row_bytes,
     ) -> None:
         """Builds the simulation without running it."""
         self.seed = seed
         self.rng = random.Random(seed)
         self.catalogue = CATALOGUE
-        self.tables = FeedTables()
+        self.tables = FeedTables(StoreLimits(row_bytes))
+        # When an order to start a task was last sent that had no answer.
+        self.unanswered_starts: dict[TaskId, float] = {}
         self.ledger = Ledger()
         self.submitted: dict[JobId, BatchJob] = {}
         self.accepted: dict[JobId, float] = {}
@@ -285,7 +291,14 @@
                 return Path.CUT
             return Path.DEAF if ends & self.deaf_paths else Path.OPEN
 
-        return ModelLink(worker, info.worker_id, path, self.rng, node.gate)
+        return ModelLink(
+            worker,
+            info.worker_id,
+            path,
+            self.rng,
+            node.gate,
+            self.unanswered_starts,
+        )
 
     def crash_worker(self, worker_id: WorkerId) -> None:
         """Crashes a worker, which stays down until it comes back.
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -18,6 +18,7 @@
     LONG_RUNS,
     SLOW_CLOCKS,
     WHOLE_PLAN,
+    WIDE_JOBS,
 )
 from pomeloarch_standins.batch_fuzz.plan import (
     Plan,
@@ -51,7 +52,8 @@
 
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_random_plan_breaks_no_rule(seed):
-    result = play(draw_short(seed, set(KINDS) - RESTARTS - {FEW_JOBS}))
+    kinds = set(KINDS) - RESTARTS - {FEW_JOBS, WIDE_JOBS}
+    result = play(draw_short(seed, kinds))
     assert len(result.entries) > 30
     assert describe(result) == []
 
@@ -111,6 +113,19 @@
     assert 14.0 in {s.run_s for p in longer for j in p.jobs for s in j.steps}
 
 
+def test_plan_has_wide_jobs_and_small_rows_only_where_they_are_drawn_from():
+    """Guards against plans that are too narrow to reach a limit."""
+    kinds = ["kill-leader"]
+    plans = [draw_plan(seed, kinds) for seed in range(1, 9)]
+    wide = [draw_plan(seed, [*kinds, WIDE_JOBS]) for seed in range(1, 9)]
+    assert [p.faults for p in wide] == [p.faults for p in plans]
+    assert {p.world.row_bytes for p in plans} == {65_536}
+    assert {p.world.row_bytes for p in wide} == {8_192, 16_384}
+    steps = [s for p in wide for j in p.jobs for s in j.steps]
+    assert max(s.count for s in steps if not s.gang) > 800
+    assert max(s.count for s in steps if s.gang) > 16
+
+
 @pytest.mark.parametrize("kind", FAULT_DRAWS)
 def test_fault_of_each_kind_strikes_and_ends(kind):
     world = PlannedWorld(1)
