Don't wait for the lease of a worker that is gone

Cause: a start without an answer was settled 13 s after it was sent and, where nobody hears from the worker, the longest lease later, also where the worker had left the list long before.

Change: a worker that is off the list for 3 s while the store confirms the list, that doesn't answer and whose leases have ended is gone, and an open start on it is settled at its last moment. No start is freed that may still be carried out: the 13 s stay, and so does the lease for a listed worker.

Ruled out: ending the 13 s early (an order may be carried out until then).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -365,7 +365,7 @@
         """Removes open starts that can't run any more, or would be reported.
 
         A worker that isn't heard from may have carried one out at the last
-        moment, and runs it until its lease ends.
+        moment, and runs it until its lease ends, unless it is gone.
         """
         self.awaited_reports.clear()
 
@@ -376,6 +376,8 @@
             asked_at = None if worker is None else worker.asked_at
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
+            if worker is not None and self._fleet.is_gone(worker, now):
+                return True
             self.awaited_reports.add(copy.worker_id)
             return now >= copy.acts_until + self._open_starts.longest_lease_s
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/fleet.py
@@ -23,6 +23,13 @@
 # Slowness that is assumed for a worker that the roster marks as slow; a few
 # runs of its own correct the value.
 REMEMBERED_SLOWNESS = 1.25
+# Time for which a worker has to be off the list to be gone, in seconds, while
+# the store confirms the list: a worker that is alive is back within two seconds
+# of the store's return.
+GONE_AFTER_S = 3.0
+# Longest time between two confirmations of the list in which the store was not
+# away, in seconds.
+MAX_CONFIRMATION_GAP_S = 1.5
 
 
 class Worker:
@@ -31,6 +38,7 @@
     Attributes:
       info: the worker's entry in the platform's list.
       listed: whether it is on the list.
+      unlisted_at: when it was first found off the list, None while it is on it.
       reported: whether it has answered under this scheduler's fence.
       silent: whether it doesn't answer at present.
       late_since: when an answer was first found late, None while it answers.
@@ -63,6 +71,7 @@
         """Creates a worker that hasn't answered yet."""
         self.info = info
         self.listed = True
+        self.unlisted_at: float | None = None
         self.reported = False
         self.silent = False
         self.late_since: float | None = None
@@ -145,6 +154,7 @@
             self._fitting_empty.clear()
         self.info = info
         self.listed = True
+        self.unlisted_at = None
         self.evacuated = self.evacuated and info.draining
         self._forget_free()
 
@@ -259,6 +269,9 @@
         self._late: set[Worker] = set()
         # When a report of any worker of a zone was last processed.
         self._heard_at: dict[ZoneName, float] = {}
+        # Since when and until when the store has confirmed the list without a
+        # gap.
+        self._list_confirmed: tuple[float, float] | None = None
 
     def __iter__(self) -> Iterator[Worker]:
         """Iterates over the workers in the order in which they were added."""
@@ -285,6 +298,28 @@
             worker.slow = entry.slow
             worker.slowness = REMEMBERED_SLOWNESS if entry.slow else 1.0
 
+    def confirm_list(self, at: float) -> None:
+        """Notes that the store has confirmed the list of workers."""
+        since, until = self._list_confirmed or (at, at)
+        if at - until > MAX_CONFIRMATION_GAP_S:
+            since = at
+        self._list_confirmed = since, max(at, until)
+
+    def is_gone(self, worker: Worker, now: float) -> bool:
+        """Returns whether a worker has left for good, with all its runs.
+
+        It is off the list although the store is there, it doesn't answer, and
+        the leases of all its runs have ended.
+        """
+        if (
+            worker.unlisted_at is None
+            or self._list_confirmed is None
+            or not worker.has_lapsed(now)
+        ):
+            return False
+        since, until = self._list_confirmed
+        return until - max(since, worker.unlisted_at) >= GONE_AFTER_S
+
     def forget(self, worker_id: WorkerId) -> None:
         """Removes a worker that is gone."""
         self._workers.pop(worker_id, None)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -369,9 +369,16 @@
 
 
 class Tick(msgspec.Struct, frozen=True):
-    """Time has passed; `wall` is the time of the wall clock, in seconds."""
+    """Time has passed.
+
+    Attributes:
+      wall: the time of the wall clock, in seconds.
+      list_confirmed_at: the scheduler's time at which the store last confirmed
+        the list of workers, None before it did.
+    """
 
     wall: float
+    list_confirmed_at: float | None = None
 
 
 Event = (
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -330,6 +330,8 @@
                 if worker.listed:
                     self._log_unlisted(worker)
                 worker.listed = False
+                if worker.unlisted_at is None:
+                    worker.unlisted_at = now
                 self._forget_if_empty(worker, now)
         self._dirty = True
 
@@ -610,6 +612,8 @@
     @_on.register
     def _on_tick(self, event: Tick, now: float) -> None:
         self._jobs.wall_offset = event.wall - now
+        if event.list_confirmed_at is not None:
+            self._fleet.confirm_list(event.list_confirmed_at)
         self._jobs.release_ends(now)
         for worker in list(self._fleet):
             if worker.has_lapsed(now):
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -537,7 +537,9 @@
 
     async def _send_ticks(self) -> None:
         while True:
-            self.emit(Tick(self._leader._wall()))
+            self.emit(
+                Tick(self._leader._wall(), self._worker_list.confirmed_at)
+            )
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def emit(self, event: Event) -> None:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -47,6 +47,8 @@
 # Share of a fault's time for which it waits for its moment; the node that it
 # kills is down for the rest.
 _AWAIT_SHARE = 0.6
+# Number of workers that aren't lost for good.
+_MIN_WORKERS = 4
 
 Strike = Callable[[Stage, PlannedFault], Awaitable[None]]
 Draw = Callable[[random.Random, str, float, PlannedWorld], PlannedFault]
@@ -293,6 +295,19 @@
     await stage.hold(f"unlist {fault.targets}", fault.for_s, begin, end)
 
 
+async def _lose_worker(stage: Stage, fault: PlannedFault) -> None:
+    """Loses a worker for good; its entry lapses at the end of the fault.
+
+    Some workers are left, so that all jobs have room.
+    """
+    worker_id = stage.worker_id(fault.targets[0])
+    if stage.count_workers() <= _MIN_WORKERS or stage.is_lost(worker_id):
+        return
+    stage.lose_worker(worker_id)
+    await asyncio.sleep(fault.for_s)
+    stage.world.unlist(worker_id)
+
+
 async def _fail_tasks(stage: Stage, fault: PlannedFault) -> None:
     workers = [stage.worker(number) for number in fault.targets]
 
@@ -594,6 +609,7 @@
         _draw_on_workers((0.5, 5.0), (0.2, 1.0), 0.5), _refuse_starts
     ),
     "unlist": FaultKind(_draw_on_workers((0.1, 8.0), (0.0, 0.0), 0.2), _unlist),
+    "lose-worker": FaultKind(_draw_on_workers((3.0, 5.0)), _lose_worker),
     "failing-worker": FaultKind(_draw_on_workers((0.5, 4.0)), _fail_tasks),
     "cut-worker": FaultKind(
         _draw_on_workers((0.5, 9.0), (0.0, 0.0), 0.1), _cut_workers
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.ids import NodeId, WorkerId
 from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedJob
@@ -47,6 +48,7 @@
         self._worker_ids = list(self.world.workers)
         self._held: Counter[str] = Counter()
         self._busy: set[NodeId] = set()
+        self._lost: set[WorkerId] = set()
         self._calls: dict[NodeId, set[asyncio.Task[Outcome]]] = {
             node.name: set() for node in self.world.nodes
         }
@@ -73,6 +75,28 @@
             self._worker_ids[number]
         )
 
+    def lose_worker(self, worker_id: WorkerId) -> None:
+        """Ends a worker for good; calls to it get no answer."""
+        self._lost.add(worker_id)
+        self.world.crash_worker(worker_id)
+        self.world.workers[worker_id].is_cut_off = True
+
+    def is_lost(self, worker_id: WorkerId) -> bool:
+        """Returns whether a worker has ended for good."""
+        return worker_id in self._lost
+
+    def count_workers(self) -> int:
+        """Returns the number of workers that have not ended for good."""
+        return len(self._worker_ids) - len(self._lost)
+
+    def capacities(self) -> dict[str, Resources]:
+        """Returns the capacity of each worker that has not ended for good."""
+        return {
+            str(each): worker.info.capacity
+            for each, worker in self.world.workers.items()
+            if each not in self._lost
+        }
+
     def node(self, number: int) -> WorldNode:
         """Returns a node."""
         return self.world.nodes[number]
