Check a worker's label before a gang starts again on it

A row whose entry for a group changes workers now is written also if the set of the names stays the same: else a successor would take the old order of the members for certain. No path leads there today.

Tests: test_gang_starts_again_only_on_workers_of_its_kind (failed before), test_row_says_on_which_worker_a_member_is_only_where_that_is_certain (its case of exchanged members failed before).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -330,7 +330,13 @@
         usable = placing_round.usable[group.job.queue.service].workers
         if group.job.queue.advised:
             usable = self._filter_advised(group, list(usable), now)
-        known = {each.worker_id: each for each in usable}
+        # A worker may have started again as one of another kind.
+        label = group.step.label
+        known = {
+            each.worker_id: each
+            for each in usable
+            if not label or label in each.info.labels
+        }
         wanted = placing_round.only_places[group]
         places = {
             index: known[worker_id]
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/rows.py
@@ -288,14 +288,13 @@
           Whether the row has changed and has to be written.
         """
         named = self.open_starts.get(group, [])
-        if self.names_members and named in ([], list(workers)):
-            wanted = list(workers)
-        else:
-            # Another start of the group may still be open elsewhere.
-            self.names_members = False
+        wanted = list(workers)
+        may_be_elsewhere = bool(named) and named != wanted
+        if may_be_elsewhere or not self.names_members:
             wanted = sorted({*named, *workers})
-        if wanted == named:
+        if wanted == named and not (may_be_elsewhere and self.names_members):
             return False
+        self.names_members = self.names_members and not may_be_elsewhere
         self.open_starts[group] = wanted
         return True
 
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -72,14 +72,25 @@
         if inherited is not None:
             self.scheduler.open_starts.earlier_until = self.now + 5.0
             self.emit(inherited)
+        self.label_workers("")
+        self.emit(RosterWritten(frozenset(WORKERS)))
+        for each in heard:
+            self.report(each)
+
+    def label_workers(self, label):
+        """Lists the workers with a label."""
         listed = tuple(
-            WorkerInfo(each, SERVICE, f"{each}:1", ZoneName(each), WHOLE)
+            WorkerInfo(
+                each,
+                SERVICE,
+                f"{each}:1",
+                ZoneName(each),
+                WHOLE,
+                labels=frozenset({label}),
+            )
             for each in WORKERS
         )
         self.emit(WorkersListed(listed))
-        self.emit(RosterWritten(frozenset(WORKERS)))
-        for each in heard:
-            self.report(each)
 
     def submit(self, job_id, queue, *steps):
         job = BatchJob(
@@ -474,6 +485,48 @@
     assert len(harness.starts()) == step.count
 
 
+@pytest.mark.parametrize(
+    ("first", "second", "named", "names_members", "changed"),
+    [
+        pytest.param("ab", "ab", "ab", True, False, id="same-places"),
+        pytest.param("ab", "ba", "ab", False, True, id="exchanged"),
+        pytest.param("ab", "cb", "abc", False, True, id="other-place"),
+        pytest.param("", "ba", "ba", True, True, id="first-start"),
+    ],
+)
+def test_row_says_on_which_worker_a_member_is_only_where_that_is_certain(
+    first, second, named, names_members, changed
+):
+    """Guards against a member that is taken to be on one worker only."""
+    row = JobRow(NORMAL.name, OrganisationName("o"), 0.0, names_members=True)
+    if first:
+        row.open_starts["0.0.0"] = list(first)
+    assert row.add_open_starts("0.0.0", list(second)) is changed
+    assert row.open_starts["0.0.0"] == list(named)
+    assert row.names_members is names_members
+    places = [row.named_workers("0.0.0", position) for position in (0, 1)]
+    exact = [[named[0]], [named[-1]]]
+    assert places == (exact if names_members else [list(named)] * 2)
+
+
+@pytest.mark.parametrize(("label", "starts"), [("a", 4), ("b", 2)])
+def test_gang_starts_again_only_on_workers_of_its_kind(label, starts):
+    """Guards against a worker that has started again as one of another kind."""
+    harness = Harness()
+    harness.label_workers("a")
+    harness.submit(JOB, NORMAL, Step(2, WHOLE, 4.0, gang=True, label="a"))
+    harness.rows_written()
+    orders = {each.worker_id: each for each in harness.starts()}
+    last = orders[WORKERS[1]]
+    harness.scheduler.open_starts.add(last.task, last.worker_id, harness.now)
+    for each in orders.values():
+        harness.started(each)
+    harness.label_workers(label)
+    stop_members(harness, orders)
+    pass_time(harness, harness.now + 1.0)
+    assert len(harness.starts()) == starts
+
+
 # A long-running task may not be away for long; of a speculative one, copies may
 # run at the same time.
 @pytest.mark.parametrize(
