Bound the orders to start that are under way to a worker

A node has 16 connections to a worker.

Change: at most 12 are under way; the others wait before they are sent, and are dropped if they are no longer wanted.

Not measured: the load of 8,000 tasks with real processes.

--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -70,6 +70,10 @@
 # Maximum number of copies of a call whose answer is late; the last one has its
 # whole time-out.
 MAX_START_COPIES = 3
+# Maximum number of orders to start that are under way to one worker. A node has
+# 16 connections to it, which renewals and stops need as well. An order beyond
+# them would wait for a connection while its time-out runs.
+MAX_STARTS_UNDER_WAY = 12
 MAX_STOP_COPIES = 3
 MAX_RENEWAL_COPIES = 2
 # The lease that an order to start grants, in seconds; renewals extend it. The
@@ -168,6 +172,7 @@
         self._wake = asyncio.Event()
         self._answer_times = ResponseTimeEstimator()
         self._orders: set[asyncio.Task[Any]] = set()
+        self._start_slots = asyncio.Semaphore(MAX_STARTS_UNDER_WAY)
         self._paces = PaceOrders(
             self._send_pace, self._is_pace_wanted, clock, MAX_ORDER_DELAY_S
         )
@@ -509,9 +514,10 @@
         return task
 
     async def _send_start(self, order: StartTask) -> None:
-        if not self._is_still_wanted(order):
-            return
-        answer, copies = await self._send_start_copies(order)
+        async with self._start_slots:
+            if not self._is_still_wanted(order):
+                return
+            answer, copies = await self._send_start_copies(order)
         outcome, settled = StartOutcome.NO_ANSWER, False
         if isinstance(answer, Ok):
             outcome = self._record_clock(answer.ok_value)
