--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -111,6 +111,9 @@
         self.address = f"{HOST}:{self.port}"
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Never set: what waits for it is not answered.
+        self._cut: asyncio.Event | None = None
+        self._silence: list[socket.socket] = []
 
     async def start(self) -> None:
         """Listens."""
@@ -126,6 +129,23 @@
         for each in list(self._writers):
             each.transport.abort()
 
+    def cut(self) -> None:
+        """Cuts it off: connections go silent, and none can be opened."""
+        assert self._server is not None
+        self._server.close()
+        self._server = None
+        self._cut = asyncio.Event()
+        self._silence = _fill_queue(self.port)
+
+    async def heal(self) -> None:
+        """Ends a cut. What was sent meanwhile is lost."""
+        for each in self._silence:
+            each.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self._cut = None
+        await self.start()
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -137,9 +157,13 @@
                 path, _, query = target.partition("?")
                 params = dict(urllib.parse.parse_qsl(query))
                 body = json.loads(data) if data else None
+                if self._cut is not None:
+                    await self._cut.wait()
                 status, answer = await self._handle(
                     method, path, params, headers, body
                 )
+                if self._cut is not None:
+                    await self._cut.wait()
                 content = b"" if answer is None else json.dumps(answer).encode()
                 writer.write(
                     f"HTTP/1.1 {status} X\r\n"
@@ -159,6 +183,19 @@
             writer.transport.abort()
 
 
+def _fill_queue(port: int) -> list[socket.socket]:
+    """Returns a listener that takes no more connections, and its queue."""
+    listener, *others = [socket.socket() for _ in range(4)]
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((HOST, port))
+    listener.listen(0)
+    for each in others:
+        each.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            each.connect((HOST, port))
+    return [listener, *others]
+
+
 async def call(
     address: str,
     method: str,
@@ -363,6 +400,10 @@
         return Task(work_s, lasting, need, advised)
 
 
+async def _pass_on(path: str, body: Any) -> None:
+    """Lets an order pass."""
+
+
 class _Run:
     def __init__(self, task: Task, number: int, now: float) -> None:
         self.task = task
@@ -421,6 +462,8 @@
         self._record = record
         self._bounds = bounds
         self._tickets = tickets
+        # Awaited before each order from the network; it may keep the order.
+        self.hold_back: Callable[[str, Any], Awaitable[None]] = _pass_on
         self._fence = 0
         self._deadline_ms = 0
         self._blocked: dict[str, int] = {}
@@ -472,6 +515,25 @@
         for name in list(self.runs):
             self._finish(name, "killed", listed=False)
 
+    def begin_new_life(self) -> None:
+        """Crashes and starts again under the same id, at the same address."""
+        for name in list(self.runs):
+            self._finish(name, "killed", listed=False)
+        self._fence = 0
+        self._deadline_ms = 0
+        self._blocked.clear()
+        self._ends.clear()
+        self._last_end = 0
+        self._seq = 0
+        self._born = int(time.time() * 1000)
+        self._born_at = time.monotonic()
+        self._record.write("executor begins a new life", id=self.id)
+
+    async def carry_out(self, path: str, body: Any) -> Reply:
+        """Carries out an order that has waited on its way."""
+        headers = {"x-expected-instance": self.id}
+        return await self._handle("POST", path, {}, headers, body)
+
     async def drain(self, serve_s: float) -> None:
         """Reports `draining`, serves on for a time and leaves."""
         self.state = "draining"
@@ -573,6 +635,7 @@
         }
         if path not in calls:
             return 404, None
+        await self.hold_back(path, body)
         if body.get("fenceToken", 0) < self._fence:
             status, answer = 409, {"reason": "fence"}
         else:
