Have long-running tasks wait for starts that may still be carried out

Cause: Group.may_overlap let long-running tasks pass over orders to start that had no answer, and a worker that restarts behind a cut carries such an order out. Change: they wait as other tasks do, or start again on that worker; the job's row names their open starts. They don't wait for the 13 s at a worker that is gone (off the confirmed list for 3 s, leases ended), which would keep them away for longer than 9 s after a crash.

Ruled out: ending the wait with an answer under the higher fence, which says nothing about a later incarnation. Two cases demanded that long-running tasks don't wait; they demand the contrary now, with a new one for gone workers.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -29,7 +29,7 @@
     may_use_headroom,
 )
 from pomeloarch_core.batch.health import suspend
-from pomeloarch_core.batch.messages import Decision
+from pomeloarch_core.batch.messages import Decision, TaskId
 from pomeloarch_core.batch.model import Resources, Step
 from pomeloarch_core.batch.objectives import Standing
 from pomeloarch_core.batch.open_starts import OpenCopy, OpenStarts
@@ -371,18 +371,24 @@
         """Removes open starts that can't run any more, or would be reported.
 
         A worker that isn't heard from may have carried one out at the last
-        moment, and runs it until its lease ends, unless it is gone.
+        moment, and runs it until its lease ends, unless it is gone. A
+        long-running task doesn't wait longer than that: it may not be away for
+        the time in which an order can still be carried out.
         """
         self.awaited_reports.clear()
+        steps = {entry.job.job_id: entry.job.steps for entry in jobs}
 
-        def is_settled(copy: OpenCopy) -> bool:
-            if now < copy.acts_until:
-                return False
+        def is_settled(task: TaskId, copy: OpenCopy) -> bool:
             worker = self._fleet.get(copy.worker_id)
+            is_gone = worker is not None and self._fleet.is_gone(worker, now)
+            if now < copy.acts_until:
+                job_steps = steps.get(task.job_id)
+                is_lasting = job_steps and job_steps[task.step].long_running
+                return bool(is_gone and is_lasting)
             asked_at = None if worker is None else worker.asked_at
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
-            if worker is not None and self._fleet.is_gone(worker, now):
+            if is_gone:
                 return True
             self.awaited_reports.add(copy.worker_id)
             return now >= copy.acts_until + self._open_starts.longest_lease_s
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -215,12 +215,11 @@
 
     @property
     def may_overlap(self) -> bool:
-        """Whether it doesn't wait for orders that may be carried out late.
+        """Whether copies of its tasks may run at the same time.
 
-        A long-running task that waited would be away for longer than it may,
-        and copies of a speculative one may run at the same time.
+        It doesn't wait for orders that may be carried out late.
         """
-        return self.step.long_running or self.step.speculative
+        return self.step.speculative
 
     @property
     def step_id(self) -> StepId:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/open_starts.py
@@ -77,13 +77,15 @@
         if not self._copies[task]:
             del self._copies[task]
 
-    def settle_where(self, is_settled: Callable[[OpenCopy], bool]) -> None:
-        """Removes the copies of which this is true."""
+    def settle_where(
+        self, is_settled: Callable[[TaskId, OpenCopy], bool]
+    ) -> None:
+        """Removes the copies of which this is true, with their tasks."""
         found = [
             copy_id
-            for copies in self._copies.values()
+            for task, copies in self._copies.items()
             for copy_id, copy in copies.items()
-            if is_settled(copy)
+            if is_settled(task, copy)
         ]
         for copy_id in found:
             self.settle(copy_id)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -411,7 +411,7 @@
         if event.gone:
             # Another worker at the address refuses the orders to this one.
             self.open_starts.settle_where(
-                lambda copy: copy.worker_id == worker.worker_id
+                lambda _task, copy: copy.worker_id == worker.worker_id
             )
             self._remove_lost_runs(worker, now)
             self._forget_if_empty(worker, now)
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -79,6 +79,10 @@
 
     def label_workers(self, label):
         """Lists the workers with a label."""
+        self.list_workers(WORKERS, label)
+
+    def list_workers(self, workers, label=""):
+        """Lists these workers only."""
         listed = tuple(
             WorkerInfo(
                 each,
@@ -88,7 +92,7 @@
                 WHOLE,
                 labels=frozenset({label}),
             )
-            for each in WORKERS
+            for each in workers
         )
         self.emit(WorkersListed(listed))
 
@@ -527,14 +531,13 @@
     assert len(harness.starts()) == starts
 
 
-# A long-running task may not be away for long; of a speculative one, copies may
-# run at the same time.
+# Copies of a speculative task may run at the same time.
 @pytest.mark.parametrize(
     ("step", "waits"),
     [
         ({}, True),
         ({"gang": True}, True),
-        ({"long_running": True}, False),
+        ({"long_running": True}, True),
         ({"speculative": True}, False),
     ],
 )
@@ -567,7 +570,27 @@
     assert [each.worker_id for each in harness.starts()] == list(WORKERS)
 
 
-@pytest.mark.parametrize("step", [{}, {"gang": True}])
+# The worker's entry is gone for 3 s, and its leases have ended.
+@pytest.mark.parametrize(
+    ("step", "starts"),
+    [({}, 1), ({"gang": True}, 1), ({"long_running": True}, 2)],
+)
+def test_long_running_task_does_not_wait_for_an_order_to_a_gone_worker(
+    step, starts
+):
+    """Guards against a long-running task that is away for 13 s."""
+    harness = Harness()
+    order, _ = ordered(harness, **step)
+    harness.lose(order.worker_id)
+    harness.list_workers(WORKERS[1:])
+    for _ in range(4):
+        harness.now += 1.0
+        harness.emit(Tick(harness.now, harness.now))
+    harness.rows_written()
+    assert len(harness.starts()) == starts
+
+
+@pytest.mark.parametrize("step", [{}, {"gang": True}, {"long_running": True}])
 def test_single_task_may_start_again_where_an_earlier_start_is_open(step):
     """Guards against tasks that wait though they can't run twice."""
     harness = Harness()
--- a/packages/pomeloarch-core/tests/test_batch_open_names.py
+++ b/packages/pomeloarch-core/tests/test_batch_open_names.py
@@ -114,7 +114,7 @@
         pytest.param(Step(20, SMALL), MOST, id="tasks"),
         pytest.param(Step(MOST - 1, SMALL), MOST - 1, id="few-tasks"),
         pytest.param(Step(20, SMALL, gang=True), 20, id="gang"),
-        pytest.param(Step(20, SMALL, long_running=True), 20, id="lasting"),
+        pytest.param(Step(20, SMALL, long_running=True), MOST, id="lasting"),
     ],
 )
 def test_row_names_no_more_open_starts_than_fit(step, first):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
@@ -10,6 +10,7 @@
 from pomeloarch_standins.batch_fuzz.faults import (
     FEW_JOBS,
     KINDS,
+    LASTING_JOBS,
     LONG_RUNS,
     SLOW_CLOCKS,
     WHOLE_PLAN,
@@ -22,7 +23,7 @@
     PlannedStep,
     PlannedWorld,
 )
-from pomeloarch_standins.batch_world import BATCH, URGENT
+from pomeloarch_standins.batch_world import ADVISED, BATCH, URGENT
 
 # When the first job is submitted and the last one at the latest, in seconds.
 # Before that, the nodes elect their leader.
@@ -52,6 +53,20 @@
 _LONG_RUNS_S = (9.0, 14.0)
 # Share of the jobs that a plan with wide jobs makes wide.
 _WIDE_JOBS_SHARE = 0.05
+# What share of the workers' accelerators long-running tasks fill in a plan with
+# such jobs, how many accelerators each worker has, and how long these tasks go
+# on after all is calm, in seconds.
+_LASTING_FILL = (0.3, 0.8)
+_ACCELERATORS = 8
+_LASTING_S = 16.0
+# Shares of the jobs that such a plan makes long-running, that fail once, after
+# a time in this range in seconds, that have their data on a rack, and that go
+# to the queue with advice.
+_LASTING_SHARE = 0.25
+_FAILS_ONCE_SHARE = 0.3
+_FAILS_AFTER_S = (0.3, 3.0)
+_NEAR_DATA_SHARE = 0.2
+_ADVISED_SHARE = 0.25
 # Numbers of single tasks and of a gang's members in wide jobs, and what each
 # single task takes, in thousandths of a core.
 _WIDE_TASKS = (150, 1200)
@@ -91,9 +106,46 @@
         world = msgspec.structs.replace(
             world, row_bytes=wide_rng.choice(_SMALL_ROWS)
         )
+    if LASTING_JOBS in kinds:
+        lasting_rng = random.Random(f"{seed}: lasting")
+        jobs = _add_lasting(lasting_rng, jobs, workers)
+        world = msgspec.structs.replace(world, lasting_s=_LASTING_S)
     return Plan(world, jobs, faults)
 
 
+def _add_lasting(
+    rng: random.Random, jobs: tuple[PlannedJob, ...], workers: int
+) -> tuple[PlannedJob, ...]:
+    """Adds a job that fills most workers, and changes some of the others."""
+    count = round(workers * _ACCELERATORS * rng.uniform(*_LASTING_FILL))
+    step = PlannedStep(count, 1, 1e6, long_running=True)
+    number = 1 + max((each.number for each in jobs), default=0)
+    filler = PlannedJob(number, FIRST_JOB_S, 0, BATCH, (step,))
+    return (filler, *(_make_lasting(rng, each) for each in jobs))
+
+
+def _make_lasting(rng: random.Random, job: PlannedJob) -> PlannedJob:
+    steps = list(job.steps)
+    if len(steps) == 1 and not steps[0].gang and not job.occurrences:
+        if rng.random() < _LASTING_SHARE:
+            steps[0] = PlannedStep(
+                min(2, steps[0].count), 1, 1e6, long_running=True
+            )
+        if rng.random() < _NEAR_DATA_SHARE:
+            steps[0] = msgspec.structs.replace(
+                steps[0], data_rack=rng.choice(("r0", "r1"))
+            )
+    advised = rng.random() < _ADVISED_SHARE
+    fails_once = rng.random() < _FAILS_ONCE_SHARE
+    after_s = round(rng.uniform(*_FAILS_AFTER_S), 3)
+    return msgspec.structs.replace(
+        job,
+        steps=tuple(steps),
+        queue=ADVISED if advised else job.queue,
+        fails_once_after_s=after_s if fails_once and not job.fails else 0.0,
+    )
+
+
 def _widen(rng: random.Random, job: PlannedJob) -> PlannedJob:
     """Makes some jobs wide."""
     if job.is_endless or rng.random() >= _WIDE_JOBS_SHARE:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -22,13 +22,17 @@
 
 # Kinds of the whole plan, which aren't drawn with a beginning and an end:
 # workers whose clocks are slow all the time, tasks that run longer than any
-# lease, so few jobs that workers are idle at times, and jobs of hundreds of
-# tasks beside a store of small rows.
+# lease, so few jobs that workers are idle at times, jobs of hundreds of tasks
+# beside a store of small rows, and long-running tasks that fill most workers,
+# beside jobs that fail once, that have data on a rack or that need advice.
 SLOW_CLOCKS = "slow-clocks"
 LONG_RUNS = "long-runs"
 FEW_JOBS = "few-jobs"
 WIDE_JOBS = "wide-jobs"
-WHOLE_PLAN = frozenset({SLOW_CLOCKS, LONG_RUNS, FEW_JOBS, WIDE_JOBS})
+LASTING_JOBS = "lasting-jobs"
+WHOLE_PLAN = frozenset(
+    {SLOW_CLOCKS, LONG_RUNS, FEW_JOBS, WIDE_JOBS, LASTING_JOBS}
+)
 # Tables of which the store may refuse the writes while it accepts others.
 _TABLES = (ROSTER_TABLE, ROSTER_TABLE, JOBS_TABLE, TERMS_TABLE, ROLES_TABLE)
 # Share of the workers that are on the leader's side of a divided network.
@@ -47,6 +51,9 @@
 # Share of a fault's time for which it waits for its moment; the node that it
 # kills is down for the rest.
 _AWAIT_SHARE = 0.6
+# Time from an order to start, of which another copy is answered, to the cut of
+# its worker, in seconds.
+_CUT_AFTER_START_S = 0.6
 # Number of workers that aren't lost for good.
 _MIN_WORKERS = 4
 
@@ -399,6 +406,29 @@
     await asyncio.gather(_deafen(stage, fault), restart())
 
 
+async def _restart_with_kept_start(stage: Stage, fault: PlannedFault) -> None:
+    """Restarts a worker behind a cut while an order to start is under way.
+
+    The order is carried out by the new incarnation, seconds before the cut
+    ends. Another copy of it is answered at once.
+    """
+    (number,) = fault.targets
+    worker = stage.worker(number)
+    kept_s = fault.for_s * fault.amount
+    worker.kept_start_s = kept_s
+    if not await stage.wait_until(
+        lambda: worker.kept_start_s is None, fault.for_s
+    ):
+        worker.kept_start_s = None
+        return
+    await asyncio.sleep(_CUT_AFTER_START_S)
+    cut = asyncio.create_task(_cut_worker(stage, number, fault.for_s))
+    await asyncio.sleep((kept_s - _CUT_AFTER_START_S) / 2)
+    if stage.worker_id(number) in stage.world.workers:
+        stage.world.restart_worker(stage.worker_id(number))
+    await cut
+
+
 async def _hand_over_at_silence(stage: Stage, fault: PlannedFault) -> None:
     """Cuts a worker off; once it counts as silent, the leader stops."""
     (number,) = fault.targets
@@ -622,6 +652,9 @@
     "deaf-restart": FaultKind(
         _draw_on_workers((0.5, 5.0), (0.0, 0.6)), _restart_deaf
     ),
+    "kept-start": FaultKind(
+        _draw_on_workers((7.0, 12.0), (0.4, 0.9)), _restart_with_kept_start
+    ),
     "hand-over": FaultKind(
         _draw_on_workers((3.0, 9.0), (0.0, 1.5)), _hand_over_at_silence
     ),
@@ -632,6 +665,7 @@
     LONG_RUNS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     FEW_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     WIDE_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
+    LASTING_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     "kill-node": FaultKind(_draw_on_node((0.05, 4.0)), _kill_node),
     "kill-leader": FaultKind(_draw_with((0.05, 4.0)), _kill_leader),
     "kill-at-start": FaultKind(
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from pomeloarch_core.batch.messages import TaskId
 from pomeloarch_core.batch.model import BatchJob, QueueName, Resources, Step
 from pomeloarch_core.ids import JobId
 from pomeloarch_node.platform import StoreLimits
@@ -28,6 +29,7 @@
       long_running: whether the tasks run until the job is cancelled.
       cpu_millis: processor time that each task takes besides, in thousandths
         of a core.
+      data_rack: the rack near its data; empty when there is none.
     """
 
     count: int
@@ -38,6 +40,7 @@
     checkpointing: bool = False
     long_running: bool = False
     cpu_millis: int = 0
+    data_rack: str = ""
 
     def step(self) -> Step:
         """Returns the step as it is submitted."""
@@ -51,6 +54,7 @@
             after=self.after,
             checkpointing=self.checkpointing,
             long_running=self.long_running,
+            data_rack=self.data_rack,
         )
 
 
@@ -70,6 +74,8 @@
       cancel_after_s: time from its submission until it is cancelled, in
         seconds; None if it is not cancelled.
       fails: whether all of its runs fail.
+      fails_once_after_s: how long the first run of each task works before it
+        fails, in seconds; 0 if it doesn't fail.
     """
 
     number: int
@@ -81,6 +87,7 @@
     interval_s: float = 0.0
     cancel_after_s: float | None = None
     fails: bool = False
+    fails_once_after_s: float = 0.0
 
     @property
     def job_id(self) -> JobId:
@@ -92,6 +99,15 @@
         """Whether it runs until it is cancelled."""
         return any(step.long_running for step in self.steps)
 
+    def tasks(self) -> list[TaskId]:
+        """Returns the ids of all its tasks."""
+        return [
+            TaskId(self.job_id, occurrence, number, index)
+            for occurrence in range(max(1, self.occurrences))
+            for number, step in enumerate(self.steps)
+            for index in range(step.count)
+        ]
+
     def job(self, now: float) -> BatchJob:
         """Returns the job as it is submitted at a time."""
         return BatchJob(
@@ -146,6 +162,8 @@
       answers_listed_ends: whether workers answer a renewal at once while they
         list an end.
       row_bytes: the largest value of a row that the store takes, in bytes.
+      lasting_s: how long the long-running tasks go on after all is calm, in
+        seconds.
     """
 
     seed: int
@@ -155,6 +173,7 @@
     checks_room: bool = True
     answers_listed_ends: bool = False
     row_bytes: int = StoreLimits().row_bytes
+    lasting_s: float = 0.0
 
 
 class Plan(msgspec.Struct, frozen=True):
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
@@ -8,13 +8,15 @@
 
 import msgspec
 
-from pomeloarch_core.ids import JobId
+from pomeloarch_core.batch.model import BatchJob
+from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_standins.batch_fuzz.faults import KINDS
 from pomeloarch_standins.batch_fuzz.judging import Finding, find_violations
 from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedFault, PlannedJob
 from pomeloarch_standins.batch_fuzz.stage import Stage
 from pomeloarch_standins.batch_ledger import LedgerEntry
 from pomeloarch_standins.batch_waiting import WaitingWatch
+from pomeloarch_standins.batch_world import may_run
 from pomeloarch_standins.virtual_time import run_virtual
 
 # Time after the last start within which the jobs that are left have to be
@@ -70,6 +72,7 @@
         )
         endless = {each.job_id for each in plan.jobs if each.is_endless}
         idle = await _wait_for_endless(stage, endless)
+        await asyncio.sleep(plan.world.lasting_s)
         # A gang that needs all workers has room only now.
         await asyncio.gather(
             *(stage.cancel(each) for each in plan.jobs if each.is_endless)
@@ -91,21 +94,28 @@
 async def _watch(stage: Stage, plan: Plan, watch: WaitingWatch) -> None:
     """Looks for jobs that stand still, from when all has been calm."""
     world = stage.world
-    endless = {each.job_id for each in plan.jobs if each.is_endless}
     await asyncio.sleep(plan.calm_at_s + _CALM_S)
     while True:
-        left = world.accepted.keys() - world.cancelled - endless
+        left = world.accepted.keys() - world.cancelled - world.finished.keys()
         watch.look(
             world.submitted,
-            sorted(left - world.finished.keys()),
+            sorted(left),
             world.ledger.entries,
             stage.capacities(),
             world.unanswered_starts,
             world.clock(),
+            _may_run,
         )
         await asyncio.sleep(_CHECK_INTERVAL_S)
 
 
+def _may_run(job: BatchJob, worker: str) -> bool:
+    """Returns whether a job's policy lets a worker run it."""
+    if not job.accepted_under.advised:
+        return True
+    return may_run(job.job_id, WorkerId(worker))
+
+
 async def _submit(stage: Stage, planned: PlannedJob) -> None:
     await asyncio.sleep(planned.at_s)
     await stage.submit(planned)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -60,6 +60,10 @@
         for job in plan.jobs:
             if job.fails:
                 self.world.failing_jobs.add(job.job_id)
+            if job.fails_once_after_s:
+                self.world.failing_once.update(
+                    dict.fromkeys(job.tasks(), job.fails_once_after_s)
+                )
 
     def worker_id(self, number: int) -> WorkerId:
         """Returns the present id of a worker."""
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_waiting.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_waiting.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 import msgspec
 
@@ -19,6 +19,9 @@
 
 # Longest time for which a job may stand still, in seconds (RULES, LOST).
 MAX_STANDSTILL_S = 3.0
+# Time after its last run for which a long-running task may be away beside that,
+# in seconds (RULES, LOST).
+MAX_AWAY_S = 6.0
 # How many times over a group has to fit into the free capacity, and the share
 # of the capacity that may be in use, for its job not to stand still.
 ROOM_FACTOR = 2
@@ -35,17 +38,20 @@
       job_id: the job.
       since: when it began to stand still, in seconds.
       group: the first group that might have started.
+      is_lasting: whether that group is long-running; others of the job may run.
     """
 
     job_id: JobId
     since: float
     group: TaskId
+    is_lasting: bool = False
 
     def __str__(self) -> str:
         """Returns a sentence."""
+        what = "" if self.is_lasting else ", and nothing of the job ran"
         return (
             f"{self.job_id}: {self.group} could start since "
-            f"{self.since:.1f} s, and nothing of the job ran"
+            f"{self.since:.1f} s{what}"
         )
 
 
@@ -59,7 +65,7 @@
     def __init__(self) -> None:
         """Creates a watch that has seen nothing."""
         self.found: dict[JobId, StillJob] = {}
-        self._still: dict[JobId, StillJob] = {}
+        self._still: dict[JobId | TaskId, StillJob] = {}
 
     def look(
         self,
@@ -69,6 +75,7 @@
         capacities: Mapping[str, Resources],
         unanswered: Mapping[TaskId, float],
         now: float,
+        may_run: Callable[[BatchJob, str], bool] = lambda job, worker: True,
     ) -> None:
         """Takes in the present state.
 
@@ -81,19 +88,25 @@
           unanswered: when an order to start a task was last sent without an
             answer.
           now: the present time, in seconds.
+          may_run: returns whether a job's policy lets a worker run it.
         """
-        state = _State(jobs, entries, capacities, unanswered, now)
-        still: dict[JobId, StillJob] = {}
-        if state.share_in_use() < MAX_SHARE_IN_USE:
-            for job_id in wanted:
-                group = state.find_waiting_group(jobs[job_id])
-                if group is not None:
-                    seen = StillJob(job_id, now, group)
-                    still[job_id] = self._still.get(job_id, seen)
+        state = _State(jobs, entries, capacities, unanswered, now, may_run)
+        still: dict[JobId | TaskId, StillJob] = {}
+        is_half_used = state.share_in_use() >= MAX_SHARE_IN_USE
+        for job_id in wanted:
+            for task in state.find_waiting_lasting_tasks(jobs[job_id]):
+                seen = StillJob(job_id, now, task, is_lasting=True)
+                still[task] = self._still.get(task, seen)
+            if is_half_used:
+                continue
+            group = state.find_waiting_group(jobs[job_id])
+            if group is not None:
+                seen = StillJob(job_id, now, group)
+                still[job_id] = self._still.get(job_id, seen)
         self._still = still
-        for job_id, each in still.items():
+        for each in still.values():
             if now - each.since > MAX_STANDSTILL_S:
-                self.found.setdefault(job_id, each)
+                self.found.setdefault(each.job_id, each)
 
 
 class _State:
@@ -106,8 +119,12 @@
         capacities: Mapping[str, Resources],
         unanswered: Mapping[TaskId, float],
         now: float,
+        may_run: Callable[[BatchJob, str], bool],
     ) -> None:
         self._now = now
+        self._may_run = may_run
+        self._running: set[TaskId] = set()
+        self._last_ends: dict[TaskId, float] = {}
         self._unanswered = unanswered
         self._active: set[JobId] = set()
         self._done: dict[tuple[JobId, int, int], set[int]] = defaultdict(set)
@@ -117,7 +134,10 @@
             if each.outcome is RunEnd.DONE:
                 self._done[step_key(each.task)].add(each.task.index)
             if each.ended_at is not None:
+                last = self._last_ends.get(each.task, 0.0)
+                self._last_ends[each.task] = max(last, each.ended_at)
                 continue
+            self._running.add(each.task)
             self._active.add(each.task.job_id)
             if each.worker in self._free:
                 step = jobs[each.task.job_id].steps[each.task.step]
@@ -153,6 +173,36 @@
                     return group
         return None
 
+    def find_waiting_lasting_tasks(self, job: BatchJob) -> Iterator[TaskId]:
+        """Yields the long-running single tasks that have been away too long."""
+        for number, step in enumerate(job.steps):
+            if not step.long_running or step.gang:
+                continue
+            for index in range(step.count):
+                task = TaskId(job.job_id, 0, number, index)
+                since = self._last_ends.get(task, job.accepted_at)
+                if (
+                    task not in self._running
+                    and self._now >= since + MAX_AWAY_S
+                    and self._is_due(job, 0, step)
+                    and not self._is_open(task)
+                    and self._has_room(job, step, 1)
+                ):
+                    yield task
+
+    def _is_open(self, task: TaskId) -> bool:
+        sent_at = self._unanswered.get(task)
+        return sent_at is not None and self._now < sent_at + OPEN_ORDER_S
+
+    def _has_room(self, job: BatchJob, step: Step, size: int) -> bool:
+        """Returns whether there is room for a group, several times over."""
+        room = sum(
+            step.allocation.count_fitting_in(free)
+            for worker, free in self._free.items()
+            if self._may_run(job, worker)
+        )
+        return room >= ROOM_FACTOR * size
+
     def _is_due(self, job: BatchJob, occurrence: int, step: Step) -> bool:
         return all(
             self._is_done(job, occurrence, number) for number in step.after
@@ -175,17 +225,9 @@
             for index in range(step.count)
             if index not in done
         ]
-        size = step.count if step.gang else 1
-        room = sum(
-            step.allocation.count_fitting_in(free)
-            for free in self._free.values()
-        )
-        if room < ROOM_FACTOR * size:
+        if not self._has_room(job, step, step.count if step.gang else 1):
             return None
-        is_open = [
-            self._now < self._unanswered.get(task, -OPEN_ORDER_S) + OPEN_ORDER_S
-            for task in tasks
-        ]
+        is_open = [self._is_open(task) for task in tasks]
         if step.gang:
             return None if any(is_open) else tasks[0]
         return next(
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -24,6 +24,7 @@
     RunNumber,
     StartOutcome,
     StartTask,
+    StepId,
     TaskId,
     WorkerInfo,
 )
@@ -60,6 +61,13 @@
 GangKey = tuple[JobId, int, int, int]
 
 
+def make_ticket(
+    step: StepId, worker_id: WorkerId, incarnation: Incarnation
+) -> str:
+    """Returns the ticket of a step for one life of a worker."""
+    return f"{step} {worker_id} {incarnation}"
+
+
 class _Run:
     """A run on a worker."""
 
@@ -86,6 +94,8 @@
       late_share: the share of those that are carried out seconds later.
       refuse_share: the share of orders to start that it refuses as unhealthy,
         without any effect.
+      kept_start_s: time after which the next order to start is carried out, in
+        seconds, None to carry it out at once. The order gets no answer.
       max_answer_delay_s: limit on the additional delay of each answer, in
         seconds; answers may overtake each other.
       fails_all: whether all of its tasks fail.
@@ -102,6 +112,8 @@
       ledger: records the runs.
       rng: draws faults and delays.
       failing_jobs: jobs of which all runs fail.
+      failing_once: how long the next run of a task works before it fails, in
+        seconds, for the tasks that fail once; shared by all workers.
     """
 
     def __init__(
@@ -113,8 +125,10 @@
         ledger: Ledger,
         rng: random.Random,
         failing_jobs: Container[JobId] = (),
+        failing_once: dict[TaskId, float] | None = None,
     ) -> None:
         """Creates a worker without runs."""
+        self._failing_once = {} if failing_once is None else failing_once
         self.info = info
         self.is_cut_off = False
         self.is_down = False
@@ -122,6 +136,7 @@
         self.lose_share = 0.0
         self.late_share = 0.0
         self.refuse_share = 0.0
+        self.kept_start_s: float | None = None
         self.max_answer_delay_s = 0.0
         self.fails_all = False
         self.checks_room = True
@@ -205,7 +220,12 @@
         if run.working_since is None:
             self._wait_for_gang(run, step, now)
             return
-        if now - run.working_since < self._duration_s(run.task):
+        worked_s = now - run.working_since
+        if worked_s >= self._failing_once.get(run.task, float("inf")):
+            del self._failing_once[run.task]
+            self._end(run, RunEnd.FAILED)
+            return
+        if worked_s < self._duration_s(run.task):
             return
         fails = self.fails_all or run.task.job_id in self._failing_jobs
         if step.long_running and not fails:
@@ -269,6 +289,14 @@
     def _leave_gang(self, run: _Run) -> None:
         self._members(run).pop(run.task.index, None)
 
+    def accepts_ticket(self, order: StartTask) -> bool:
+        """Returns whether an order carries the ticket that its queue needs."""
+        if not self._jobs[order.task.job_id].accepted_under.advised:
+            return True
+        step = StepId(order.task.job_id, order.task.occurrence, order.task.step)
+        life = Incarnation(self.incarnation)
+        return order.ticket == make_ticket(step, self.info.worker_id, life)
+
     def has_room(self, task: TaskId) -> bool:
         """Returns whether a task fits beside the tasks that run."""
         used = NO_RESOURCES
@@ -357,6 +385,8 @@
         self._fence = fence
         if deadline_ms < self.clock_ms():
             return StartOutcome.TOO_LATE
+        if not self.accepts_ticket(order):
+            return StartOutcome.BAD_TICKET
         self._extend(deadline_ms)
         present = self._runs.get(order.task)
         if present is not None:
@@ -584,11 +614,30 @@
             return Ok(StartAnswer(outcome, worker.clock_ms()))
 
         sent_at = asyncio.get_running_loop().time()
-        answer = await self._call(act)
+        answer = await self._send_start(act)
         if answer == Err(OrderFailure.NO_ANSWER):
             self._unanswered_starts[order.task] = sent_at
         return answer
 
+    async def _send_start(
+        self, act: Callable[[bool], Result[StartAnswer, OrderFailure]]
+    ) -> Result[StartAnswer, OrderFailure]:
+        """Sends an order to start, which the worker may keep for later."""
+        if self._worker.kept_start_s is None or (
+            self._current_path() is not Path.OPEN
+        ):
+            return await self._call(act)
+        kept_s, self._worker.kept_start_s = self._worker.kept_start_s, None
+
+        async def keep() -> Result[StartAnswer, OrderFailure]:
+            self._worker.run_later(kept_s, lambda: self._carry_out(act, True))
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(OrderFailure.NO_ANSWER)
+
+        return await self._gate.call(
+            keep, TIMEOUT_S, Err(OrderFailure.NO_ANSWER)
+        )
+
     async def stop(
         self, task_name: str, run: RunNumber, fence: Epoch
     ) -> Result[None, OrderFailure]:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -12,10 +12,16 @@
 from collections import Counter
 
 import msgspec
+from result import Ok, Result
 
 from pomeloarch_core.batch.catalogue import Catalogue, Route, Tenant
 from pomeloarch_core.batch.estimates import DispatchTimes
-from pomeloarch_core.batch.messages import Incarnation, TaskId, WorkerInfo
+from pomeloarch_core.batch.messages import (
+    Incarnation,
+    StepId,
+    TaskId,
+    WorkerInfo,
+)
 from pomeloarch_core.batch.model import BatchJob, Queue, QueueName, Resources
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.ids import (
@@ -38,6 +44,7 @@
 )
 from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_node.batch.mirror import TableMirror
+from pomeloarch_node.batch.ports import Advice
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
 from pomeloarch_node.batch.repeating_store import RepeatingStore
 from pomeloarch_node.metrics import Metrics
@@ -54,6 +61,7 @@
     ModelLink,
     Path,
     WorkerModel,
+    make_ticket,
 )
 
 WORKERS_TABLE = "model_workers"
@@ -61,6 +69,12 @@
 ORGANISATION = OrganisationName("qasr")
 BATCH = QueueName("batch")
 URGENT = QueueName("urgent")
+ADVISED = QueueName("advised")
+# How long the advice service takes for an answer and for each worker that it is
+# asked about, and how long its tickets are valid, in seconds.
+DECIDE_S = 0.05
+EACH_S = 0.005
+TICKET_VALID_S = 5.0
 # Time that a caller allows for the acceptance of a job, in seconds.
 ACCEPT_TIMEOUT_S = 2.0
 # Time for which a node goes on running after a planned stop, in seconds.
@@ -71,6 +85,14 @@
     queues={
         BATCH: Queue(BATCH, SERVICE, priority=2, max_attempts=2, stretch=3.0),
         URGENT: Queue(URGENT, SERVICE, priority=0, max_attempts=3, stretch=1.5),
+        ADVISED: Queue(
+            ADVISED,
+            SERVICE,
+            priority=1,
+            max_attempts=3,
+            stretch=3.0,
+            advised=True,
+        ),
     },
     routes=(Route("qasr.example", "/batch/", BATCH),),
     tenants={
@@ -81,6 +103,37 @@
 )
 
 
+def may_run(job_id: JobId, worker_id: WorkerId) -> bool:
+    """Returns whether the queue with advice lets a worker run a job's steps.
+
+    It is so for each second worker, by the number that its ids begin with.
+    """
+    number = int(worker_id.partition("-")[0].removeprefix("w"))
+    return (int(job_id, 16) + number) % 2 == 0
+
+
+class _Advisor:
+    """Gives the tickets of the queue with advice."""
+
+    def __init__(self, world: BatchWorld) -> None:
+        self._world = world
+
+    async def ask(
+        self, step: StepId, worker_ids: tuple[WorkerId, ...]
+    ) -> Result[Advice, str]:
+        """Returns the tickets for the present lives of the workers."""
+        await asyncio.sleep(DECIDE_S + EACH_S * len(worker_ids))
+        workers = self._world.workers
+        tickets = {
+            each: make_ticket(
+                step, each, Incarnation(workers[each].incarnation)
+            )
+            for each in worker_ids
+            if each in workers and may_run(step.job_id, each)
+        }
+        return Ok(Advice(tickets, TICKET_VALID_S))
+
+
 class _NodeLinks:
     """Opens one node's links to workers."""
 
@@ -140,7 +193,9 @@
             _NodeLinks(world, self.name),
             lambda: world.catalogue,
             self.jobs,
-            ExternalServices(WaveSource(lambda: (), _no_status)),
+            ExternalServices(
+                WaveSource(lambda: (), _no_status), advice=_Advisor(world)
+            ),
             self.name,
             self.role,
             world.clock,
@@ -209,6 +264,8 @@
       finished: the first final status that the store showed of each job, and
         when.
       failing_jobs: jobs of which all runs fail.
+      failing_once: how long the next run of a task works before it fails, in
+        seconds, for the tasks that fail once.
       cut_paths: between these nodes and workers, nothing arrives.
       unanswered_starts: when an order to start a task was last sent that had
         no answer from its worker.
@@ -248,6 +305,7 @@
         self._perhaps_handed_in: Counter[JobId] = Counter()
         self.tables.on_write = self._note_write
         self.failing_jobs: set[JobId] = set()
+        self.failing_once: dict[TaskId, float] = {}
         self.cut_paths: set[tuple[NodeId, WorkerId]] = set()
         self.deaf_paths: set[tuple[NodeId, WorkerId]] = set()
         self.log_fd = os.open(log_path, os.O_WRONLY)
@@ -263,6 +321,7 @@
                 self.ledger,
                 self.rng,
                 self.failing_jobs,
+                self.failing_once,
             )
             self._list(info)
         # Workers by all ids that they have had.
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -15,6 +15,7 @@
 from pomeloarch_standins.batch_fuzz.faults import (
     FEW_JOBS,
     KINDS,
+    LASTING_JOBS,
     LONG_RUNS,
     SLOW_CLOCKS,
     WHOLE_PLAN,
@@ -48,11 +49,13 @@
 
 
 RESTARTS = {"restart", "cut-restart", "deaf-restart"}
+# Kinds that came after seeds were noted; further tests play them.
+NEWER_KINDS = {FEW_JOBS, WIDE_JOBS, LASTING_JOBS, "lose-worker", "kept-start"}
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
 def test_random_plan_breaks_no_rule(seed):
-    kinds = set(KINDS) - RESTARTS - {FEW_JOBS, WIDE_JOBS, "lose-worker"}
+    kinds = set(KINDS) - RESTARTS - NEWER_KINDS
     result = play(draw_short(seed, kinds))
     assert len(result.entries) > 30
     assert describe(result) == []
@@ -119,6 +122,33 @@
     assert describe(play(Plan.from_lines(text))) == []
 
 
+# Shares of 11 s after which the order is carried out, by the next life of its
+# worker, which begins behind a cut.
+@pytest.mark.parametrize("late", [0.45, 0.64])
+@pytest.mark.parametrize(
+    "step",
+    [
+        PlannedStep(1, 1, 1e6, long_running=True),
+        PlannedStep(3, 4, 1e6, long_running=True),
+        PlannedStep(1, 1, 20.0),
+        PlannedStep(2, 4, 20.0, gang=True),
+    ],
+    ids=["lasting", "several-lasting", "task", "gang"],
+)
+def test_late_start_after_a_restart_behind_a_cut_makes_no_second_run(
+    late, step
+):
+    """Guards against a long-running task that runs twice (review/10)."""
+    job = PlannedJob(1, 3.0, 0, BATCH, (step,))
+    faults = tuple(
+        PlannedFault("kept-start", 2.9, 11.0, targets=(each,), amount=late)
+        for each in range(4)
+    )
+    result = play(Plan(PlannedWorld(1, lasting_s=16.0), (job,), faults))
+    assert any(each.late for each in result.entries)
+    assert describe(result) == []
+
+
 def test_plan_has_long_runs_or_few_jobs_only_where_they_are_drawn_from():
     """Guards against other plays of the seeds that were noted before."""
     kinds = ["late-orders", "restart"]
