Ask for advice on the workers that are there and have room

Cause: workers that nobody had asked about were left out once the step had twice as many allowed workers as tasks, and those that had left or were full counted. Change: only allowed workers that are there count, workers with room are always asked about and go first, a denial holds for one incarnation, and what is known of a worker goes with it.

Ruled out: asking about all workers each time (one call at a time, longer for each worker).

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
@@ -33,13 +33,24 @@
 
 
 class _StepAdvice:
-    """Answers about one step."""
+    """Answers about one step.
+
+    Attributes:
+      allowed: the last tickets of the workers that may run the step.
+      denied: the workers that may not, in the incarnation that was asked about;
+        another one may be of another kind.
+      asked_at: when the question that has no answer yet was asked.
+    """
 
     def __init__(self) -> None:
         self.allowed: dict[WorkerId, _Ticket] = {}
-        self.denied: set[WorkerId] = set()
+        self.denied: dict[WorkerId, Incarnation] = {}
         self.asked_at: float | None = None
 
+    def is_denied(self, worker: Worker) -> bool:
+        """Returns whether the present life of a worker may not run it."""
+        return self.denied.get(worker.worker_id) == worker.incarnation
+
 
 class AdviceCache:
     """The answers of the advice service, by step."""
@@ -74,6 +85,11 @@
             and ticket.incarnation == worker.incarnation
         )
 
+    def is_denied(self, group: Group, worker: Worker) -> bool:
+        """Returns whether a worker is known not to be allowed for a step."""
+        known = self._steps.get(group.step_id)
+        return known is not None and known.is_denied(worker)
+
     def ticket_for(self, group: Group, worker: Worker) -> str:
         """Returns the ticket for a worker; empty when there is none."""
         known = self._steps.get(group.step_id)
@@ -83,26 +99,42 @@
     def next_question(
         self, group: Group, workers: list[Worker], now: float
     ) -> RequestAdvice | None:
-        """Returns what to ask for a group without a place, None for nothing."""
+        """Returns what to ask for a group without a place, None for nothing.
+
+        Workers that have room for a task now are always worth a question: those
+        that may run the step can be full of tasks that don't end. The others
+        are asked about until enough of those that are there may run it.
+
+        Args:
+          group: the group.
+          workers: the workers that it could use with a ticket.
+          now: the present time, in seconds.
+        """
         known = self._steps.setdefault(group.step_id, _StepAdvice())
         if known.asked_at is not None and now < known.asked_at + ASK_RETRY_S:
             return None
-        by_room = sorted(workers, key=lambda each: -each.free.accelerators)
-        renew = [
-            each
-            for each in by_room
-            if each.worker_id in known.allowed
-            and not self.filter_ticketed(group, [each], now)
-        ]
-        unknown = [
+        need = group.step.allocation
+        open_workers = [
             each
-            for each in by_room
-            if each.worker_id not in known.allowed
-            and each.worker_id not in known.denied
+            for each in workers
+            if not known.is_denied(each)
+            and not self.has_ticket(group, each, now + TICKET_MARGIN_S)
         ]
-        if len(known.allowed) >= SPARE_FACTOR * group.step.count:
-            unknown = []
-        asked = [*renew, *unknown][:MAX_ASKED_WORKERS]
+        present = sum(each.worker_id in known.allowed for each in workers)
+        if present >= SPARE_FACTOR * group.step.count:
+            open_workers = [
+                each
+                for each in open_workers
+                if each.count_fitting(need) or each.worker_id in known.allowed
+            ]
+        asked = sorted(
+            open_workers,
+            key=lambda each: (
+                not each.count_fitting(need),
+                each.worker_id not in known.allowed,
+                -each.free.accelerators,
+            ),
+        )[:MAX_ASKED_WORKERS]
         if not asked:
             return None
         known.asked_at = now
@@ -126,7 +158,7 @@
                 )
             else:
                 known.allowed.pop(worker_id, None)
-                known.denied.add(worker_id)
+                known.denied[worker_id] = incarnation
 
     def record_no_answer(self, step: StepId) -> None:
         """Records that a question has to be asked again."""
@@ -140,6 +172,12 @@
         if known is not None and worker_id in known.allowed:
             del known.allowed[worker_id]
 
+    def forget_worker(self, worker_id: WorkerId) -> None:
+        """Removes the answers about a worker that has left."""
+        for known in self._steps.values():
+            known.allowed.pop(worker_id, None)
+            known.denied.pop(worker_id, None)
+
     def forget(self, steps: list[StepId]) -> None:
         """Removes the answers about steps that have ended."""
         for step in steps:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -657,8 +657,10 @@
                 found.add(Hold.RESERVED)
             if only is not None and worker.worker_id != only:
                 found.add(Hold.OPEN_START)
-            if group.job.queue.advised and not self._advice.has_ticket(
-                group, worker, now
+            if (
+                group.job.queue.advised
+                and not self._advice.has_ticket(group, worker, now)
+                and not self._advice.is_denied(group, worker)
             ):
                 found.add(Hold.TICKET)
             if group.step.data_rack not in ("", worker.info.rack):
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -475,6 +475,7 @@
         ):
             return
         self._fleet.forget(worker.worker_id)
+        self._advice.forget_worker(worker.worker_id)
 
     @_on.register
     def _on_start_answered(self, event: StartAnswered, now: float) -> None:
--- a/packages/pomeloarch-core/tests/test_batch_policies.py
+++ b/packages/pomeloarch-core/tests/test_batch_policies.py
@@ -99,6 +99,77 @@
     assert advice.filter_ticketed(group, [allowed], 1.0) == []
 
 
+def full_worker(number, group):
+    worker = make_worker(number)
+    worker.allocate(group, worker.info.capacity, claimed=False)
+    return worker
+
+
+def learn(advice, group, workers, allowed, now=0.0, valid_until=60.0):
+    """Asks about workers, of which some may run the step."""
+    question = advice.next_question(group, workers, now)
+    tickets = {each.worker_id: "t" for each in allowed}
+    advice.record_answer(question, tickets, valid_until)
+
+
+NEED = Resources(1_000, 1_000, 1)
+
+
+@pytest.mark.parametrize("stay", [True, False], ids=["full", "left"])
+def test_new_workers_are_asked_about_where_the_allowed_ones_are_no_use(stay):
+    """Guards against a step that waits for workers that left or stay full."""
+    group = make_entry(Step(count=1, need=NEED)).groups[0, 0][0]
+    advice, old = AdviceCache(), [full_worker(n, group) for n in (1, 2)]
+    learn(advice, group, old, allowed=old)
+    new = [make_worker(n) for n in (3, 4)]
+    present = old + new if stay else new
+    question = advice.next_question(group, present, 1.0)
+    assert set(question.worker_ids) == {each.worker_id for each in new}
+
+
+def test_full_workers_are_not_asked_about_once_enough_are_allowed():
+    """Guards against questions about all workers of a full service."""
+    group = make_entry(Step(count=1, need=NEED)).groups[0, 0][0]
+    advice, workers = AdviceCache(), [full_worker(n, group) for n in range(9)]
+    learn(advice, group, workers[:2], allowed=workers[:2])
+    assert advice.next_question(group, workers, 1.0) is None
+
+
+def test_workers_with_room_go_before_full_ones_with_expired_tickets():
+    """Guards against questions that always name the same full workers."""
+    group = make_entry(Step(count=1, need=NEED)).groups[0, 0][0]
+    advice = AdviceCache()
+    full = [full_worker(n, group) for n in range(MAX_ASKED_WORKERS)]
+    learn(advice, group, full, allowed=full, valid_until=2.0)
+    new = make_worker(99)
+    question = advice.next_question(group, [*full, new], 3.0)
+    assert question.worker_ids[0] == new.worker_id
+
+
+@pytest.mark.parametrize(("incarnation", "asked"), [(0, False), (5, True)])
+def test_worker_that_was_denied_is_asked_about_again_after_a_restart(
+    incarnation, asked
+):
+    """Guards against a worker that comes back as one of another kind."""
+    advice, group = AdviceCache(), advised_group()
+    worker = make_worker(1)
+    learn(advice, group, [worker], allowed=[])
+    worker.incarnation = incarnation
+    question = advice.next_question(group, [worker], 1.0)
+    assert (question is not None) == asked
+
+
+def test_answers_about_a_worker_go_with_it():
+    """Guards against answers that pile up for a step that lasts."""
+    advice, group = AdviceCache(), advised_group()
+    allowed, denied = make_worker(1), make_worker(2)
+    learn(advice, group, [allowed, denied], allowed=[allowed])
+    for each in (allowed, denied):
+        advice.forget_worker(each.worker_id)
+    question = advice.next_question(group, [allowed, denied], 1.0)
+    assert len(question.worker_ids) == 2
+
+
 def paced_worker(load, target=100):
     worker = make_worker(1)
     serving = make_entry(
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -106,6 +106,13 @@
     assert describe(play(draw_plan(seed, [LASTING_JOBS, FEW_JOBS]))) == []
 
 
+@pytest.mark.parametrize("seed", [95103, 95109, 95111, 95117, 95124, 95130])
+def test_random_plan_of_replaced_workers_leaves_no_task_still(seed):
+    """Guards against advice on workers that have been replaced."""
+    kinds = [LASTING_JOBS, FEW_JOBS, "replace"]
+    assert describe(play(draw_plan(seed, kinds))) == []
+
+
 # Shrunk plans by what went wrong.
 FAILED_PLANS = {
     # The end of a gang's member is lost with a restart, the gang is done by
