Make the groups of a job when they are needed

Cause: one group of 1.4 KB for each task of each occurrence from the moment of acceptance. Change: groups are made when their occurrence is due, up to 1,024 a step and some 20,000 in all, and forgotten once they are over; a run that is reported makes its group.

Ruled out: refusing such jobs at acceptance, which could be kept.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/advice.py
@@ -13,7 +13,7 @@
 from pomeloarch_core.batch.fleet import Worker
 from pomeloarch_core.batch.groups import Group
 from pomeloarch_core.batch.messages import Incarnation, RequestAdvice, StepId
-from pomeloarch_core.ids import WorkerId
+from pomeloarch_core.ids import JobId, WorkerId
 
 # Limit on the workers of one question.
 MAX_ASKED_WORKERS = 30
@@ -178,7 +178,7 @@
             known.allowed.pop(worker_id, None)
             known.denied.pop(worker_id, None)
 
-    def forget(self, steps: list[StepId]) -> None:
-        """Removes the answers about steps that have ended."""
-        for step in steps:
-            self._steps.pop(step, None)
+    def forget(self, job_id: JobId) -> None:
+        """Removes the answers about the steps of a job that has ended."""
+        for step in [each for each in self._steps if each.job_id == job_id]:
+            del self._steps[step]
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -687,7 +687,7 @@
         if only is not None:
             usable = [each for each in usable if each.worker_id == only]
             if _may_retry_on(group, usable, now):
-                group.failed_on.discard(only)
+                group.failed_on -= {only}
         found = filter_suitable(
             group, usable, siblings, ignore_failures=only is not None
         )
@@ -709,7 +709,7 @@
         Returns:
           All suitable workers; none when even these couldn't hold the group.
         """
-        avoided, group.failed_on = group.failed_on, set()
+        avoided, group.failed_on = group.failed_on, frozenset()
         found = filter_suitable(group, usable, siblings, ignore_failures=True)
         if _would_fit_empty(group, found):
             return found
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 
 from pomeloarch_core.batch.catalogue import Queue
 from pomeloarch_core.batch.messages import (
@@ -19,6 +19,13 @@
 # Progress of a run, in percent, below which its speed is unknown: most of the
 # time may have gone into its startup.
 MIN_PROGRESS_PERCENT = 5.0
+# Limit on the waiting groups of a step that are made at a time. It is more than
+# one round of placing starts.
+MAX_WAITING_GROUPS = 1024
+# How many times as many there may be with those that can't be placed yet.
+MAX_HELD_FACTOR = 4
+# Limit on the steps of a job's occurrences that are open at a time.
+MAX_OPEN_STEPS = 256
 
 
 class GroupState(enum.Enum):
@@ -161,6 +168,35 @@
         unknown.
     """
 
+    # A leader keeps thousands of waiting groups.
+    __slots__ = (
+        "_state",
+        "away_since",
+        "checkpoint",
+        "compared",
+        "done_at",
+        "failed_on",
+        "failed_runs",
+        "indices",
+        "job",
+        "members",
+        "move_count",
+        "not_before",
+        "number",
+        "occurrence",
+        "placement_change",
+        "ready_at",
+        "recovery_pending",
+        "replan_at",
+        "reserved_until",
+        "reserved_workers",
+        "resumed",
+        "run",
+        "started_at",
+        "step",
+        "wait_reason",
+    )
+
     def __init__(
         self,
         job: JobEntry,
@@ -178,8 +214,8 @@
         self.run = RunNumber(0)
         self.members: dict[int, Member] = {}
         self.checkpoint = ""
-        self.failed_runs: set[int] = set()
-        self.failed_on: set[WorkerId] = set()
+        self.failed_runs: frozenset[int] = frozenset()
+        self.failed_on: frozenset[WorkerId] = frozenset()
         self.not_before = 0.0
         self.ready_at = 0.0
         self.away_since = 0.0
@@ -269,8 +305,111 @@
         return min(members, key=lambda m: m.percent, default=None)
 
 
+class StepGroups:
+    """The groups of a step in one occurrence, each made when it is needed.
+
+    Attributes:
+      made: the groups that were made and are not over, by position.
+      ended_count: the number of groups that have ended for good.
+
+    Args:
+      entry: the job.
+      occurrence: the occurrence.
+      number: the number of the step.
+    """
+
+    __slots__ = (
+        "_entry",
+        "_next",
+        "_number",
+        "_occurrence",
+        "ended_count",
+        "made",
+    )
+
+    def __init__(self, entry: JobEntry, occurrence: int, number: int) -> None:
+        """Creates no group yet."""
+        self._entry = entry
+        self._occurrence = occurrence
+        self._number = number
+        self._next = 0
+        self.made: dict[int, Group] = {}
+        self.ended_count = 0
+        row = entry.row.steps.get(f"{occurrence}.{number}")
+        if row is not None:
+            done = int(row.done, 16)
+            self.ended_count = done & 1 if self._is_gang else done.bit_count()
+
+    @property
+    def _is_gang(self) -> bool:
+        return self._entry.job.steps[self._number].gang
+
+    def __len__(self) -> int:
+        """Returns the number of all groups, made or not."""
+        return 1 if self._is_gang else self._entry.job.steps[self._number].count
+
+    def __iter__(self) -> Iterator[Group]:
+        """Iterates over the groups that were made and are not over."""
+        return iter(list(self.made.values()))
+
+    def __getitem__(self, position: int) -> Group:
+        """Returns a group, which is made if need be.
+
+        Raises:
+          IndexError: the step has no such group.
+        """
+        found = self.made.get(position)
+        if found is not None:
+            return found
+        if not 0 <= position < len(self):
+            raise IndexError(position)
+        return self._make(position)
+
+    def make_next(self) -> bool:
+        """Makes the next group that has not ended; returns whether one was."""
+        while self._next < len(self):
+            position = self._next
+            self._next += 1
+            if position not in self.made and not self._is_done(position):
+                self._make(position)
+                return True
+        return False
+
+    def _is_done(self, position: int) -> bool:
+        key = f"{self._occurrence}.{self._number}"
+        row = self._entry.row.steps.get(key)
+        return row is not None and row.is_done(position)
+
+    def _make(self, position: int) -> Group:
+        count = self._entry.job.steps[self._number].count
+        indices = tuple(range(count)) if self._is_gang else (position,)
+        group = Group(self._entry, self._occurrence, self._number, indices)
+        self.made[position] = group
+        self._entry.note_made(group, self._is_done(position))
+        return group
+
+    def discard(self, group: Group) -> None:
+        """Forgets a group that is over; it would be made anew as ended."""
+        self.made.pop(0 if self._is_gang else group.indices[0], None)
+
+
+class _LazySteps(dict[tuple[int, int], StepGroups]):
+    """The groups of a job by occurrence and step, which are opened on use."""
+
+    def __init__(self, entry: JobEntry) -> None:
+        super().__init__()
+        self._entry = entry
+
+    def __missing__(self, key: tuple[int, int]) -> StepGroups:
+        found = self[key] = StepGroups(self._entry, *key)
+        return found
+
+
 class JobEntry:
-    """A job and its groups.
+    """A job and its groups, as far as they are needed by now.
+
+    The groups of an occurrence are made when it is due, and those of a wide
+    step a number at a time, so that work which waits takes hardly any memory.
 
     Attributes:
       job: the job as it was accepted.
@@ -281,12 +420,15 @@
       placement_change: number of the last change that named workers on which
         tasks may be started.
       groups: its groups by occurrence and step.
-      unplaced: those of them that wait or are ready, in the same way.
+      unplaced: those made that wait or are ready, in the same way.
       claimed: its groups that have places but were not ordered to start.
       standing: its standing against its objective when last determined.
       maybe_started: whether an earlier scheduler may have started tasks of it.
+      may_be_running: returns whether a run of an earlier scheduler may still be
+        unknown for a group.
       accepted_at: when it was accepted, by the scheduler's clock.
       inherited: whether an earlier scheduler had the job.
+      is_over: whether it has ended for good, with all its groups.
     """
 
     def __init__(
@@ -296,84 +438,165 @@
         queue: Queue,
         inherited: bool,
         accepted_at: float,
+        may_be_running: Callable[[Group], bool] = lambda group: True,
     ) -> None:
-        """Creates the job's groups; those marked as done have ended."""
+        """Creates a job; the groups that its row marks as done have ended."""
         self.job = job
         self.accepted_at = accepted_at
         self.inherited = inherited
         self.row = row
         self.queue = queue
         self.maybe_started = inherited and not row.unplaced
+        self.may_be_running = may_be_running
         self.standing = 0
         self.change = 0
         self.written = 0
         self.placement_change = 0
-        self.groups: dict[tuple[int, int], list[Group]] = {}
+        self.is_over = False
+        self.groups = _LazySteps(self)
         self.unplaced: dict[tuple[int, int], dict[Group, None]] = {}
         self.claimed: dict[Group, None] = {}
-        self._ended: dict[tuple[int, int], int] = {}
-        for occurrence in range(job.occurrence_count):
-            for number in range(len(job.steps)):
-                key = occurrence, number
-                self._ended[key] = 0
-                self.unplaced[key] = {}
-                self.groups[key] = self._make_groups(occurrence, number)
-
-    def _make_groups(self, occurrence: int, number: int) -> list[Group]:
-        step = self.job.steps[number]
-        indices = range(step.count)
-        parts = [tuple(indices)] if step.gang else [(i,) for i in indices]
-        settled = self.row.steps.get(f"{occurrence}.{number}")
-        groups = []
-        for part in parts:
-            group = Group(self, occurrence, number, part)
-            self.unplaced[occurrence, number][group] = None
-            group.recovery_pending = self.maybe_started
-            if settled is not None:
-                first = str(part[0])
-                group.failed_runs = set(settled.failures.get(first, ()))
-                group.checkpoint = settled.checkpoints.get(first, "")
-                if settled.is_done(part[0]):
-                    group.state = GroupState.ENDED
-            groups.append(group)
-        return groups
+        self._next_occurrence = 0
+        # The occurrences in which a step has ended, as bits, by step.
+        self._done_steps = [0] * len(job.steps)
+        self._steps_left = len(job.steps) * job.occurrence_count
+        for key in row.steps:
+            occurrence, number = map(int, key.split("."))
+            self._note_ended(occurrence, number)
+        self.open_due(0.0)
+
+    def open_due(self, wall: float) -> None:
+        """Opens the steps of the occurrences that are due.
+
+        Args:
+          wall: the time of the wall clock, in seconds.
+        """
+        while (
+            self._next_occurrence < self.job.occurrence_count
+            and len(self.unplaced) < MAX_OPEN_STEPS
+            and self.job.due_at(self._next_occurrence) <= wall
+        ):
+            occurrence = self._next_occurrence
+            self._next_occurrence += 1
+            for number in range(len(self.job.steps)):
+                if not self.is_step_done(occurrence, number):
+                    self.unplaced.setdefault((occurrence, number), {})
+
+    def make_waiting(self, occurrence: int, number: int, budget: int) -> int:
+        """Makes waiting groups of an open step, up to `MAX_WAITING_GROUPS`.
+
+        Those that can't be placed yet, since an earlier run of them may still
+        be unknown, don't count.
+
+        Args:
+          occurrence: the occurrence.
+          number: the number of the step.
+          budget: how many groups may be made; if none waits, one is made in any
+            case.
+
+        Returns:
+          How many were made.
+        """
+        waiting = self.unplaced[occurrence, number]
+        free = sum(
+            not each.recovery_pending and each.key not in self.row.open_starts
+            for each in waiting
+        )
+        limit = MAX_WAITING_GROUPS - free
+        limit = min(limit, MAX_HELD_FACTOR * MAX_WAITING_GROUPS - len(waiting))
+        limit = min(limit, max(budget, 1 if not free else 0))
+        groups = self.groups[occurrence, number]
+        made = 0
+        while made < limit and groups.make_next():
+            made += 1
+        return made
+
+    def note_made(self, group: Group, is_done: bool) -> None:
+        """Takes in a group that was made, with what its row says of it."""
+        key = group.occurrence, group.number
+        self.unplaced.setdefault(key, {})[group] = None
+        group.recovery_pending = self.maybe_started and self.may_be_running(
+            group
+        )
+        settled = self.row.steps.get(f"{group.occurrence}.{group.number}")
+        if settled is not None:
+            first = str(group.indices[0])
+            group.failed_runs = frozenset(settled.failures.get(first, ()))
+            group.checkpoint = settled.checkpoints.get(first, "")
+        if is_done or self.is_over:
+            # It was counted when its step was opened.
+            self.groups[key].ended_count -= 1
+            group.state = GroupState.ENDED
 
     def note_state(self, group: Group, former: GroupState) -> None:
         """Takes in that a group has changed its state."""
         key = group.occurrence, group.number
         if former is GroupState.ENDED:
-            self._ended[key] -= 1
+            self.groups[key].ended_count -= 1
         elif former is GroupState.CLAIMED:
             del self.claimed[group]
         elif former in _UNPLACED_STATES:
             del self.unplaced[key][group]
         if group.state is GroupState.ENDED:
-            self._ended[key] += 1
+            self.groups[key].ended_count += 1
+            self._note_ended(*key)
+            self.discard_if_over(group)
         elif group.state is GroupState.CLAIMED:
             self.claimed[group] = None
         elif group.state in _UNPLACED_STATES:
-            self.unplaced[key][group] = None
+            self.unplaced.setdefault(key, {})[group] = None
+
+    def discard_if_over(self, group: Group) -> None:
+        """Forgets a group that has ended and has nothing left on a worker."""
+        key = group.occurrence, group.number
+        if group.state is not GroupState.ENDED or group.members:
+            return
+        self.groups[key].discard(group)
+        if self.is_step_done(*key) and not self.groups[key].made:
+            del self.groups[key]
+            self.unplaced.pop(key, None)
+
+    def _note_ended(self, occurrence: int, number: int) -> None:
+        """Notes that a step has ended, if all its groups have."""
+        groups = self.groups[occurrence, number]
+        if groups.ended_count < len(groups):
+            return
+        if not self.is_step_done(occurrence, number):
+            self._done_steps[number] |= 1 << occurrence
+            self._steps_left -= 1
+        if not groups.made:
+            del self.groups[occurrence, number]
 
     def group_of(self, task: TaskId) -> Group | None:
         """Returns the group of a task, None when the job has no such task."""
-        groups = self.groups.get((task.occurrence, task.step))
-        if groups is None or task.index >= self.job.steps[task.step].count:
+        if not (
+            0 <= task.occurrence < self.job.occurrence_count
+            and 0 <= task.step < len(self.job.steps)
+            and 0 <= task.index < self.job.steps[task.step].count
+        ):
             return None
-        return groups[0] if groups[0].step.gang else groups[task.index]
+        is_gang = self.job.steps[task.step].gang
+        groups = self.groups[task.occurrence, task.step]
+        return groups[0 if is_gang else task.index]
+
+    def group_at(self, key: str) -> Group:
+        """Returns the group with a key, see `Group.key`."""
+        occurrence, number, first = map(int, key.split("."))
+        is_gang = self.job.steps[number].gang
+        return self.groups[occurrence, number][0 if is_gang else first]
 
     def all_groups(self) -> list[Group]:
-        """Returns the groups of all steps."""
+        """Returns the groups of all steps that were made and are not over."""
         return [each for part in self.groups.values() for each in part]
 
     def is_step_done(self, occurrence: int, number: int) -> bool:
         """Returns whether all groups of a step have ended."""
-        key = occurrence, number
-        return self._ended[key] == len(self.groups[key])
+        return bool(self._done_steps[number] >> occurrence & 1)
 
     @property
     def is_done(self) -> bool:
         """Whether all groups have ended."""
-        return all(self.is_step_done(*key) for key in self.groups)
+        return not self._steps_left
 
 
 def can_stop(group: Group) -> bool:
@@ -398,4 +621,5 @@
 def _missed_with(group: Group, stopped: set[Group]) -> int:
     """Returns how many groups of a step are away once some are stopped."""
     siblings = group.job.groups[group.occurrence, group.number]
-    return sum(each in stopped or not each.is_serving for each in siblings)
+    missed = sum(each in stopped or not each.is_serving for each in siblings)
+    return missed + len(siblings) - len(siblings.made)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/jobs.py
@@ -114,6 +114,7 @@
         entry.row.finished_at = now + self.wall_offset
         if status is JobStatus.COMPLETED:
             entry.row.started = True
+        entry.is_over = True
         for group in entry.all_groups():
             is_ending = (
                 group.state is GroupState.ENDED
@@ -225,4 +226,4 @@
             and entry.job.job_id not in self._held_ends
         ):
             del self._entries[entry.job.job_id]
-            self._advice.forget([group.step_id for group in entry.all_groups()])
+            self._advice.forget(entry.job.job_id)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/model.py
@@ -12,8 +12,8 @@
 ImageName = NewType("ImageName", str)
 
 # Limit on a job's tasks, over all its steps and occurrences. It is three times
-# what one service may run at a time, and takes about 20 MB of the scheduler's
-# memory.
+# what one service may run at a time. While they wait they take hardly any
+# memory; see `JobEntry`.
 MAX_JOB_TASKS = 30_000
 # The count that is returned for tasks that take no resources at all.
 _UNLIMITED_COUNT = 1_000_000
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/ready.py
@@ -14,6 +14,9 @@
 # wait for others to end: workers are reserved for a gang, and workers that are
 # set aside for urgent groups may be used.
 LONG_WAIT_S = 1.0
+# Limit on the waiting groups of all jobs together. They take some 15 MB. A step
+# of which no group waits has one made in any case.
+MAX_ALL_WAITING_GROUPS = 20_000
 
 
 def ready_groups(
@@ -36,8 +39,12 @@
       wall: the time of the wall clock, in seconds.
     """
     ready: list[tuple[JobEntry, list[Group]]] = []
+    budget = MAX_ALL_WAITING_GROUPS - sum(
+        len(groups) for entry in jobs for groups in entry.unplaced.values()
+    )
     for entry in jobs:
-        found = _ready_groups_of(entry, now, wall)
+        found, made = _ready_groups_of(entry, max(0, budget), now, wall)
+        budget -= made
         if unaccounted_tasks:
             found = [
                 each
@@ -75,16 +82,22 @@
     return covered
 
 
-def _ready_groups_of(entry: JobEntry, now: float, wall: float) -> list[Group]:
-    ready = []
-    for (occurrence, number), groups in entry.unplaced.items():
-        if not groups or entry.job.due_at(occurrence) > wall:
+def _ready_groups_of(
+    entry: JobEntry, budget: int, now: float, wall: float
+) -> tuple[list[Group], int]:
+    """Returns the ready groups of a job and how many groups were made."""
+    ready: list[Group] = []
+    made = 0
+    entry.open_due(wall)
+    for (occurrence, number), groups in list(entry.unplaced.items()):
+        if entry.job.due_at(occurrence) > wall:
             continue
         if not all(
             entry.is_step_done(occurrence, each)
             for each in entry.job.steps[number].after
         ):
             continue
+        made += entry.make_waiting(occurrence, number, max(0, budget - made))
         waiting = [g for g in groups if g.state is GroupState.WAITING]
         for group in waiting:
             group.state = GroupState.READY
@@ -94,7 +107,7 @@
             for group in groups
             if not group.recovery_pending and group.not_before <= now
         ]
-    return ready
+    return ready, made
 
 
 def has_waited_long(group: Group, now: float) -> bool:
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
@@ -65,18 +65,18 @@
         previous, self._unheard = self._unheard, unheard
         if previous is None:
             self._began_at = now
-            self._pending = [
-                group
-                for entry in self._jobs
-                for group in entry.all_groups()
-                if group.recovery_pending
-            ]
+        self._pending = [
+            group
+            for entry in self._jobs
+            for group in entry.all_groups()
+            if group.recovery_pending
+        ]
         self.is_complete = not unheard
         self._named_tasks = {
             task for tasks in unheard.values() for task in tasks or ()
         }
         self._may_be_any_task = None in unheard.values()
-        left = [each for each in self._pending if self._may_be_running(each)]
+        left = [each for each in self._pending if self.may_be_running(each)]
         still_pending = set(left)
         released = [each for each in self._pending if each not in still_pending]
         self._pending = left
@@ -88,9 +88,14 @@
             )
         return bool(released)
 
-    def _may_be_running(self, group: Group) -> bool:
-        """Returns whether a worker not heard from may run one of its tasks."""
-        unheard = self._unheard or {}
+    def may_be_running(self, group: Group) -> bool:
+        """Returns whether a run of a group may still be unknown.
+
+        A worker that was not heard from may run one of its tasks.
+        """
+        if self._unheard is None:
+            return True
+        unheard = self._unheard
         places = group.job.row.placed_on
         if not places and self._may_be_any_task:
             return True
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/runs.py
@@ -103,13 +103,12 @@
         """Removes the groups from a job's row whose starts are all settled."""
         if not entry.row.open_starts:
             return
-        for group in entry.all_groups():
-            if (
-                group.key in entry.row.open_starts
-                and not _is_start_due(group)
-                and open_tasks.isdisjoint(group.tasks())
+        for key in list(entry.row.open_starts):
+            group = entry.group_at(key)
+            if not _is_start_due(group) and open_tasks.isdisjoint(
+                group.tasks()
             ):
-                del entry.row.open_starts[group.key]
+                del entry.row.open_starts[key]
                 # A successor has workers keep ends until the entry is removed.
                 self.request_write(entry, urgent=True)
 
@@ -291,6 +290,7 @@
             worker.release(group, group.step.allocation, claimed=False)
             if group.state is not GroupState.ENDED:
                 self._log_released(group, index, member, worker, evidence, now)
+        group.job.discard_if_over(group)
         if group.state is GroupState.STARTED:
             where = f"task {index} on worker {member.worker_id}"
             self.stop_run(group, f"{where}: {reason}", now)
@@ -467,10 +467,10 @@
         if group.state is GroupState.ENDED or end.run in group.failed_runs:
             return
         suspended = health.record_failure(worker, now)
-        group.failed_on.add(worker.worker_id)
+        group.failed_on |= {worker.worker_id}
         group.not_before = now + FAILED_PAUSE_S
         if not group.step.long_running:
-            group.failed_runs.add(end.run)
+            group.failed_runs |= {end.run}
             step_row = group.job.row.step(group.occurrence, group.number)
             first = str(group.indices[0])
             step_row.failures[first] = sorted(group.failed_runs)
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -261,7 +261,14 @@
             return
         queue = self._catalogue.queues.get(job.queue) or job.accepted_under
         accepted_at = job.accepted_at - self._jobs.wall_offset
-        entry = JobEntry(job, event.row, queue, event.inherited, accepted_at)
+        entry = JobEntry(
+            job,
+            event.row,
+            queue,
+            event.inherited,
+            accepted_at,
+            self._recovery.may_be_running,
+        )
         self._jobs.add(entry)
         self._out.append(LogEntry("job taken", self._taken_fields(entry, now)))
         self._dirty = True
@@ -536,7 +543,7 @@
     ) -> None:
         """Has the next run avoid the cause of a refused start."""
         if event.outcome is StartOutcome.NO_ANSWER:
-            group.failed_on.add(event.worker_id)
+            group.failed_on |= {event.worker_id}
         elif event.outcome is StartOutcome.BAD_TICKET:
             self._advice.discard_ticket(group, event.worker_id)
         elif event.outcome is StartOutcome.UNHEALTHY:
