Answer for a job only to its own organisation

Cause: nobody compared the job's owner with the caller's. Jobs and callers without an organisation are as before.

Besides: a group that is bound to a worker without room isn't searched a place for on all workers in each round once it has waited.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -541,10 +541,10 @@
         Returns:
           Whether there was room for it.
         """
-        if not has_waited(group, now):
-            return False
         only = placing_round.only_workers.get(group)
-        if only is None and key in placing_round.keys_without_any_room:
+        if not has_waited(group, now) or not self._may_have_room(
+            group, key, placing_round
+        ):
             return False
         if not self._are_preferences_lifted(group, key, placing_round, now):
             return False
@@ -562,6 +562,18 @@
             placing_round.keys_without_any_room.add(key)
         return False
 
+    def _may_have_room(
+        self, group: Group, key: tuple[object, ...], placing_round: PlacingRound
+    ) -> bool:
+        """Returns whether any worker may have room for a group."""
+        only = placing_round.only_workers.get(group)
+        if only is None:
+            return key not in placing_round.keys_without_any_room
+        worker = self._fleet.get(only)
+        return worker is not None and bool(
+            worker.count_fitting(group.step.allocation)
+        )
+
     def _by_preference(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> Iterable[list[Worker]]:
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -60,6 +60,9 @@
 MAX_STATE_READS = 3
 STATE_READ_PAUSE_S = 0.025
 
+# The organisation of jobs of public queues, and of callers without a key.
+NO_ORGANISATION = OrganisationName("")
+
 _STORE_UNREACHABLE = PlatformError(
     PlatformFailure.NOT_DONE, "the store is out of reach"
 )
@@ -99,6 +102,16 @@
     accepted_at: float
     finished_at: float
 
+    def is_visible_to(self, organisation: OrganisationName) -> bool:
+        """Returns whether an organisation may read and cancel the job.
+
+        Jobs and callers without an organisation are not kept apart.
+        """
+        return self.organisation == NO_ORGANISATION or organisation in (
+            NO_ORGANISATION,
+            self.organisation,
+        )
+
 
 class Intake:
     """Handles callers' requests about jobs.
@@ -151,15 +164,34 @@
         ]
         return await self._write_once(checks, writes, give_up_at)
 
-    async def cancel(self, job_id: JobId, give_up_at: float) -> Outcome:
-        """Stores a durable request to end a job."""
+    async def cancel(
+        self,
+        job_id: JobId,
+        give_up_at: float,
+        organisation: OrganisationName = NO_ORGANISATION,
+    ) -> Outcome:
+        """Stores a durable request to end a job.
+
+        Args:
+          job_id: the job.
+          give_up_at: when the caller's time is over, in seconds.
+          organisation: the caller's; to another organisation than its own, a
+            job doesn't exist.
+        """
         key = cancel_key(job_id)
-        if key in self._jobs.rows:
+        known_here = self._read_mirror(job_id)
+        if (
+            known_here is not None
+            and key in self._jobs.rows
+            and known_here.is_visible_to(organisation)
+        ):
             return Outcome.DONE
         known = await self.look_up(job_id)
         if isinstance(known, Err):
             return Outcome.NOT_DONE
-        if known.ok_value is None:
+        if known.ok_value is None or not known.ok_value.is_visible_to(
+            organisation
+        ):
             return Outcome.NO_JOB
         if known.ok_value.status.is_final:
             return Outcome.DONE
--- a/packages/pomeloarch-node/tests/test_batch_parts.py
+++ b/packages/pomeloarch-node/tests/test_batch_parts.py
@@ -440,6 +440,37 @@
     assert run_with_intake(scenario) is Outcome.NO_JOB
 
 
+@pytest.mark.parametrize(
+    ("owner", "caller", "outcome", "is_marked"),
+    [
+        (ORGANISATION, ORGANISATION, Outcome.DONE, True),
+        (ORGANISATION, OrganisationName("other"), Outcome.NO_JOB, False),
+        (ORGANISATION, OrganisationName(""), Outcome.DONE, True),
+        (OrganisationName(""), ORGANISATION, Outcome.DONE, True),
+    ],
+)
+@pytest.mark.parametrize("cancelled_before", [False, True])
+def test_job_is_cancelled_only_for_its_organisation(
+    owner, caller, outcome, is_marked, cancelled_before
+):
+    """Guards against a caller that stops another organisation's job."""
+
+    async def scenario(world, link, intake):
+        row = JobRow(BATCH, owner, 0.0)
+        await link.transact([], [Write(JOBS_TABLE, JOB, encode(row))])
+        if cancelled_before:
+            await intake.cancel(JOB, world.clock() + 3.0, owner)
+            await asyncio.sleep(1.0)
+        answer = await intake.cancel(JOB, world.clock() + 3.0, caller)
+        marker = world.tables.read(JOBS_TABLE, cancel_key(JOB))
+        known = (await intake.look_up(JOB)).ok_value
+        return answer, marker.value is not None, known.is_visible_to(caller)
+
+    found = run_with_intake(scenario)
+    is_visible = outcome is Outcome.DONE
+    assert found == (outcome, is_marked or cancelled_before, is_visible)
+
+
 def test_first_report_of_a_jobs_end_is_logged_once():
     reading, writing = os.pipe()
 
