--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -604,8 +604,7 @@
         """Returns whether a group may use every worker with room for it."""
 
         def has_room_in_sight() -> bool:
-            failed_on = frozenset(group.failed_on)
-            sight_key = key, failed_on, bool(group.failures)
+            sight_key = key, group.failed_on, bool(group.failures)
             known = self._sight_cache.get(sight_key, now)
             if known is None:
                 known = self._has_room_in_sight(group, placing_round, now)
@@ -898,7 +897,7 @@
 
     def _could_fit_near(self, group: Group, now: float) -> bool:
         """Returns the result of `_fits_near`, kept for `FIT_CACHE_S`."""
-        key = placing_key(group, covered=False), frozenset(group.failed_on)
+        key = placing_key(group, covered=False), group.failed_on
         fits = self._near_cache.get(key, now)
         if fits is None:
             fits = self._fits_near(group)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_workers.py
@@ -349,9 +349,16 @@
         )
 
     def _percent(self, run: _Run) -> float:
-        """Returns 100 for a run that serves, and 0 for any other."""
-        serves = self._step(run.task).long_running and run.working_since
-        return 100.0 if serves else 0.0
+        """Returns how much of a run's work is done, in whole percents.
+
+        It is 100 for a run that serves.
+        """
+        if run.working_since is None:
+            return 0.0
+        if self._step(run.task).long_running:
+            return 100.0
+        worked_s = self._now() - run.working_since
+        return min(100.0, worked_s * 100 // self._duration_s(run.task))
 
     @property
     def end_count(self) -> int:
