Keep waiting for a rack on which room is in sight

Cause: on an idle fleet all preferences were lifted after 2 s, also that of an urgent group for the rack of its data while room there was in sight, where it would still end sooner. Change: such a group goes far as before, or where no room near is in sight or it is overdue.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -548,12 +548,19 @@
             return False
         if not self._are_preferences_lifted(group, key, placing_round, now):
             return False
+        # Where room near its data is in sight, an urgent group may still end
+        # sooner there.
+        allow_far = (
+            self._may_run_far(group, placing_round, now)
+            or is_overdue(group, now)
+            or not self._is_room_in_sight(group, key, placing_round, now)
+        )
         for workers in self._by_preference(group, placing_round, now):
             if only is not None:
                 workers = [each for each in workers if each.worker_id == only]
             if group.job.queue.advised:
                 workers = self._filter_advised(group, workers, now)
-            places = find_placement(group, workers, FREE_ROOM, True)
+            places = find_placement(group, workers, FREE_ROOM, allow_far)
             if places is not None:
                 self._log_lifted(group, places, placing_round, now)
                 self._claim(group, places, placing_round, now)
@@ -602,20 +609,29 @@
         now: float,
     ) -> bool:
         """Returns whether a group may use every worker with room for it."""
-
-        def has_room_in_sight() -> bool:
-            sight_key = key, group.failed_on, bool(group.failures)
-            known = self._sight_cache.get(sight_key, now)
-            if known is None:
-                known = self._has_room_in_sight(group, placing_round, now)
-                self._sight_cache.put(sight_key, known, now)
-            return known
-
         service = group.job.queue.service
         return are_preferences_lifted(
-            group, self._idle_since.get(service), has_room_in_sight, now
+            group,
+            self._idle_since.get(service),
+            lambda: self._is_room_in_sight(group, key, placing_round, now),
+            now,
         )
 
+    def _is_room_in_sight(
+        self,
+        group: Group,
+        key: tuple[object, ...],
+        placing_round: PlacingRound,
+        now: float,
+    ) -> bool:
+        """Returns the result of `_has_room_in_sight`, kept for a while."""
+        sight_key = key, group.failed_on, bool(group.failures)
+        known = self._sight_cache.get(sight_key, now)
+        if known is None:
+            known = self._has_room_in_sight(group, placing_round, now)
+            self._sight_cache.put(sight_key, known, now)
+        return known
+
     def _has_room_in_sight(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> bool:
