Look at waiting groups only where some are left to make; tidy the read-through

Hot path: each round built the key of every waiting group although nothing was left to make, and a table of all jobs' steps though no order was open; now neither. Simpler: a group that has ended is made as such, in place of being counted down and up again; which group holds a task is known in one place of three; the pending groups of a recovery are local. A test for steps that are over and asked about.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -423,15 +423,19 @@
         the time in which an order can still be carried out.
         """
         self.awaited_reports.clear()
-        steps = {entry.job.job_id: entry.job.steps for entry in jobs}
+
+        def is_lasting(task: TaskId) -> bool:
+            return any(
+                entry.job.steps[task.step].long_running
+                for entry in jobs
+                if entry.job.job_id == task.job_id
+            )
 
         def is_settled(task: TaskId, copy: OpenCopy) -> bool:
             worker = self._fleet.get(copy.worker_id)
             is_gone = worker is not None and self._fleet.is_gone(worker, now)
             if now < copy.acts_until:
-                job_steps = steps.get(task.job_id)
-                is_lasting = job_steps and job_steps[task.step].long_running
-                return bool(is_gone and is_lasting)
+                return is_gone and is_lasting(task)
             asked_at = None if worker is None else worker.asked_at
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
@@ -896,8 +900,7 @@
         """Returns the share of the service's resources that is in use."""
         service = group.job.queue.service
         if service not in placing_round.in_use:
-            share = self._fleet.share_in_use(service)
-            placing_round.in_use[service] = share
+            placing_round.in_use[service] = self._fleet.share_in_use(service)
         return placing_round.in_use[service]
 
     def _observe_idle(
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/groups.py
@@ -203,14 +203,15 @@
         occurrence: int,
         number: int,
         indices: tuple[int, ...],
+        state: GroupState = GroupState.WAITING,
     ) -> None:
-        """Creates a group that is not ready yet."""
+        """Creates a group that is not ready yet, or one that has ended."""
         self.job = job
         self.occurrence = occurrence
         self.number = number
         self.indices = indices
         self.step: Step = job.job.steps[number]
-        self._state = GroupState.WAITING
+        self._state = state
         self.run = RunNumber(0)
         self.members: dict[int, Member] = {}
         self.checkpoint = ""
@@ -350,7 +351,7 @@
 
     def __iter__(self) -> Iterator[Group]:
         """Iterates over the groups that were made and are not over."""
-        return iter(list(self.made.values()))
+        return iter(self.made.values())
 
     def __getitem__(self, position: int) -> Group:
         """Returns a group, which is made if need be.
@@ -365,9 +366,21 @@
             raise IndexError(position)
         return self._make(position)
 
+    def with_task(self, index: int) -> Group:
+        """Returns the group that a task belongs to."""
+        return self[self._position(index)]
+
+    def _position(self, index: int) -> int:
+        return 0 if self._is_gang else index
+
+    @property
+    def are_all_made(self) -> bool:
+        """Whether no group is left to be made, or to be found as ended."""
+        return self._next >= len(self)
+
     def make_next(self) -> bool:
         """Makes the next group that has not ended; returns whether one was."""
-        while self._next < len(self):
+        while not self.are_all_made:
             position = self._next
             self._next += 1
             if position not in self.made and not self._is_done(position):
@@ -383,14 +396,22 @@
     def _make(self, position: int) -> Group:
         count = self._entry.job.steps[self._number].count
         indices = tuple(range(count)) if self._is_gang else (position,)
-        group = Group(self._entry, self._occurrence, self._number, indices)
-        self.made[position] = group
-        self._entry.note_made(group, self._is_done(position))
+        is_over = self._is_done(position) or self._entry.is_over
+        group = Group(
+            self._entry,
+            self._occurrence,
+            self._number,
+            indices,
+            GroupState.ENDED if is_over else GroupState.WAITING,
+        )
+        if not is_over:
+            self.made[position] = group
+            self._entry.note_made(group)
         return group
 
     def discard(self, group: Group) -> None:
         """Forgets a group that is over; it would be made anew as ended."""
-        self.made.pop(0 if self._is_gang else group.indices[0], None)
+        self.made.pop(self._position(group.indices[0]), None)
 
 
 class _LazySteps(dict[tuple[int, int], StepGroups]):
@@ -497,37 +518,35 @@
         Returns:
           How many were made.
         """
+        groups = self.groups[occurrence, number]
+        if groups.are_all_made:
+            return 0
         waiting = self.unplaced[occurrence, number]
+        opened = self.row.open_starts
         free = sum(
-            not each.recovery_pending and each.key not in self.row.open_starts
+            not each.recovery_pending and not (opened and each.key in opened)
             for each in waiting
         )
         limit = MAX_WAITING_GROUPS - free
         limit = min(limit, MAX_HELD_FACTOR * MAX_WAITING_GROUPS - len(waiting))
         limit = min(limit, max(budget, 1 if not free else 0))
-        groups = self.groups[occurrence, number]
         made = 0
         while made < limit and groups.make_next():
             made += 1
         return made
 
-    def note_made(self, group: Group, is_done: bool) -> None:
+    def note_made(self, group: Group) -> None:
         """Takes in a group that was made, with what its row says of it."""
         key = group.occurrence, group.number
         self.unplaced.setdefault(key, {})[group] = None
-        is_over = is_done or self.is_over
-        group.recovery_pending = (
-            self.maybe_started and not is_over and self.may_be_running(group)
+        group.recovery_pending = self.maybe_started and self.may_be_running(
+            group
         )
         settled = self.row.steps.get(f"{group.occurrence}.{group.number}")
         if settled is not None:
             first = str(group.indices[0])
             group.failed_runs = frozenset(settled.failures.get(first, ()))
             group.checkpoint = settled.checkpoints.get(first, "")
-        if is_over:
-            # It was counted when its step was opened.
-            self.groups[key].ended_count -= 1
-            group.state = GroupState.ENDED
 
     def note_state(self, group: Group, former: GroupState) -> None:
         """Takes in that a group has changed its state."""
@@ -576,15 +595,18 @@
             and 0 <= task.index < self.job.steps[task.step].count
         ):
             return None
-        is_gang = self.job.steps[task.step].gang
-        groups = self.groups[task.occurrence, task.step]
-        return groups[0 if is_gang else task.index]
+        return self._with_task(task.occurrence, task.step, task.index)
 
     def group_at(self, key: str) -> Group:
         """Returns the group with a key, see `Group.key`."""
         occurrence, number, first = map(int, key.split("."))
-        is_gang = self.job.steps[number].gang
-        return self.groups[occurrence, number][0 if is_gang else first]
+        return self._with_task(occurrence, number, first)
+
+    def _with_task(self, occurrence: int, number: int, index: int) -> Group:
+        group = self.groups[occurrence, number].with_task(index)
+        # A step that is over was opened for this only.
+        self.discard_if_over(group)
+        return group
 
     def all_groups(self) -> list[Group]:
         """Returns the groups of all steps that were made and are not over."""
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/recovery.py
@@ -67,7 +67,7 @@
         previous, self._unheard = self._unheard, unheard
         if previous is None:
             self._began_at = now
-        self._pending = [
+        pending = [
             group
             for entry in self._jobs
             for group in entry.all_groups()
@@ -78,10 +78,9 @@
             task for tasks in unheard.values() for task in tasks or ()
         }
         self._may_be_any_task = None in unheard.values()
-        left = [each for each in self._pending if self.may_be_running(each)]
-        still_pending = set(left)
-        released = [each for each in self._pending if each not in still_pending]
-        self._pending = left
+        self._pending = [each for each in pending if self.may_be_running(each)]
+        still_pending = set(self._pending)
+        released = [each for each in pending if each not in still_pending]
         for group in released:
             self._release(group, now)
         if released:
--- a/packages/pomeloarch-core/tests/test_batch_waiting_work.py
+++ b/packages/pomeloarch-core/tests/test_batch_waiting_work.py
@@ -177,6 +177,19 @@
     assert entry.is_done
 
 
+def test_step_that_is_over_is_not_kept_after_a_look():
+    """Guards against memory for each late report about a step that is done."""
+    entry = make_entry(1, ONE, occurrences=3, first_due_at=1.0)
+    for each in find_ready([entry]):
+        each.state = GroupState.ENDED
+    for occurrence in range(3):
+        task = TaskId(entry.job.job_id, occurrence, 0, 0)
+        entry.row.step(occurrence, 0).mark_done([0])
+        assert entry.group_of(task).state is GroupState.ENDED
+    assert not entry.groups
+    assert not entry.unplaced
+
+
 def test_task_of_a_job_that_is_over_has_ended():
     """Guards against a run that goes on after its job was cancelled."""
     entry = wide(1)
