Add seeds that show a hold without an end to the plans of lasting jobs

Since the models report progress, 95020, 95027 and 95109 pass with the end of the preferences taken out, so that they no longer guard it; they stay. Of 95001 to 95030 these fail without it: 95001, 95004, 95006, 95016, 95022, 95024; of 95101 to 95130 with replaced workers: 95103, 95111, 95117, 95124, 95127, 95128, 95130. All of them are tests now, and pass.

--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -108,13 +108,17 @@
     assert describe(play(draw_plan(seed, kinds))) == []
 
 
-@pytest.mark.parametrize("seed", [95004, 95016, 95020, 95024, 95027])
+@pytest.mark.parametrize(
+    "seed", [95001, 95004, 95006, 95016, 95020, 95022, 95024, 95027]
+)
 def test_random_plan_of_lasting_jobs_leaves_no_task_still(seed):
     """Guards against tasks that wait for workers full of lasting ones."""
     assert describe(play(draw_plan(seed, [LASTING_JOBS, FEW_JOBS]))) == []
 
 
-@pytest.mark.parametrize("seed", [95103, 95109, 95111, 95117, 95124, 95130])
+@pytest.mark.parametrize(
+    "seed", [95103, 95109, 95111, 95117, 95124, 95127, 95128, 95130]
+)
 def test_random_plan_of_replaced_workers_leaves_no_task_still(seed):
     """Guards against advice on workers that have been replaced."""
     kinds = [LASTING_JOBS, FEW_JOBS, "replace"]
