--- a/review/standins-3/platform_standins.py
+++ b/review/standins-3/platform_standins.py
@@ -956,6 +956,11 @@
     """Plays a case within 120 s; returns its exit code."""
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # The nodes end with the script, also when it is told to end.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(110), Scene(folder) as scene:
             code = await play(scene)
             scene.record.write(f"exit code {code}")
@@ -963,7 +968,7 @@
 
     try:
         return asyncio.run(run())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         # The case couldn't run; only a broken rule ends with 1.
         traceback.print_exc()
         return 2
