Have the random driver cancel in doubt and judge what callers are told

Callers of the models cancelled only jobs whose submission was answered, and only cancels answered with DONE counted. No plan had writes of one shard that are all performed seconds later.

New: the fault late-writes (1 to 4 shards, for 1 to 4 s, writes performed 1 to 6 s later); the kind of plan doubtful-callers (cancels before, while and after the submission, at any node, by the same, another or no organisation, repeated; submissions under a taken id; callers who give up after one or two attempts). Judged: 'no such job' and a refusal against what runs later, 200 against what is stored, a cancel against whose job it is. Cancels that were answered with 'no such job' or 'not done' no longer excuse a job that doesn't run.

Ruled out: counting a job that runs after 'no such job' by time, as late writes of one fault end at different times. What counts is whether a submission that began after the answer was accepted.

--- a/packages/pomeloarch-cli/tests/test_task_runs.py
+++ b/packages/pomeloarch-cli/tests/test_task_runs.py
@@ -417,9 +417,11 @@
 # With few jobs, there are few runs to order. With some of the others, a leader
 # may end before the success that it saw is durable, which is rightly a doubt.
 LEFT_OUT = {
+    "doubtful-callers",
     "few-jobs",
     "kept-start",
     "lasting-jobs",
+    "late-writes",
     "long-runs",
     "many-occurrences",
     "deaf-worker",
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/drawing.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from pomeloarch_core.ids import OrganisationName
 from pomeloarch_standins.batch_fuzz.faults import (
+    DOUBTFUL_CALLERS,
     FEW_JOBS,
     KINDS,
     LASTING_JOBS,
@@ -18,13 +20,21 @@
     WIDE_JOBS,
 )
 from pomeloarch_standins.batch_fuzz.plan import (
+    MAX_ATTEMPTS,
     Plan,
+    PlannedCall,
     PlannedFault,
     PlannedJob,
     PlannedStep,
     PlannedWorld,
 )
-from pomeloarch_standins.batch_world import ADVISED, BATCH, URGENT
+from pomeloarch_standins.batch_world import (
+    ADVISED,
+    BATCH,
+    ORGANISATION,
+    RIVAL,
+    URGENT,
+)
 
 # When the first job is submitted and the last one at the latest, in seconds.
 # Before that, the nodes elect their leader.
@@ -73,6 +83,20 @@
 _MANY_JOBS = 3
 _MANY_OCCURRENCES = (10_000, 28_800)
 _MANY_INTERVALS_S = (2.0, 60.0, 3600.0)
+# Shares of the jobs that are cancelled by callers in doubt and of those under
+# whose ids another organisation submits a job, the time of these calls from
+# the job's submission on, in seconds, and how often callers in doubt repeat a
+# call.
+_DOUBTED_SHARE = 0.3
+_RIVAL_SHARE = 0.1
+_DOUBTS_S = (-2.0, 5.0)
+_DOUBTFUL_ATTEMPTS = (1, 2, MAX_ATTEMPTS)
+# Organisations that cancel a job of the first one.
+_CANCELLERS = (
+    *(ORGANISATION,) * 6,
+    RIVAL,
+    OrganisationName(""),
+)
 # Numbers of single tasks and of a gang's members in wide jobs, and what each
 # single task takes, in thousandths of a core.
 _WIDE_TASKS = (150, 1200)
@@ -118,9 +142,35 @@
         world = msgspec.structs.replace(world, lasting_s=_LASTING_S)
     if MANY_OCCURRENCES in kinds:
         jobs += _draw_many_occurrences(random.Random(f"{seed}: many"), jobs)
+    if DOUBTFUL_CALLERS in kinds:
+        doubts_rng = random.Random(f"{seed}: doubts")
+        jobs = tuple(_add_doubts(doubts_rng, each, nodes) for each in jobs)
     return Plan(world, jobs, faults)
 
 
+def _add_doubts(rng: random.Random, job: PlannedJob, nodes: int) -> PlannedJob:
+    """Adds calls of callers who don't know whether a job was accepted."""
+
+    def draw_call(organisation: OrganisationName) -> PlannedCall:
+        return PlannedCall(
+            round(max(FIRST_JOB_S, job.at_s + rng.uniform(*_DOUBTS_S)), 3),
+            rng.randrange(nodes),
+            organisation,
+            rng.choice(_DOUBTFUL_ATTEMPTS),
+        )
+
+    if rng.random() < _DOUBTED_SHARE:
+        cancels = tuple(
+            draw_call(rng.choice(_CANCELLERS)) for _ in range(rng.randint(1, 3))
+        )
+        job = msgspec.structs.replace(
+            job, cancels=cancels, attempts=rng.choice(_DOUBTFUL_ATTEMPTS)
+        )
+    if rng.random() < _RIVAL_SHARE and not job.occurrences:
+        job = msgspec.structs.replace(job, rivals=(draw_call(RIVAL),))
+    return job
+
+
 def _draw_many_occurrences(
     rng: random.Random, jobs: tuple[PlannedJob, ...]
 ) -> tuple[PlannedJob, ...]:
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/faults.py
@@ -13,6 +13,7 @@
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
     ROSTER_TABLE,
+    SHARDS,
     TERMS_TABLE,
 )
 from pomeloarch_node.role_lease import ROLES_TABLE
@@ -24,14 +25,17 @@
 # workers whose clocks are slow all the time, tasks that run longer than any
 # lease, so few jobs that workers are idle at times, jobs of hundreds of tasks
 # beside a store of small rows, and long-running tasks that fill most workers,
-# beside jobs that fail once, that have data on a rack or that need advice; and
-# jobs that run thousands of times, most of them long after the play.
+# beside jobs that fail once, that have data on a rack or that need advice;
+# jobs that run thousands of times, most of them long after the play; and
+# callers that cancel jobs without an answer to their submission, also for
+# another organisation, or that submit another job under the same id.
 SLOW_CLOCKS = "slow-clocks"
 LONG_RUNS = "long-runs"
 FEW_JOBS = "few-jobs"
 WIDE_JOBS = "wide-jobs"
 LASTING_JOBS = "lasting-jobs"
 MANY_OCCURRENCES = "many-occurrences"
+DOUBTFUL_CALLERS = "doubtful-callers"
 WHOLE_PLAN = frozenset(
     {
         SLOW_CLOCKS,
@@ -40,6 +44,7 @@
         WIDE_JOBS,
         LASTING_JOBS,
         MANY_OCCURRENCES,
+        DOUBTFUL_CALLERS,
     }
 )
 # Tables of which the store may refuse the writes while it accepts others.
@@ -566,6 +571,38 @@
     await stage.hold("lose writes", fault.for_s, begin, end)
 
 
+def _draw_on_shards(
+    for_s: tuple[float, float], amount: tuple[float, float]
+) -> Draw:
+    """Draws faults of some shards of the store."""
+    draw_rest = _draw_with(for_s, amount)
+
+    def draw(
+        rng: random.Random, kind: str, at_s: float, world: PlannedWorld
+    ) -> PlannedFault:
+        struck = rng.sample(range(SHARDS), rng.randint(1, SHARDS))
+        return msgspec.structs.replace(
+            draw_rest(rng, kind, at_s, world), shards=tuple(sorted(struck))
+        )
+
+    return draw
+
+
+async def _delay_writes(stage: Stage, fault: PlannedFault) -> None:
+    """Leaves the writes of some shards unanswered; they take effect late."""
+
+    def begin() -> None:
+        for node in stage.world.nodes:
+            node.link.late_shards = frozenset(fault.shards)
+            node.link.late_by_s = fault.amount
+
+    def end() -> None:
+        for node in stage.world.nodes:
+            node.link.late_shards = frozenset()
+
+    await stage.hold("late writes", fault.for_s, begin, end)
+
+
 async def _lose_reads(stage: Stage, fault: PlannedFault) -> None:
     def begin() -> None:
         for node in stage.world.nodes:
@@ -676,6 +713,7 @@
     WIDE_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     LASTING_JOBS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     MANY_OCCURRENCES: FaultKind(_draw_with((0.0, 0.0)), _nothing),
+    DOUBTFUL_CALLERS: FaultKind(_draw_with((0.0, 0.0)), _nothing),
     "kill-node": FaultKind(_draw_on_node((0.05, 4.0)), _kill_node),
     "kill-leader": FaultKind(_draw_with((0.05, 4.0)), _kill_leader),
     "kill-at-start": FaultKind(
@@ -689,6 +727,9 @@
     "freeze-leader": FaultKind(_draw_with((0.2, 9.0)), _freeze_leader),
     "freeze-node": FaultKind(_draw_on_node((0.2, 9.0)), _freeze_node),
     "store-writes": FaultKind(_draw_with((1.0, 6.0), (0.1, 0.5)), _lose_writes),
+    "late-writes": FaultKind(
+        _draw_on_shards((1.0, 4.0), (1.0, 6.0)), _delay_writes
+    ),
     "store-reads": FaultKind(_draw_with((1.0, 6.0), (0.1, 0.5)), _lose_reads),
     "store-slow": FaultKind(_draw_with((1.0, 5.0), (10.0, 60.0)), _slow_store),
     "store-cut-leader": FaultKind(
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
@@ -8,7 +8,8 @@
 
 from pomeloarch_core.batch.model import BatchJob
 from pomeloarch_core.batch.rows import JobStatus
-from pomeloarch_core.ids import JobId
+from pomeloarch_core.ids import JobId, OrganisationName
+from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_standins.batch_ledger import LedgerEntry, Violation
 from pomeloarch_standins.batch_rules import (
     find_early_starts,
@@ -20,7 +21,7 @@
     find_tasks_not_done,
     has_cause_to_fail,
 )
-from pomeloarch_standins.batch_world import BatchWorld
+from pomeloarch_standins.batch_world import BatchWorld, CallerAnswer
 
 # Time after the cancellation of a job in which its tasks may start while no
 # fault holds, in seconds.
@@ -28,6 +29,8 @@
 # Time after which no task of a job that was shown as completed may start, in
 # seconds.
 _COMPLETED_DELAY_S = 1.0
+# Answers that say nothing about other copies of a call.
+_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN})
 # How much too early an occurrence may start, in seconds.
 _EARLY_S = 0.05
 
@@ -91,6 +94,7 @@
         *_find_early_occurrences(entries, jobs),
         *_find_left_runs(entries),
         *_find_wrong_statuses(world),
+        *_find_untrue_answers(world),
         *(Finding("unfinished", f"{each} hasn't ended") for each in unfinished),
         *(Finding("idle", f"{each} isn't running") for each in idle),
     ]
@@ -127,3 +131,56 @@
     for each in entries:
         if each.ended_at is None:
             yield Finding("runs on after its job", f"{each.task}: {each}")
+
+
+def _find_untrue_answers(world: BatchWorld) -> Iterator[Finding]:
+    """Yields the answers to callers that were or became untrue."""
+    started = {each.task.job_id for each in world.ledger.entries}
+    for answer in world.answers:
+        job_id, outcome = answer.job_id, answer.outcome
+        owner, stored_at = world.owners.get(
+            job_id, (answer.organisation, float("inf"))
+        )
+        is_own = owner == answer.organisation
+        is_visible = is_own or not owner or not answer.organisation
+        if answer.is_cancel and outcome is Outcome.NO_JOB and is_visible:
+            if stored_at <= answer.asked_at:
+                yield Finding("denied a job that exists", str(answer))
+            elif job_id in started and not _is_asked_again(
+                world.answers, answer, owner
+            ):
+                yield Finding("ran after its cancel found no job", str(answer))
+        elif answer.is_cancel and outcome is Outcome.DONE and not is_visible:
+            yield Finding("cancelled for another organisation", str(answer))
+        elif not answer.is_cancel and outcome is Outcome.DONE:
+            if not is_own or stored_at > answer.told_at:
+                yield Finding("accepted and not stored", str(answer))
+        elif (
+            not answer.is_cancel
+            and outcome not in _INDEFINITE
+            and is_own
+            and job_id in started
+            and not _is_asked_again(world.answers, answer, owner)
+        ):
+            yield Finding("ran after it was refused", str(answer))
+
+
+def _is_asked_again(
+    answers: Sequence[CallerAnswer],
+    before: CallerAnswer,
+    owner: OrganisationName,
+) -> bool:
+    """Returns whether a job was submitted and accepted after an answer.
+
+    A submission that was refused for good has to have been accepted at any
+    time, since each of its copies may be the one that was stored.
+    """
+    since = before.told_at if before.is_cancel else float("-inf")
+    return any(
+        not each.is_cancel
+        and each.job_id == before.job_id
+        and each.organisation == owner
+        and each.outcome is Outcome.DONE
+        and each.asked_at >= since
+        for each in answers
+    )
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/plan.py
@@ -6,7 +6,7 @@
 
 from pomeloarch_core.batch.messages import TaskId
 from pomeloarch_core.batch.model import BatchJob, QueueName, Resources, Step
-from pomeloarch_core.ids import JobId
+from pomeloarch_core.ids import JobId, OrganisationName
 from pomeloarch_node.platform import StoreLimits
 from pomeloarch_standins.batch_world import CATALOGUE, ORGANISATION
 
@@ -16,6 +16,9 @@
 # How many times their duration kinds take at most that wait for their moment
 # before it begins.
 _WAITING_KINDS = {"kept-start": 2.1}
+# How often a caller tries to submit or to cancel a job, unless it gives up
+# sooner.
+MAX_ATTEMPTS = 12
 # A job that runs more often than this lasts longer than a play.
 MAX_PLAYED_OCCURRENCES = 100
 
@@ -63,6 +66,22 @@
         )
 
 
+class PlannedCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A caller's call about a job beside those of its submission.
+
+    Attributes:
+      at_s: when it is made first, in seconds.
+      node: the number of the node that it is made to.
+      organisation: the caller's organisation, empty for none.
+      attempts: how often it is made until it has a definite answer.
+    """
+
+    at_s: float
+    node: int
+    organisation: OrganisationName = ORGANISATION
+    attempts: int = MAX_ATTEMPTS
+
+
 class PlannedJob(
     msgspec.Struct, frozen=True, omit_defaults=True, tag="job", tag_field="is"
 ):
@@ -81,6 +100,9 @@
       fails: whether all of its runs fail.
       fails_once_after_s: how long the first run of each task works before it
         fails, in seconds; 0 if it doesn't fail.
+      attempts: how often its caller submits it until it has a definite answer.
+      cancels: further requests to cancel it, also before it is submitted.
+      rivals: submissions of other jobs under its id.
     """
 
     number: int
@@ -93,6 +115,9 @@
     cancel_after_s: float | None = None
     fails: bool = False
     fails_once_after_s: float = 0.0
+    attempts: int = MAX_ATTEMPTS
+    cancels: tuple[PlannedCall, ...] = ()
+    rivals: tuple[PlannedCall, ...] = ()
 
     @property
     def job_id(self) -> JobId:
@@ -118,12 +143,14 @@
             for index in range(step.count)
         ]
 
-    def job(self, now: float) -> BatchJob:
-        """Returns the job as it is submitted at a time."""
+    def job(
+        self, now: float, organisation: OrganisationName = ORGANISATION
+    ) -> BatchJob:
+        """Returns the job as an organisation submits it at a time."""
         return BatchJob(
             job_id=self.job_id,
             queue=self.queue,
-            organisation=ORGANISATION,
+            organisation=organisation,
             accepted_under=CATALOGUE.queues[self.queue],
             payload="work",
             steps=tuple(step.step() for step in self.steps),
@@ -147,6 +174,7 @@
       paths: the pairs of a node's and a worker's number that it strikes.
       amount: the share or the factor of the fault.
       table: the table of the store that it strikes.
+      shards: the shards of the store that it strikes.
     """
 
     kind: str
@@ -156,6 +184,7 @@
     paths: tuple[tuple[int, int], ...] = ()
     amount: float = 0.0
     table: str = ""
+    shards: tuple[int, ...] = ()
 
     @property
     def ends_at_s(self) -> float:
@@ -211,7 +240,13 @@
     def calm_at_s(self) -> float:
         """When all faults have ended and all jobs were submitted."""
         ends = [each.ends_at_s for each in self.faults]
-        return max(ends + [each.at_s for each in self.jobs], default=0.0)
+        submissions = [each.at_s for each in self.jobs]
+        others = [
+            call.at_s
+            for job in self.jobs
+            for call in (*job.cancels, *job.rivals)
+        ]
+        return max(ends + submissions + others, default=0.0)
 
     def to_lines(self) -> str:
         """Returns the plan as text, one part a line."""
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/playing.py
@@ -12,7 +12,12 @@
 from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_standins.batch_fuzz.faults import KINDS
 from pomeloarch_standins.batch_fuzz.judging import Finding, find_violations
-from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedFault, PlannedJob
+from pomeloarch_standins.batch_fuzz.plan import (
+    Plan,
+    PlannedCall,
+    PlannedFault,
+    PlannedJob,
+)
 from pomeloarch_standins.batch_fuzz.stage import Stage
 from pomeloarch_standins.batch_ledger import LedgerEntry
 from pomeloarch_standins.batch_waiting import WaitingWatch
@@ -74,6 +79,12 @@
     try:
         await asyncio.gather(
             *(_submit(stage, each) for each in plan.jobs),
+            *(
+                _call(stage, job, call, cancels)
+                for job in plan.jobs
+                for calls, cancels in ((job.cancels, True), (job.rivals, False))
+                for call in calls
+            ),
             *(_strike(stage, each) for each in plan.faults),
         )
         endless = {each.job_id for each in plan.jobs if each.is_endless}
@@ -145,6 +156,13 @@
     await stage.submit(planned)
 
 
+async def _call(
+    stage: Stage, planned: PlannedJob, call: PlannedCall, cancels: bool
+) -> None:
+    await asyncio.sleep(call.at_s)
+    await stage.make_call(planned, call, cancels)
+
+
 async def _strike(stage: Stage, fault: PlannedFault) -> None:
     await asyncio.sleep(fault.at_s)
     await KINDS[fault.kind].strike(stage, fault)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -10,14 +10,20 @@
 from pomeloarch_core.batch.model import Resources
 from pomeloarch_core.ids import NodeId, WorkerId
 from pomeloarch_node.batch.intake import Outcome
-from pomeloarch_standins.batch_fuzz.plan import Plan, PlannedJob
+from pomeloarch_standins.batch_fuzz.plan import (
+    MAX_ATTEMPTS,
+    Plan,
+    PlannedCall,
+    PlannedJob,
+)
 from pomeloarch_standins.batch_workers import WorkerModel
 from pomeloarch_standins.batch_world import BatchWorld, WorldNode
 
-# How often a caller tries to submit or to cancel a job, and its pause between
-# two attempts, in seconds.
-_MAX_ATTEMPTS = 12
+# Pause of a caller between two attempts to submit or to cancel a job, in
+# seconds.
 _RETRY_PAUSE_S = 0.5
+# Outcomes after which a caller tries again.
+_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN})
 # The rate of a slow worker's clock; the platform allows for this much.
 SLOW_CLOCK_RATE = 0.98
 # How often a condition that a fault waits for is checked, in seconds.
@@ -197,7 +203,9 @@
         """Submits a job, if need be at several nodes, and may cancel it."""
         job = planned.job(self.world.clock())
         outcome = await self._call_nodes(
-            planned.node, lambda node: self.world.submit(job, node)
+            planned.node,
+            lambda node: self.world.submit(job, node),
+            planned.attempts,
         )
         if outcome is Outcome.DONE and planned.cancel_after_s is not None:
             await asyncio.sleep(planned.cancel_after_s)
@@ -210,18 +218,33 @@
             lambda node: self.world.cancel(planned.job_id, node),
         )
 
+    async def make_call(
+        self, planned: PlannedJob, call: PlannedCall, cancels: bool
+    ) -> None:
+        """Cancels a job, or submits another one under its id."""
+        owner = call.organisation
+
+        async def call_node(node: WorldNode) -> Outcome:
+            if cancels:
+                return await self.world.cancel(planned.job_id, node, owner)
+            job = planned.job(self.world.clock(), owner)
+            return await self.world.submit(job, node)
+
+        await self._call_nodes(call.node, call_node, call.attempts)
+
     async def _call_nodes(
         self,
         first: int,
         call: Callable[[WorldNode], Coroutine[Any, Any, Outcome]],
+        attempts: int = MAX_ATTEMPTS,
     ) -> Outcome | None:
         """Makes a call at one node after the other until it has an answer."""
         nodes = self.world.nodes
-        for attempt in range(_MAX_ATTEMPTS):
+        for attempt in range(attempts):
             node = nodes[(first + attempt) % len(nodes)]
             if self.is_up(node):
                 outcome = await self._call_node(node, call(node))
-                if outcome in (Outcome.DONE, Outcome.NO_JOB):
+                if outcome is not None and outcome not in _INDEFINITE:
                     return outcome
             await asyncio.sleep(_RETRY_PAUSE_S)
         return None
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_store.py
@@ -20,6 +20,7 @@
     TableChanges,
     read_once,
 )
+from pomeloarch_node.batch.records import shard_of_row
 from pomeloarch_node.platform import (
     Check,
     Conflict,
@@ -222,6 +223,8 @@
         than its caller waits still takes effect.
       lose_share: the share of writes whose answer is lost.
       late_share: the share of those writes that take effect only seconds later.
+      late_shards: shards whose writes get no answer and take effect late.
+      late_by_s: after how many seconds they do.
       lose_reads_share: the share of reads, table reads and feeds whose answer
         is lost.
       refused_tables: tables whose writes the store refuses.
@@ -237,6 +240,8 @@
         self.slow_factor = 1.0
         self.lose_share = 0.0
         self.late_share = 0.0
+        self.late_shards: frozenset[int] = frozenset()
+        self.late_by_s = 0.0
         self.lose_reads_share = 0.0
         self.refused_tables: frozenset[str] = frozenset()
 
@@ -278,6 +283,13 @@
             return Err(failure)
         if any(each.table in self.refused_tables for each in writes):
             return Err(_UNAVAILABLE)
+        if any(
+            shard_of_row(each.table, each.key) in self.late_shards
+            for each in writes
+        ):
+            self._write_after(self.late_by_s, checks, writes)
+            await asyncio.sleep(TIMEOUT_S)
+            return Err(_LOST)
         if self._rng.random() < self.lose_share:
             late = self._rng.random() < self.late_share
             wait_s = self._rng.uniform(1.0, MAX_LATE_S) if late else 0.0
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -42,7 +42,7 @@
     LeaderTimes,
     WaveSource,
 )
-from pomeloarch_node.batch.intake import Outcome
+from pomeloarch_node.batch.intake import NO_ORGANISATION, Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import Advice
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
@@ -67,6 +67,8 @@
 WORKERS_TABLE = "model_workers"
 SERVICE = ServiceName("scorer")
 ORGANISATION = OrganisationName("qasr")
+# Submits jobs under ids of the first organisation.
+RIVAL = OrganisationName("rival")
 BATCH = QueueName("batch")
 URGENT = QueueName("urgent")
 ADVISED = QueueName("advised")
@@ -112,6 +114,26 @@
     return (int(job_id, 16) + number) % 2 == 0
 
 
+class CallerAnswer(msgspec.Struct, frozen=True):
+    """What a caller was told about a job.
+
+    Attributes:
+      job_id: the job.
+      organisation: the caller's organisation.
+      is_cancel: whether it asked to cancel the job; otherwise it submitted it.
+      outcome: the answer.
+      asked_at: when the call was made, in seconds.
+      told_at: when it was answered, in seconds.
+    """
+
+    job_id: JobId
+    organisation: OrganisationName
+    is_cancel: bool
+    outcome: Outcome
+    asked_at: float
+    told_at: float
+
+
 class _Advisor:
     """Gives the tickets of the queue with advice."""
 
@@ -259,7 +281,8 @@
       ledger: the record of all runs.
       submitted: all jobs that were submitted.
       accepted: when each accepted job was accepted.
-      cancelled: jobs whose end is not waited for.
+      answers: what callers were told about jobs, in the order of the answers.
+      owners: the organisation of each stored job, and when it was stored.
       cancel_acknowledged: when the request to cancel a job was acknowledged.
       finished: the first final status that the store showed of each job, and
         when.
@@ -298,7 +321,10 @@
         self.ledger = Ledger()
         self.submitted: dict[JobId, BatchJob] = {}
         self.accepted: dict[JobId, float] = {}
-        self.cancelled: set[JobId] = set()
+        # Requests to cancel a job that may have taken effect.
+        self._perhaps_cancelled: Counter[JobId] = Counter()
+        self.answers: list[CallerAnswer] = []
+        self.owners: dict[JobId, tuple[OrganisationName, float]] = {}
         self.cancel_acknowledged: dict[JobId, float] = {}
         self.finished: dict[JobId, tuple[JobStatus, float]] = {}
         # Jobs that an attempt to hand in, without a denial, may have started.
@@ -436,15 +462,37 @@
         """Submits a job through a node."""
         self.submitted[job.job_id] = job
         self._perhaps_handed_in[job.job_id] += 1
+        began = self.clock()
         await node.gate.wait()
-        outcome = await node.intake.accept(job, self.clock() + ACCEPT_TIMEOUT_S)
+        outcome = await node.intake.accept(job, began + ACCEPT_TIMEOUT_S)
         await node.gate.wait()
         if outcome is Outcome.DONE:
             self.accepted.setdefault(job.job_id, self.clock())
-        elif outcome is Outcome.NOT_DONE:
+        elif outcome is not Outcome.UNKNOWN:
             self._perhaps_handed_in[job.job_id] -= 1
+        self._note_answer(job.job_id, job.organisation, False, outcome, began)
         return outcome
 
+    def _note_answer(
+        self,
+        job_id: JobId,
+        organisation: OrganisationName,
+        is_cancel: bool,
+        outcome: Outcome,
+        began: float,
+    ) -> None:
+        self.answers.append(
+            CallerAnswer(
+                job_id, organisation, is_cancel, outcome, began, self.clock()
+            )
+        )
+
+    @property
+    def cancelled(self) -> set[JobId]:
+        """Jobs that a request to cancel may have ended."""
+        counts = self._perhaps_cancelled
+        return {each for each in counts if counts[each]}
+
     @property
     def rejected(self) -> set[JobId]:
         """The jobs that every attempt to hand in was denied."""
@@ -454,25 +502,39 @@
     def _note_write(self, write: Write) -> None:
         if write.table != JOBS_TABLE or not isinstance(write.value, dict):
             return
+        job_id = JobId(write.key)
+        owner = write.value.get("organisation")
+        if owner is not None:
+            self.owners.setdefault(
+                job_id, (OrganisationName(owner), self.clock())
+            )
         status = JobStatus(write.value.get("status", "queued"))
         if status.is_final:
-            job_id = JobId(write.key)
             self.finished.setdefault(job_id, (status, self.clock()))
 
     def worker_infos(self) -> dict[WorkerId, WorkerInfo]:
         """Returns the workers' entries by all ids that they have had."""
         return {each: found.info for each, found in self._by_any_id.items()}
 
-    async def cancel(self, job_id: JobId, node: WorldNode) -> Outcome:
+    async def cancel(
+        self,
+        job_id: JobId,
+        node: WorldNode,
+        organisation: OrganisationName = NO_ORGANISATION,
+    ) -> Outcome:
         """Cancels a job through a node."""
-        self.cancelled.add(job_id)
+        self._perhaps_cancelled[job_id] += 1
+        began = self.clock()
         await node.gate.wait()
         outcome = await node.intake.cancel(
-            job_id, self.clock() + ACCEPT_TIMEOUT_S
+            job_id, began + ACCEPT_TIMEOUT_S, organisation
         )
         await node.gate.wait()
         if outcome is Outcome.DONE:
             self.cancel_acknowledged.setdefault(job_id, self.clock())
+        elif outcome is not Outcome.UNKNOWN:
+            self._perhaps_cancelled[job_id] -= 1
+        self._note_answer(job_id, organisation, True, outcome, began)
         return outcome
 
     async def status(self, job_id: JobId, node: WorldNode) -> JobStatus | None:
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -13,6 +13,7 @@
 from pomeloarch_standins.batch_fuzz.command import main
 from pomeloarch_standins.batch_fuzz.drawing import draw_plan
 from pomeloarch_standins.batch_fuzz.faults import (
+    DOUBTFUL_CALLERS,
     FEW_JOBS,
     KINDS,
     LASTING_JOBS,
@@ -56,8 +57,10 @@
     WIDE_JOBS,
     LASTING_JOBS,
     MANY_OCCURRENCES,
+    DOUBTFUL_CALLERS,
     "lose-worker",
     "kept-start",
+    "late-writes",
 }
 
 
