Withdraw the id of an unknown job before its cancel is answered with 410

Also: 200 for a submission under the id of another organisation's job, of which nothing ever runs.

Cause: an answer that a write under way can make untrue. The cancel only read that there is no row, and the submission's only condition was that there is none. accept took each conflict for its own earlier write.

Change: a row batch_withdrawn/ID names the organisations that cancelled an id without a job; it is written on the condition that there is no job, and accept has the absence of a withdrawal by whoever may cancel the job as its condition, and that of a marker without a job. 410 is said once the withdrawal is certain. A conflict is judged by whose row it is: own 200, another's 409, withdrawn 409. Related: markers without a job are deleted, leaders forget cancels whose marker is gone, and an expired job's row has to have been expired for 60 s of a steady clock, so that a clock that is set can't have a late copy run it again.

Ruled out: what one node remembers (two nodes, kills); the marker ID! for unknown ids too (whose it is, and all nodes mirror it); wall-clock times in the row. By reading: the 503 of RepeatingStore waits for all copies and is given only if all were refused; a forwarding node answers 504 where a peer took the call.

Why it works: of the withdrawal and the acceptance, the store performs one first, and the condition of the other fails then, however late it is performed.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -154,6 +154,12 @@
     job_id: JobId
 
 
+class CancelForgotten(msgspec.Struct, frozen=True):
+    """The record of a request to cancel a job was deleted."""
+
+    job_id: JobId
+
+
 class CatalogueChanged(msgspec.Struct, frozen=True):
     """A newer version of the configuration is in force."""
 
@@ -384,6 +390,7 @@
 Event = (
     JobAccepted
     | CancelRequested
+    | CancelForgotten
     | CatalogueChanged
     | WorkersListed
     | RosterLoaded
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -26,6 +26,7 @@
 from pomeloarch_core.batch.messages import (
     AdviceGiven,
     AdviceMissing,
+    CancelForgotten,
     CancelRequested,
     CatalogueChanged,
     Decision,
@@ -318,6 +319,10 @@
         elif not entry.row.status.is_final:
             self._cancel(entry, now)
 
+    @_on.register
+    def _on_cancel_forgotten(self, event: CancelForgotten, now: float) -> None:
+        self._early_cancels.discard(event.job_id)
+
     def _cancel(self, entry: JobEntry, now: float) -> None:
         self._jobs.finish(
             entry, JobStatus.CANCELLED, "cancelled by a caller", now
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/intake.py
@@ -2,6 +2,10 @@
 
 A job is accepted with one conditional write. A write without an answer is sent
 again, and its condition tells whether the first one took effect.
+
+Such a write may also be performed seconds later, after its caller has given the
+job up. Before a caller is told that a job which it cancels doesn't exist, the
+job's id is withdrawn, and no job is accepted under a withdrawn id.
 """
 
 from __future__ import annotations
@@ -14,8 +18,10 @@
 import msgspec
 from result import Err, Ok, Result
 
+from pomeloarch_core.batch.access import NO_ORGANISATION, may_access
 from pomeloarch_core.batch.model import BatchJob, QueueName
 from pomeloarch_core.batch.rows import JobRow, JobStatus
+from pomeloarch_core.batch.withdrawals import Withdrawal, WithdrawalBudget
 from pomeloarch_core.ids import JobId, OrganisationName
 from pomeloarch_node.batch.decision_log import DecisionLog
 from pomeloarch_node.batch.mirror import TableMirror
@@ -23,9 +29,11 @@
 from pomeloarch_node.batch.records import (
     JOBS_TABLE,
     SPECS_TABLE,
+    WITHDRAWN_TABLE,
     cancel_key,
     cancelled_job,
     decode_row,
+    decode_withdrawal,
     encode,
     find_excess,
 )
@@ -34,6 +42,7 @@
     Conflict,
     PlatformError,
     PlatformFailure,
+    Row,
     StoreLimits,
     Write,
 )
@@ -60,9 +69,6 @@
 MAX_STATE_READS = 3
 STATE_READ_PAUSE_S = 0.025
 
-# The organisation of jobs of public queues, and of callers without a key.
-NO_ORGANISATION = OrganisationName("")
-
 _STORE_UNREACHABLE = PlatformError(
     PlatformFailure.NOT_DONE, "the store is out of reach"
 )
@@ -74,8 +80,12 @@
     DONE: it took effect, now or by an earlier request.
     NOT_DONE: it certainly had no effect.
     UNKNOWN: it may have taken effect.
-    NO_JOB: there is no such job.
+    NO_JOB: there is no such job, and no earlier submission by the caller will
+      be accepted any more.
     TOO_LARGE: it had no effect, and never will: the store can't keep the job.
+    ID_TAKEN: it had no effect: another organisation's job has the id.
+    WITHDRAWN: it had no effect: the id was cancelled before.
+    TOO_MANY: it had no effect: too many unknown jobs are being cancelled.
     """
 
     DONE = "done"
@@ -83,6 +93,9 @@
     UNKNOWN = "unknown"
     NO_JOB = "no_job"
     TOO_LARGE = "too_large"
+    ID_TAKEN = "id_taken"
+    WITHDRAWN = "withdrawn"
+    TOO_MANY = "too_many"
 
 
 class KnownJob(msgspec.Struct, frozen=True):
@@ -103,14 +116,8 @@
     finished_at: float
 
     def is_visible_to(self, organisation: OrganisationName) -> bool:
-        """Returns whether an organisation may read and cancel the job.
-
-        Jobs and callers without an organisation are not kept apart.
-        """
-        return self.organisation == NO_ORGANISATION or organisation in (
-            NO_ORGANISATION,
-            self.organisation,
-        )
+        """Returns whether an organisation may read and cancel the job."""
+        return may_access(self.organisation, organisation)
 
 
 class Intake:
@@ -124,6 +131,8 @@
       is_reachable: whether the store has answered this node recently.
       wall: returns wall-clock time, in seconds.
       limits: what the store takes.
+      count_nodes: returns the number of nodes, which share the budget of writes
+        for the cancellation of unknown jobs.
     """
 
     def __init__(
@@ -135,8 +144,11 @@
         is_reachable: Callable[[], bool] = lambda: True,
         wall: Callable[[], float] = time.time,
         limits: StoreLimits | None = None,
+        count_nodes: Callable[[], int] = lambda: 1,
     ) -> None:
         """Subscribes to the mirror."""
+        self._count_nodes = count_nodes
+        self._withdrawal_budget = WithdrawalBudget()
         self._limits = limits or StoreLimits()
         self._log = log
         self._wall = wall
@@ -157,12 +169,33 @@
         if self.find_excess(job) is not None:
             return Outcome.TOO_LARGE
         row = JobRow.from_job(job)
-        checks = [Check(JOBS_TABLE, job.job_id, 0)]
         writes = [
             Write(JOBS_TABLE, job.job_id, encode(row)),
             Write(SPECS_TABLE, job.job_id, encode(job)),
         ]
-        return await self._write_once(checks, writes, give_up_at)
+        withdrawn_at = 0
+        while True:
+            checks = [
+                Check(JOBS_TABLE, job.job_id, 0),
+                Check(JOBS_TABLE, cancel_key(job.job_id), 0),
+                Check(WITHDRAWN_TABLE, job.job_id, withdrawn_at),
+            ]
+            answer = await self._write_once(checks, writes, give_up_at)
+            if isinstance(answer, Outcome):
+                return answer
+            found, marker, withdrawal = _rows_in_order(answer, checks)
+            if found.value is not None:
+                owner = decode_row(found.value).organisation
+                is_own = owner == job.organisation
+                return Outcome.DONE if is_own else Outcome.ID_TAKEN
+            is_withdrawn = decode_withdrawal(withdrawal.value).covers(
+                job.organisation
+            )
+            if is_withdrawn or marker.value is not None:
+                return Outcome.WITHDRAWN
+            # Other organisations have withdrawn the id, or their withdrawal
+            # has expired.
+            withdrawn_at = withdrawal.version
 
     async def cancel(
         self,
@@ -189,21 +222,75 @@
         known = await self.look_up(job_id)
         if isinstance(known, Err):
             return Outcome.NOT_DONE
-        if known.ok_value is None or not known.ok_value.is_visible_to(
-            organisation
-        ):
+        if known.ok_value is None:
+            return await self._withdraw(job_id, give_up_at, organisation)
+        return await self._cancel_known(
+            job_id, known.ok_value, give_up_at, organisation
+        )
+
+    async def _cancel_known(
+        self,
+        job_id: JobId,
+        job: KnownJob,
+        give_up_at: float,
+        organisation: OrganisationName,
+    ) -> Outcome:
+        if not job.is_visible_to(organisation):
             return Outcome.NO_JOB
-        if known.ok_value.status.is_final:
+        if job.status.is_final:
             return Outcome.DONE
-        return await self._write_once(
+        key = cancel_key(job_id)
+        answer = await self._write_once(
             [Check(JOBS_TABLE, key, 0)],
             [Write(JOBS_TABLE, key, {"at": self._clock()})],
             give_up_at,
         )
+        # A conflict shows that the marker is there.
+        return answer if isinstance(answer, Outcome) else Outcome.DONE
+
+    async def _withdraw(
+        self, job_id: JobId, give_up_at: float, organisation: OrganisationName
+    ) -> Outcome:
+        """Cancels a job that was not found.
+
+        A withdrawal that is already there is written again, since the time for
+        which it is kept counts from its last write.
+        """
+        if not self._withdrawal_budget.try_spend(
+            organisation, self._count_nodes(), self._clock()
+        ):
+            return Outcome.TOO_MANY
+        withdrawal, version = Withdrawal(), 0
+        while True:
+            checks = [
+                Check(JOBS_TABLE, job_id, 0),
+                Check(WITHDRAWN_TABLE, job_id, version),
+            ]
+            value = encode(withdrawal.including(organisation))
+            answer = await self._write_once(
+                checks, [Write(WITHDRAWN_TABLE, job_id, value)], give_up_at
+            )
+            if answer is Outcome.DONE:
+                return Outcome.NO_JOB
+            if isinstance(answer, Outcome):
+                return answer
+            found, withdrawn = _rows_in_order(answer, checks)
+            if found.value is not None:
+                # Accepted since it was looked up.
+                job = _known_job(decode_row(found.value), cancelled=False)
+                return await self._cancel_known(
+                    job_id, job, give_up_at, organisation
+                )
+            withdrawal = decode_withdrawal(withdrawn.value)
+            version = withdrawn.version
 
     async def _write_once(
         self, checks: list[Check], writes: list[Write], give_up_at: float
-    ) -> Outcome:
+    ) -> Outcome | Conflict:
+        """Writes rows; returns the conflict if their conditions don't hold.
+
+        The rows in conflict may be those that an earlier copy has written.
+        """
         if not self._is_reachable():
             return Outcome.NOT_DONE
         outcome_unknown = False
@@ -218,7 +305,7 @@
                 return Outcome.DONE
             error = answer.err_value
             if isinstance(error, Conflict):
-                return Outcome.DONE
+                return error
             if error.permanent and not outcome_unknown:
                 self._log.write("write refused for good", reason=error.message)
             if (
@@ -376,3 +463,9 @@
     return KnownJob(
         status, row.organisation, row.queue, row.accepted_at, row.finished_at
     )
+
+
+def _rows_in_order(conflict: Conflict, checks: list[Check]) -> list[Row]:
+    """Returns the present rows of a transaction's checks, in their order."""
+    found = {(row.table, row.key): row for row in conflict.rows}
+    return [found[each.table, each.key] for each in checks]
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/leader.py
@@ -19,6 +19,7 @@
 from pomeloarch_core.batch.catalogue import Catalogue
 from pomeloarch_core.batch.estimates import DispatchTimes
 from pomeloarch_core.batch.messages import (
+    CancelForgotten,
     CancelRequested,
     CatalogueChanged,
     Decision,
@@ -374,11 +375,12 @@
         )
         self._retention = Retention(
             leader._store,
-            lambda: leader._jobs.rows,
+            leader._jobs,
             lambda: leader._specs.rows,
             term.checks,
             leader.times.keep_finished_s,
             leader._wall,
+            self._clock,
             leader._log,
         )
         self._sessions: dict[
@@ -506,11 +508,23 @@
             self.emit(CancelRequested(job.job_id))
 
     def on_job_changes(self, changes: TableChanges, is_snapshot: bool) -> None:
-        """Passes new cancellation markers to the scheduler."""
-        for row in changes.rows:
-            cancelled = cancelled_job(row.key)
-            if cancelled is not None and row.value is not None:
-                self.emit(CancelRequested(cancelled))
+        """Passes new and deleted cancellation markers to the scheduler."""
+        marked = {
+            cancelled: row.value is not None
+            for row in changes.rows
+            if (cancelled := cancelled_job(row.key)) is not None
+        }
+        if is_snapshot:
+            # Rows that were deleted before it are not part of it.
+            gone = self._cancelled_jobs - marked.keys()
+            marked |= dict.fromkeys(gone, False)
+        for job_id, is_cancelled in marked.items():
+            if is_cancelled:
+                self._cancelled_jobs.add(job_id)
+                self.emit(CancelRequested(job_id))
+            else:
+                self._cancelled_jobs.discard(job_id)
+                self.emit(CancelForgotten(job_id))
 
     async def run(self) -> None:
         """Runs the scheduler until cancelled."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/node.py
@@ -240,6 +240,7 @@
             self.log,
             lambda: self._store_monitor.is_reachable(self.clock()),
             limits=settings.store_limits,
+            count_nodes=lambda: len(self._nodes.rows),
         )
         self._role = LeasedRole(
             ROLE_NAME,
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/records.py
@@ -11,6 +11,7 @@
 
 from pomeloarch_core.batch.model import BatchJob
 from pomeloarch_core.batch.rows import JobRow
+from pomeloarch_core.batch.withdrawals import Withdrawal
 from pomeloarch_core.ids import JobId
 from pomeloarch_node.platform import StoreLimits
 
@@ -22,6 +23,9 @@
 JOBS_TABLE = "batch_jobs"
 # One row for each shard: the number of the leading scheduler's newest term.
 TERMS_TABLE = "batch_terms"
+# Ids that were cancelled while no job had them. No node follows this table: the
+# conditions of writes refer to it, and the leading scheduler clears it.
+WITHDRAWN_TABLE = "batch_withdrawn"
 ROLE_NAME = "batch_scheduler"
 # Workers that may run something, spread over rows by their ids.
 ROSTER_TABLE = "batch_roster"
@@ -30,7 +34,9 @@
 # shard and a shard executes one transaction after another. A store that is
 # sixty times slower than usual executes three per second in each shard.
 SHARDS = 4
-SHARDED_TABLES = frozenset({SPECS_TABLE, JOBS_TABLE, ROSTER_TABLE})
+SHARDED_TABLES = frozenset(
+    {SPECS_TABLE, JOBS_TABLE, ROSTER_TABLE, WITHDRAWN_TABLE}
+)
 
 _CANCEL_SUFFIX = "!"
 # Values of more bytes than this are compressed. The rows of most jobs are
@@ -144,6 +150,15 @@
         raise msgspec.ValidationError(f"a packed row: {exc}") from exc
 
 
+def decode_withdrawal(value: Any) -> Withdrawal:
+    """Decodes a withdrawal; an absent one (None) withdraws nothing.
+
+    Raises:
+      msgspec.ValidationError: the value can't be read.
+    """
+    return Withdrawal() if value is None else msgspec.convert(value, Withdrawal)
+
+
 def decode_job(value: Any) -> BatchJob:
     """Decodes a submitted job; raises `msgspec.ValidationError`."""
     return msgspec.convert(unpack(value), BatchJob)
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/judging.py
@@ -30,7 +30,7 @@
 # seconds.
 _COMPLETED_DELAY_S = 1.0
 # Answers that say nothing about other copies of a call.
-_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN})
+_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN, Outcome.TOO_MANY})
 # How much too early an occurrence may start, in seconds.
 _EARLY_S = 0.05
 
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_fuzz/stage.py
@@ -23,7 +23,7 @@
 # seconds.
 _RETRY_PAUSE_S = 0.5
 # Outcomes after which a caller tries again.
-_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN})
+_INDEFINITE = frozenset({Outcome.NOT_DONE, Outcome.UNKNOWN, Outcome.TOO_MANY})
 # The rate of a slow worker's clock; the platform allows for this much.
 SLOW_CLOCK_RATE = 0.98
 # How often a condition that a fault waits for is checked, in seconds.
--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -14,6 +14,7 @@
 import msgspec
 from result import Ok, Result
 
+from pomeloarch_core.batch.access import NO_ORGANISATION
 from pomeloarch_core.batch.catalogue import Catalogue, Route, Tenant
 from pomeloarch_core.batch.estimates import DispatchTimes
 from pomeloarch_core.batch.messages import (
@@ -42,7 +43,7 @@
     LeaderTimes,
     WaveSource,
 )
-from pomeloarch_node.batch.intake import NO_ORGANISATION, Outcome
+from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import Advice
 from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -135,6 +135,16 @@
     assert describe(play(draw_plan(seed, kinds))) == []
 
 
+@pytest.mark.parametrize("seed", [130002, 130004, 130006, 130012])
+def test_random_plan_of_doubtful_callers_breaks_no_answer(seed):
+    """Guards against jobs that run after a caller was told that there is none.
+
+    Also against 200 for a job under an id that another organisation's has.
+    """
+    kinds = [DOUBTFUL_CALLERS, "late-writes", FEW_JOBS]
+    assert describe(play(draw_plan(seed, kinds))) == []
+
+
 # Shrunk plans by what went wrong.
 FAILED_PLANS = {
     # The end of a gang's member is lost with a restart, the gang is done by
