Have the models read compressed and deleted rows of ended jobs

Cause: BatchWorld._has_ended took the status from the stored value as it is. The first final status of a job was missed in the same way.

Change: the value is unpacked; a deleted row is that of a job that has ended, as rows are kept for minutes after it. Of the new test's three cases, two fail before.

--- a/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
+++ b/packages/pomeloarch-standins/src/pomeloarch_standins/batch_world.py
@@ -10,6 +10,7 @@
 import os
 import random
 from collections import Counter
+from typing import Any
 
 import msgspec
 from result import Ok, Result
@@ -46,7 +47,7 @@
 from pomeloarch_node.batch.intake import Outcome
 from pomeloarch_node.batch.mirror import TableMirror
 from pomeloarch_node.batch.ports import Advice
-from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME
+from pomeloarch_node.batch.records import JOBS_TABLE, ROLE_NAME, unpack
 from pomeloarch_node.batch.repeating_store import RepeatingStore
 from pomeloarch_node.metrics import Metrics
 from pomeloarch_node.platform import StoreLimits, Write
@@ -509,7 +510,7 @@
             self.owners.setdefault(
                 job_id, (OrganisationName(owner), self.clock())
             )
-        status = JobStatus(write.value.get("status", "queued"))
+        status = _status_in(write.value)
         if status.is_final:
             self.finished.setdefault(job_id, (status, self.clock()))
 
@@ -559,9 +560,13 @@
             await asyncio.sleep(0.1)
 
     def _has_ended(self, job_id: JobId) -> bool:
-        row = self.tables.read(JOBS_TABLE, job_id)
-        status = JobStatus(row.value.get("status", "queued"))
-        return status.is_final or job_id in self.cancelled
+        value = self.tables.read(JOBS_TABLE, job_id).value
+        # Rows are deleted only long after the end of their job.
+        return (
+            value is None
+            or job_id in self.cancelled
+            or _status_in(value).is_final
+        )
 
     def start(self) -> None:
         """Starts all nodes and workers."""
@@ -584,6 +589,11 @@
         os.close(self.log_fd)
 
 
+def _status_in(value: Any) -> JobStatus:
+    """Returns the status in the stored value of a job's row."""
+    return JobStatus(unpack(value).get("status", "queued"))
+
+
 def _info(number: int) -> WorkerInfo:
     return WorkerInfo(
         worker_id=WorkerId(f"w{number}"),
--- a/packages/pomeloarch-standins/tests/test_batch_fuzz.py
+++ b/packages/pomeloarch-standins/tests/test_batch_fuzz.py
@@ -7,8 +7,10 @@
 import pytest
 
 from pomeloarch_core.batch.messages import RunEnd, TaskId
+from pomeloarch_core.batch.rows import JobRow, JobStatus, StepRow
 from pomeloarch_core.batch.runs import RUNS_PER_TERM
 from pomeloarch_core.ids import JobId
+from pomeloarch_node.batch.records import JOBS_TABLE, encode
 from pomeloarch_node.batch.term_row import FENCES_PER_TERM
 from pomeloarch_standins.batch_fuzz.command import main
 from pomeloarch_standins.batch_fuzz.drawing import draw_plan
@@ -32,7 +34,8 @@
 )
 from pomeloarch_standins.batch_fuzz.playing import play
 from pomeloarch_standins.batch_fuzz.shrinking import shrink
-from pomeloarch_standins.batch_world import BATCH
+from pomeloarch_standins.batch_world import BATCH, ORGANISATION, BatchWorld
+from pomeloarch_standins.virtual_time import run_virtual
 
 # The number of the first run in the first term.
 FIRST_RUN = FENCES_PER_TERM * RUNS_PER_TERM + 1
@@ -272,6 +275,32 @@
     assert shrink(plan, lambda _: set()) == plan
 
 
+def ended_row(failures):
+    """Returns the stored value of a wide job that has ended.
+
+    Args:
+      failures: the number of its tasks that failed once.
+    """
+    step = StepRow("f", {str(number): [1] for number in range(failures)})
+    row = JobRow(BATCH, ORGANISATION, 0.0, JobStatus.COMPLETED)
+    return encode(msgspec.structs.replace(row, steps={"0.0": step}))
+
+
+@pytest.mark.parametrize(
+    "value", [ended_row(1), ended_row(2000), None], ids=["plain", "packed", ""]
+)
+def test_job_whose_row_says_so_or_was_deleted_has_ended(value):
+    """Guards against plays that fail by themselves (seeds 770005, 79033)."""
+
+    async def scenario():
+        world = BatchWorld(1)
+        world.accepted[SHORT_JOB.job_id] = 1.0
+        world.tables.put(JOBS_TABLE, SHORT_JOB.job_id, value)
+        return await world.wait_for_jobs(0.0)
+
+    assert run_virtual(scenario()) == []
+
+
 def write_plan(folder, plan):
     path = folder / "plan"
     path.write_text(plan.to_lines())
