End the wait for an order to start at gone workers and for lasting tasks

Cause: an order without an answer binds its task to its worker for 13 s, as the worker's next incarnation may carry it out. Nothing ended that where the worker is gone, except for lasting tasks, or where it refuses the order and is full.

Change: copies on a worker that is gone (off the confirmed list for 3 s, unheard, leases over) are settled for all tasks. A gang is bound by its members with open starts only. The record of open starts knows which copies the present incarnation of a worker refuses: it has listed an end of that run or a later one, or answered under a higher fence. A lasting task leaves such a worker after 6 s if that has answered within 1.5 s.

A test demanded that an ordinary task waits for 13 s at a gone worker too; it demands now that it waits until the worker counts as gone, and starts within 14 s.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -8,8 +8,8 @@
 
 from __future__ import annotations
 
-from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from pomeloarch_core.batch.advice import AdviceCache
 from pomeloarch_core.batch.catalogue import Catalogue
@@ -30,6 +30,7 @@
 )
 from pomeloarch_core.batch.health import suspend
 from pomeloarch_core.batch.holds import (
+    MAX_LASTING_WAIT_S,
     Hold,
     are_preferences_lifted,
     has_waited,
@@ -103,6 +104,9 @@
 # run waits, in seconds. It is half of the time for which a job may stand still
 # beside free workers.
 FAILED_RETRY_S = 1.5
+# Age of a worker's last report, in seconds, up to which it counts as running
+# still. Workers are asked about twice a second.
+MAX_REPORT_AGE_S = 1.5
 # Limit on the workers that a job's row names for starts that may be open. Such
 # a row takes a fraction of the usual size of a stored row.
 MAX_OPEN_NAMES = 2048
@@ -176,6 +180,8 @@
         self._near_cache = _FitCache()
         self._beside_cache = _FitCache()
         self._sight_cache = _FitCache()
+        # Since when ready long-running groups have had open starts, in seconds.
+        self._bound_since: dict[Group, float] = {}
         # Since when much of a service has been idle, in seconds.
         self._idle_since: dict[ServiceName, float] = {}
 
@@ -310,15 +316,25 @@
 
         A task may run on the worker that may still carry out the earlier order:
         whatever starts it there, it has one run. A gang may run where each of
-        its tasks is on that worker. These come first, before others take their
-        places.
+        its tasks with an open start is on that worker. These come first, before
+        others take their places.
         """
         open_tasks = self._open_starts.tasks()
+        self._bound_since = {
+            group: self._bound_since.get(group, now)
+            for group in groups
+            if group.step.long_running
+            and not open_tasks.isdisjoint(group.tasks())
+        }
         if not open_tasks:
             return groups
         free, bound = [], []
         for group in groups:
-            if group.may_overlap or open_tasks.isdisjoint(group.tasks()):
+            if (
+                group.may_overlap
+                or open_tasks.isdisjoint(group.tasks())
+                or self._may_leave_open_starts(group, now)
+            ):
                 free.append(group)
                 continue
             places = self._places_of_open_starts(group)
@@ -339,65 +355,86 @@
                 free.append(group)
         return bound + free
 
+    def _may_leave_open_starts(self, group: Group, now: float) -> bool:
+        """Returns whether a group may run elsewhere than its open starts.
+
+        A long-running task may be away only for some seconds. It has waited for
+        the workers of these starts, which have just answered and refuse them. A
+        worker that ends now could still carry one out in its next incarnation,
+        before that is contacted.
+        """
+        bound_since = self._bound_since.get(group, now)
+        if now - bound_since < MAX_LASTING_WAIT_S or not all(
+            map(self._open_starts.are_refused, group.tasks())
+        ):
+            return False
+        workers = set[WorkerId]().union(
+            *map(self._open_starts.workers, group.tasks())
+        )
+        unheard = {
+            each for each in workers if not self._has_just_answered(each, now)
+        }
+        self.awaited_reports |= unheard
+        return not unheard
+
+    def _has_just_answered(self, worker_id: WorkerId, now: float) -> bool:
+        """Returns whether a listed worker's last report is recent."""
+        worker = self._fleet.get(worker_id)
+        return (
+            worker is not None
+            and worker.listed
+            and not worker.silent
+            and worker.late_since is None
+            and worker.asked_at is not None
+            and now - worker.asked_at <= MAX_REPORT_AGE_S
+        )
+
     def _places_of_open_starts(
         self, group: Group
     ) -> dict[int, WorkerId] | None:
-        """Returns the worker on which each task's start may be open.
+        """Returns the worker on which each task's start is open, by index.
 
-        Those of a gang are the places of its last claim.
+        Tasks without an open start are left out.
 
         Returns:
-          The workers by index; None where a task has several of them.
+          The workers; None where a task has several of them.
         """
-        open_at = {
-            index: self._open_starts.workers(group.task(index))
-            for index in group.indices
-        }
-        if not group.step.gang:
-            (workers,) = open_at.values()
-            found = dict.fromkeys(group.indices, next(iter(workers)))
-        else:
-            row = group.job.row
-            named = row.open_starts.get(group.key, [])
-            if not row.names_members or len(named) != len(group.indices):
+        found = {}
+        for index in group.indices:
+            workers = self._open_starts.workers(group.task(index))
+            if len(workers) > 1:
                 return None
-            found = dict(zip(group.indices, named, strict=True))
-        is_open_elsewhere = any(
-            workers - {found[index]} for index, workers in open_at.items()
-        )
-        return None if is_open_elsewhere else found
+            if workers:
+                (found[index],) = workers
+        return found
 
     def _place_again(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> bool:
-        """Claims the places of a gang's earlier start, if they are free."""
+        """Claims places for a gang of which some starts are open.
+
+        The members whose starts are open get the same places again, if these
+        are free. The others get those of the last claim or, where these are not
+        free, any others.
+        """
         self._load_usable(group, placing_round, now)
         usable = placing_round.usable[group.job.queue.service].workers
         if group.job.queue.advised:
             usable = self._filter_advised(group, list(usable), now)
         # A worker may have started again as one of another kind.
-        label = group.step.label
-        known = {
-            each.worker_id: each
-            for each in usable
-            if not label or label in each.info.labels
-        }
-        wanted = placing_round.only_places[group]
-        places = {
-            index: known[worker_id]
-            for index, worker_id in wanted.items()
-            if worker_id in known
-        }
-        counts = Counter(places.values())
-        has_room = len(places) == len(group.indices) and all(
-            worker.count_fitting(group.step.allocation) >= count
-            for worker, count in counts.items()
-        )
-        if not has_room:
+        allowed = filter_allowed(group, usable, {})
+        bound = placing_round.only_places[group]
+        named = group.job.row.open_starts.get(group.key, [])
+        wanted = dict(zip(group.indices, named, strict=False)) | bound
+        places = _find_places_again(group, allowed, bound, wanted)
+        if places is None:
             self._log_waiting(
                 group, WaitReason.OPEN_START, None, False, placing_round, now
             )
             return False
+        if [places[index].worker_id for index in group.indices] != named:
+            # The starts that are open are named again with the claim.
+            group.job.row.open_starts.pop(group.key, None)
         self._claim(group, places, placing_round, now)
         return True
 
@@ -418,29 +455,20 @@
         """Removes open starts that can't run any more, or would be reported.
 
         A worker that isn't heard from may have carried one out at the last
-        moment, and runs it until its lease ends, unless it is gone. A
-        long-running task doesn't wait longer than that: it may not be away for
-        the time in which an order can still be carried out.
+        moment, and runs it until its lease ends, unless it is gone. No start
+        waits for a worker that is gone.
         """
         self.awaited_reports.clear()
 
-        def is_lasting(task: TaskId) -> bool:
-            return any(
-                entry.job.steps[task.step].long_running
-                for entry in jobs
-                if entry.job.job_id == task.job_id
-            )
-
         def is_settled(task: TaskId, copy: OpenCopy) -> bool:
             worker = self._fleet.get(copy.worker_id)
-            is_gone = worker is not None and self._fleet.is_gone(worker, now)
+            if worker is not None and self._fleet.is_gone(worker, now):
+                return True
             if now < copy.acts_until:
-                return is_gone and is_lasting(task)
+                return False
             asked_at = None if worker is None else worker.asked_at
             if asked_at is not None and asked_at >= copy.acts_until:
                 return True
-            if is_gone:
-                return True
             self.awaited_reports.add(copy.worker_id)
             return now >= copy.acts_until + self._open_starts.longest_lease_s
 
@@ -1189,6 +1217,37 @@
         return None
 
 
+def _find_places_again(
+    group: Group,
+    workers: Sequence[Worker],
+    bound: Mapping[int, WorkerId],
+    wanted: Mapping[int, WorkerId],
+) -> Placement | None:
+    """Returns places for a gang of which some members are bound to workers.
+
+    Args:
+      group: the gang.
+      workers: workers that its step allows.
+      bound: the workers of the members that may be on no other ones, by index.
+      wanted: the workers that the members are placed on where they have room.
+    """
+    known = {each.worker_id: each for each in workers}
+    left = {each: each.count_fitting(group.step.allocation) for each in workers}
+    most = group.step.max_per_worker
+    if most:
+        left = {each: min(count, most) for each, count in left.items()}
+    places: Placement = {}
+    for index in sorted(group.indices, key=lambda each: each not in bound):
+        worker = known.get(wanted[index]) if index in wanted else None
+        if worker is None or not left[worker]:
+            worker = next((each for each in workers if left[each]), None)
+            if worker is None or index in bound:
+                return None
+        places[index] = worker
+        left[worker] -= 1
+    return places
+
+
 def _may_retry_on(group: Group, workers: Sequence[Worker], now: float) -> bool:
     """Returns whether a group may run again on the only workers for it.
 
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/reports.py
@@ -19,6 +19,7 @@
     WorkerReported,
 )
 from pomeloarch_core.batch.model import NO_RESOURCES, Resources
+from pomeloarch_core.batch.open_starts import OpenStarts
 from pomeloarch_core.batch.rows import JobStatus
 from pomeloarch_core.batch.runs import RunController
 
@@ -34,6 +35,7 @@
       fleet: the workers.
       jobs: the jobs.
       runs: starts and stops groups.
+      open_starts: the orders to start without an answer.
       out: list to which decisions are added.
     """
 
@@ -42,12 +44,14 @@
         fleet: Fleet,
         jobs: JobRegistry,
         runs: RunController,
+        open_starts: OpenStarts,
         out: list[Decision],
     ) -> None:
         """Creates a processor that has seen no report."""
         self._fleet = fleet
         self._jobs = jobs
         self._runs = runs
+        self._open_starts = open_starts
         self._out = out
 
     def process(
@@ -57,7 +61,9 @@
         previous = worker.incarnation
         worker.incarnation = event.incarnation
         worker.asked_at = event.asked_at
-        if previous not in (0, event.incarnation):
+        has_restarted = previous not in (0, event.incarnation)
+        self._open_starts.note_report(worker.worker_id, has_restarted)
+        if has_restarted:
             # A new incarnation knows no ends of the previous one. The runs that
             # it has were started since, and those that it doesn't have are
             # found missing below.
@@ -105,6 +111,7 @@
             worker.last_end = end.number
             group = self._jobs.group_of(end.task)
             if end.task is not None:
+                self._open_starts.note_end(end.task, worker.worker_id, end.run)
                 self._runs.drop_unaccounted_run(
                     worker, end.task, end.run, Evidence.END_REPORTED, now
                 )
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -128,7 +128,7 @@
             self._runs, self._advice, self.open_starts, self._out, wall_offset
         )
         self._reports = ReportProcessor(
-            self._fleet, self._jobs, self._runs, self._out
+            self._fleet, self._jobs, self._runs, self.open_starts, self._out
         )
         self._recovery = RecoveryTracker(
             self._fleet, self._jobs, self._runs, self._out
--- a/packages/pomeloarch-core/tests/test_batch_holds.py
+++ b/packages/pomeloarch-core/tests/test_batch_holds.py
@@ -22,6 +22,7 @@
     RowWritten,
     RunEnd,
     RunningTask,
+    RunNumber,
     StartAnswered,
     StartOutcome,
     StartTask,
@@ -324,7 +325,9 @@
     filler = fleet.submit(BATCH, Step(8, ONE, 4.0, label="r1"), length_s=3.0)
     job = fleet.submit(BATCH, Step(2, ONE, 4.0))
     first = TaskId(job, 0, 0, 0)
-    fleet.scheduler.open_starts.add(first, WorkerId("w00"), fleet.now)
+    fleet.scheduler.open_starts.add(
+        first, WorkerId("w00"), RunNumber(1), fleet.now
+    )
     fleet.play(3.0)
     assert fleet.runs(filler) == []
     fleet.play(SLACK_S)
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -11,6 +11,7 @@
     RosterWritten,
     RowWritten,
     RunEnd,
+    RunNumber,
     StartAnswered,
     StartOutcome,
     StartTask,
@@ -31,7 +32,7 @@
     Resources,
     Step,
 )
-from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S
+from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S, OpenStarts
 from pomeloarch_core.batch.rows import JobRow, JobStatus
 from pomeloarch_core.batch.scheduler import BatchScheduler
 from pomeloarch_core.ids import (
@@ -81,7 +82,7 @@
         """Lists the workers with a label."""
         self.list_workers(WORKERS, label)
 
-    def list_workers(self, workers, label=""):
+    def list_workers(self, workers, label="", draining=()):
         """Lists these workers only."""
         listed = tuple(
             WorkerInfo(
@@ -91,6 +92,7 @@
                 ZoneName(each),
                 WHOLE,
                 labels=frozenset({label}),
+                draining=each in draining,
             )
             for each in workers
         )
@@ -142,8 +144,18 @@
         if self.placing:
             self.decisions += self.scheduler.place(self.now)
 
-    def report(self, worker_id, *ends):
-        self.emit(WorkerReported(worker_id, Incarnation(1), self.now, (), ends))
+    def report(self, worker_id, *ends, incarnation=1):
+        life = Incarnation(incarnation)
+        self.emit(WorkerReported(worker_id, life, self.now, (), ends))
+
+    def report_for(self, seconds, workers, incarnation=1):
+        """Has workers report every half second that they run nothing."""
+        for _ in range(round(seconds * 2)):
+            self.now += 0.5
+            for each in workers:
+                self.report(each, incarnation=incarnation)
+            self.emit(Tick(self.now))
+            self.rows_written()
 
     def rows_written(self):
         for each in [e for e in self.decisions if isinstance(e, WriteRow)]:
@@ -353,7 +365,7 @@
     harness.rows_written()
     (order,) = harness.starts()
     copy = harness.scheduler.open_starts.add(
-        order.task, order.worker_id, harness.now
+        order.task, order.worker_id, order.run, harness.now
     )
     harness.started(order)
     return order, copy
@@ -523,7 +535,9 @@
     harness.rows_written()
     orders = {each.worker_id: each for each in harness.starts()}
     last = orders[WORKERS[1]]
-    harness.scheduler.open_starts.add(last.task, last.worker_id, harness.now)
+    harness.scheduler.open_starts.add(
+        last.task, last.worker_id, last.run, harness.now
+    )
     for each in orders.values():
         harness.started(each)
     harness.label_workers(label)
@@ -572,21 +586,31 @@
 
 
 # The worker's entry is gone for 3 s, and its leases have ended.
+@pytest.mark.parametrize("step", [{}, {"gang": True}, {"long_running": True}])
 @pytest.mark.parametrize(
-    ("step", "starts"),
-    [({}, 1), ({"gang": True}, 1), ({"long_running": True}, 2)],
+    ("seconds", "is_list_confirmed", "is_listed", "starts"),
+    [
+        (4, True, False, 2),
+        (2, True, False, 1),
+        (4, False, False, 1),
+        (4, True, True, 1),
+    ],
 )
-def test_long_running_task_does_not_wait_for_an_order_to_a_gone_worker(
-    step, starts
+def test_no_task_waits_for_an_order_to_a_gone_worker(
+    step, seconds, is_list_confirmed, is_listed, starts
 ):
-    """Guards against a long-running task that is away for 13 s."""
+    """Guards against a job that stands still for 13 s (review/12).
+
+    A worker that is listed, or of which the list isn't known, isn't gone.
+    """
     harness = Harness()
     order, _ = ordered(harness, **step)
     harness.lose(order.worker_id)
-    harness.list_workers(WORKERS[1:])
-    for _ in range(4):
+    harness.list_workers(WORKERS if is_listed else WORKERS[1:])
+    for _ in range(seconds):
         harness.now += 1.0
-        harness.emit(Tick(harness.now, harness.now))
+        confirmed_at = harness.now if is_list_confirmed else None
+        harness.emit(Tick(harness.now, confirmed_at))
     harness.rows_written()
     assert len(harness.starts()) == starts
 
@@ -625,7 +649,9 @@
     harness = Harness()
     worker_id = WORKERS[1]
     task = TaskId(OTHER_JOB, 0, 0, 0)
-    harness.scheduler.open_starts.add(task, worker_id, harness.now)
+    harness.scheduler.open_starts.add(
+        task, worker_id, RunNumber(1), harness.now
+    )
     harness.now += idle_s
     harness.emit(Tick(harness.now))
     before = harness.scheduler.needs_polling(worker_id)
@@ -646,7 +672,9 @@
     order, _ = ordered(harness)
     harness.now += 3.0
     other = TaskId(OTHER_JOB, 0, 0, 0)
-    harness.scheduler.open_starts.add(other, order.worker_id, harness.now)
+    harness.scheduler.open_starts.add(
+        other, order.worker_id, order.run, harness.now
+    )
     until = harness.now + MAX_ORDER_DELAY_S + 6.5
     harness.lose(order.worker_id)
     harness.now = until - 0.1
@@ -707,6 +735,93 @@
     assert workers == [order.worker_id] * starts
 
 
+REFUSALS = [
+    ("the worker refuses it", True, WORKERS, 1, 6.5, 2),
+    ("it has not waited", True, WORKERS, 1, 5.5, 1),
+    ("the worker has restarted", True, WORKERS, 2, 6.5, 1),
+    ("the worker doesn't answer", True, WORKERS[1:], 1, 6.5, 1),
+    ("it may be away for longer", False, WORKERS, 1, 12.0, 1),
+]
+
+
+@pytest.mark.parametrize(
+    ("case", "lasts", "reporting", "incarnation", "seconds", "starts"), REFUSALS
+)
+def test_lasting_task_leaves_a_full_worker_that_refuses_its_open_start(
+    case, lasts, reporting, incarnation, seconds, starts
+):
+    """Guards against lasting tasks that are idle for 13 s (review/14).
+
+    The worker has listed the end of the run, and takes no more tasks.
+    """
+    harness = Harness()
+    order, _ = ordered(harness, long_running=lasts)
+    assert order.worker_id == WORKERS[0]
+    harness.now += 0.1
+    end = EndedTask(1, order.task, order.run, RunEnd.STOPPED)
+    harness.placing = False
+    harness.report(order.worker_id, end)
+    harness.list_workers(WORKERS, draining=WORKERS[:1])
+    harness.placing = True
+    harness.report_for(seconds, reporting, incarnation)
+    workers = [each.worker_id for each in harness.starts()]
+    assert workers == list(WORKERS[:starts])
+
+
+def test_gang_replaces_the_member_whose_worker_is_gone_and_no_other():
+    """Guards against a gang that waits for a worker that was lost."""
+    third = WorkerId("w2")
+    workers = (*WORKERS, third)
+    harness, orders, _ = gang_with_an_open_start()
+    harness.placing = False
+    stop_members(harness, orders)
+    harness.list_workers(workers, draining=WORKERS[:1])
+    harness.emit(RosterWritten(frozenset(workers)))
+    harness.report(third)
+    harness.placing = True
+    harness.report_for(1.0, workers)
+    again = {e.task.index: e.worker_id for e in harness.starts()[2:]}
+    before = {e.task.index: e.worker_id for e in orders.values()}
+    bound = orders[WORKERS[1]].task.index
+    assert again == {bound: WORKERS[1], 1 - bound: third}
+    assert before[1 - bound] == WORKERS[0]
+    row = harness.scheduler._jobs.get(JOB).row
+    assert row.open_starts == {"0.0.0": [again[0], again[1]]}
+    assert row.names_members
+
+
+@pytest.mark.parametrize(
+    ("run", "events", "are_refused"),
+    [
+        (5, [], False),
+        (5, [("end", 5)], True),
+        (5, [("end", 6)], True),
+        (5, [("end", 4)], False),
+        (5, [("report", False)], False),
+        (5, [("end", 5), ("report", False)], True),
+        (5, [("end", 5), ("report", True)], False),
+        (None, [("report", False)], True),
+        (None, [("report", True)], True),
+        (None, [("end", 5)], False),
+    ],
+)
+def test_worker_refuses_copies_of_runs_that_ended_there_or_are_fenced_off(
+    run, events, are_refused
+):
+    """Guards against copies that the next incarnation would carry out."""
+    open_starts, task = OpenStarts(), TaskId(JOB, 0, 0, 0)
+    if run is None:
+        open_starts.add_earlier(task, WORKERS[0])
+    else:
+        open_starts.add(task, WORKERS[0], RunNumber(run), 100.0)
+    for event, value in events:
+        if event == "end":
+            open_starts.note_end(task, WORKERS[0], RunNumber(value))
+        else:
+            open_starts.note_report(WORKERS[0], value)
+    assert open_starts.are_refused(task) == are_refused
+
+
 def gang_with_an_open_start(elsewhere=None):
     """Has a gang stop of which a member's start is open.
 
@@ -723,7 +838,9 @@
     orders = {each.worker_id: each for each in harness.starts()}
     last = orders[WORKERS[1]]
     for worker_id in filter(None, (last.worker_id, elsewhere)):
-        harness.scheduler.open_starts.add(last.task, worker_id, harness.now)
+        harness.scheduler.open_starts.add(
+            last.task, worker_id, last.run, harness.now
+        )
     until = harness.now + MAX_ORDER_DELAY_S
     harness.now += 1.0
     for each in orders.values():
@@ -792,7 +909,7 @@
     harness.rows_written()
     first, second = harness.starts()
     open_starts = harness.scheduler.open_starts
-    open_starts.add(second.task, second.worker_id, harness.now)
+    open_starts.add(second.task, second.worker_id, second.run, harness.now)
     harness.now += 1.0
     for each in (first, second):
         harness.started(each)
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/worker_session.py
@@ -564,7 +564,7 @@
             # The answer to a copy is awaited after that to another copy, too:
             # it shows that the copy can't be carried out later.
             copy_id = self._scheduler.open_starts.add(
-                order.task, order.worker_id, now
+                order.task, order.worker_id, order.run, now
             )
             call = self._send_start_copy(order, copy_id, deadline_ms)
             return await asyncio.shield(self._spawn(call))
--- a/packages/pomeloarch-node/tests/test_batch_lost_workers.py
+++ b/packages/pomeloarch-node/tests/test_batch_lost_workers.py
@@ -5,8 +5,8 @@
 import msgspec
 import pytest
 
+from pomeloarch_core.batch.fleet import GONE_AFTER_S
 from pomeloarch_core.batch.model import BatchJob, Resources, Step
-from pomeloarch_core.batch.open_starts import MAX_ORDER_DELAY_S
 from pomeloarch_core.ids import JobId, WorkerId
 from pomeloarch_node.batch.records import JOBS_TABLE
 from pomeloarch_standins.batch_world import (
@@ -20,10 +20,9 @@
 WHOLE = Resources(64_000, 128_000, 8)
 # Time after which the entry of a silent worker lapses, in seconds.
 LAPSE_S = 4.5
-# How long after the end of the traffic jobs are asked for, and for how long
-# they may stand still then, in seconds (RULES, LOST).
+# How long after the end of the traffic jobs are asked for, in seconds (RULES,
+# LOST).
 FINISH_S = 14.0
-MAX_STANDSTILL_S = 3.0
 STEPS = {
     "task": Step(1, WHOLE, 1.0),
     "gang": Step(3, WHOLE, 1.0, gang=True),
@@ -75,20 +74,26 @@
 
 
 @pytest.mark.parametrize("step", STEPS.values(), ids=STEPS)
-def test_job_goes_on_when_no_order_can_act_on_its_lost_worker(step):
-    """Guards against a job that stands still for a lease more than that."""
+@pytest.mark.parametrize("kills_leader", [False, True])
+def test_job_goes_on_once_its_lost_worker_is_gone(step, kills_leader):
+    """Guards against a job that stands still after a zone is lost (review/12).
+
+    The order to start it may have been carried out until 13 s after that.
+    """
     job = make_job(step)
 
     async def scenario(world):
         worker_id = await lose_at_start(world, job)
         lost_at = world.clock()
+        if kills_leader:
+            await next(n for n in world.nodes if n.is_leader).kill()
         await asyncio.sleep(LAPSE_S)
         world.unlist(worker_id)
         assert await world.wait_for_jobs(40.0) == []
         return max(e.started_at for e in world.ledger.entries) - lost_at
 
     began_s = run_in_world(scenario)
-    assert MAX_ORDER_DELAY_S < began_s < FINISH_S + MAX_STANDSTILL_S
+    assert LAPSE_S + GONE_AFTER_S < began_s < FINISH_S
 
 
 @pytest.mark.parametrize("seed", range(1, 6))
