Count the tasks of a machine as away from its upkeep order on

Cause: the scheduler learned from the answer to the order (1.25 s late), not from its sending, that the machine's tasks may have ended.

Change: it is told of the order before it leaves; the tasks count as away until it is answered, whatever reports say. After the answer, a refusal included, the next report decides as before.

Ruled out: no preemption during a wave; urgent jobs would wait for it.

Tests: a report or silence during the order, both kinds of answers, each outcome of an order; without the change the scheduler isn't told.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/messages.py
@@ -355,6 +355,21 @@
     step: StepId
 
 
+class UpkeepOrdered(msgspec.Struct, frozen=True):
+    """An order to take a worker's machine down is on its way.
+
+    It may end the worker's runs at any time until it is answered.
+    """
+
+    worker_id: WorkerId
+
+
+class UpkeepRefused(msgspec.Struct, frozen=True):
+    """The order was answered: the machine stays up."""
+
+    worker_id: WorkerId
+
+
 class WorkerTakenDown(msgspec.Struct, frozen=True):
     """A worker's machine may just have been taken down, and its runs ended."""
 
@@ -403,6 +418,8 @@
     | AdviceGiven
     | AdviceMissing
     | WorkerTakenDown
+    | UpkeepOrdered
+    | UpkeepRefused
     | WorkersShuttingDown
     | RowWritten
     | Tick
--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/scheduler.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from collections.abc import Iterator
 from functools import singledispatchmethod
 
 from pomeloarch_core.batch.advice import AdviceCache
@@ -19,6 +20,7 @@
     Group,
     GroupState,
     JobEntry,
+    Member,
     can_stop,
     can_stop_all,
 )
@@ -43,6 +45,8 @@
     StopAnswered,
     TaskId,
     Tick,
+    UpkeepOrdered,
+    UpkeepRefused,
     WorkerInfo,
     WorkerLate,
     WorkerReported,
@@ -590,10 +594,20 @@
         self._dirty = True
 
     @_on.register
-    def _on_taken_down(self, event: WorkerTakenDown, now: float) -> None:
+    def _on_upkeep_ordered(self, event: UpkeepOrdered, now: float) -> None:
         worker = self._fleet.get(event.worker_id)
         if worker is not None:
-            _mark_maybe_ended(worker, now)
+            _mark_maybe_ended(worker, float("inf"))
+
+    @_on.register(UpkeepRefused)
+    @_on.register(WorkerTakenDown)
+    def _on_upkeep_answered(
+        self, event: UpkeepRefused | WorkerTakenDown, now: float
+    ) -> None:
+        worker = self._fleet.get(event.worker_id)
+        if worker is not None:
+            for member in _members_on(worker):
+                member.maybe_ended_at = now
 
     @_on.register
     def _on_shutting_down(self, event: WorkersShuttingDown, now: float) -> None:
@@ -679,12 +693,18 @@
             self._dirty = True
 
 
-def _mark_maybe_ended(worker: Worker, now: float) -> None:
-    """Notes that the runs of a worker may have ended by now."""
+def _mark_maybe_ended(worker: Worker, at: float) -> None:
+    """Notes that the runs of a worker may end until a time, in seconds."""
+    for member in _members_on(worker):
+        member.maybe_ended_at = max(at, member.maybe_ended_at or at)
+
+
+def _members_on(worker: Worker) -> Iterator[Member]:
+    """Yields the members of groups that are on a worker."""
     for group in worker.groups:
         for member in group.members.values():
             if member.worker_id == worker.worker_id:
-                member.maybe_ended_at = now
+                yield member
 
 
 def worker_from_roster(worker_id: WorkerId, address: str) -> WorkerInfo:
--- a/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
+++ b/packages/pomeloarch-core/tests/test_batch_unheard_workers.py
@@ -16,6 +16,8 @@
     StartTask,
     TaskId,
     Tick,
+    UpkeepOrdered,
+    UpkeepRefused,
     WorkerInfo,
     WorkerReported,
     WorkerSilent,
@@ -185,6 +187,8 @@
         (WorkerTakenDown(OTHER.worker_id), None, False),
         (WorkerTakenDown(OTHER.worker_id), -0.1, False),
         (WorkerTakenDown(OTHER.worker_id), 0.1, True),
+        (UpkeepOrdered(OTHER.worker_id), None, False),
+        (UpkeepOrdered(OTHER.worker_id), 0.1, False),
         (WorkerSilent(OTHER.worker_id, NOW + 6.0), None, False),
         (WorkerSilent(OTHER.worker_id, NOW + 6.0), 0.1, True),
     ],
@@ -206,6 +210,34 @@
     assert scheduler.can_end_tasks(INFO.worker_id, NOW + 0.2) == allowed
 
 
+@pytest.mark.parametrize("between", [None, WorkerSilent])
+@pytest.mark.parametrize("answer", [UpkeepRefused, WorkerTakenDown])
+def test_task_counts_as_away_until_its_upkeep_order_is_answered(
+    answer, between
+):
+    """Guards against tasks that are preempted beside an upkeep (review/15).
+
+    The order may be carried out at any time, also after a report that still
+    shows the task at work.
+    """
+    scheduler = make_serving_scheduler(2, may_miss=1)
+    others = {"running": SERVING[1:2], "worker_id": OTHER.worker_id}
+    report(scheduler, 1, NOW - 1.0, running=SERVING[:1])
+    report(scheduler, 1, NOW - 1.0, **others)
+    scheduler.handle(UpkeepOrdered(OTHER.worker_id), NOW)
+    if between is not None:
+        scheduler.handle(WorkerSilent(OTHER.worker_id, NOW + 6.0), NOW + 0.1)
+    found = []
+    for at in (NOW + 0.5, NOW + 1.0):
+        report(scheduler, 1, at, **others)
+        found.append(scheduler.can_end_tasks(INFO.worker_id, at))
+    scheduler.handle(answer(OTHER.worker_id), NOW + 1.25)
+    found.append(scheduler.can_end_tasks(INFO.worker_id, NOW + 1.3))
+    report(scheduler, 1, NOW + 1.5, **others)
+    found.append(scheduler.can_end_tasks(INFO.worker_id, NOW + 1.5))
+    assert found == [False, False, False, True]
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_ticket_is_for_the_incarnation_that_was_asked_about(restarts):
     """Guards against a ticket that a restarted worker refuses."""
--- a/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
+++ b/packages/pomeloarch-node/src/pomeloarch_node/batch/upkeep_task.py
@@ -9,6 +9,8 @@
 
 from pomeloarch_core.batch.messages import (
     Event,
+    UpkeepOrdered,
+    UpkeepRefused,
     WorkersShuttingDown,
     WorkerTakenDown,
 )
@@ -203,13 +205,17 @@
                         machine, UpkeepOutcome.BUSY, self._clock()
                     )
                 return
+            worker_id = machines[machine].worker_id
+            if worker_id is not None:
+                self._emit(UpkeepOrdered(worker_id))
             outcome = await service.upkeep(
                 machine, plan.wave.number, self._holder, self._fence
             )
             plan.record_outcome(machine, outcome, self._clock())
-            worker_id = machines[machine].worker_id
             if worker_id is not None and outcome in _MAY_HAVE_TAKEN_DOWN:
                 self._emit(WorkerTakenDown(worker_id))
+            elif worker_id is not None:
+                self._emit(UpkeepRefused(worker_id))
             self._log.write(
                 "machine upkeep",
                 wave=plan.wave.number,
--- a/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
+++ b/packages/pomeloarch-node/tests/test_batch_upkeep_handover.py
@@ -6,7 +6,12 @@
 import pytest
 from result import Ok
 
-from pomeloarch_core.batch.messages import WorkersShuttingDown, WorkerTakenDown
+from pomeloarch_core.batch.messages import (
+    UpkeepOrdered,
+    UpkeepRefused,
+    WorkersShuttingDown,
+    WorkerTakenDown,
+)
 from pomeloarch_core.batch.upkeep import MachineId, UpkeepOutcome, Wave
 from pomeloarch_core.ids import Epoch, NodeId, WorkerId
 from pomeloarch_node.batch.ports import Machine
@@ -27,6 +32,7 @@
     Attributes:
       max_down: the maximum number of machines that were down at a time.
       outcome: the answer to orders.
+      answer_delay_s: how long an order takes to be answered, in seconds.
 
     Args:
       upkeep_s: how long a machine is down, in seconds.
@@ -35,6 +41,7 @@
     def __init__(self, upkeep_s):
         self.max_down = 0
         self.outcome = UpkeepOutcome.DONE
+        self.answer_delay_s = 0.0
         self._upkeep_s = upkeep_s
         self._down_until = {}
         self._done = set()
@@ -58,6 +65,7 @@
             self._down_until[machine] = now + self._upkeep_s
             down = sum(map(self._is_down, WAVE.machines))
             self.max_down = max(self.max_down, down)
+        await asyncio.sleep(self.answer_delay_s)
         return self.outcome
 
 
@@ -129,6 +137,32 @@
     assert bool(done) == bool(shutting_down) == (not completed)
 
 
+@pytest.mark.parametrize("outcome", UpkeepOutcome)
+def test_scheduler_is_told_of_an_upkeep_order_before_its_answer(outcome):
+    """Guards against tasks that count as at work while they are ended."""
+    events = []
+
+    async def scenario():
+        machines = Machines(UPKEEP_S)
+        machines.outcome, machines.answer_delay_s = outcome, 1.25
+        running = start_successor(machines, FeedTables(), events.append)
+        await asyncio.sleep(HANDOVER_S + 1.0)
+        before = [type(each) for each in events if "m1" in str(each)]
+        await asyncio.sleep(1.3)
+        running.cancel()
+        return before
+
+    before = run_virtual(scenario())
+    assert before[-1] is UpkeepOrdered
+    told = [e for e in events if not isinstance(e, WorkersShuttingDown)]
+    refused = outcome in (UpkeepOutcome.BUSY, UpkeepOutcome.NOT_OF_WAVE)
+    answer = UpkeepRefused if refused else WorkerTakenDown
+    assert told[:2] == [
+        UpkeepOrdered(WorkerId("w-m1")),
+        answer(WorkerId("w-m1")),
+    ]
+
+
 @pytest.mark.parametrize("outcome", UpkeepOutcome)
 def test_scheduler_is_told_at_once_that_a_worker_may_have_ended(outcome):
     """Guards against a second machine whose upkeep ends too many tasks.
