Keep the places of a gang whose workers have not left

Cause: since, the members of a gang without an open start could take any room. Gangs with open starts are placed before all others, so that they took room from more urgent groups, and set-aside and reserved workers.

Change: such members keep their places as before; only those whose workers are off the list may go elsewhere, which is what a lost zone needs.

Test: a gang whose worker is only draining waits (failed before); one whose worker has left replaces that member. Core, node and stand-in tests of batch jobs pass.

--- a/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
+++ b/packages/pomeloarch-core/src/pomeloarch_core/batch/dispatching.py
@@ -392,30 +392,49 @@
     def _places_of_open_starts(
         self, group: Group
     ) -> dict[int, WorkerId] | None:
-        """Returns the worker on which each task's start is open, by index.
+        """Returns the worker on which each task's start may be open, by index.
 
-        Tasks without an open start are left out.
+        Those of a gang are the places of its last claim. Its members without an
+        open start whose workers are off the list are left out.
 
         Returns:
           The workers; None where a task has several of them.
         """
-        found = {}
-        for index in group.indices:
-            workers = self._open_starts.workers(group.task(index))
-            if len(workers) > 1:
+        open_at = {
+            index: self._open_starts.workers(group.task(index))
+            for index in group.indices
+        }
+        if not group.step.gang:
+            (workers,) = open_at.values()
+            found = dict.fromkeys(group.indices, next(iter(workers)))
+        else:
+            row = group.job.row
+            named = row.open_starts.get(group.key, [])
+            if not row.names_members or len(named) != len(group.indices):
                 return None
-            if workers:
-                (found[index],) = workers
-        return found
+            found = dict(zip(group.indices, named, strict=True))
+        is_open_elsewhere = any(
+            workers - {found[index]} for index, workers in open_at.items()
+        )
+        if is_open_elsewhere:
+            return None
+        return {
+            index: worker_id
+            for index, worker_id in found.items()
+            if open_at[index] or self._is_listed(worker_id)
+        }
+
+    def _is_listed(self, worker_id: WorkerId) -> bool:
+        worker = self._fleet.get(worker_id)
+        return worker is not None and worker.listed
 
     def _place_again(
         self, group: Group, placing_round: PlacingRound, now: float
     ) -> bool:
         """Claims places for a gang of which some starts are open.
 
-        The members whose starts are open get the same places again, if these
-        are free. The others get those of the last claim or, where these are not
-        free, any others.
+        They are those of its last claim, if these are free, and any others for
+        the members whose workers have left.
         """
         self._load_usable(group, placing_round, now)
         usable = placing_round.usable[group.job.queue.service].workers
@@ -423,16 +442,15 @@
             usable = self._filter_advised(group, list(usable), now)
         # A worker may have started again as one of another kind.
         allowed = filter_allowed(group, usable, {})
-        bound = placing_round.only_places[group]
-        named = group.job.row.open_starts.get(group.key, [])
-        wanted = dict(zip(group.indices, named, strict=False)) | bound
-        places = _find_places_again(group, allowed, bound, wanted)
+        places = _find_places_again(
+            group, allowed, placing_round.only_places[group]
+        )
         if places is None:
             self._log_waiting(
                 group, WaitReason.OPEN_START, None, False, placing_round, now
             )
             return False
-        if [places[index].worker_id for index in group.indices] != named:
+        if len(placing_round.only_places[group]) < len(group.indices):
             # The starts that are open are named again with the claim.
             group.job.row.open_starts.pop(group.key, None)
         self._claim(group, places, placing_round, now)
@@ -1221,15 +1239,13 @@
     group: Group,
     workers: Sequence[Worker],
     bound: Mapping[int, WorkerId],
-    wanted: Mapping[int, WorkerId],
 ) -> Placement | None:
     """Returns places for a gang of which some members are bound to workers.
 
     Args:
       group: the gang.
       workers: workers that its step allows.
-      bound: the workers of the members that may be on no other ones, by index.
-      wanted: the workers that the members are placed on where they have room.
+      bound: the workers of these members, by index.
     """
     known = {each.worker_id: each for each in workers}
     left = {each: each.count_fitting(group.step.allocation) for each in workers}
@@ -1238,11 +1254,12 @@
         left = {each: min(count, most) for each, count in left.items()}
     places: Placement = {}
     for index in sorted(group.indices, key=lambda each: each not in bound):
-        worker = known.get(wanted[index]) if index in wanted else None
-        if worker is None or not left[worker]:
+        if index in bound:
+            worker = known.get(bound[index])
+        else:
             worker = next((each for each in workers if left[each]), None)
-            if worker is None or index in bound:
-                return None
+        if worker is None or not left[worker]:
+            return None
         places[index] = worker
         left[worker] -= 1
     return places
--- a/packages/pomeloarch-core/tests/test_batch_late_ends.py
+++ b/packages/pomeloarch-core/tests/test_batch_late_ends.py
@@ -768,18 +768,29 @@
     assert workers == list(WORKERS[:starts])
 
 
-def test_gang_replaces_the_member_whose_worker_is_gone_and_no_other():
-    """Guards against a gang that waits for a worker that was lost."""
+@pytest.mark.parametrize("has_left", [True, False])
+def test_gang_replaces_the_member_whose_worker_has_left_and_no_other(has_left):
+    """Guards against a gang that waits for a worker that was lost.
+
+    A gang whose workers are only full would take others before more urgent
+    groups do.
+    """
     third = WorkerId("w2")
     workers = (*WORKERS, third)
     harness, orders, _ = gang_with_an_open_start()
     harness.placing = False
     stop_members(harness, orders)
-    harness.list_workers(workers, draining=WORKERS[:1])
+    if has_left:
+        harness.list_workers(workers[1:])
+    else:
+        harness.list_workers(workers, draining=WORKERS[:1])
     harness.emit(RosterWritten(frozenset(workers)))
     harness.report(third)
     harness.placing = True
     harness.report_for(1.0, workers)
+    if not has_left:
+        assert len(harness.starts()) == 2
+        return
     again = {e.task.index: e.worker_id for e in harness.starts()[2:]}
     before = {e.task.index: e.worker_id for e in orders.values()}
     bound = orders[WORKERS[1]].task.index
